Lay out the crate with its shared types

Cause: nothing stands yet; modules need agreed keys, units, frames, rules and settings to be written side by side.

--- /dev/null
+++ b/src/admin.rs
@@ -0,0 +1,1 @@
+//! The admin address: `/healthz`, `/readyz` and `/status`.
--- /dev/null
+++ b/src/agent/mod.rs
@@ -0,0 +1,1 @@
+//! The agent: the only way to its target.
--- /dev/null
+++ b/src/auth.rs
@@ -0,0 +1,1 @@
+//! The shared key between the system's processes.
--- /dev/null
+++ b/src/bench/mod.rs
@@ -0,0 +1,1 @@
+//! The measurements of `balsampitch-bench`.
--- /dev/null
+++ b/src/claim.rs
@@ -0,0 +1,1 @@
+//! Claims on idempotency keys, decided by the log's offsets.
--- /dev/null
+++ b/src/cmd/mod.rs
@@ -0,0 +1,1 @@
+//! Command lines, a file for each binary.
--- /dev/null
+++ b/src/conn.rs
@@ -0,0 +1,1 @@
+//! A framed, authenticated connection between an entry and an agent.
--- /dev/null
+++ b/src/entry/mod.rs
@@ -0,0 +1,1 @@
+//! The entry: takes callers' requests and streams answers back.
--- /dev/null
+++ b/src/exchange/mod.rs
@@ -0,0 +1,1 @@
+//! Exchange of service levels between entries.
--- /dev/null
+++ b/src/kernel.rs
@@ -0,0 +1,58 @@
+//! The micro-kernel: services register under a name and find each other by it.
+
+use std::any::Any;
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+
+/// Name of a service within a process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct ServiceName(pub &'static str);
+
+/// Why a service was not found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum LookupError {
+    /// Nothing is registered under the name.
+    #[error("no service is registered as {}", .0.0)]
+    Absent(ServiceName),
+    /// What is registered under the name is of another type.
+    #[error("the service {} is of another type", .0.0)]
+    OtherType(ServiceName),
+}
+
+/// Registry of the services of one process. Look-ups happen at start, not on the request path.
+#[derive(Clone, Default)]
+pub struct Kernel {
+    services: Arc<Mutex<HashMap<ServiceName, Box<dyn Any + Send>>>>,
+}
+
+impl Kernel {
+    /// A kernel without services.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Registers a service's handle under a name; a later one replaces an earlier one.
+    pub fn register<T: Clone + Send + 'static>(&self, name: ServiceName, handle: T) {
+        let mut services = self
+            .services
+            .lock()
+            .expect("kernel registry is not poisoned");
+        services.insert(name, Box::new(handle));
+    }
+
+    /// The handle registered under a name.
+    ///
+    /// # Errors
+    /// [`LookupError`] when there is none, or it is of another type.
+    pub fn find<T: Clone + Send + 'static>(&self, name: ServiceName) -> Result<T, LookupError> {
+        let services = self
+            .services
+            .lock()
+            .expect("kernel registry is not poisoned");
+        let handle = services.get(&name).ok_or(LookupError::Absent(name))?;
+        handle
+            .downcast_ref::<T>()
+            .cloned()
+            .ok_or(LookupError::OtherType(name))
+    }
+}
--- /dev/null
+++ b/src/learn.rs
@@ -0,0 +1,1 @@
+//! Cost and class of requests, learnt from those before.
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,34 @@
+//! balsampitch: a router fleet that shares capacity fairly between client accounts.
+//!
+//! The decisions ([`share`], [`scheduler`], [`pull`], [`ledger`], [`claim`], [`rules`]) are pure:
+//! they take the time and events, return values, and own no socket. The services around them
+//! ([`entry`], [`agent`]) do the input and output.
+
+pub mod admin;
+pub mod agent;
+pub mod auth;
+pub mod bench;
+pub mod claim;
+pub mod cmd;
+pub mod conn;
+pub mod entry;
+pub mod exchange;
+pub mod ids;
+pub mod kernel;
+pub mod learn;
+pub mod ledger;
+pub mod local;
+pub mod pace;
+pub mod platform;
+pub mod problem;
+pub mod pull;
+pub mod quarantine;
+pub mod queue;
+pub mod rules;
+pub mod scheduler;
+pub mod settings;
+pub mod share;
+pub mod standin;
+pub mod telemetry;
+pub mod units;
+pub mod wire;
--- /dev/null
+++ b/src/pace.rs
@@ -0,0 +1,1 @@
+//! A target's rate beside its peers'.
--- /dev/null
+++ b/src/platform/mod.rs
@@ -0,0 +1,1 @@
+//! Clients of the platform's services: the log and the host list.
--- /dev/null
+++ b/src/quarantine.rs
@@ -0,0 +1,1 @@
+//! Requests that crash their targets.
--- /dev/null
+++ b/src/telemetry/mod.rs
@@ -0,0 +1,1 @@
+//! Logs, metrics and traces.
