Bound the ledger and decide a request's course over its dispatches

Cause: the ledger grew without limit, and the entry had no decisions for a dispatch whose connection or agent was lost.

Ruled out: dropping idle entry runs silently (a later ask would be answered NeverSeen, which allows another run); retrying on a gap in the chunks (a gap after State is a fault, so the answer is cut).

`Ask` and `Settled` carry the entry's floor, from the new `dispatches`. `attempt` turns events of one request into actions.

Conclusion: a dispatch is begun once, and `not_run` is said only of a request of which no dispatch can have been begun.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,16 +1,19 @@
 //! balsampitch: a router fleet that shares capacity fairly between client accounts.
 //!
-//! The decisions ([`share`], [`scheduler`], [`pull`], [`ledger`], [`claim`], [`rules`]) are pure:
+//! The decisions ([`share`], [`scheduler`], [`pull`], [`attempt`], [`ledger`], [`claim`],
+//! [`rules`]) are pure:
 //! they take the time and events, return values, and own no socket. The services around them
 //! ([`entry`], [`agent`]) do the input and output.
 
 pub mod admin;
 pub mod agent;
+pub mod attempt;
 pub mod auth;
 pub mod bench;
 pub mod claim;
 pub mod cmd;
 pub mod conn;
+pub mod dispatches;
 pub mod entry;
 pub mod exchange;
 pub mod ids;
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -92,7 +92,7 @@
     Done,
     /// The agent has never begun it, and from now on never will.
     NeverSeen,
-    /// The agent began it and no longer holds the answer.
+    /// The agent may have begun it and no longer holds the answer or the record.
     Forgotten,
 }
 
@@ -162,14 +162,20 @@
     },
     /// A piece of a dispatched request's body.
     Body { dispatch: DispatchId, data: Bytes },
-    /// What became of this dispatch? Chunks from `next` on are missing.
-    Ask { dispatch: DispatchId, next: u64 },
+    /// What became of this dispatch? Chunks from `next` on are missing. The entry needs no record
+    /// of its dispatches below `floor`.
+    Ask {
+        dispatch: DispatchId,
+        next: u64,
+        floor: u64,
+    },
     /// The caller has taken all chunks before `next`.
     Ack { dispatch: DispatchId, next: u64 },
     /// Nobody wants the answer any more.
     Cancel { dispatch: DispatchId },
-    /// The entry holds the whole answer; the agent may let go of it.
-    Settled { dispatch: DispatchId },
+    /// The entry holds the whole answer; the agent may let go of it, and of every record of the
+    /// entry's dispatches below `floor`.
+    Settled { dispatch: DispatchId, floor: u64 },
     /// Sent when nothing else was for a while.
     Heartbeat { backlog: Backlog },
     /// The entry sends no new work.
