Decide claims, quarantine and resumption

Cause: nothing decided which of several requests with one idempotency key runs, held back requests that crash their targets, or kept an answer's pieces for a new connection.

Ruled out: leases on keys (they lapse under a paused holder); letting an earlier loser take over at a release (its caller was already answered); keeping the latest crashes in a merge (not commutative, since an estimate of a time may fall).

Change: `claim` holds the records and the table of keys, `quarantine` the crashes and trials with a merge by minima, `resume` an answer's pieces up to 256 KiB.

Conclusion: the decisions are there; they are not yet called.

--- a/src/claim.rs
+++ b/src/claim.rs
@@ -1,1 +1,384 @@
-//! Claims on idempotency keys, decided by the log's offsets.
+//! Idempotency keys: which of several requests with one key is run, decided from the offsets of
+//! the records in the platform's log stream [`STREAM`].
+//!
+//! Pure. The first claim of a key by offset wins. It is given up only by a release that its
+//! holder wrote; then the first claim after that release wins. Time decides nothing except that
+//! a holder must have read the log recently, see [`Claims::may_dispatch`].
+
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest as _, Sha256};
+
+use crate::ids::BootId;
+use crate::units::Micros;
+
+/// Name of the log stream.
+pub const STREAM: &str = "claims";
+/// Version of the records, their first byte.
+pub const RECORD_VERSION: u8 = 1;
+/// Largest encoded record, in bytes.
+pub const MAX_RECORD_BYTES: usize = 512;
+/// Most keys that an entry remembers.
+pub const MAX_CLAIMS: usize = 1 << 20;
+/// Most abandoned claims that are watched for. The key of an older one stays held.
+pub const MAX_ABANDONED: usize = 4_096;
+/// How long a reading of the log stays good enough to dispatch by. Must be far below the time for
+/// which the log keeps records.
+pub const FRESH: Micros = Micros::from_secs(10);
+
+/// First half of a SHA-256 digest.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Digest(pub [u8; 16]);
+
+impl Digest {
+    /// The digest of several parts; where one part ends and the next begins counts.
+    pub fn of(parts: &[&[u8]]) -> Self {
+        let mut hash = Sha256::new();
+        for part in parts {
+            hash.update((part.len() as u64).to_be_bytes());
+            hash.update(part);
+        }
+        let whole = hash.finalize();
+        let half = whole.first_chunk().expect("SHA-256 has 32 bytes");
+        Digest(*half)
+    }
+
+    /// The digest that names a client account's idempotency key.
+    pub fn of_key(account: &str, key: &[u8]) -> Self {
+        Digest::of(&[account.as_bytes(), key])
+    }
+}
+
+/// Names one claim. Random; a claim that is appended twice keeps its id.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct ClaimId(pub u128);
+
+impl ClaimId {
+    /// A new random id.
+    pub fn random() -> Self {
+        ClaimId(rand::random())
+    }
+}
+
+/// A request's claim on its key.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claim {
+    /// This claim.
+    pub id: ClaimId,
+    /// Name of the client account, for those who read the log.
+    pub account: String,
+    /// [`Digest::of_key`].
+    pub key: Digest,
+    /// Digest of method, path and body.
+    pub request: Digest,
+    /// Where the holder's peers reach it.
+    pub entry: SocketAddr,
+    /// The holder's run.
+    pub boot: BootId,
+}
+
+/// What became of a claimed request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Fate {
+    /// It was run; its answer had this status.
+    Done {
+        /// HTTP status.
+        status: u16,
+    },
+    /// It may have been run.
+    Unknown,
+    /// It was not run and never will be: the key is free again.
+    NotRun,
+}
+
+/// A holder's report on its claim.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// The claim.
+    pub id: ClaimId,
+    /// Its key.
+    pub key: Digest,
+    /// The run that made the claim, and that reports.
+    pub boot: BootId,
+    /// What became of it.
+    pub fate: Fate,
+}
+
+/// A record of the stream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Record {
+    /// A request claims its key.
+    Claim(Claim),
+    /// A holder reports on its claim.
+    Report(Report),
+}
+
+/// Why a record could not be read or written.
+#[derive(Debug, thiserror::Error)]
+pub enum RecordError {
+    /// The record exceeds [`MAX_RECORD_BYTES`].
+    #[error("record of {0} bytes exceeds the limit")]
+    TooLong(usize),
+    /// The record has another version.
+    #[error("record has version {0:?}")]
+    Version(Option<u8>),
+    /// The bytes are no record.
+    #[error("bytes hold no record: {0}")]
+    Malformed(#[from] postcard::Error),
+}
+
+impl Record {
+    /// Encodes the record behind its version byte.
+    ///
+    /// # Errors
+    /// [`RecordError::TooLong`] when it exceeds [`MAX_RECORD_BYTES`].
+    pub fn encode(&self) -> Result<Vec<u8>, RecordError> {
+        let bytes = postcard::to_extend(self, vec![RECORD_VERSION])?;
+        if bytes.len() > MAX_RECORD_BYTES {
+            return Err(RecordError::TooLong(bytes.len()));
+        }
+        Ok(bytes)
+    }
+}
+
+impl TryFrom<&[u8]> for Record {
+    type Error = RecordError;
+
+    fn try_from(bytes: &[u8]) -> Result<Self, RecordError> {
+        if bytes.len() > MAX_RECORD_BYTES {
+            return Err(RecordError::TooLong(bytes.len()));
+        }
+        match bytes.split_first() {
+            Some((&RECORD_VERSION, rest)) => Ok(postcard::from_bytes(rest)?),
+            other => Err(RecordError::Version(other.map(|(version, _)| *version))),
+        }
+    }
+}
+
+/// The claim that holds a key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Holder {
+    /// The claim.
+    pub id: ClaimId,
+    /// Its offset, the fencing number of its dispatches.
+    pub offset: u64,
+    /// Digest of the claimed request.
+    pub request: Digest,
+    /// Where the holder's peers reach it.
+    pub entry: SocketAddr,
+    /// The holder's run.
+    pub boot: BootId,
+    /// What became of it; `None` while its holder has not reported.
+    pub fate: Option<Fate>,
+}
+
+/// What a request finds when it comes with a key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum View {
+    /// Nobody holds the key: append a claim.
+    Free,
+    /// Another claim of the same request holds it: join it, or answer 409 with what is known.
+    Held(Holder),
+    /// The key was used with another request: answer 422.
+    Reused,
+}
+
+/// What became of a claim of this process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It has not been read back yet.
+    Pending,
+    /// It holds the key; dispatch with this fencing number.
+    Won(u64),
+    /// It does not hold the key; [`Claims::view`] says who does.
+    Lost,
+    /// Its request was refused before it was read back; it must never be dispatched.
+    Abandoned,
+}
+
+/// The claims in the log, read in the order of their offsets.
+#[derive(Debug, Default)]
+pub struct Claims {
+    held: HashMap<Digest, Holder>,
+    order: VecDeque<(u64, Digest)>,
+    mine: HashMap<ClaimId, Verdict>,
+    /// Abandoned claims, the oldest first.
+    lost: VecDeque<ClaimId>,
+    next: u64,
+    /// Claims below are no longer known.
+    first: u64,
+    read: Option<Micros>,
+}
+
+impl Claims {
+    /// Nothing has been read.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// The offset to read from.
+    pub fn next(&self) -> u64 {
+        self.next
+    }
+
+    /// The log was read to its end at `now`: it holds records from `first` on.
+    /// Call after [`Claims::apply`] with all that were read.
+    pub fn caught_up(&mut self, now: Micros, first: u64) {
+        self.expire(first);
+        self.next = self.next.max(first);
+        self.read = Some(now);
+    }
+
+    /// Takes a record in. Records that were taken before change nothing. Returns a release that
+    /// must be appended: an abandoned claim of this process has come to hold its key.
+    pub fn apply(&mut self, offset: u64, record: &Record) -> Option<Report> {
+        if offset < self.next {
+            return None;
+        }
+        self.next = offset + 1;
+        match record {
+            Record::Claim(claim) => self.claimed(offset, claim),
+            Record::Report(report) => {
+                self.reported(report);
+                None
+            }
+        }
+    }
+
+    /// Passes over a record that cannot be read.
+    pub fn skip(&mut self, offset: u64) {
+        self.next = self.next.max(offset + 1);
+    }
+
+    /// What a request with this key finds.
+    pub fn view(&self, key: Digest, request: Digest) -> View {
+        match self.held.get(&key) {
+            None => View::Free,
+            Some(holder) if holder.request != request => View::Reused,
+            Some(holder) => View::Held(*holder),
+        }
+    }
+
+    /// A claim is about to be appended by this process.
+    pub fn expect(&mut self, id: ClaimId) {
+        self.mine.insert(id, Verdict::Pending);
+    }
+
+    /// What became of an expected claim. `None`: it is not expected.
+    pub fn verdict(&self, id: ClaimId) -> Option<Verdict> {
+        self.mine.get(&id).copied()
+    }
+
+    /// The claim's request is over and was reported, or had lost.
+    pub fn settle(&mut self, id: ClaimId) {
+        self.mine.remove(&id);
+    }
+
+    /// The claim's request is refused while it is not read back: it is never dispatched, and it is
+    /// released if its record turns up. `false`: it is not pending, so it is decided already.
+    #[must_use]
+    pub fn abandon(&mut self, id: ClaimId) -> bool {
+        let Some(verdict @ Verdict::Pending) = self.mine.get_mut(&id) else {
+            return false;
+        };
+        *verdict = Verdict::Abandoned;
+        self.lost.push_back(id);
+        if self.lost.len() > MAX_ABANDONED {
+            let oldest = self.lost.pop_front();
+            oldest.map(|id| self.mine.remove(&id));
+        }
+        true
+    }
+
+    /// Whether a winner may be dispatched now: the log was read at most [`FRESH`] ago and still
+    /// holds its claim. Ask in the same step that hands the dispatch to the connection: a process
+    /// that is paused after that finds its connection closed by the agent.
+    pub fn may_dispatch(&self, now: Micros, fence: u64) -> bool {
+        let fresh = self.read.is_some_and(|at| now - at <= FRESH);
+        fresh && fence >= self.first
+    }
+
+    /// Keys that are remembered.
+    pub fn len(&self) -> usize {
+        self.held.len()
+    }
+
+    /// Whether no key is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.held.is_empty()
+    }
+
+    fn claimed(&mut self, offset: u64, claim: &Claim) -> Option<Report> {
+        let won = !self.held.contains_key(&claim.key);
+        if won {
+            let holder = Holder {
+                id: claim.id,
+                offset,
+                request: claim.request,
+                entry: claim.entry,
+                boot: claim.boot,
+                fate: None,
+            };
+            self.held.insert(claim.key, holder);
+            self.order.push_back((offset, claim.key));
+            self.trim();
+        }
+        match self.mine.get_mut(&claim.id) {
+            Some(Verdict::Abandoned) if won => Some(Report {
+                id: claim.id,
+                key: claim.key,
+                boot: claim.boot,
+                fate: Fate::NotRun,
+            }),
+            Some(verdict @ Verdict::Pending) => {
+                *verdict = if won {
+                    Verdict::Won(offset)
+                } else {
+                    Verdict::Lost
+                };
+                None
+            }
+            _ => None,
+        }
+    }
+
+    fn reported(&mut self, report: &Report) {
+        let Some(holder) = self.held.get_mut(&report.key) else {
+            return;
+        };
+        if (holder.id, holder.boot) != (report.id, report.boot) {
+            return;
+        }
+        match report.fate {
+            Fate::NotRun if holder.fate.is_none() => {
+                self.held.remove(&report.key);
+            }
+            Fate::NotRun => {}
+            fate => holder.fate = Some(fate),
+        }
+    }
+
+    fn trim(&mut self) {
+        while self.order.len() > MAX_CLAIMS {
+            let (offset, _) = self.order[0];
+            self.expire(offset + 1);
+        }
+    }
+
+    fn expire(&mut self, first: u64) {
+        self.first = self.first.max(first);
+        while let Some(&(offset, key)) = self.order.front()
+            && offset < self.first
+        {
+            self.order.pop_front();
+            if self.held.get(&key).is_some_and(|h| h.offset == offset) {
+                self.held.remove(&key);
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/claim/tests.rs
@@ -0,0 +1,133 @@
+use super::*;
+
+const T0: Micros = Micros::ZERO;
+
+fn key() -> Digest {
+    Digest::of_key("school", b"order-1")
+}
+
+fn request(body: &[u8]) -> Digest {
+    Digest::of(&[b"POST", b"/run", body])
+}
+
+fn claim(id: u128) -> Record {
+    Record::Claim(Claim {
+        id: ClaimId(id),
+        account: "school".to_owned(),
+        key: key(),
+        request: request(b"a"),
+        entry: "127.0.0.1:9000".parse().expect("an address"),
+        boot: BootId(id as u64),
+    })
+}
+
+fn report(id: u128, boot: u64, fate: Fate) -> Record {
+    Record::Report(Report {
+        id: ClaimId(id),
+        key: key(),
+        boot: BootId(boot),
+        fate,
+    })
+}
+
+fn read(records: &[Record]) -> Claims {
+    let mut claims = Claims::new();
+    for id in 1..9 {
+        claims.expect(ClaimId(id));
+    }
+    (0..)
+        .zip(records)
+        .for_each(|(offset, r)| assert_eq!(claims.apply(offset, r), None));
+    claims.caught_up(T0, 0);
+    claims
+}
+
+fn winner(claims: &Claims) -> Option<u128> {
+    match claims.view(key(), request(b"a")) {
+        View::Held(holder) => Some(holder.id.0),
+        View::Free | View::Reused => None,
+    }
+}
+
+/// Names each case: the records by offset, and the claim that holds the key after them.
+macro_rules! cases {
+    ($($name:ident: [$($record:expr),*] => $winner:expr)*) => {
+        $(#[test]
+        fn $name() {
+            assert_eq!(winner(&read(&[$($record),*])), $winner);
+        })*
+    };
+}
+
+cases! {
+    nobody_holds_an_unused_key: [] => None
+    the_first_by_offset_wins: [claim(1), claim(2)] => Some(1)
+    a_claim_appended_twice_holds_once: [claim(1), claim(1), claim(2)] => Some(1)
+    done_holds_for_ever: [claim(1), report(1, 1, Fate::Done { status: 200 }), claim(2)] => Some(1)
+    unknown_holds_for_ever: [claim(1), report(1, 1, Fate::Unknown), claim(2)] => Some(1)
+    a_release_frees: [claim(1), report(1, 1, Fate::NotRun)] => None
+    a_later_claim_retakes: [claim(1), report(1, 1, Fate::NotRun), claim(2)] => Some(2)
+    an_earlier_loser_does_not_retake: [claim(1), claim(2), report(1, 1, Fate::NotRun)] => None
+    another_run_cannot_release: [claim(1), report(1, 2, Fate::NotRun), claim(2)] => Some(1)
+    a_loser_cannot_release: [claim(1), claim(2), report(2, 2, Fate::NotRun)] => Some(1)
+    what_was_run_is_not_released:
+        [claim(1), report(1, 1, Fate::Unknown), report(1, 1, Fate::NotRun), claim(2)] => Some(1)
+}
+
+#[test]
+fn verdicts_follow_offsets() {
+    let claims = read(&[claim(1), claim(2)]);
+    assert_eq!(claims.verdict(ClaimId(1)), Some(Verdict::Won(0)));
+    assert_eq!(claims.verdict(ClaimId(2)), Some(Verdict::Lost));
+    assert_eq!(claims.verdict(ClaimId(3)), Some(Verdict::Pending));
+    assert_eq!(claims.verdict(ClaimId(99)), None);
+}
+
+#[test]
+fn another_body_is_reuse() {
+    let claims = read(&[claim(1)]);
+    assert_eq!(claims.view(key(), request(b"b")), View::Reused);
+}
+
+#[test]
+fn an_old_reading_does_not_dispatch() {
+    let claims = read(&[claim(1)]);
+    assert!(claims.may_dispatch(FRESH, 0));
+    assert!(!claims.may_dispatch(FRESH + Micros(1), 0));
+}
+
+#[test]
+fn an_expired_claim_does_not_dispatch() {
+    let mut claims = read(&[claim(1)]);
+    claims.caught_up(T0, 1);
+    assert_eq!(winner(&claims), None);
+    assert!(!claims.may_dispatch(T0, 0));
+}
+
+#[test]
+fn records_survive_encoding() {
+    for record in [claim(1), report(1, 1, Fate::Done { status: 200 })] {
+        let bytes = record.encode().expect("a short record");
+        assert_eq!(Record::try_from(&bytes[..]).expect("a record"), record);
+    }
+    assert!(Record::try_from(&[9u8, 0][..]).is_err());
+    assert!(Record::try_from(&[][..]).is_err());
+}
+
+#[test]
+fn an_abandoned_claim_that_turns_up_is_released() {
+    let mut claims = Claims::new();
+    claims.expect(ClaimId(1));
+    assert!(claims.abandon(ClaimId(1)));
+    let release = claims.apply(0, &claim(1)).expect("a release");
+    assert_eq!(claims.verdict(ClaimId(1)), Some(Verdict::Abandoned));
+    assert_eq!(claims.apply(1, &Record::Report(release)), None);
+    assert_eq!(winner(&claims), None);
+}
+
+#[test]
+fn a_claim_read_back_is_not_abandoned() {
+    let mut claims = read(&[claim(1)]);
+    assert!(!claims.abandon(ClaimId(1)));
+    assert_eq!(claims.verdict(ClaimId(1)), Some(Verdict::Won(0)));
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod pull;
 pub mod quarantine;
 pub mod queue;
+pub mod resume;
 pub mod rules;
 pub mod scheduler;
 pub mod settings;
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -1,1 +1,191 @@
-//! Requests that crash their targets.
+//! Requests that crashed their targets, by digest of service, method, path and body.
+//!
+//! Pure. The digest leaves the client account out: the same request crashes a target whoever
+//! sends it. Records travel between entries; taking them in is commutative and idempotent.
+
+use std::collections::HashMap;
+
+use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+
+use crate::claim::Digest;
+use crate::units::Micros;
+
+/// Crashes after which a request is refused.
+pub const MAX_CRASHES: usize = 2;
+/// How long a crash counts.
+pub const HOLD: Micros = Micros::from_secs(600);
+/// How long an entry's trial of a request keeps other entries from trying it.
+pub const TRIAL_HOLD: Micros = Micros::from_secs(30);
+/// Most sightings of one digest and kind that are remembered.
+pub const MAX_SIGHTINGS: usize = 8;
+/// Most digests that are remembered.
+pub const MAX_DIGESTS: usize = 4_096;
+
+/// What was seen of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Kind {
+    /// It crashed a target.
+    Crash,
+    /// It is being tried after its first crash.
+    Trial,
+}
+
+impl Kind {
+    /// How long a sighting counts.
+    const fn hold(self) -> Micros {
+        match self {
+            Kind::Crash => HOLD,
+            Kind::Trial => TRIAL_HOLD,
+        }
+    }
+}
+
+/// One sighting, as it travels between entries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Sighting {
+    /// The request.
+    pub digest: Digest,
+    /// Tells sightings apart; random.
+    pub id: u64,
+    /// What was seen.
+    pub kind: Kind,
+    /// How long ago.
+    pub age: Micros,
+}
+
+/// Whether a request may be dispatched.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admit {
+    /// It has crashed nothing.
+    Free,
+    /// It crashed one target: this is the one further try. Call [`Quarantine::try_over`] after.
+    Trial,
+    /// It is refused; to come back after this long.
+    Refused(Micros),
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Seen {
+    id: u64,
+    kind: Kind,
+    until: Micros,
+}
+
+impl Seen {
+    /// Kept beyond its end, so that a peer's later estimate cannot bring it back.
+    fn kept(&self, now: Micros) -> bool {
+        self.until + self.kind.hold() > now
+    }
+}
+
+/// The requests that crashed targets of late.
+#[derive(Clone, Debug, Default)]
+pub struct Quarantine {
+    seen: HashMap<Digest, SmallVec<[Seen; 4]>>,
+}
+
+impl Quarantine {
+    /// Nothing has crashed.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Whether the request may be dispatched. `id` is a new random number for its trial.
+    pub fn admit(&mut self, now: Micros, digest: Digest, id: u64) -> Admit {
+        let Some(seen) = self.seen.get(&digest) else {
+            return Admit::Free;
+        };
+        let left = |kind: Kind| {
+            let live = seen.iter().filter(move |s| s.kind == kind);
+            live.map(|s| s.until - now).filter(|l| *l > Micros::ZERO)
+        };
+        let crashes = left(Kind::Crash).count();
+        if crashes >= MAX_CRASHES {
+            let first = left(Kind::Crash).min().unwrap_or_default();
+            return Admit::Refused(first);
+        }
+        if crashes == 0 {
+            return Admit::Free;
+        }
+        if let Some(wait) = left(Kind::Trial).max() {
+            return Admit::Refused(wait);
+        }
+        self.note(now + TRIAL_HOLD, digest, id, Kind::Trial);
+        Admit::Trial
+    }
+
+    /// A trial of this entry ended without a crash, or was not run.
+    pub fn try_over(&mut self, now: Micros, digest: Digest, id: u64) {
+        let seen = self.seen.get_mut(&digest).into_iter().flatten();
+        for trial in seen.filter(|s| s.id == id) {
+            trial.until = trial.until.min(now);
+        }
+    }
+
+    /// The request crashed a target. `id` is a new random number.
+    pub fn crashed(&mut self, now: Micros, digest: Digest, id: u64) {
+        self.note(now + HOLD, digest, id, Kind::Crash);
+    }
+
+    /// Takes a peer's sighting in.
+    pub fn merge(&mut self, now: Micros, sighting: &Sighting) {
+        let left = sighting.kind.hold() - sighting.age;
+        if left > Micros::ZERO {
+            self.note(now + left, sighting.digest, sighting.id, sighting.kind);
+        }
+    }
+
+    /// The sightings that still count, for peers.
+    pub fn sightings(&self, now: Micros) -> impl Iterator<Item = Sighting> {
+        let all = self.seen.iter();
+        let pairs = all.flat_map(|(&digest, seen)| seen.iter().map(move |s| (digest, *s)));
+        let live = pairs.filter(move |(_, s)| s.until > now);
+        live.map(move |(digest, s)| Sighting {
+            digest,
+            id: s.id,
+            kind: s.kind,
+            age: s.kind.hold() - (s.until - now),
+        })
+    }
+
+    /// Lets go of what no longer counts. Call every few seconds.
+    pub fn expire(&mut self, now: Micros) {
+        self.seen.retain(|_, seen| {
+            seen.retain(|s| s.kept(now));
+            !seen.is_empty()
+        });
+    }
+
+    /// Keeps the earliest end of a sighting, and of each kind those that end first: both are
+    /// minima, so the order in which sightings come does not matter.
+    fn note(&mut self, until: Micros, digest: Digest, id: u64, kind: Kind) {
+        if self.seen.len() >= MAX_DIGESTS && !self.seen.contains_key(&digest) {
+            self.make_room();
+        }
+        let seen = self.seen.entry(digest).or_default();
+        match seen.iter_mut().find(|s| s.id == id) {
+            Some(held) => held.until = held.until.min(until),
+            None => seen.push(Seen { id, kind, until }),
+        }
+        seen.sort_by_key(|s| (s.until, s.id));
+        let mut room = MAX_SIGHTINGS;
+        seen.retain(|s| {
+            let keep = s.kind != kind || room > 0;
+            room -= usize::from(s.kind == kind && keep);
+            keep
+        });
+    }
+
+    /// Drops the digest whose last sighting ends first.
+    fn make_room(&mut self) {
+        let last = |seen: &SmallVec<[Seen; 4]>| seen.iter().map(|s| s.until).max();
+        let oldest = self.seen.iter().min_by_key(|(d, s)| (last(s), **d));
+        if let Some((&digest, _)) = oldest {
+            self.seen.remove(&digest);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/quarantine/tests.rs
@@ -0,0 +1,118 @@
+use super::*;
+
+const T0: Micros = Micros::ZERO;
+
+fn digest() -> Digest {
+    Digest::of(&[b"orders", b"POST", b"/run", b"body"])
+}
+
+fn crash(id: u64, age: Micros) -> Sighting {
+    Sighting {
+        digest: digest(),
+        id,
+        kind: Kind::Crash,
+        age,
+    }
+}
+
+fn tell(from: &Quarantine, to: &mut Quarantine, now: Micros) {
+    let all: Vec<_> = from.sightings(now).collect();
+    all.iter().for_each(|s| to.merge(now, s));
+}
+
+/// Names each case: what is done to a new quarantine, and what must hold at the end.
+macro_rules! cases {
+    ($($name:ident: |$q:ident| $body:block)*) => {
+        $(#[test]
+        fn $name() {
+            let mut $q = Quarantine::new();
+            $body
+        })*
+    };
+}
+
+cases! {
+    unknown_is_free: |q| {
+        assert_eq!(q.admit(T0, digest(), 1), Admit::Free);
+    }
+    one_trial_at_a_time_after_the_first_crash: |q| {
+        q.crashed(T0, digest(), 1);
+        assert_eq!(q.admit(T0, digest(), 2), Admit::Trial);
+        assert_eq!(q.admit(T0, digest(), 3), Admit::Refused(TRIAL_HOLD));
+        q.try_over(Micros(5), digest(), 2);
+        assert_eq!(q.admit(Micros(5), digest(), 4), Admit::Trial);
+    }
+    refused_after_the_second_crash: |q| {
+        q.crashed(T0, digest(), 1);
+        q.crashed(T0, digest(), 2);
+        assert_eq!(q.admit(T0, digest(), 3), Admit::Refused(HOLD));
+        assert_eq!(q.admit(HOLD, digest(), 3), Admit::Free);
+    }
+    a_peers_crashes_count: |q| {
+        let mut peer = Quarantine::new();
+        peer.crashed(T0, digest(), 1);
+        tell(&peer, &mut q, T0);
+        q.crashed(T0, digest(), 2);
+        assert_eq!(q.admit(T0, digest(), 3), Admit::Refused(HOLD));
+    }
+    a_peers_trial_counts: |q| {
+        let mut peer = Quarantine::new();
+        peer.crashed(T0, digest(), 1);
+        assert_eq!(peer.admit(T0, digest(), 2), Admit::Trial);
+        tell(&peer, &mut q, T0);
+        assert_eq!(q.admit(T0, digest(), 3), Admit::Refused(TRIAL_HOLD));
+    }
+    the_same_crash_counts_once: |q| {
+        q.merge(T0, &crash(1, T0));
+        q.merge(T0, &crash(1, Micros(9)));
+        assert_eq!(q.admit(T0, digest(), 3), Admit::Trial);
+    }
+    peers_do_not_keep_a_crash_alive: |q| {
+        let mut peer = Quarantine::new();
+        q.crashed(T0, digest(), 1);
+        for s in 0..1_300 {
+            let now = Micros::from_secs(s);
+            let late: Vec<_> = q.sightings(now).collect();
+            late.iter().for_each(|x| peer.merge(now + Micros::from_secs(5), x));
+            let late: Vec<_> = peer.sightings(now).collect();
+            late.iter().for_each(|x| q.merge(now + Micros::from_secs(5), x));
+            q.expire(now);
+            peer.expire(now);
+        }
+        assert_eq!(q.sightings(Micros::from_secs(1_300)).count(), 0);
+        assert_eq!(peer.sightings(Micros::from_secs(1_300)).count(), 0);
+    }
+    digests_are_bounded: |q| {
+        for n in 0..2 * MAX_DIGESTS as u64 {
+            q.crashed(Micros(n), Digest::of(&[&n.to_be_bytes()]), n);
+        }
+        assert_eq!(q.sightings(T0).count(), MAX_DIGESTS);
+    }
+}
+
+proptest::proptest! {
+    #![proptest_config(proptest::test_runner::Config {
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(1),
+        ..Default::default()
+    })]
+    #[test]
+    fn merging_is_commutative_and_idempotent(
+        ages in proptest::collection::vec((0u64..12, 0u64..700), 0..24),
+        rotation in 0usize..24,
+    ) {
+        let all: Vec<_> = ages
+            .iter()
+            .map(|&(id, age)| crash(id, Micros::from_secs(age)))
+            .collect();
+        let (mut one, mut other) = (Quarantine::new(), Quarantine::new());
+        all.iter().for_each(|s| one.merge(T0, s));
+        let mut turned = all.clone();
+        turned.rotate_left(rotation.min(all.len()));
+        turned.reverse();
+        turned.iter().chain(&all).for_each(|s| other.merge(T0, s));
+        let (one, other): (Vec<_>, Vec<_>) =
+            (one.sightings(T0).collect(), other.sightings(T0).collect());
+        proptest::prop_assert_eq!(one, other);
+    }
+}
--- /dev/null
+++ b/src/resume.rs
@@ -0,0 +1,72 @@
+//! An answer's pieces that the entry has not yet acknowledged, kept so that they can be sent again.
+//!
+//! Pure. Piece 0 is the head, the chunks count from 1.
+
+use std::collections::VecDeque;
+
+/// Most bytes of one answer that wait for their acknowledgement.
+pub const MAX_HELD_BYTES: usize = 256 * 1024;
+
+/// The pieces of one answer from the first that is not acknowledged.
+#[derive(Clone, Debug)]
+pub struct Resume<T> {
+    pieces: VecDeque<(T, usize)>,
+    first: u64,
+    bytes: usize,
+}
+
+impl<T> Default for Resume<T> {
+    fn default() -> Self {
+        Resume {
+            pieces: VecDeque::new(),
+            first: 0,
+            bytes: 0,
+        }
+    }
+}
+
+impl<T> Resume<T> {
+    /// An answer without any pieces.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds a piece of `len` bytes and returns its number. Read no more from the target while
+    /// [`Resume::full`]; a piece that was read already is always taken.
+    pub fn push(&mut self, piece: T, len: usize) -> u64 {
+        self.pieces.push_back((piece, len));
+        self.bytes += len;
+        self.next() - 1
+    }
+
+    /// The entry holds every piece before `next`. Acknowledgements may come late or twice.
+    pub fn ack(&mut self, next: u64) {
+        while self.first < next {
+            let Some((_, len)) = self.pieces.pop_front() else {
+                return;
+            };
+            self.bytes -= len;
+            self.first += 1;
+        }
+    }
+
+    /// The pieces from `next` on with their numbers. `None`: some of them are no longer held.
+    pub fn from(&self, next: u64) -> Option<impl Iterator<Item = (u64, &T)>> {
+        let skip = usize::try_from(next.checked_sub(self.first)?).ok()?;
+        let numbered = (self.first..).zip(&self.pieces).skip(skip);
+        Some(numbered.map(|(seq, (piece, _))| (seq, piece)))
+    }
+
+    /// Whether reading from the target must wait for acknowledgements.
+    pub fn full(&self) -> bool {
+        self.bytes >= MAX_HELD_BYTES
+    }
+
+    /// The number of the piece that comes next.
+    pub fn next(&self) -> u64 {
+        self.first + self.pieces.len() as u64
+    }
+}
+
+#[cfg(test)]
+mod tests;
