Fence a late holder by the age of its claim

Cause: a holder that had read the log a moment before could dispatch just after its own record expired, beside a new holder of the key.

Ruled out: a limit on the age of the reading alone (the record may expire within that limit).

Change: `Claims::may_dispatch` gives the fencing number only up to 120 s after the claim was made, so that the record is still in the log.

Conclusion: needs a log that keeps records for well over 120 s.

--- a/src/claim.rs
+++ b/src/claim.rs
@@ -2,8 +2,8 @@
 //! the records in the platform's log stream [`STREAM`].
 //!
 //! Pure. The first claim of a key by offset wins. It is given up only by a release that its
-//! holder wrote; then the first claim after that release wins. Time decides nothing except that
-//! a holder must have read the log recently, see [`Claims::may_dispatch`].
+//! holder wrote; then the first claim after that release wins. Time never
+//! passes a key on; it only keeps a late holder from dispatching, see [`Claims::may_dispatch`].
 
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -24,9 +24,9 @@
 pub const MAX_CLAIMS: usize = 1 << 20;
 /// Most abandoned claims that are watched for. The key of an older one stays held.
 pub const MAX_ABANDONED: usize = 4_096;
-/// How long a reading of the log stays good enough to dispatch by. Must be far below the time for
-/// which the log keeps records.
-pub const FRESH: Micros = Micros::from_secs(10);
+/// How long after its claim was made a request may still be dispatched. Must be well below the time
+/// for which the log keeps records, see [`Claims::may_dispatch`].
+pub const CLAIM_LIFE: Micros = Micros::from_secs(120);
 
 /// First half of a SHA-256 digest.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -79,6 +79,18 @@
     pub boot: BootId,
 }
 
+impl Claim {
+    /// The holder's report that the request was not run and never will be.
+    pub fn release(&self) -> Report {
+        Report {
+            id: self.id,
+            key: self.key,
+            boot: self.boot,
+            fate: Fate::NotRun,
+        }
+    }
+}
+
 /// What became of a claimed request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Fate {
@@ -203,13 +215,20 @@
 pub struct Claims {
     held: HashMap<Digest, Holder>,
     order: VecDeque<(u64, Digest)>,
-    mine: HashMap<ClaimId, Verdict>,
+    mine: HashMap<ClaimId, Mine>,
     /// Abandoned claims, the oldest first.
     lost: VecDeque<ClaimId>,
     next: u64,
     /// Claims below are no longer known.
     first: u64,
-    read: Option<Micros>,
+    ready: bool,
+}
+
+/// A claim of this process.
+#[derive(Clone, Copy, Debug)]
+struct Mine {
+    verdict: Verdict,
+    made: Micros,
 }
 
 impl Claims {
@@ -223,12 +242,17 @@
         self.next
     }
 
-    /// The log was read to its end at `now`: it holds records from `first` on.
+    /// The log was read to its end: it holds records from `first` on.
     /// Call after [`Claims::apply`] with all that were read.
-    pub fn caught_up(&mut self, now: Micros, first: u64) {
+    pub fn caught_up(&mut self, first: u64) {
         self.expire(first);
         self.next = self.next.max(first);
-        self.read = Some(now);
+        self.ready = true;
+    }
+
+    /// Whether the log was read to its end once: before, [`Claims::view`] knows too little.
+    pub fn ready(&self) -> bool {
+        self.ready
     }
 
     /// Takes a record in. Records that were taken before change nothing. Returns a release that
@@ -261,14 +285,15 @@
         }
     }
 
-    /// A claim is about to be appended by this process.
-    pub fn expect(&mut self, id: ClaimId) {
-        self.mine.insert(id, Verdict::Pending);
+    /// A claim is about to be appended by this process. Call before the append.
+    pub fn expect(&mut self, now: Micros, id: ClaimId) {
+        let verdict = Verdict::Pending;
+        self.mine.insert(id, Mine { verdict, made: now });
     }
 
     /// What became of an expected claim. `None`: it is not expected.
     pub fn verdict(&self, id: ClaimId) -> Option<Verdict> {
-        self.mine.get(&id).copied()
+        self.mine.get(&id).map(|m| m.verdict)
     }
 
     /// The claim's request is over and was reported, or had lost.
@@ -280,10 +305,13 @@
     /// released if its record turns up. `false`: it is not pending, so it is decided already.
     #[must_use]
     pub fn abandon(&mut self, id: ClaimId) -> bool {
-        let Some(verdict @ Verdict::Pending) = self.mine.get_mut(&id) else {
+        let Some(mine) = self.mine.get_mut(&id) else {
             return false;
         };
-        *verdict = Verdict::Abandoned;
+        if mine.verdict != Verdict::Pending {
+            return false;
+        }
+        mine.verdict = Verdict::Abandoned;
         self.lost.push_back(id);
         if self.lost.len() > MAX_ABANDONED {
             let oldest = self.lost.pop_front();
@@ -292,12 +320,18 @@
         true
     }
 
-    /// Whether a winner may be dispatched now: the log was read at most [`FRESH`] ago and still
-    /// holds its claim. Ask in the same step that hands the dispatch to the connection: a process
-    /// that is paused after that finds its connection closed by the agent.
-    pub fn may_dispatch(&self, now: Micros, fence: u64) -> bool {
-        let fresh = self.read.is_some_and(|at| now - at <= FRESH);
-        fresh && fence >= self.first
+    /// The fencing number to dispatch with, if the claim holds its key and was made at most
+    /// [`CLAIM_LIFE`] ago: its record is then still in the log, so no other request can hold the
+    /// key. Ask in the same step that hands the dispatch to the connection: a process that is
+    /// paused after that finds its connection closed by the agent.
+    pub fn may_dispatch(&self, now: Micros, id: ClaimId) -> Option<u64> {
+        let mine = self.mine.get(&id)?;
+        match mine.verdict {
+            Verdict::Won(fence) if now - mine.made <= CLAIM_LIFE && fence >= self.first => {
+                Some(fence)
+            }
+            _ => None,
+        }
     }
 
     /// Keys that are remembered.
@@ -325,23 +359,14 @@
             self.order.push_back((offset, claim.key));
             self.trim();
         }
-        match self.mine.get_mut(&claim.id) {
-            Some(Verdict::Abandoned) if won => Some(Report {
-                id: claim.id,
-                key: claim.key,
-                boot: claim.boot,
-                fate: Fate::NotRun,
-            }),
-            Some(verdict @ Verdict::Pending) => {
-                *verdict = if won {
-                    Verdict::Won(offset)
-                } else {
-                    Verdict::Lost
-                };
-                None
-            }
-            _ => None,
+        let mine = self.mine.get_mut(&claim.id)?;
+        match mine.verdict {
+            Verdict::Pending if won => mine.verdict = Verdict::Won(offset),
+            Verdict::Pending => mine.verdict = Verdict::Lost,
+            Verdict::Abandoned if won => return Some(claim.release()),
+            Verdict::Abandoned | Verdict::Won(_) | Verdict::Lost => {}
         }
+        None
     }
 
     fn reported(&mut self, report: &Report) {
--- a/src/claim/tests.rs
+++ b/src/claim/tests.rs
@@ -33,12 +33,12 @@
 fn read(records: &[Record]) -> Claims {
     let mut claims = Claims::new();
     for id in 1..9 {
-        claims.expect(ClaimId(id));
+        claims.expect(T0, ClaimId(id));
     }
     (0..)
         .zip(records)
         .for_each(|(offset, r)| assert_eq!(claims.apply(offset, r), None));
-    claims.caught_up(T0, 0);
+    claims.caught_up(0);
     claims
 }
 
@@ -90,18 +90,21 @@
 }
 
 #[test]
-fn an_old_reading_does_not_dispatch() {
+fn a_late_holder_does_not_dispatch() {
     let claims = read(&[claim(1)]);
-    assert!(claims.may_dispatch(FRESH, 0));
-    assert!(!claims.may_dispatch(FRESH + Micros(1), 0));
+    assert_eq!(claims.may_dispatch(CLAIM_LIFE, ClaimId(1)), Some(0));
+    assert_eq!(
+        claims.may_dispatch(CLAIM_LIFE + Micros(1), ClaimId(1)),
+        None
+    );
 }
 
 #[test]
 fn an_expired_claim_does_not_dispatch() {
     let mut claims = read(&[claim(1)]);
-    claims.caught_up(T0, 1);
+    claims.caught_up(1);
     assert_eq!(winner(&claims), None);
-    assert!(!claims.may_dispatch(T0, 0));
+    assert_eq!(claims.may_dispatch(T0, ClaimId(1)), None);
 }
 
 #[test]
@@ -117,7 +120,7 @@
 #[test]
 fn an_abandoned_claim_that_turns_up_is_released() {
     let mut claims = Claims::new();
-    claims.expect(ClaimId(1));
+    claims.expect(T0, ClaimId(1));
     assert!(claims.abandon(ClaimId(1)));
     let release = claims.apply(0, &claim(1)).expect("a release");
     assert_eq!(claims.verdict(ClaimId(1)), Some(Verdict::Abandoned));
