Fuzz requests over cut and renewed connections

Cause: attempt, ledger and resumption were only shown by single cases.

Ruled out: switches for faults in the code itself; each fault is put in at an interface of the code instead.

Change: tests/once drives two entries and two agents with the real code over links that cut, lose, double and deliver late, with frozen and restarted processes; the oracle counts runs at the target.

Conclusion: holds with frames of older connections reaching the agent; the entry must drop frames of older connections itself.

--- /dev/null
+++ b/tests/once/nodes.rs
@@ -0,0 +1,70 @@
+//! The ends of the links, and the frames on them.
+
+use std::collections::{HashMap, VecDeque};
+
+use balsampitch::attempt::Attempt;
+use balsampitch::dispatches::Dispatches;
+use balsampitch::ids::{BootId, DispatchId};
+use balsampitch::ledger::Ledger;
+use balsampitch::resume::Resume;
+use balsampitch::wire::{Finish, Known};
+
+use crate::oracle::Piece;
+
+#[derive(Clone, Copy, Debug)]
+pub enum Down {
+    Dispatch {
+        id: DispatchId,
+        request: usize,
+    },
+    Ask {
+        id: DispatchId,
+        next: u64,
+        floor: u64,
+    },
+    Cancel(DispatchId),
+    Settled {
+        id: DispatchId,
+        floor: u64,
+    },
+}
+
+#[derive(Clone, Copy, Debug)]
+pub enum Up {
+    Declined(DispatchId),
+    Piece(DispatchId, Piece),
+    End(DispatchId, Finish, u64),
+    State(DispatchId, Known),
+}
+
+#[derive(Default)]
+pub struct Link {
+    pub up: bool,
+    pub down: VecDeque<Down>,
+    pub answers: VecDeque<Up>,
+    pub stale: VecDeque<Down>,
+}
+
+pub struct Entry {
+    pub ids: Dispatches,
+    /// Attempts by request.
+    pub attempts: HashMap<usize, Attempt>,
+    /// The agent that each dispatch went to.
+    pub sent: HashMap<DispatchId, usize>,
+}
+
+/// An answer at an agent.
+pub struct Answer {
+    pub link: usize,
+    pub request: usize,
+    pub run: u32,
+    pub kept: Resume<Piece>,
+    pub end: Option<Finish>,
+}
+
+pub struct Agent {
+    pub boot: BootId,
+    pub ledger: Ledger,
+    pub answers: HashMap<DispatchId, Answer>,
+    pub frozen: bool,
+}
