Let every reader of the claims see the same holder

Cause: the fuzz test of claims found a key that ran twice. A reader that still knew an expired claim counted a later one as lost and forgot it; with the first gone it took the key for free, while a reader that started later saw the later claim hold it.

Ruled out: passing a reading's first offset in before its records (a reading from before the expiry still forgets the loser).

--- a/src/claim.rs
+++ b/src/claim.rs
@@ -1,15 +1,17 @@
 //! Idempotency keys: which of several requests with one key is run, decided from the offsets of
 //! the records in the platform's log stream [`STREAM`].
 //!
-//! Pure. The first claim of a key by offset wins. It is given up only by a release that its
-//! holder wrote; then the first claim after that release wins. Time never
-//! passes a key on; it only keeps a late holder from dispatching, see [`Claims::may_dispatch`].
+//! Pure. Of the claims of a key that are in the log and were not released, the first by offset
+//! holds it, so that a process which starts late sees the same holder. Only the process that made
+//! a claim releases it, and never runs it after. Time never passes a key on; it only keeps a late
+//! holder from dispatching, see [`Claims::may_dispatch`].
 
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
 use sha2::{Digest as _, Sha256};
+use smallvec::SmallVec;
 
 use crate::ids::BootId;
 use crate::units::Micros;
@@ -20,8 +22,8 @@
 pub const RECORD_VERSION: u8 = 1;
 /// Largest encoded record, in bytes.
 pub const MAX_RECORD_BYTES: usize = 512;
-/// Most keys that an entry remembers.
-pub const MAX_CLAIMS: usize = 1 << 20;
+/// Most claims that an entry remembers. While the log holds more, it makes none.
+pub const MAX_CLAIMS: usize = 1 << 17;
 /// Most abandoned claims that are watched for. The key of an older one stays held.
 pub const MAX_ABANDONED: usize = 4_096;
 /// How long after its claim was made a request may still be dispatched. Must be well below the time
@@ -204,16 +206,19 @@
     Pending,
     /// It holds the key; dispatch with this fencing number.
     Won(u64),
-    /// It does not hold the key; [`Claims::view`] says who does.
+    /// It does not hold the key and is never dispatched; [`Claims::view`] says who does.
     Lost,
     /// Its request was refused before it was read back; it must never be dispatched.
     Abandoned,
 }
 
+type Holders = SmallVec<[Holder; 1]>;
+
 /// The claims in the log, read in the order of their offsets.
 #[derive(Debug, Default)]
 pub struct Claims {
-    held: HashMap<Digest, Holder>,
+    /// The claims on each key that were not released, by offset. The first holds it.
+    held: HashMap<Digest, Holders>,
     order: VecDeque<(u64, Digest)>,
     mine: HashMap<ClaimId, Mine>,
     /// Abandoned claims, the oldest first.
@@ -221,7 +226,9 @@
     next: u64,
     /// Claims below are no longer known.
     first: u64,
-    ready: bool,
+    /// The first offset that the log holds.
+    kept: u64,
+    caught: bool,
 }
 
 /// A claim of this process.
@@ -245,18 +252,20 @@
     /// The log was read to its end: it holds records from `first` on.
     /// Call after [`Claims::apply`] with all that were read.
     pub fn caught_up(&mut self, first: u64) {
+        self.kept = self.kept.max(first);
         self.expire(first);
         self.next = self.next.max(first);
-        self.ready = true;
+        self.caught = true;
     }
 
-    /// Whether the log was read to its end once: before, [`Claims::view`] knows too little.
+    /// Whether claims may be made: the log was read to its end once, and every claim in it is
+    /// remembered. Otherwise [`Claims::view`] knows too little.
     pub fn ready(&self) -> bool {
-        self.ready
+        self.caught && self.complete()
     }
 
     /// Takes a record in. Records that were taken before change nothing. Returns a release that
-    /// must be appended: an abandoned claim of this process has come to hold its key.
+    /// must be appended: a claim of this process has lost, or was abandoned.
     pub fn apply(&mut self, offset: u64, record: &Record) -> Option<Report> {
         if offset < self.next {
             return None;
@@ -278,7 +287,7 @@
 
     /// What a request with this key finds.
     pub fn view(&self, key: Digest, request: Digest) -> View {
-        match self.held.get(&key) {
+        match self.held.get(&key).and_then(|held| held.first()) {
             None => View::Free,
             Some(holder) if holder.request != request => View::Reused,
             Some(holder) => View::Held(*holder),
@@ -345,46 +354,62 @@
     }
 
     fn claimed(&mut self, offset: u64, claim: &Claim) -> Option<Report> {
-        let won = !self.held.contains_key(&claim.key);
-        if won {
-            let holder = Holder {
-                id: claim.id,
-                offset,
-                request: claim.request,
-                entry: claim.entry,
-                boot: claim.boot,
-                fate: None,
-            };
-            self.held.insert(claim.key, holder);
-            self.order.push_back((offset, claim.key));
-            self.trim();
+        let held = self.held.entry(claim.key).or_default();
+        if held.iter().any(|h| h.id == claim.id) {
+            return None;
         }
+        let first = held.is_empty();
+        held.push(Holder {
+            id: claim.id,
+            offset,
+            request: claim.request,
+            entry: claim.entry,
+            boot: claim.boot,
+            fate: None,
+        });
+        self.order.push_back((offset, claim.key));
+        self.trim();
+        let won = first && self.complete();
         let mine = self.mine.get_mut(&claim.id)?;
         match mine.verdict {
-            Verdict::Pending if won => mine.verdict = Verdict::Won(offset),
-            Verdict::Pending => mine.verdict = Verdict::Lost,
-            Verdict::Abandoned if won => return Some(claim.release()),
-            Verdict::Abandoned | Verdict::Won(_) | Verdict::Lost => {}
+            Verdict::Pending if won => {
+                mine.verdict = Verdict::Won(offset);
+                None
+            }
+            Verdict::Pending => {
+                mine.verdict = Verdict::Lost;
+                Some(claim.release())
+            }
+            Verdict::Abandoned => Some(claim.release()),
+            Verdict::Won(_) | Verdict::Lost => None,
         }
-        None
     }
 
     fn reported(&mut self, report: &Report) {
-        let Some(holder) = self.held.get_mut(&report.key) else {
+        let Some(held) = self.held.get_mut(&report.key) else {
             return;
         };
-        if (holder.id, holder.boot) != (report.id, report.boot) {
+        let own = |h: &Holder| (h.id, h.boot) == (report.id, report.boot);
+        let Some(at) = held.iter().position(own) else {
             return;
-        }
+        };
         match report.fate {
-            Fate::NotRun if holder.fate.is_none() => {
-                self.held.remove(&report.key);
+            Fate::NotRun if held[at].fate.is_none() => {
+                held.remove(at);
             }
             Fate::NotRun => {}
-            fate => holder.fate = Some(fate),
+            fate => held[at].fate = Some(fate),
+        }
+        if held.is_empty() {
+            self.held.remove(&report.key);
         }
     }
 
+    /// Whether no claim was dropped that is still in the log.
+    fn complete(&self) -> bool {
+        self.first <= self.kept
+    }
+
     fn trim(&mut self) {
         while self.order.len() > MAX_CLAIMS {
             let (offset, _) = self.order[0];
@@ -398,8 +423,11 @@
             && offset < self.first
         {
             self.order.pop_front();
-            if self.held.get(&key).is_some_and(|h| h.offset == offset) {
-                self.held.remove(&key);
+            if let Some(held) = self.held.get_mut(&key) {
+                held.retain(|h| h.offset != offset);
+                if held.is_empty() {
+                    self.held.remove(&key);
+                }
             }
         }
     }
