--- /dev/null
+++ b/src/agent/core.rs
@@ -0,0 +1,413 @@
+//! The agent's central service: its slots, its entries, and the runs on its target.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use bytes::{Bytes, BytesMut};
+use serde::Serialize;
+use tokio::sync::mpsc;
+use xtra::prelude::*;
+
+use crate::agent::run::{Command, Run, Target};
+use crate::conn::Outbox;
+use crate::ids::{BootId, DispatchId, EntryKey};
+use crate::kernel::ServiceName;
+use crate::ledger::Ledger;
+use crate::pull::{Pull, Step, Steps, Verdict};
+use crate::units::Clock;
+use crate::wire::{Backlog, Dispatch, Known, ToAgent, ToEntry};
+
+/// Name under which the core's address is registered.
+pub const CORE: ServiceName = ServiceName("core");
+
+/// Largest request body that an agent takes, in bytes.
+const MAX_BODY_BYTES: u64 = 64 * 1024 * 1024;
+/// Commands that wait for a run.
+const RUN_COMMANDS: usize = 64;
+
+/// An entry is connected.
+pub struct EntryUp {
+    /// Its peer address.
+    pub address: SocketAddr,
+    /// This run of the entry.
+    pub boot: BootId,
+    /// The connection.
+    pub outbox: Outbox,
+}
+
+/// Names one connection to an entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Link {
+    /// The entry.
+    pub entry: EntryKey,
+    /// Which of its connections, from 1.
+    pub number: u64,
+}
+
+/// The connection to an entry is gone.
+pub struct EntryDown(pub Link);
+
+/// A frame from an entry.
+pub struct FromEntry(pub Link, pub ToAgent);
+
+/// A run has ended at the target: its slot is free.
+pub struct Freed;
+
+/// A run's answer is no longer held.
+pub struct Released(pub DispatchId);
+
+/// Sends heartbeats and the running requests' slot time.
+pub struct Beat;
+
+/// No new work is taken from now on.
+pub struct Drain;
+
+/// Asks for the figures of `/status`.
+pub struct Inspect;
+
+/// Figures of `/status`.
+#[derive(Clone, Debug, Serialize)]
+pub struct CoreStatus {
+    /// Slots that run a request.
+    pub busy: u16,
+    /// Answers held, running ones included.
+    pub runs: usize,
+    /// Connected entries.
+    pub entries: Vec<SocketAddr>,
+    /// Whether no new work is taken.
+    pub draining: bool,
+}
+
+struct EntryState {
+    address: SocketAddr,
+    boot: BootId,
+    link: u64,
+    outbox: Option<Outbox>,
+}
+
+/// A dispatch whose body has not come in full.
+struct Partial {
+    dispatch: Dispatch,
+    body: BytesMut,
+    link: Link,
+}
+
+struct Held {
+    commands: mpsc::Sender<Command>,
+}
+
+/// The core.
+#[derive(xtra::Actor)]
+pub struct Core {
+    clock: Clock,
+    target: Target,
+    pull: Pull,
+    ledger: Ledger,
+    entries: Vec<EntryState>,
+    partial: HashMap<DispatchId, Partial>,
+    runs: HashMap<DispatchId, Held>,
+    draining: bool,
+}
+
+impl Core {
+    /// A core without entries.
+    pub fn new(clock: Clock, target: Target, slots: u16) -> Self {
+        Core {
+            clock,
+            target,
+            pull: Pull::new(slots),
+            ledger: Ledger::new(),
+            entries: Vec::new(),
+            partial: HashMap::new(),
+            runs: HashMap::new(),
+            draining: false,
+        }
+    }
+
+    fn outbox(&self, entry: EntryKey) -> Option<&Outbox> {
+        self.entries
+            .get(entry.index())
+            .and_then(|e| e.outbox.as_ref())
+    }
+
+    fn send(&self, entry: EntryKey, message: &ToEntry) {
+        if let Some(outbox) = self.outbox(entry) {
+            outbox.send(message);
+        }
+    }
+
+    fn act(&self, steps: Steps) {
+        for step in steps {
+            match step {
+                Step::Offer(entry, offer) => self.send(entry, &ToEntry::Offer { offer }),
+                Step::Void(entry, offer) => self.send(entry, &ToEntry::Void { offer }),
+            }
+        }
+    }
+
+    fn dispatched(
+        &mut self,
+        context: &Context<Self>,
+        link: Link,
+        dispatch: Dispatch,
+        backlog: Backlog,
+    ) {
+        let (id, offer) = (dispatch.dispatch, dispatch.offer);
+        if dispatch.body_bytes > MAX_BODY_BYTES {
+            self.send(link.entry, &ToEntry::Decline { dispatch: id });
+            return;
+        }
+        let (verdict, steps) = self
+            .pull
+            .dispatched(self.clock.now(), link.entry, offer, backlog);
+        self.act(steps);
+        if verdict == Verdict::Decline {
+            // The entry may ask about it later: it must never begin.
+            self.ledger.ask(id);
+            self.send(link.entry, &ToEntry::Decline { dispatch: id });
+            return;
+        }
+        let partial = Partial {
+            dispatch,
+            body: BytesMut::new(),
+            link,
+        };
+        if partial.dispatch.body_bytes == 0 {
+            self.begin(context, partial);
+        } else {
+            self.partial.insert(id, partial);
+        }
+    }
+
+    fn body(&mut self, context: &Context<Self>, id: DispatchId, data: &Bytes) {
+        let Some(partial) = self.partial.get_mut(&id) else {
+            return;
+        };
+        partial.body.extend_from_slice(data);
+        if partial.body.len() as u64 >= partial.dispatch.body_bytes
+            && let Some(partial) = self.partial.remove(&id)
+        {
+            self.begin(context, partial);
+        }
+    }
+
+    /// Starts the run, unless the dispatch was begun or barred before.
+    fn begin(&mut self, context: &Context<Self>, partial: Partial) {
+        let id = partial.dispatch.dispatch;
+        let Some(outbox) = self.outbox(partial.link.entry).cloned() else {
+            self.free_slot();
+            return;
+        };
+        if !self.ledger.begin(id) {
+            outbox.send(&ToEntry::Decline { dispatch: id });
+            self.free_slot();
+            return;
+        }
+        let (commands, inbox) = mpsc::channel(RUN_COMMANDS);
+        self.runs.insert(id, Held { commands });
+        let core = context.mailbox().address();
+        let run = Run::new(core, self.target.clone(), outbox, inbox);
+        tokio::spawn(run.run(partial.dispatch, partial.body.freeze()));
+    }
+
+    fn free_slot(&mut self) {
+        let steps = self.pull.finished();
+        self.act(steps);
+    }
+
+    fn ask(&mut self, link: Link, id: DispatchId, next: u64) {
+        if self.partial.remove(&id).is_some() {
+            self.free_slot();
+        }
+        let known = self.ledger.ask(id);
+        self.send(
+            link.entry,
+            &ToEntry::State {
+                dispatch: id,
+                known,
+            },
+        );
+        if !matches!(known, Known::Running | Known::Done) {
+            return;
+        }
+        if let Some(outbox) = self.outbox(link.entry).cloned() {
+            self.command(id, Command::Resume { next, outbox });
+        }
+    }
+
+    /// Passes a command on. A run whose queue is full reads nothing from its target; its entry's
+    /// connection is closed, so that it asks again on a new one.
+    fn command(&self, id: DispatchId, command: Command) {
+        if let Some(held) = self.runs.get(&id)
+            && held.commands.try_send(command).is_err()
+        {
+            for entry in &self.entries {
+                if entry.boot == id.boot
+                    && let Some(outbox) = &entry.outbox
+                {
+                    outbox.close();
+                }
+            }
+        }
+    }
+}
+
+impl Handler<EntryUp> for Core {
+    type Return = Link;
+
+    async fn handle(&mut self, message: EntryUp, _ctx: &mut Context<Self>) -> Link {
+        let EntryUp {
+            address,
+            boot,
+            outbox,
+        } = message;
+        let at = match self.entries.iter().position(|e| e.address == address) {
+            Some(at) => at,
+            None => {
+                self.entries.push(EntryState {
+                    address,
+                    boot,
+                    link: 0,
+                    outbox: None,
+                });
+                self.entries.len() - 1
+            }
+        };
+        let state = &mut self.entries[at];
+        state.boot = boot;
+        state.link += 1;
+        state.outbox = Some(outbox);
+        let link = Link {
+            entry: EntryKey::from(at),
+            number: state.link,
+        };
+        if self.draining {
+            self.send(link.entry, &ToEntry::Leaving);
+        } else {
+            let steps = self.pull.connected(self.clock.now(), link.entry);
+            self.act(steps);
+        }
+        link
+    }
+}
+
+impl Handler<EntryDown> for Core {
+    type Return = ();
+
+    async fn handle(&mut self, message: EntryDown, _ctx: &mut Context<Self>) {
+        let link = message.0;
+        let state = &mut self.entries[link.entry.index()];
+        if state.link != link.number {
+            return;
+        }
+        state.outbox = None;
+        // What came only in part was not begun; the entry will ask and hear so.
+        let partial: Vec<DispatchId> = self
+            .partial
+            .iter()
+            .filter(|(_, p)| p.link == link)
+            .map(|(&id, _)| id)
+            .collect();
+        for id in partial {
+            self.partial.remove(&id);
+            self.free_slot();
+        }
+        let steps = self.pull.lost(link.entry);
+        self.act(steps);
+    }
+}
+
+impl Handler<FromEntry> for Core {
+    type Return = ();
+
+    async fn handle(&mut self, message: FromEntry, context: &mut Context<Self>) {
+        let FromEntry(link, frame) = message;
+        if self.entries[link.entry.index()].link != link.number {
+            return;
+        }
+        let now = self.clock.now();
+        match frame {
+            ToAgent::Parked { offer, backlog } => {
+                let steps = self.pull.parked(now, link.entry, offer, backlog);
+                self.act(steps);
+            }
+            ToAgent::Dispatch { dispatch, backlog } => {
+                self.dispatched(context, link, *dispatch, backlog);
+            }
+            ToAgent::Body { dispatch, data } => self.body(context, dispatch, &data),
+            ToAgent::Ask { dispatch, next } => self.ask(link, dispatch, next),
+            ToAgent::Ack { dispatch, next } => self.command(dispatch, Command::Ack { next }),
+            ToAgent::Cancel { dispatch } => self.command(dispatch, Command::Cancel),
+            ToAgent::Settled { dispatch } => self.command(dispatch, Command::Settled),
+            ToAgent::Heartbeat { backlog } => {
+                self.pull.heard(now, link.entry, backlog);
+            }
+            ToAgent::Leaving => {
+                let steps = self.pull.lost(link.entry);
+                self.act(steps);
+            }
+        }
+    }
+}
+
+impl Handler<Freed> for Core {
+    type Return = ();
+
+    async fn handle(&mut self, _message: Freed, _ctx: &mut Context<Self>) {
+        self.free_slot();
+    }
+}
+
+impl Handler<Released> for Core {
+    type Return = ();
+
+    async fn handle(&mut self, message: Released, _ctx: &mut Context<Self>) {
+        self.runs.remove(&message.0);
+        self.ledger.forget(message.0);
+    }
+}
+
+impl Handler<Beat> for Core {
+    type Return = ();
+
+    async fn handle(&mut self, _message: Beat, _ctx: &mut Context<Self>) {
+        for entry in &self.entries {
+            if let Some(outbox) = &entry.outbox {
+                outbox.send(&ToEntry::Heartbeat);
+            }
+        }
+        for held in self.runs.values() {
+            // A run with a full queue reports at the next beat.
+            let _ = held.commands.try_send(Command::Report);
+        }
+    }
+}
+
+impl Handler<Drain> for Core {
+    type Return = ();
+
+    async fn handle(&mut self, _message: Drain, _ctx: &mut Context<Self>) {
+        self.draining = true;
+        let steps = self.pull.drain();
+        self.act(steps);
+        for entry in &self.entries {
+            if let Some(outbox) = &entry.outbox {
+                outbox.send(&ToEntry::Leaving);
+            }
+        }
+    }
+}
+
+impl Handler<Inspect> for Core {
+    type Return = CoreStatus;
+
+    async fn handle(&mut self, _message: Inspect, _ctx: &mut Context<Self>) -> CoreStatus {
+        let up = self.entries.iter().filter(|e| e.outbox.is_some());
+        CoreStatus {
+            busy: self.pull.busy(),
+            runs: self.runs.len() + self.partial.len(),
+            entries: up.map(|e| e.address).collect(),
+            draining: self.draining,
+        }
+    }
+}
--- /dev/null
+++ b/src/agent/dial.rs
@@ -0,0 +1,72 @@
+//! Keeps one connection to an entry, and dials again when it ends.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::Rng;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+use xtra::Address;
+
+use crate::agent::core::{Core, EntryDown, EntryUp, FromEntry, Link};
+use crate::auth::Secret;
+use crate::conn::{self, ConnError, HANDSHAKE_TIMEOUT, Inbox};
+use crate::wire::{AgentInfo, ToAgent};
+
+const FIRST_PAUSE: Duration = Duration::from_millis(20);
+const LONGEST_PAUSE: Duration = Duration::from_secs(1);
+
+/// What a connection to an entry needs.
+#[derive(Clone)]
+pub struct Dial {
+    /// The agent's core.
+    pub core: Address<Core>,
+    /// Who this agent is.
+    pub info: AgentInfo,
+    /// The shared key.
+    pub secret: Secret,
+}
+
+impl Dial {
+    /// Stays connected to an entry until the core is gone.
+    pub async fn run(self, address: SocketAddr) {
+        let mut pause = FIRST_PAUSE;
+        while self.core.is_connected() {
+            if self.connect(address).await.is_ok() {
+                pause = FIRST_PAUSE;
+            }
+            let jitter = rand::rng().random_range(0.5..1.0);
+            tokio::time::sleep(pause.mul_f64(jitter)).await;
+            pause = (pause * 2).min(LONGEST_PAUSE);
+        }
+    }
+
+    /// One connection from handshake to end. `Ok` once the handshake has succeeded.
+    async fn connect(&self, address: SocketAddr) -> Result<(), ConnError> {
+        let stream = timeout(HANDSHAKE_TIMEOUT, TcpStream::connect(address))
+            .await
+            .map_err(|_| ConnError::Silent)??;
+        let (boot, outbox, mut inbox) = conn::dial(stream, &self.secret, self.info.clone()).await?;
+        let up = EntryUp {
+            address,
+            boot,
+            outbox: outbox.clone(),
+        };
+        let Ok(link) = self.core.send(up).await else {
+            return Ok(());
+        };
+        self.read(link, &mut inbox).await;
+        outbox.close();
+        // The core outlives its connections.
+        let _ = self.core.send(EntryDown(link)).await;
+        Ok(())
+    }
+
+    async fn read(&self, link: Link, inbox: &mut Inbox) {
+        while let Ok(frame) = inbox.receive::<ToAgent>().await {
+            if self.core.send(FromEntry(link, frame)).await.is_err() {
+                return;
+            }
+        }
+    }
+}
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -1,1 +1,85 @@
-//! The agent: the only way to its target.
+//! The agent: the only way to its target. Offers free slots to entries and runs what they send.
+
+pub mod core;
+pub mod dial;
+pub mod run;
+
+use std::time::Duration;
+
+use tokio_util::sync::CancellationToken;
+use xtra::{Address, Mailbox};
+
+use crate::agent::core::{Beat, CORE, Core, Drain, Inspect};
+use crate::agent::dial::Dial;
+use crate::agent::run::Target;
+use crate::auth::Secret;
+use crate::conn::HEARTBEAT_PERIOD;
+use crate::ids::BootId;
+use crate::kernel::Kernel;
+use crate::settings::AgentSettings;
+use crate::units::Clock;
+use crate::wire::AgentInfo;
+
+/// Messages that wait for the core before senders wait too.
+const CORE_MAILBOX: usize = 4096;
+/// How often a draining agent looks whether it is done.
+const DRAIN_POLL: Duration = Duration::from_millis(50);
+
+/// Runs an agent until `drain` is cancelled and all its runs are finished.
+///
+/// # Errors
+/// When an address cannot be listened on.
+pub async fn run(settings: AgentSettings, drain: CancellationToken) -> anyhow::Result<()> {
+    let kernel = Kernel::new();
+    let target = Target::new(settings.target, settings.slots);
+    let core = Core::new(Clock::start(), target, settings.slots);
+    let core = xtra::spawn_tokio(core, Mailbox::bounded(CORE_MAILBOX));
+    kernel.register(CORE, core.clone());
+    let info = AgentInfo {
+        host: settings.target,
+        boot: BootId::random(),
+        zone: settings.zone,
+        service: settings.service,
+        slots: settings.slots,
+    };
+    let dial = Dial {
+        core: core.clone(),
+        info,
+        secret: Secret::new(&settings.secret),
+    };
+    let dials: Vec<_> = settings
+        .entries
+        .iter()
+        .map(|&entry| tokio::spawn(dial.clone().run(entry)))
+        .collect();
+    let beat = tokio::spawn(beat(core.clone()));
+
+    drain.cancelled().await;
+    finish(&core).await;
+    beat.abort();
+    dials.iter().for_each(|d| d.abort());
+    Ok(())
+}
+
+/// Withdraws all offers and waits until every answer is with its entry.
+async fn finish(core: &Address<Core>) {
+    if core.send(Drain).await.is_err() {
+        return;
+    }
+    while let Ok(status) = core.send(Inspect).await {
+        if status.runs == 0 {
+            return;
+        }
+        tokio::time::sleep(DRAIN_POLL).await;
+    }
+}
+
+async fn beat(core: Address<Core>) {
+    let mut ticks = tokio::time::interval(HEARTBEAT_PERIOD);
+    loop {
+        ticks.tick().await;
+        if core.send(Beat).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/src/agent/run.rs
@@ -0,0 +1,342 @@
+//! One dispatched request on its way through the target, and its answer on the way back.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::{Request, Response, Uri};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use tokio::sync::mpsc;
+use tokio::time::{Instant, sleep_until};
+use xtra::WeakAddress;
+
+use crate::agent::core::{Core, Freed, Released};
+use crate::conn::Outbox;
+use crate::entry::request::{
+    ACCOUNT_HEADER, FENCE_HEADER, REQUEST_ID_HEADER, TRACE_HEADER, answer_headers,
+};
+use crate::ids::DispatchId;
+use crate::units::Micros;
+use crate::wire::{Dispatch, Finish, Header, MAX_CHUNK_BYTES, ToEntry};
+
+/// Bytes of an answer that are kept until the entry has passed them on.
+pub const RESUME_BYTES: usize = 256 * 1024;
+/// Chunks of an answer that are kept until the entry has passed them on.
+pub const RESUME_CHUNKS: usize = 256;
+/// How long a whole answer is kept for an entry that does not ask.
+pub const KEEP_TIMEOUT: Duration = Duration::from_secs(60);
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// The target of this host.
+#[derive(Clone)]
+pub struct Target {
+    address: SocketAddr,
+    pooled: Client<HttpConnector, Full<Bytes>>,
+    fresh: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl Target {
+    /// A target at this address.
+    pub fn new(address: SocketAddr, slots: u16) -> Self {
+        Target {
+            address,
+            pooled: client(usize::from(slots)),
+            fresh: client(0),
+        }
+    }
+
+    /// Sends a request. One that must not run twice gets a connection of its own, so that a stale
+    /// one cannot leave its fate in doubt.
+    async fn send(&self, dispatch: &Dispatch, body: Bytes) -> Result<Response<Incoming>, Finish> {
+        let request = self.request(dispatch, body).ok_or(Finish::Unreached)?;
+        let client = if dispatch.idempotent {
+            &self.pooled
+        } else {
+            &self.fresh
+        };
+        client.request(request).await.map_err(|e| {
+            if e.is_connect() {
+                Finish::Unreached
+            } else {
+                Finish::Crashed
+            }
+        })
+    }
+
+    fn request(&self, dispatch: &Dispatch, body: Bytes) -> Option<Request<Full<Bytes>>> {
+        let uri: Uri = format!("http://{}{}", self.address, dispatch.path)
+            .parse()
+            .ok()?;
+        let mut builder = Request::builder().method(dispatch.method.as_str()).uri(uri);
+        for header in &dispatch.headers {
+            builder = builder.header(&header.name, header.value.as_ref());
+        }
+        builder = builder
+            .header(ACCOUNT_HEADER, &dispatch.account)
+            .header(REQUEST_ID_HEADER, dispatch.request.to_string());
+        if let Some(fence) = dispatch.fence {
+            builder = builder.header(FENCE_HEADER, fence);
+        }
+        if let Some(trace) = &dispatch.trace {
+            builder = builder.header(TRACE_HEADER, trace);
+        }
+        builder.body(Full::new(body)).ok()
+    }
+}
+
+fn client(idle: usize) -> Client<HttpConnector, Full<Bytes>> {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+    Client::builder(TokioExecutor::new())
+        .pool_max_idle_per_host(idle)
+        .pool_idle_timeout(IDLE_TIMEOUT)
+        .pool_timer(TokioTimer::new())
+        .retry_canceled_requests(false)
+        .build(connector)
+}
+
+/// What the core tells a run.
+#[derive(Debug)]
+pub enum Command {
+    /// Chunks before `next` have been passed on.
+    Ack { next: u64 },
+    /// The entry is on a new connection and misses chunks from `next` on.
+    Resume { next: u64, outbox: Outbox },
+    /// Nobody wants the answer any more.
+    Cancel,
+    /// The entry has the whole answer.
+    Settled,
+    /// Report the slot time so far.
+    Report,
+}
+
+/// A run.
+pub struct Run {
+    core: WeakAddress<Core>,
+    target: Target,
+    outbox: Outbox,
+    commands: mpsc::Receiver<Command>,
+    kept: Kept,
+}
+
+/// The frames of the answer that may have to be sent again.
+#[derive(Debug, Default)]
+struct Kept {
+    head: Option<ToEntry>,
+    chunks: std::collections::VecDeque<(u64, Bytes)>,
+    size: usize,
+    seq: u64,
+    total: u64,
+    end: Option<ToEntry>,
+}
+
+/// Why a run stops before the target's answer ends.
+enum Stop {
+    Cancelled,
+    Released,
+}
+
+impl Run {
+    /// A run that has not begun.
+    pub fn new(
+        core: WeakAddress<Core>,
+        target: Target,
+        outbox: Outbox,
+        commands: mpsc::Receiver<Command>,
+    ) -> Self {
+        Run {
+            core,
+            target,
+            outbox,
+            commands,
+            kept: Kept::default(),
+        }
+    }
+
+    /// Runs the request, sends its answer, and keeps it until it is settled.
+    pub async fn run(mut self, dispatch: Dispatch, body: Bytes) {
+        let id = dispatch.dispatch;
+        let start = Instant::now();
+        let finish = self.relay(&dispatch, body, start).await;
+        let spent = Micros::from(start.elapsed());
+        // The core outlives its runs.
+        let _ = self.core.send(Freed).await;
+        let (chunks, bytes) = (self.kept.seq, self.kept.total);
+        let end = ToEntry::End {
+            dispatch: id,
+            finish,
+            chunks,
+            bytes,
+            spent,
+        };
+        self.outbox.send(&end);
+        self.kept.end = Some(end);
+        if finish != Finish::Cancelled {
+            self.keep(id).await;
+        }
+        // The core outlives its runs.
+        let _ = self.core.send(Released(id)).await;
+    }
+
+    /// Passes the target's answer on as it comes.
+    async fn relay(&mut self, dispatch: &Dispatch, body: Bytes, start: Instant) -> Finish {
+        let id = dispatch.dispatch;
+        let target = self.target.clone();
+        let mut answer = std::pin::pin!(target.send(dispatch, body));
+        let response = loop {
+            tokio::select! {
+                response = &mut answer => break response,
+                command = self.commands.recv() => {
+                    if self.command(id, start, command).is_some() {
+                        return Finish::Cancelled;
+                    }
+                }
+            }
+        };
+        let response = match response {
+            Ok(response) => response,
+            Err(finish) => return finish,
+        };
+        let (parts, mut body) = response.into_parts();
+        self.head(id, parts.status.as_u16(), answer_headers(&parts.headers));
+        loop {
+            tokio::select! {
+                frame = body.frame(), if self.kept.has_room() => match frame {
+                    Some(Ok(frame)) => {
+                        if let Ok(data) = frame.into_data() {
+                            self.data(id, data);
+                        }
+                    }
+                    Some(Err(_)) => return Finish::Cut,
+                    None => return Finish::Whole,
+                },
+                command = self.commands.recv() => {
+                    if self.command(id, start, command).is_some() {
+                        return Finish::Cancelled;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Holds the answer until the entry has it, or does not ask for too long.
+    async fn keep(&mut self, id: DispatchId) {
+        let mut until = Instant::now() + KEEP_TIMEOUT;
+        let start = Instant::now();
+        loop {
+            tokio::select! {
+                () = sleep_until(until) => return,
+                command = self.commands.recv() => {
+                    if matches!(command, Some(Command::Resume { .. } | Command::Ack { .. })) {
+                        until = Instant::now() + KEEP_TIMEOUT;
+                    }
+                    if matches!(command, Some(Command::Report)) {
+                        continue;
+                    }
+                    if self.command(id, start, command).is_some() {
+                        return;
+                    }
+                }
+            }
+        }
+    }
+
+    fn command(
+        &mut self,
+        id: DispatchId,
+        start: Instant,
+        command: Option<Command>,
+    ) -> Option<Stop> {
+        match command {
+            None | Some(Command::Cancel) => return Some(Stop::Cancelled),
+            Some(Command::Settled) => return Some(Stop::Released),
+            Some(Command::Ack { next }) => self.kept.ack(next),
+            Some(Command::Resume { next, outbox }) => {
+                self.outbox = outbox;
+                self.kept.ack(next);
+                self.resend(id, next);
+            }
+            Some(Command::Report) => {
+                let spent = Micros::from(start.elapsed());
+                self.outbox.send(&ToEntry::Progress {
+                    dispatch: id,
+                    spent,
+                });
+            }
+        }
+        None
+    }
+
+    fn head(&mut self, id: DispatchId, status: u16, headers: Vec<Header>) {
+        let head = ToEntry::Head {
+            dispatch: id,
+            status,
+            headers,
+        };
+        self.outbox.send(&head);
+        self.kept.head = Some(head);
+    }
+
+    fn data(&mut self, id: DispatchId, mut data: Bytes) {
+        while !data.is_empty() {
+            let piece = data.split_to(data.len().min(MAX_CHUNK_BYTES));
+            let seq = self.kept.push(piece.clone());
+            self.outbox.send(&ToEntry::Chunk {
+                dispatch: id,
+                seq,
+                data: piece,
+            });
+        }
+    }
+
+    fn resend(&self, id: DispatchId, next: u64) {
+        if next == 0
+            && let Some(head) = &self.kept.head
+        {
+            self.outbox.send(head);
+        }
+        for (seq, data) in &self.kept.chunks {
+            if *seq >= next {
+                let chunk = ToEntry::Chunk {
+                    dispatch: id,
+                    seq: *seq,
+                    data: data.clone(),
+                };
+                self.outbox.send(&chunk);
+            }
+        }
+        if let Some(end) = &self.kept.end {
+            self.outbox.send(end);
+        }
+    }
+}
+
+impl Kept {
+    fn has_room(&self) -> bool {
+        self.size < RESUME_BYTES && self.chunks.len() < RESUME_CHUNKS
+    }
+
+    fn push(&mut self, data: Bytes) -> u64 {
+        self.seq += 1;
+        self.size += data.len();
+        self.total += data.len() as u64;
+        self.chunks.push_back((self.seq, data));
+        self.seq
+    }
+
+    fn ack(&mut self, next: u64) {
+        while let Some((seq, data)) = self.chunks.front()
+            && *seq < next
+        {
+            self.size -= data.len();
+            self.chunks.pop_front();
+        }
+    }
+}
--- a/src/conn.rs
+++ b/src/conn.rs
@@ -1,1 +1,214 @@
 //! A framed, authenticated connection between an entry and an agent.
+
+use std::io;
+use std::time::Duration;
+
+use bytes::Bytes;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
+
+use crate::auth::{AuthError, Challenge, Hello, Proof, Secret, check_version};
+use crate::ids::BootId;
+use crate::wire::{self, AgentInfo, MAX_FRAME_BYTES, WireError};
+
+/// Time between heartbeats.
+pub const HEARTBEAT_PERIOD: Duration = Duration::from_millis(500);
+/// A connection on which nothing arrives for this long is given up.
+pub const SILENCE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest handshake.
+pub const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
+
+const OUTBOX_FRAMES: usize = 8192;
+const READ_BUFFER_BYTES: usize = 64 * 1024;
+const WRITE_BATCH_BYTES: usize = 64 * 1024;
+
+/// Why a connection ended or was not made.
+#[derive(Debug, thiserror::Error)]
+pub enum ConnError {
+    /// The transport failed or was closed.
+    #[error("connection failed: {0}")]
+    Io(#[from] io::Error),
+    /// A frame was malformed.
+    #[error(transparent)]
+    Wire(#[from] WireError),
+    /// The other side was not authenticated.
+    #[error(transparent)]
+    Auth(#[from] AuthError),
+    /// Nothing arrived for [`SILENCE_TIMEOUT`], or the handshake took too long.
+    #[error("connection is silent")]
+    Silent,
+}
+
+/// The sending half: frames queue here and are written in batches.
+#[derive(Clone, Debug)]
+pub struct Outbox {
+    frames: mpsc::Sender<Bytes>,
+    stop: CancellationToken,
+}
+
+impl Outbox {
+    /// Queues a message. A connection whose queue is full is closed: the other side will find out
+    /// what it missed when it asks on the next one.
+    pub fn send<T: Serialize>(&self, message: &T) {
+        let Ok(frame) = wire::encode(message) else {
+            self.stop.cancel();
+            return;
+        };
+        if self.frames.try_send(frame).is_err() {
+            self.stop.cancel();
+        }
+    }
+
+    /// Closes the connection.
+    pub fn close(&self) {
+        self.stop.cancel();
+    }
+
+    /// Whether the connection is closed or closing.
+    pub fn is_closed(&self) -> bool {
+        self.stop.is_cancelled()
+    }
+}
+
+/// The receiving half.
+#[derive(Debug)]
+pub struct Inbox {
+    read: BufReader<OwnedReadHalf>,
+    stop: CancellationToken,
+}
+
+impl Inbox {
+    /// The next message.
+    ///
+    /// # Errors
+    /// [`ConnError`] when the connection failed, was closed, is silent, or a frame is malformed.
+    pub async fn receive<T: DeserializeOwned>(&mut self) -> Result<T, ConnError> {
+        let stop = self.stop.clone();
+        tokio::select! {
+            () = stop.cancelled() => Err(io::Error::from(io::ErrorKind::ConnectionAborted).into()),
+            frame = timeout(SILENCE_TIMEOUT, read_frame(&mut self.read)) => {
+                let frame = frame.map_err(|_| ConnError::Silent)??;
+                Ok(wire::decode(&frame)?)
+            }
+        }
+    }
+}
+
+/// The agent's side of the handshake on a fresh connection. Gives the entry's boot id.
+///
+/// # Errors
+/// [`ConnError`] when the handshake fails or takes longer than [`HANDSHAKE_TIMEOUT`].
+pub async fn dial(
+    stream: TcpStream,
+    secret: &Secret,
+    agent: AgentInfo,
+) -> Result<(BootId, Outbox, Inbox), ConnError> {
+    stream.set_nodelay(true)?;
+    let (read, mut write) = stream.into_split();
+    let mut read = BufReader::with_capacity(READ_BUFFER_BYTES, read);
+    let handshake = async {
+        let hello = wire::encode(&Hello::new(agent))?;
+        write.write_all(&hello).await?;
+        let challenge: Challenge = wire::decode(&read_frame(&mut read).await?)?;
+        challenge.check(secret, &hello[4..])?;
+        let proof = Proof::new(secret, &hello[4..], &challenge);
+        write.write_all(&wire::encode(&proof)?).await?;
+        Ok::<_, ConnError>(challenge.boot)
+    };
+    let boot = timeout(HANDSHAKE_TIMEOUT, handshake)
+        .await
+        .map_err(|_| ConnError::Silent)??;
+    let (outbox, inbox) = start(read, write);
+    Ok((boot, outbox, inbox))
+}
+
+/// The entry's side of the handshake on an accepted connection.
+///
+/// # Errors
+/// [`ConnError`] when the handshake fails or takes longer than [`HANDSHAKE_TIMEOUT`].
+pub async fn accept(
+    stream: TcpStream,
+    secret: &Secret,
+    boot: BootId,
+) -> Result<(AgentInfo, Outbox, Inbox), ConnError> {
+    stream.set_nodelay(true)?;
+    let (read, mut write) = stream.into_split();
+    let mut read = BufReader::with_capacity(READ_BUFFER_BYTES, read);
+    let handshake = async {
+        let frame = read_frame(&mut read).await?;
+        let hello: Hello = wire::decode(&frame)?;
+        check_version(hello.version)?;
+        let challenge = Challenge::new(secret, &frame, boot);
+        write.write_all(&wire::encode(&challenge)?).await?;
+        let proof: Proof = wire::decode(&read_frame(&mut read).await?)?;
+        proof.check(secret, &frame, &challenge)?;
+        Ok::<_, ConnError>(hello.agent)
+    };
+    let agent = timeout(HANDSHAKE_TIMEOUT, handshake)
+        .await
+        .map_err(|_| ConnError::Silent)??;
+    let (outbox, inbox) = start(read, write);
+    Ok((agent, outbox, inbox))
+}
+
+fn start(read: BufReader<OwnedReadHalf>, write: OwnedWriteHalf) -> (Outbox, Inbox) {
+    let (frames, queue) = mpsc::channel(OUTBOX_FRAMES);
+    let stop = CancellationToken::new();
+    tokio::spawn(write_frames(write, queue, stop.clone()));
+    (
+        Outbox {
+            frames,
+            stop: stop.clone(),
+        },
+        Inbox { read, stop },
+    )
+}
+
+/// Reads one frame; its length is checked before anything is allocated.
+async fn read_frame(read: &mut BufReader<OwnedReadHalf>) -> Result<Vec<u8>, ConnError> {
+    let len = read.read_u32().await? as usize;
+    if len > MAX_FRAME_BYTES {
+        return Err(WireError::TooLong(len).into());
+    }
+    let mut frame = vec![0; len];
+    read.read_exact(&mut frame).await?;
+    Ok(frame)
+}
+
+/// Writes queued frames, as many in one call as are there.
+async fn write_frames(
+    mut write: OwnedWriteHalf,
+    mut queue: mpsc::Receiver<Bytes>,
+    stop: CancellationToken,
+) {
+    let mut batch = Vec::with_capacity(WRITE_BATCH_BYTES);
+    loop {
+        let first = tokio::select! {
+            () = stop.cancelled() => break,
+            frame = queue.recv() => match frame {
+                Some(frame) => frame,
+                None => break,
+            },
+        };
+        batch.clear();
+        batch.extend_from_slice(&first);
+        while batch.len() < WRITE_BATCH_BYTES {
+            let Ok(frame) = queue.try_recv() else { break };
+            batch.extend_from_slice(&frame);
+        }
+        let written = tokio::select! {
+            () = stop.cancelled() => break,
+            written = write.write_all(&batch) => written,
+        };
+        if written.is_err() {
+            break;
+        }
+    }
+    stop.cancel();
+}
--- /dev/null
+++ b/src/entry/agents.rs
@@ -0,0 +1,138 @@
+//! The entry's listener for agents, and the reader of each connection.
+
+use tokio::net::{TcpListener, TcpStream};
+use xtra::Address;
+
+use crate::auth::Secret;
+use crate::conn::{self, Inbox};
+use crate::entry::desk::{
+    AgentDown, AgentLeaving, AgentUp, Desk, Link, Offered, Progressed, Voided,
+};
+use crate::entry::routes::{Event, Routes};
+use crate::ids::{BootId, DispatchId};
+use crate::wire::ToEntry;
+
+/// What every agent connection needs.
+#[derive(Clone)]
+pub struct Agents {
+    /// The desk.
+    pub desk: Address<Desk>,
+    /// Where frames about dispatches go.
+    pub routes: Routes,
+    /// The shared key.
+    pub secret: Secret,
+    /// This run of the entry.
+    pub boot: BootId,
+}
+
+impl Agents {
+    /// Accepts agents until the process ends.
+    pub async fn listen(self, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    tokio::spawn(self.clone().serve(stream));
+                }
+                Err(_) => tokio::time::sleep(conn::HEARTBEAT_PERIOD).await,
+            }
+        }
+    }
+
+    async fn serve(self, stream: TcpStream) {
+        let Ok((info, outbox, mut inbox)) = conn::accept(stream, &self.secret, self.boot).await
+        else {
+            return;
+        };
+        let Ok(link) = self
+            .desk
+            .send(AgentUp {
+                info,
+                outbox: outbox.clone(),
+            })
+            .await
+        else {
+            return;
+        };
+        self.read(link, &mut inbox).await;
+        outbox.close();
+        // The desk outlives its agents' connections.
+        let _ = self.desk.send(AgentDown(link)).await;
+    }
+
+    /// Passes frames on until the connection ends or a request's task cannot take more.
+    async fn read(&self, link: Link, inbox: &mut Inbox) {
+        while let Ok(frame) = inbox.receive::<ToEntry>().await {
+            if !self.frame(link, frame).await {
+                return;
+            }
+        }
+    }
+
+    async fn frame(&self, link: Link, frame: ToEntry) -> bool {
+        match frame {
+            ToEntry::Offer { offer } => self.desk.send(Offered(link, offer)).await.is_ok(),
+            ToEntry::Void { offer } => self.desk.send(Voided(link, offer)).await.is_ok(),
+            ToEntry::Leaving => self.desk.send(AgentLeaving(link)).await.is_ok(),
+            ToEntry::Heartbeat => true,
+            ToEntry::Progress { dispatch, spent } => match self.routes.get(dispatch) {
+                Some(route) => {
+                    let message = Progressed {
+                        job: route.job,
+                        dispatch,
+                        spent,
+                    };
+                    self.desk.send(message).await.is_ok()
+                }
+                None => true,
+            },
+            ToEntry::Decline { dispatch } => self.pass(dispatch, Event::Declined { dispatch }),
+            ToEntry::Head {
+                dispatch,
+                status,
+                headers,
+            } => self.pass(
+                dispatch,
+                Event::Head {
+                    dispatch,
+                    status,
+                    headers,
+                },
+            ),
+            ToEntry::Chunk {
+                dispatch,
+                seq,
+                data,
+            } => self.pass(
+                dispatch,
+                Event::Chunk {
+                    dispatch,
+                    seq,
+                    data,
+                },
+            ),
+            ToEntry::End {
+                dispatch,
+                finish,
+                chunks,
+                bytes,
+                spent,
+            } => self.pass(
+                dispatch,
+                Event::End {
+                    dispatch,
+                    finish,
+                    chunks,
+                    bytes,
+                    spent,
+                },
+            ),
+            ToEntry::State { dispatch, known } => {
+                self.pass(dispatch, Event::State { dispatch, known })
+            }
+        }
+    }
+
+    fn pass(&self, dispatch: DispatchId, event: Event) -> bool {
+        self.routes.deliver(dispatch, event)
+    }
+}
--- /dev/null
+++ b/src/entry/http.rs
@@ -0,0 +1,268 @@
+//! The entry's HTTP server towards callers.
+
+use std::convert::Infallible;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Either, Full, LengthLimitError, Limited};
+use hyper::body::{Body, Frame, Incoming};
+use hyper::header::{CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER};
+use hyper::service::service_fn;
+use hyper::{Request as HttpRequest, Response, StatusCode};
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::server::conn::auto;
+use hyper_util::server::graceful::GracefulShutdown;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+use xtra::Address;
+
+use crate::entry::desk::{Arrive, Desk};
+use crate::entry::flight::{Caller, Flight, Head, Piece, QUEUE_RETRY};
+use crate::entry::request::{self, Request};
+use crate::entry::routes::FLIGHT_EVENTS;
+use crate::ids::{AccountKey, RequestId, ServiceKey};
+use crate::problem::{Problem, Reason};
+use crate::rules::Table;
+use crate::units::Clock;
+
+/// Longest time to read a request's head.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// Longest time to read a request's body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+/// Pieces of an answer that wait for a slow caller.
+const BODY_PIECES: usize = 16;
+/// Most concurrent streams of one HTTP/2 connection.
+const MAX_STREAMS: u32 = 1024;
+
+/// What every caller's connection needs.
+#[derive(Clone)]
+pub struct Http {
+    /// The desk.
+    pub desk: Address<Desk>,
+    /// The rules in force.
+    pub rules: watch::Receiver<Arc<Table>>,
+    /// The process's clock.
+    pub clock: Clock,
+    /// Cancelled when the entry stops taking requests.
+    pub drain: CancellationToken,
+}
+
+/// An answer's body: a short text, or pieces as they come.
+type AnswerBody = Either<Full<Bytes>, Pieces>;
+
+/// A body fed by a [`Flight`].
+#[derive(Debug)]
+pub struct Pieces {
+    pieces: mpsc::Receiver<Piece>,
+}
+
+/// The answer broke off; the connection is reset so that the caller sees it.
+#[derive(Debug, thiserror::Error)]
+#[error("the answer broke off")]
+pub struct BrokenAnswer;
+
+impl Body for Pieces {
+    type Data = Bytes;
+    type Error = BrokenAnswer;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenAnswer>>> {
+        self.pieces.poll_recv(context).map(|piece| match piece {
+            Some(Piece::Data(data)) => Some(Ok(Frame::data(data))),
+            Some(Piece::Broken) => Some(Err(BrokenAnswer)),
+            Some(Piece::End) => None,
+            None => Some(Err(BrokenAnswer)),
+        })
+    }
+}
+
+impl Http {
+    /// Serves callers until `drain` is cancelled, then finishes what it has.
+    pub async fn listen(self, listener: TcpListener) {
+        let graceful = GracefulShutdown::new();
+        loop {
+            let stream = tokio::select! {
+                () = self.drain.cancelled() => break,
+                accepted = listener.accept() => match accepted {
+                    Ok((stream, _)) => stream,
+                    Err(_) => {
+                        tokio::time::sleep(ACCEPT_PAUSE).await;
+                        continue;
+                    }
+                },
+            };
+            self.serve(stream, &graceful);
+        }
+        drop(listener);
+        graceful.shutdown().await;
+    }
+
+    fn serve(&self, stream: TcpStream, graceful: &GracefulShutdown) {
+        // Without it answers only wait longer.
+        let _ = stream.set_nodelay(true);
+        let http = self.clone();
+        let service = service_fn(move |request| {
+            let http = http.clone();
+            async move { Ok::<_, Infallible>(http.answer(request).await) }
+        });
+        let mut builder = auto::Builder::new(TokioExecutor::new());
+        builder
+            .http1()
+            .timer(TokioTimer::new())
+            .header_read_timeout(HEAD_TIMEOUT);
+        builder
+            .http2()
+            .timer(TokioTimer::new())
+            .max_concurrent_streams(MAX_STREAMS);
+        let connection = builder
+            .serve_connection(TokioIo::new(stream), service)
+            .into_owned();
+        let connection = graceful.watch(connection);
+        tokio::spawn(async move {
+            // A caller's broken connection concerns nobody else.
+            let _ = connection.await;
+        });
+    }
+
+    async fn answer(self, http: HttpRequest<Incoming>) -> Response<AnswerBody> {
+        let id = RequestId::random();
+        let mut response = match self.request(id, http).await {
+            Ok(response) => response,
+            Err(problem) => problem_response(problem, id),
+        };
+        let value = HeaderValue::from_str(&id.to_string()).expect("hexadecimal is a header value");
+        response
+            .headers_mut()
+            .insert(HeaderName::from_static(request::REQUEST_ID_HEADER), value);
+        response
+    }
+
+    async fn request(
+        self,
+        id: RequestId,
+        http: HttpRequest<Incoming>,
+    ) -> Result<Response<AnswerBody>, Problem> {
+        if self.drain.is_cancelled() {
+            return Err(Problem::not_run(503, Reason::Draining).retry_after(QUEUE_RETRY));
+        }
+        let table = self.rules.borrow().clone();
+        let account = request::authenticate(http.headers(), &table)?;
+        let (name, path) = request::split_path(http.uri())?;
+        let service = table
+            .service(name)
+            .ok_or(Problem::not_run(404, Reason::NoService))?;
+        let request = read(id, http, &table, account, service, path).await?;
+        self.fly(Arc::new(request), &table).await
+    }
+
+    /// Hands the request to the desk and waits for the head of its answer.
+    async fn fly(
+        self,
+        request: Arc<Request>,
+        table: &Table,
+    ) -> Result<Response<AnswerBody>, Problem> {
+        let allowed = table.service_at(request.service).deadline;
+        let (events_in, events) = mpsc::channel(FLIGHT_EVENTS);
+        let (body_in, pieces) = mpsc::channel(BODY_PIECES);
+        let (head_in, head) = oneshot::channel();
+        let arrive = Arrive {
+            request: request.clone(),
+            events: events_in,
+            deadline: self.clock.now() + allowed,
+        };
+        let flight = Flight::new(self.desk, request, events, Caller::new(head_in, body_in))
+            .deadline(Instant::now() + Duration::from(allowed));
+        // A task of its own: a caller that goes away must not tear it from its place.
+        tokio::spawn(flight.run(arrive));
+        let head = head
+            .await
+            .map_err(|_| Problem::unknown(502, Reason::OutcomeUnknown))??;
+        Ok(head_response(head, pieces))
+    }
+}
+
+/// Pause after the listener failed to accept, as when file descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Reads the rest of the request: headers to pass on and the whole body.
+async fn read(
+    id: RequestId,
+    http: HttpRequest<Incoming>,
+    table: &Table,
+    account: AccountKey,
+    service: ServiceKey,
+    path: String,
+) -> Result<Request, Problem> {
+    let (parts, body) = http.into_parts();
+    let limit = usize::try_from(table.account_at(account).body_limit).unwrap_or(usize::MAX);
+    let headers = request::passed_headers(&parts.headers)?;
+    let key = request::idempotency_key(&parts.headers)?;
+    let body = read_body(body, limit).await?;
+    let repeatable = table.service_at(service).repeatable;
+    Ok(Request {
+        id,
+        account,
+        service,
+        idempotent: repeatable || request::is_idempotent(&parts.method),
+        method: parts.method.to_string(),
+        path,
+        headers,
+        body,
+        key,
+        hint: request::cost_hint(&parts.headers),
+        trace: parts
+            .headers
+            .get(request::TRACE_HEADER)
+            .and_then(|v| v.to_str().ok())
+            .map(str::to_owned),
+    })
+}
+
+async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Problem> {
+    if body.size_hint().lower() > limit as u64 {
+        return Err(Problem::not_run(413, Reason::BodyTooLarge));
+    }
+    let collected = tokio::time::timeout(BODY_TIMEOUT, Limited::new(body, limit).collect()).await;
+    match collected {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(e)) if e.is::<LengthLimitError>() => {
+            Err(Problem::not_run(413, Reason::BodyTooLarge))
+        }
+        Ok(Err(_)) => Err(Problem::not_run(400, Reason::BadRequest)),
+        Err(_) => Err(Problem::not_run(408, Reason::BadRequest)),
+    }
+}
+
+fn head_response(head: Head, pieces: mpsc::Receiver<Piece>) -> Response<AnswerBody> {
+    let mut response = Response::new(Either::Right(Pieces { pieces }));
+    *response.status_mut() = StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    for header in head.headers {
+        let name = HeaderName::from_bytes(header.name.as_bytes());
+        let value = HeaderValue::from_bytes(&header.value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            response.headers_mut().append(name, value);
+        }
+    }
+    response
+}
+
+fn problem_response(problem: Problem, id: RequestId) -> Response<AnswerBody> {
+    let body = problem.body(&id.to_string());
+    let mut response = Response::new(Either::Left(Full::from(body)));
+    *response.status_mut() =
+        StatusCode::from_u16(problem.status).expect("problems have valid statuses");
+    let kind = HeaderValue::from_static("application/problem+json");
+    response.headers_mut().insert(CONTENT_TYPE, kind);
+    if let Some(wait) = problem.retry_after {
+        let seconds = HeaderValue::from(wait.as_secs().max(1));
+        response.headers_mut().insert(RETRY_AFTER, seconds);
+    }
+    response
+}
--- /dev/null
+++ b/src/entry/request.rs
@@ -0,0 +1,165 @@
+//! A caller's request, read and checked.
+
+use bytes::Bytes;
+use hyper::header::{AUTHORIZATION, HeaderMap, HeaderName};
+use hyper::{Method, Uri};
+
+use crate::ids::{AccountKey, RequestId, ServiceKey};
+use crate::problem::{Problem, Reason};
+use crate::rules::Table;
+use crate::units::Micros;
+use crate::wire::{Header, MAX_HEADERS};
+
+/// Header with the caller's rough cost hint, in milliseconds of target time.
+pub const COST_HEADER: &str = "x-balsampitch-cost";
+/// Header with the request's id, on every answer and towards the target.
+pub const REQUEST_ID_HEADER: &str = "x-request-id";
+/// Header with the client account's name, towards the target.
+pub const ACCOUNT_HEADER: &str = "x-balsampitch-account";
+/// Header that names the caller's idempotency key.
+pub const IDEMPOTENCY_HEADER: &str = "idempotency-key";
+/// Header with the trace context.
+pub const TRACE_HEADER: &str = "traceparent";
+/// Header with the fencing number, towards targets that check one.
+pub const FENCE_HEADER: &str = "x-balsampitch-fence";
+
+const MAX_IDEMPOTENCY_KEY_BYTES: usize = 255;
+const BEARER: &str = "Bearer ";
+
+/// Headers that concern one connection only, or that the fleet sets itself.
+const DROPPED_HEADERS: [&str; 16] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "host",
+    "content-length",
+    "expect",
+    ACCOUNT_HEADER,
+    REQUEST_ID_HEADER,
+    TRACE_HEADER,
+    FENCE_HEADER,
+];
+
+/// A caller's request.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// Its id.
+    pub id: RequestId,
+    /// The client account that pays for it.
+    pub account: AccountKey,
+    /// The service that runs it.
+    pub service: ServiceKey,
+    /// HTTP method.
+    pub method: String,
+    /// Path and query towards the target.
+    pub path: String,
+    /// Headers towards the target.
+    pub headers: Vec<Header>,
+    /// The whole body.
+    pub body: Bytes,
+    /// Whether it may be run more than once.
+    pub idempotent: bool,
+    /// The caller's idempotency key.
+    pub key: Option<String>,
+    /// The caller's cost hint.
+    pub hint: Option<Micros>,
+    /// The caller's trace context.
+    pub trace: Option<String>,
+}
+
+/// The service's name and the path towards the target.
+///
+/// # Errors
+/// A problem when the path names no service.
+pub fn split_path(uri: &Uri) -> Result<(&str, String), Problem> {
+    let rest = uri.path().strip_prefix('/').unwrap_or_default();
+    let (service, tail) = rest.split_once('/').unwrap_or((rest, ""));
+    if service.is_empty() {
+        return Err(Problem::not_run(404, Reason::NoService));
+    }
+    let path = match uri.query() {
+        Some(query) => format!("/{tail}?{query}"),
+        None => format!("/{tail}"),
+    };
+    Ok((service, path))
+}
+
+/// The client account whose key the caller presents.
+///
+/// # Errors
+/// A problem when there is none.
+pub fn authenticate(headers: &HeaderMap, table: &Table) -> Result<AccountKey, Problem> {
+    headers
+        .get(AUTHORIZATION)
+        .and_then(|v| v.to_str().ok())
+        .and_then(|v| v.strip_prefix(BEARER))
+        .and_then(|key| table.caller(key.trim().as_bytes()))
+        .ok_or(Problem::not_run(401, Reason::BadKey))
+}
+
+/// Whether the method alone makes a request idempotent (RFC 9110, 9.2.2).
+pub fn is_idempotent(method: &Method) -> bool {
+    matches!(
+        *method,
+        Method::GET | Method::HEAD | Method::PUT | Method::DELETE | Method::OPTIONS
+    )
+}
+
+/// The headers to pass on, without credentials and those of one connection.
+///
+/// # Errors
+/// A problem when there are more than [`MAX_HEADERS`].
+pub fn passed_headers(headers: &HeaderMap) -> Result<Vec<Header>, Problem> {
+    if headers.len() > MAX_HEADERS {
+        return Err(Problem::not_run(400, Reason::BadRequest));
+    }
+    Ok(kept(headers, |name| {
+        name != AUTHORIZATION && name != COST_HEADER
+    }))
+}
+
+/// The headers of an answer to pass back, without those of one connection.
+pub fn answer_headers(headers: &HeaderMap) -> Vec<Header> {
+    kept(headers, |_| true)
+        .into_iter()
+        .take(MAX_HEADERS)
+        .collect()
+}
+
+/// The caller's idempotency key.
+///
+/// # Errors
+/// A problem when it is empty, too long or not text.
+pub fn idempotency_key(headers: &HeaderMap) -> Result<Option<String>, Problem> {
+    let Some(value) = headers.get(IDEMPOTENCY_HEADER) else {
+        return Ok(None);
+    };
+    let key = value.to_str().unwrap_or_default().trim();
+    if key.is_empty() || key.len() > MAX_IDEMPOTENCY_KEY_BYTES {
+        return Err(Problem::not_run(400, Reason::BadRequest));
+    }
+    Ok(Some(key.to_owned()))
+}
+
+/// The caller's cost hint; one that is no number is ignored, as hints are rough.
+pub fn cost_hint(headers: &HeaderMap) -> Option<Micros> {
+    let text = headers.get(COST_HEADER)?.to_str().ok()?;
+    text.trim().parse::<u64>().ok().map(Micros::from_ms)
+}
+
+fn kept(headers: &HeaderMap, wanted: impl Fn(&HeaderName) -> bool) -> Vec<Header> {
+    headers
+        .iter()
+        .filter(|(name, _)| !DROPPED_HEADERS.contains(&name.as_str()) && wanted(name))
+        .map(|(name, value)| Header {
+            name: name.as_str().to_owned(),
+            value: Bytes::copy_from_slice(value.as_bytes()),
+        })
+        .collect()
+}
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -151,6 +151,14 @@
         }
     }
 
+    /// Slot time charged for a request so far.
+    pub fn charged(&self, key: JobKey) -> Micros {
+        self.jobs
+            .get(&key)
+            .map(|held| held.charged)
+            .unwrap_or_default()
+    }
+
     /// What waits here, for agents to compare entries by.
     pub fn backlog(&self) -> Backlog {
         Backlog {
