--- /dev/null
+++ b/src/rules/model.rs
@@ -0,0 +1,106 @@
+//! The rules of one file, in the order in which they were written.
+
+use std::fmt;
+
+use super::table::{Account, Service, Table};
+use super::units;
+
+/// A rule with the comment that names who asked for it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Rule {
+    /// What it rules.
+    pub subject: Subject,
+    /// Who asked for it.
+    pub comment: String,
+}
+
+/// What a rule is about.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Subject {
+    /// A client account.
+    Account(Account),
+    /// A service.
+    Service(Service),
+}
+
+impl Subject {
+    /// The name of the account or service.
+    pub fn name(&self) -> &str {
+        match self {
+            Subject::Account(account) => &account.name,
+            Subject::Service(service) => &service.name,
+        }
+    }
+
+    /// The word that begins its rule.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Subject::Account(_) => "account",
+            Subject::Service(_) => "service",
+        }
+    }
+}
+
+/// All rules of one file. Its `Display` is the canonical text, which parses to the same rules.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Rules {
+    /// The rules, in file order.
+    pub rules: Vec<Rule>,
+}
+
+impl Rules {
+    /// The client accounts, in file order.
+    pub fn accounts(&self) -> impl Iterator<Item = &Account> {
+        self.rules.iter().filter_map(|rule| match &rule.subject {
+            Subject::Account(account) => Some(account),
+            Subject::Service(_) => None,
+        })
+    }
+
+    /// The services, in file order.
+    pub fn services(&self) -> impl Iterator<Item = &Service> {
+        self.rules.iter().filter_map(|rule| match &rule.subject {
+            Subject::Service(service) => Some(service),
+            Subject::Account(_) => None,
+        })
+    }
+
+    /// The table of these rules as the given version; names that `before` knows keep their keys.
+    pub fn table(&self, before: &Table, version: u64) -> Table {
+        let accounts = self.accounts().cloned().collect();
+        let services = self.services().cloned().collect();
+        before.succeed(version, accounts, services)
+    }
+}
+
+impl fmt::Display for Rules {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.rules.iter().try_for_each(|rule| writeln!(f, "{rule}"))
+    }
+}
+
+impl fmt::Display for Rule {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.subject {
+            Subject::Account(account) => write_account(f, account)?,
+            Subject::Service(service) => write_service(f, service)?,
+        }
+        write!(f, "  # {}", self.comment)
+    }
+}
+
+fn write_account(f: &mut fmt::Formatter<'_>, account: &Account) -> fmt::Result {
+    let keys: Vec<String> = account.keys.iter().map(|key| hex::encode(key.0)).collect();
+    write!(f, "account {} key-sha256={}", account.name, keys.join(","))?;
+    write!(f, " queue={}", account.queue_limit)?;
+    write!(f, " body={}", units::Size(account.body_limit))
+}
+
+fn write_service(f: &mut fmt::Formatter<'_>, service: &Service) -> fmt::Result {
+    write!(f, "service {} slots={}", service.name, service.slots)?;
+    write!(f, " repeatable={}", units::yes_no(service.repeatable))?;
+    write!(f, " fenced={}", units::yes_no(service.fenced))?;
+    write!(f, " deadline={}", units::Span(service.deadline))?;
+    write!(f, " hedge={}%", service.hedge_percent)?;
+    write!(f, " retry={}%", service.retry_percent)
+}
--- /dev/null
+++ b/src/rules/units.rs
@@ -0,0 +1,84 @@
+//! Values in rules: numbers with units, read strictly and written in the largest whole unit.
+
+use std::fmt;
+
+use crate::units::Micros;
+
+const SIZES: [(&str, u64); 4] = [
+    ("GiB", 1 << 30),
+    ("MiB", 1 << 20),
+    ("KiB", 1 << 10),
+    ("B", 1),
+];
+const SPANS: [(&str, u64); 3] = [("min", 60_000_000), ("ms", 1_000), ("s", 1_000_000)];
+
+/// A size in bytes, written as `1MiB`.
+#[derive(Clone, Copy, Debug)]
+pub struct Size(pub u64);
+
+impl fmt::Display for Size {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let whole = |&(_, unit): &(&str, u64)| self.0 >= unit && self.0.is_multiple_of(unit);
+        let (name, unit) = SIZES.into_iter().find(whole).unwrap_or(("B", 1));
+        write!(f, "{}{name}", self.0 / unit)
+    }
+}
+
+/// A time of whole milliseconds, written as `30s`.
+#[derive(Clone, Copy, Debug)]
+pub struct Span(pub Micros);
+
+impl fmt::Display for Span {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let ms = self.0.as_ms();
+        if ms > 0 && ms.is_multiple_of(1_000) {
+            write!(f, "{}s", ms / 1_000)
+        } else {
+            write!(f, "{ms}ms")
+        }
+    }
+}
+
+/// `yes` or `no`.
+pub fn yes_no(value: bool) -> &'static str {
+    if value { "yes" } else { "no" }
+}
+
+/// Reads `yes` or `no`.
+pub fn read_yes_no(text: &str) -> Option<bool> {
+    match text {
+        "yes" => Some(true),
+        "no" => Some(false),
+        _ => None,
+    }
+}
+
+/// Reads a whole number: digits alone, no sign.
+pub fn read_number(text: &str) -> Option<u64> {
+    let digits = !text.is_empty() && text.bytes().all(|b| b.is_ascii_digit());
+    digits.then(|| text.parse().ok()).flatten()
+}
+
+/// Reads a percentage from 0% to 100%.
+pub fn read_percent(text: &str) -> Option<u8> {
+    let number = read_number(text.strip_suffix('%')?)?;
+    u8::try_from(number).ok().filter(|&percent| percent <= 100)
+}
+
+/// Reads a size in bytes, such as `1MiB`.
+pub fn read_size(text: &str) -> Option<u64> {
+    read_with_unit(text, &SIZES)
+}
+
+/// Reads a time, such as `30s`.
+pub fn read_span(text: &str) -> Option<Micros> {
+    read_with_unit(text, &SPANS).map(Micros)
+}
+
+fn read_with_unit(text: &str, units: &[(&str, u64)]) -> Option<u64> {
+    let (number, unit) = units.iter().find_map(|&(name, unit)| {
+        let number = text.strip_suffix(name)?;
+        Some((number, unit))
+    })?;
+    read_number(number)?.checked_mul(unit)
+}
