Stop a process by signal

Cause: entries and agents must finish what they hold when asked to stop. Change: a runtime whose token is cancelled by SIGTERM or SIGINT. Conclusion: shared by all binaries.

--- /dev/null
+++ b/src/cmd/shutdown.rs
@@ -0,0 +1,37 @@
+//! Runs a process until a signal asks it to stop.
+
+use std::future::Future;
+
+use anyhow::Context;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio_util::sync::CancellationToken;
+
+/// Runs a service on a runtime of its own. SIGTERM or SIGINT cancels the token it is given; the
+/// service then finishes what it has and returns.
+///
+/// # Errors
+/// When the runtime or the signal handlers cannot be set up, or the service fails.
+pub fn block_on<F, R>(service: F) -> anyhow::Result<()>
+where
+    F: FnOnce(CancellationToken) -> R,
+    R: Future<Output = anyhow::Result<()>>,
+{
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .context("could not start the runtime")?;
+    runtime.block_on(async {
+        let drain = CancellationToken::new();
+        let mut term = signal(SignalKind::terminate()).context("could not watch for SIGTERM")?;
+        let mut int = signal(SignalKind::interrupt()).context("could not watch for SIGINT")?;
+        let stop = drain.clone();
+        tokio::spawn(async move {
+            tokio::select! {
+                _ = term.recv() => {}
+                _ = int.recv() => {}
+            }
+            stop.cancel();
+        });
+        service(drain).await
+    })
+}
