Add stand-ins for the platform and a target

Cause: nothing could be run without the platform's log, its host list and a target to route to.

Ruled out: one process for everything (failure tests need to stop each by itself); a boxed body type (an enum of whole and chunked bodies serves both); answering chunked streams without an error at a cut, as the caller could not tell a cut answer from a whole one.

Change: `src/standin` with the log, the host list and the target over hyper, faults ordered by POST /fault/..., all state bounded by named constants; `balsampitch-standin` with the commands platform and target. A cut or lost answer drops the connection; a crash drops all of the target's connections and new ones for two seconds.

--- /dev/null
+++ b/src/cmd/standin.rs
@@ -0,0 +1,180 @@
+//! Command line of `balsampitch-standin`.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::Duration;
+
+use anyhow::Context;
+use lexopt::prelude::*;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::standin::log::DEFAULT_RETAIN;
+use crate::standin::{Host, Platform, Target, TargetOptions};
+
+const HELP: &str = "\
+Stand-ins for the platform's services and for a target, with faults to order.
+
+Usage:
+  balsampitch-standin platform --listen ADDR [--hosts FILE] [--retain N]
+  balsampitch-standin target --listen ADDR [--slots N] [--fenced]
+
+Options:
+  --listen ADDR   Address to serve on, as ip:port
+  --hosts FILE    First host list, as JSON
+  --retain N      Records kept in a stream of the log
+  --slots N       Requests that the target runs at a time
+  --fenced        The target refuses old fencing numbers
+  -h, --help      Print this help
+  -V, --version   Print the version
+";
+
+/// Exit code of a wrong command line.
+const EXIT_USAGE: u8 = 2;
+
+/// What to do.
+#[derive(Debug)]
+enum Command {
+    Help,
+    Version,
+    Platform(PlatformArgs),
+    Target(TargetArgs),
+}
+
+#[derive(Debug)]
+struct PlatformArgs {
+    listen: SocketAddr,
+    hosts: Option<PathBuf>,
+    retain: usize,
+}
+
+#[derive(Debug)]
+struct TargetArgs {
+    listen: SocketAddr,
+    options: TargetOptions,
+}
+
+/// Options of all commands, as read.
+#[derive(Debug, Default)]
+struct Args {
+    listen: Option<SocketAddr>,
+    hosts: Option<PathBuf>,
+    retain: Option<usize>,
+    slots: Option<u16>,
+    fenced: bool,
+}
+
+/// Runs the binary.
+pub fn main() -> ExitCode {
+    let command = match parse(lexopt::Parser::from_env()) {
+        Ok(command) => command,
+        Err(error) => {
+            eprintln!("balsampitch-standin: {error}");
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
+    match run(command) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("balsampitch-standin: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn parse(mut parser: lexopt::Parser) -> Result<Command, lexopt::Error> {
+    let name = match parser.next()? {
+        Some(Short('h') | Long("help")) => return Ok(Command::Help),
+        Some(Short('V') | Long("version")) => return Ok(Command::Version),
+        Some(Value(name)) => name.string()?,
+        Some(arg) => return Err(arg.unexpected()),
+        None => return Err("a command is missing; see --help".into()),
+    };
+    let mut args = Args::default();
+    while let Some(arg) = parser.next()? {
+        match (name.as_str(), arg) {
+            (_, Short('h') | Long("help")) => return Ok(Command::Help),
+            (_, Long("listen")) => args.listen = Some(parser.value()?.parse()?),
+            ("platform", Long("hosts")) => args.hosts = Some(parser.value()?.into()),
+            ("platform", Long("retain")) => args.retain = Some(parser.value()?.parse()?),
+            ("target", Long("slots")) => args.slots = Some(parser.value()?.parse()?),
+            ("target", Long("fenced")) => args.fenced = true,
+            (_, arg) => return Err(arg.unexpected()),
+        }
+    }
+    command(&name, args)
+}
+
+fn command(name: &str, args: Args) -> Result<Command, lexopt::Error> {
+    let listen = args.listen.ok_or("--listen is missing")?;
+    match name {
+        "platform" => Ok(Command::Platform(PlatformArgs {
+            listen,
+            hosts: args.hosts,
+            retain: args.retain.unwrap_or(DEFAULT_RETAIN),
+        })),
+        "target" if args.slots == Some(0) => Err("--slots must be at least 1".into()),
+        "target" => Ok(Command::Target(TargetArgs {
+            listen,
+            options: TargetOptions {
+                slots: args.slots,
+                fenced: args.fenced,
+            },
+        })),
+        _ => Err(format!("no such command: {name}").into()),
+    }
+}
+
+fn run(command: Command) -> anyhow::Result<()> {
+    match command {
+        Command::Help => print!("{HELP}"),
+        Command::Version => println!("balsampitch-standin {}", env!("CARGO_PKG_VERSION")),
+        Command::Platform(args) => start(platform(args))?,
+        Command::Target(args) => start(target(args))?,
+    }
+    Ok(())
+}
+
+fn start(serving: impl Future<Output = anyhow::Result<()>>) -> anyhow::Result<()> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .context("could not start the runtime")?;
+    runtime.block_on(async {
+        let mut terminate =
+            signal(SignalKind::terminate()).context("could not listen for signals")?;
+        tokio::select! {
+            ended = serving => ended,
+            _ = terminate.recv() => Ok(()),
+            _ = tokio::signal::ctrl_c() => Ok(()),
+        }
+    })
+}
+
+async fn platform(args: PlatformArgs) -> anyhow::Result<()> {
+    let platform = Platform::new(args.retain);
+    if let Some(path) = &args.hosts {
+        platform.set_hosts(read_hosts(path)?, Duration::ZERO);
+    }
+    platform.serve(bind(args.listen).await?).await;
+    Ok(())
+}
+
+async fn target(args: TargetArgs) -> anyhow::Result<()> {
+    let target = Target::new(args.options);
+    target.serve(bind(args.listen).await?).await;
+    Ok(())
+}
+
+fn read_hosts(path: &Path) -> anyhow::Result<Vec<Host>> {
+    let text = std::fs::read_to_string(path)
+        .with_context(|| format!("could not read hosts {}", path.display()))?;
+    serde_json::from_str(&text).with_context(|| format!("could not use hosts {}", path.display()))
+}
+
+async fn bind(addr: SocketAddr) -> anyhow::Result<TcpListener> {
+    TcpListener::bind(addr)
+        .await
+        .with_context(|| format!("could not listen on {addr}"))
+}
--- /dev/null
+++ b/src/standin/log.rs
@@ -0,0 +1,161 @@
+//! The platform's append-only log: streams of records with offsets, kept for a limited time.
+
+use std::collections::{HashMap, VecDeque};
+
+use bytes::Bytes;
+
+/// Records kept in a stream unless told otherwise.
+pub const DEFAULT_RETAIN: usize = 10_000;
+/// Most bytes kept in one stream.
+pub const MAX_STREAM_BYTES: usize = 16 * 1024 * 1024;
+/// Most streams.
+pub const MAX_STREAMS: usize = 256;
+/// Largest record, in bytes.
+pub const MAX_RECORD_BYTES: usize = 256 * 1024;
+/// Most records in one answer.
+pub const MAX_PAGE_RECORDS: usize = 1_000;
+
+/// Why an append was refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum AppendError {
+    /// The record exceeds [`MAX_RECORD_BYTES`].
+    #[error("record too large")]
+    TooLarge,
+    /// There are [`MAX_STREAMS`] streams already.
+    #[error("too many streams")]
+    TooMany,
+}
+
+/// One record.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Record {
+    /// Its offset.
+    pub offset: u64,
+    /// Its bytes.
+    pub data: Bytes,
+}
+
+/// What a read gives.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Page {
+    /// The records from the asked offset on.
+    Records {
+        /// Offset of the first record kept.
+        first: u64,
+        /// Offset to read from next.
+        next: u64,
+        /// The records, in order of their offsets.
+        records: Vec<Record>,
+    },
+    /// The asked offset has expired.
+    Expired {
+        /// Offset of the first record kept.
+        first: u64,
+    },
+}
+
+#[derive(Debug, Default)]
+struct Stream {
+    first: u64,
+    bytes: usize,
+    records: VecDeque<Bytes>,
+}
+
+impl Stream {
+    fn end(&self) -> u64 {
+        self.first + self.records.len() as u64
+    }
+
+    fn append(&mut self, data: Bytes, retain: usize) -> u64 {
+        let offset = self.end();
+        self.bytes += data.len();
+        self.records.push_back(data);
+        while self.records.len() > retain || self.bytes > MAX_STREAM_BYTES {
+            self.drop_first();
+        }
+        offset
+    }
+
+    fn drop_first(&mut self) {
+        if let Some(data) = self.records.pop_front() {
+            self.bytes -= data.len();
+            self.first += 1;
+        }
+    }
+
+    fn read(&self, from: u64) -> Page {
+        if from < self.first {
+            return Page::Expired { first: self.first };
+        }
+        let skip = usize::try_from(from - self.first).unwrap_or(usize::MAX);
+        let records: Vec<Record> = self
+            .records
+            .iter()
+            .skip(skip)
+            .take(MAX_PAGE_RECORDS)
+            .zip(from..)
+            .map(|(data, offset)| Record {
+                offset,
+                data: data.clone(),
+            })
+            .collect();
+        let next = records
+            .last()
+            .map_or(self.end(), |record| record.offset + 1);
+        Page::Records {
+            first: self.first,
+            next,
+            records,
+        }
+    }
+}
+
+/// All streams.
+#[derive(Debug)]
+pub struct Log {
+    retain: usize,
+    streams: HashMap<String, Stream>,
+}
+
+impl Log {
+    /// A log without records that keeps up to `retain` records a stream, at least one.
+    pub fn new(retain: usize) -> Self {
+        Log {
+            retain: retain.max(1),
+            streams: HashMap::new(),
+        }
+    }
+
+    /// Appends a record and returns its offset; offsets count from 0.
+    ///
+    /// # Errors
+    /// [`AppendError`] when the record or the number of streams exceeds its limit.
+    pub fn append(&mut self, stream: &str, data: Bytes) -> Result<u64, AppendError> {
+        if data.len() > MAX_RECORD_BYTES {
+            return Err(AppendError::TooLarge);
+        }
+        if !self.streams.contains_key(stream) && self.streams.len() == MAX_STREAMS {
+            return Err(AppendError::TooMany);
+        }
+        let stream = self.streams.entry(stream.to_owned()).or_default();
+        Ok(stream.append(data, self.retain))
+    }
+
+    /// Reads records from an offset on; a stream that was never written is empty.
+    pub fn read(&self, stream: &str, from: u64) -> Page {
+        match self.streams.get(stream) {
+            Some(stream) => stream.read(from),
+            None => Stream::default().read(from),
+        }
+    }
+
+    /// Drops the records before an offset.
+    pub fn expire(&mut self, stream: &str, first: u64) {
+        let Some(stream) = self.streams.get_mut(stream) else {
+            return;
+        };
+        while stream.first < first && !stream.records.is_empty() {
+            stream.drop_first();
+        }
+    }
+}
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -1,1 +1,19 @@
-//! Stand-ins for the platform's log and host list, and for a target.
+//! Stand-ins for the platform's log and host list, for a target, and for a faulty network link.
+//!
+//! Each is a small HTTP server with faults to order. All state is in memory and bounded.
+
+pub mod fault;
+pub mod hosts;
+pub mod http;
+pub mod log;
+pub mod platform;
+pub mod query;
+pub mod runs;
+pub mod target;
+pub mod target_fault;
+mod work;
+
+pub use hosts::Host;
+pub use platform::Platform;
+pub use target::{Target, TargetOptions};
+pub use target_fault::{TargetFault, TargetMode};
--- /dev/null
+++ b/src/standin/query.rs
@@ -0,0 +1,87 @@
+//! Query strings of requests to the stand-ins.
+
+use smallvec::SmallVec;
+
+/// Most parameters that are read from one query string.
+const MAX_PARAMS: usize = 16;
+
+/// One decoded parameter.
+#[derive(Clone, Debug)]
+struct Param {
+    name: String,
+    value: String,
+}
+
+/// The named parameter is no number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{0} must be a number")]
+pub struct BadNumber(pub &'static str);
+
+/// The parameters of a request, decoded.
+#[derive(Clone, Debug, Default)]
+pub struct Query {
+    params: SmallVec<[Param; 4]>,
+}
+
+impl Query {
+    /// Reads a query string; parameters beyond the sixteenth are ignored.
+    pub fn parse(text: &str) -> Self {
+        let params = text
+            .split('&')
+            .filter(|part| !part.is_empty())
+            .take(MAX_PARAMS)
+            .map(|part| {
+                let (name, value) = part.split_once('=').unwrap_or((part, ""));
+                Param {
+                    name: decode(name),
+                    value: decode(value),
+                }
+            })
+            .collect();
+        Query { params }
+    }
+
+    /// The value of a parameter.
+    pub fn get(&self, name: &str) -> Option<&str> {
+        self.params
+            .iter()
+            .find(|param| param.name == name)
+            .map(|param| param.value.as_str())
+    }
+
+    /// The value of a parameter as a number.
+    ///
+    /// # Errors
+    /// [`BadNumber`] when its value is no number.
+    pub fn number(&self, name: &'static str) -> Result<Option<u64>, BadNumber> {
+        match self.get(name) {
+            None => Ok(None),
+            Some(text) => text.parse().map(Some).map_err(|_| BadNumber(name)),
+        }
+    }
+}
+
+fn decode(text: &str) -> String {
+    let mut out = Vec::with_capacity(text.len());
+    let mut rest = text.as_bytes();
+    while let Some((&byte, tail)) = rest.split_first() {
+        rest = tail;
+        match byte {
+            b'+' => out.push(b' '),
+            b'%' => match escaped(tail) {
+                Some(value) => {
+                    out.push(value);
+                    rest = &tail[2..];
+                }
+                None => out.push(byte),
+            },
+            _ => out.push(byte),
+        }
+    }
+    String::from_utf8_lossy(&out).into_owned()
+}
+
+fn escaped(tail: &[u8]) -> Option<u8> {
+    let digits = std::str::from_utf8(tail.get(..2)?).ok()?;
+    u8::from_str_radix(digits, 16).ok()
+}
