Serve the admin address

Cause: operators and tests need to know whether a process runs, whether it takes work, and what it holds.

Ruled out: a boxed provider (the trait is generic, so nothing is dispatched at run time); serving the admin paths on the callers' address, where a service of that name would clash.

Change: `admin::serve` with `/healthz`, `/readyz` by a watch, `/status` and further paths from a `Status` provider; limits on connections, headers, buffers, answer time and the life of a connection.

--- a/src/admin.rs
+++ b/src/admin.rs
@@ -1,1 +1,117 @@
-//! The admin address: `/healthz`, `/readyz` and `/status`.
+//! The admin address: `/healthz`, `/readyz`, `/status`, and what a process adds to them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use serde_json::Value;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+
+/// Most open admin connections; more are closed at once.
+pub const MAX_CONNECTIONS: usize = 64;
+/// Most headers in a request.
+const MAX_HEADERS: usize = 64;
+/// Largest buffer for a request's headers, in bytes.
+const MAX_BUFFER_BYTES: usize = 16 * 1024;
+/// Time for a request's headers to arrive.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time for an answer to be made.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
+/// Longest life of a connection.
+const CONNECTION_TIMEOUT: Duration = Duration::from_secs(60);
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// What a process shows on its admin address.
+pub trait Status: Send + Sync + 'static {
+    /// The answer to `/status`.
+    fn status(&self) -> impl Future<Output = Value> + Send;
+
+    /// The answer to another path, given from its `/`; none: no such path.
+    fn extra(&self, path: &str) -> impl Future<Output = Option<Value>> + Send {
+        let _ = path;
+        async { None }
+    }
+}
+
+/// Serves the admin address until dropped; then its connections close.
+pub async fn serve<S: Status>(listener: TcpListener, status: Arc<S>, ready: watch::Receiver<bool>) {
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((socket, _)) if connections.len() < MAX_CONNECTIONS => {
+                    connections.spawn(connection(socket, status.clone(), ready.clone()));
+                }
+                Ok(_) => {}
+                Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+            },
+            Some(_) = connections.join_next() => {}
+        }
+    }
+}
+
+async fn connection<S: Status>(socket: TcpStream, status: Arc<S>, ready: watch::Receiver<bool>) {
+    let service = service_fn(move |request| {
+        let status = status.clone();
+        let ready = *ready.borrow();
+        async move { Ok::<_, std::convert::Infallible>(answer(request, &*status, ready).await) }
+    });
+    let serving = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEADER_TIMEOUT)
+        .max_buf_size(MAX_BUFFER_BYTES)
+        .max_headers(MAX_HEADERS)
+        .serve_connection(TokioIo::new(socket), service);
+    // A broken or overlong connection is the reader's affair.
+    let _ = tokio::time::timeout(CONNECTION_TIMEOUT, serving).await;
+}
+
+async fn answer<S: Status>(
+    request: Request<Incoming>,
+    status: &S,
+    ready: bool,
+) -> Response<Full<Bytes>> {
+    if request.method() != Method::GET && request.method() != Method::HEAD {
+        return text(StatusCode::METHOD_NOT_ALLOWED, "only GET is answered\n");
+    }
+    match request.uri().path() {
+        "/healthz" => text(StatusCode::OK, "ok\n"),
+        "/readyz" if ready => text(StatusCode::OK, "ready\n"),
+        "/readyz" => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+        path => match tokio::time::timeout(ANSWER_TIMEOUT, look_up(status, path)).await {
+            Ok(Some(value)) => json(&value),
+            Ok(None) => text(StatusCode::NOT_FOUND, "no such path\n"),
+            Err(_) => text(StatusCode::SERVICE_UNAVAILABLE, "timed out\n"),
+        },
+    }
+}
+
+async fn look_up<S: Status>(status: &S, path: &str) -> Option<Value> {
+    match path {
+        "/status" => Some(status.status().await),
+        path => status.extra(path).await,
+    }
+}
+
+fn text(code: StatusCode, body: &'static str) -> Response<Full<Bytes>> {
+    let mut answer = Response::new(Full::new(Bytes::from_static(body.as_bytes())));
+    *answer.status_mut() = code;
+    answer
+}
+
+fn json(value: &Value) -> Response<Full<Bytes>> {
+    let mut answer = Response::new(Full::new(Bytes::from(value.to_string())));
+    let kind = HeaderValue::from_static("application/json");
+    answer.headers_mut().insert(CONTENT_TYPE, kind);
+    answer
+}
