--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,6 +1,7 @@
 //! Command lines, a file for each binary.
 
 pub mod shutdown;
+pub mod standin;
 
 use std::ffi::OsString;
 use std::path::PathBuf;
