Decide rules versions from the log's offsets

Cause: operators race, append answers are lost, records expire, and every process must come to the same version without a coordinator. Ruled out: adopting the first renewal read as it stands (a stale one would leave the reader behind for good); deciding by what this build can parse (builds of two grammars would disagree for ever); the whole text in every edit (about 600 KB to every reader for each edit at the design size). Change: `Chain` decides edits and renewals in offset order. A renewal names the offset at which its version was current, so a late reader replays what followed. `Schedule` spreads renewals and learns how long records last. When the log no longer tells, the history is started anew from the version in force, and the higher version wins. Conclusion: readers that know the whole history agree with the oracle at every offset; a history started anew is tested by one case only.

--- /dev/null
+++ b/src/rules/history.rs
@@ -0,0 +1,327 @@
+//! Follows the rules stream: which version is current, which is in force, and when to renew.
+//!
+//! A reader that has every record since a known version decides each one exactly. A reader that
+//! starts after earlier records expired keeps what it reads until a renewal tells which version
+//! was current at an offset that it has read from; then it decides what it kept.
+
+use super::chain::{Chain, Past, Verdict};
+use super::parse::MAX_FILE_BYTES;
+use super::record::{Accepted, EditId, Record, Renewal};
+use super::renew::{Due, Schedule, Timing};
+use crate::platform::Page;
+use crate::units::Micros;
+
+/// Records that a reader keeps while it looks for a renewal.
+pub const MAX_KEPT: usize = 4_096;
+/// Bytes of records that a reader keeps while it looks for a renewal.
+pub const MAX_KEPT_BYTES: usize = 4 * MAX_FILE_BYTES;
+
+const PEER_AUTHOR: &str = "unknown (from a peer)";
+
+/// A record that was decided.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Decided {
+    /// Its offset.
+    pub offset: u64,
+    /// The edit, if it is one.
+    pub edit: Option<EditId>,
+    /// What became of it.
+    pub verdict: Verdict,
+}
+
+/// Records counted since the reader started.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Edits accepted.
+    pub accepted: u64,
+    /// Edits that lost a race.
+    pub lost: u64,
+    /// Edits that came again.
+    pub repeated: u64,
+    /// Renewals read.
+    pub renewed: u64,
+    /// Records passed over.
+    pub bad: u64,
+    /// Times that records expired before they were read.
+    pub gaps: u64,
+}
+
+/// A reader of the rules stream.
+#[derive(Debug)]
+pub struct Follower {
+    next: u64,
+    state: State,
+    force: Option<Accepted>,
+    tail: bool,
+    schedule: Schedule,
+    counts: Counts,
+}
+
+#[derive(Debug)]
+enum State {
+    /// Every record since a known version was read.
+    Exact(Chain),
+    /// Records before `start` were not read.
+    Seeking(Kept),
+}
+
+#[derive(Debug, Default)]
+struct Kept {
+    start: u64,
+    records: Vec<(u64, Record)>,
+    bytes: usize,
+}
+
+impl Follower {
+    /// A reader that has read nothing.
+    pub fn new(timing: Timing) -> Self {
+        Follower {
+            next: 0,
+            state: State::Exact(Chain::default()),
+            force: None,
+            tail: false,
+            schedule: Schedule::new(timing),
+            counts: Counts::default(),
+        }
+    }
+
+    /// The offset to read from.
+    pub fn next(&self) -> u64 {
+        self.next
+    }
+
+    /// The version in force: the highest that the log or a peer told; none before the first.
+    pub fn current(&self) -> Option<&Accepted> {
+        self.force.as_ref()
+    }
+
+    /// The version that the log tells; none while that is not known.
+    pub fn logged(&self) -> Option<&Accepted> {
+        match &self.state {
+            State::Exact(chain) => Some(chain.current()),
+            State::Seeking(_) => None,
+        }
+    }
+
+    /// Whether the log was read to its end and tells the version in force.
+    pub fn confirmed(&self) -> bool {
+        self.tail && self.logged_in_force()
+    }
+
+    /// Accepted edits that it remembers, oldest first.
+    pub fn past(&self) -> impl Iterator<Item = &Past> {
+        let chain = match &self.state {
+            State::Exact(chain) => Some(chain),
+            State::Seeking(_) => None,
+        };
+        chain.into_iter().flat_map(Chain::past)
+    }
+
+    /// What it has counted.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    /// Takes a page that was read from [`Follower::next`]; an empty page is the end of the stream.
+    pub fn read(&mut self, page: &Page, now: Micros) -> Vec<Decided> {
+        let mut decided = Vec::new();
+        if page.next < self.next {
+            self.expired(page.first);
+            return decided;
+        }
+        if page.first > self.next {
+            self.expired(page.first);
+        }
+        for record in &page.records {
+            if record.offset < self.next {
+                continue;
+            }
+            self.take(record.offset, &record.data, now, &mut decided);
+        }
+        self.next = page.next.max(self.next);
+        self.tail = page.records.is_empty();
+        self.put_in_force();
+        self.schedule.read(page.first, now);
+        let waits = self.tail && !self.logged_in_force();
+        self.schedule.unconfirmed(waits, now);
+        decided
+    }
+
+    /// The records before `first` have expired, or the stream was begun anew.
+    pub fn expired(&mut self, first: u64) {
+        self.counts.gaps += 1;
+        self.tail = false;
+        self.next = first;
+        self.state = State::Seeking(Kept {
+            start: first,
+            ..Kept::default()
+        });
+    }
+
+    /// The log could not be read.
+    pub fn unavailable(&mut self, now: Micros) {
+        self.tail = false;
+        self.schedule.unconfirmed(false, now);
+    }
+
+    /// Takes the version that a peer has in force, if it is higher. The log confirms it later.
+    /// Returns whether it was taken.
+    pub fn offer_from_peer(&mut self, version: u64, text: &str) -> bool {
+        let known = self.force.as_ref().map_or(0, |force| force.version);
+        if version <= known || text.len() > MAX_FILE_BYTES {
+            return false;
+        }
+        self.force = Some(Accepted::new(version, PEER_AUTHOR, text));
+        true
+    }
+
+    /// The renewal to append now, if one is due.
+    pub fn renewal(&mut self, now: Micros) -> Option<Record> {
+        let due = self.schedule.due(now)?;
+        let (accepted, restart) = match (due, &self.state) {
+            (Due::Renew, State::Exact(chain)) => (chain.current().clone(), false),
+            (Due::Renew, State::Seeking(_)) => return None,
+            (Due::Restart, _) => (self.in_force_or_empty(), true),
+        };
+        if accepted.version == 0 && !restart {
+            return None;
+        }
+        self.schedule.appended(now);
+        Some(Record::Renewal(Renewal {
+            accepted,
+            as_of: self.next,
+            restart,
+        }))
+    }
+
+    fn logged_in_force(&self) -> bool {
+        let force = self.force.as_ref().map_or(0, |force| force.version);
+        self.logged().is_some_and(|logged| logged.version >= force)
+    }
+
+    fn in_force_or_empty(&self) -> Accepted {
+        let none = || Chain::default().current().clone();
+        self.force.clone().unwrap_or_else(none)
+    }
+
+    fn take(&mut self, offset: u64, data: &[u8], now: Micros, decided: &mut Vec<Decided>) {
+        self.next = offset + 1;
+        let record = match Record::decode(data) {
+            Ok(record) => record,
+            Err(error) => {
+                let verdict = Verdict::Bad(error);
+                self.report(offset, None, verdict, decided);
+                return;
+            }
+        };
+        match &mut self.state {
+            State::Exact(_) => self.decide(offset, &record, now, decided),
+            State::Seeking(kept) => {
+                kept.push(offset, record, data.len());
+                self.settle(now, decided);
+            }
+        }
+    }
+
+    fn decide(&mut self, offset: u64, record: &Record, now: Micros, decided: &mut Vec<Decided>) {
+        let State::Exact(chain) = &mut self.state else {
+            return;
+        };
+        let verdict = chain.decide(offset, record);
+        self.note_renewal(record, &verdict, now);
+        let edit = match record {
+            Record::Edit(edit) => Some(edit.id),
+            Record::Renewal(_) => None,
+        };
+        self.report(offset, edit, verdict, decided);
+    }
+
+    fn note_renewal(&mut self, record: &Record, verdict: &Verdict, now: Micros) {
+        let Record::Renewal(renewal) = record else {
+            return;
+        };
+        match verdict {
+            Verdict::Renewed(_) | Verdict::Raised(_) => {
+                self.schedule.renewed(renewal.as_of, now);
+            }
+            // Readers that started anew from the older version need the current one.
+            Verdict::Outdated(_) if renewal.restart => self.schedule.wanted(now),
+            Verdict::Outdated(_) => self.schedule.renewed(renewal.as_of, now),
+            _ => {}
+        }
+    }
+
+    /// Decides what was kept if the newest record tells where to go on from.
+    fn settle(&mut self, now: Micros, decided: &mut Vec<Decided>) {
+        let State::Seeking(kept) = &mut self.state else {
+            return;
+        };
+        let Some((offset, Record::Renewal(renewal))) = kept.records.last() else {
+            return;
+        };
+        let usable = renewal.as_of >= kept.start;
+        if renewal.as_of > *offset || !(usable || renewal.restart) {
+            return;
+        }
+        let from = if usable { renewal.as_of } else { *offset };
+        let chain = Chain::at(renewal.accepted.clone());
+        let records = std::mem::take(&mut kept.records);
+        self.state = State::Exact(chain);
+        for (offset, record) in records.iter().filter(|(offset, _)| *offset >= from) {
+            self.decide(*offset, record, now, decided);
+        }
+    }
+
+    fn report(
+        &mut self,
+        offset: u64,
+        edit: Option<EditId>,
+        verdict: Verdict,
+        decided: &mut Vec<Decided>,
+    ) {
+        match verdict {
+            Verdict::Accepted(_) => self.counts.accepted += 1,
+            Verdict::Lost(_) => self.counts.lost += 1,
+            Verdict::Repeated(_) => self.counts.repeated += 1,
+            Verdict::Bad(_) => self.counts.bad += 1,
+            Verdict::Renewed(_) | Verdict::Raised(_) | Verdict::Outdated(_) => {
+                self.counts.renewed += 1;
+            }
+        }
+        decided.push(Decided {
+            offset,
+            edit,
+            verdict,
+        });
+    }
+
+    fn put_in_force(&mut self) {
+        let State::Exact(chain) = &self.state else {
+            return;
+        };
+        let logged = chain.current();
+        let force = self.force.as_ref().map_or(0, |force| force.version);
+        if logged.version > 0 && logged.version >= force {
+            self.force = Some(logged.clone());
+        }
+    }
+}
+
+impl Kept {
+    fn push(&mut self, offset: u64, record: Record, bytes: usize) {
+        self.bytes += bytes;
+        if self.records.len() == MAX_KEPT || self.bytes > MAX_KEPT_BYTES {
+            *self = Kept {
+                start: offset,
+                records: Vec::new(),
+                bytes,
+            };
+        }
+        self.records.push((offset, record));
+    }
+}
+
+#[cfg(test)]
+mod oracle;
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/rules/history/oracle.rs
@@ -0,0 +1,97 @@
+use std::collections::HashSet;
+
+use crate::platform::{Page, Record as LogRecord};
+use crate::rules::record::{Accepted, EditId, Record, TextDigest};
+
+use super::Follower;
+
+/// Every record ever appended, and what is current after each, decided naively.
+#[derive(Clone, Debug)]
+pub struct Oracle {
+    pub records: Vec<LogRecord>,
+    states: Vec<(u64, String)>,
+    texts: Vec<String>,
+    seen: HashSet<EditId>,
+}
+
+impl Default for Oracle {
+    fn default() -> Self {
+        Oracle {
+            records: Vec::new(),
+            states: vec![(0, String::new())],
+            texts: vec![String::new()],
+            seen: HashSet::new(),
+        }
+    }
+}
+
+impl Oracle {
+    pub fn append(&mut self, data: bytes::Bytes) -> u64 {
+        let offset = self.records.len() as u64;
+        let (version, text) = self.states.last().expect("starts with one").clone();
+        let next = self
+            .edited(version, &text, &data)
+            .unwrap_or((version, text));
+        if next.0 as usize == self.texts.len() {
+            self.texts.push(next.1.clone());
+        }
+        self.states.push(next);
+        self.records.push(LogRecord { offset, data });
+        offset
+    }
+
+    fn edited(&mut self, version: u64, text: &str, data: &[u8]) -> Option<(u64, String)> {
+        let Ok(Record::Edit(edit)) = Record::decode(data) else {
+            return None;
+        };
+        let text = edit.change.apply(text)?;
+        let whole = TextDigest::of(&text) == edit.digest;
+        let fresh = edit.base == version && whole && self.seen.insert(edit.id);
+        fresh.then_some((version + 1, text))
+    }
+
+    pub fn page(&self, first: u64, from: u64, limit: usize) -> Page {
+        let records: Vec<LogRecord> = self.records[from as usize..]
+            .iter()
+            .take(limit)
+            .cloned()
+            .collect();
+        let next = from + records.len() as u64;
+        Page {
+            first,
+            next,
+            records,
+        }
+    }
+
+    /// What the log tells must be what was decided naively at the same offset.
+    pub fn check_logged(&self, reader: &Follower) -> Result<(), String> {
+        let Some(logged) = reader.logged() else {
+            return Ok(());
+        };
+        let (version, text) = &self.states[reader.next() as usize];
+        let same = logged.version == *version && &*logged.text == text;
+        same.then_some(())
+            .ok_or_else(|| format!("at {}: {logged:?}, not {version} {text}", reader.next()))
+    }
+
+    /// A version in force must be one that was accepted, with its own text.
+    pub fn check_force(&self, reader: &Follower) -> Result<(), String> {
+        let Some(force) = reader.current() else {
+            return Ok(());
+        };
+        let text = self.texts.get(force.version as usize);
+        let same = text.is_some_and(|text| *text == *force.text);
+        same.then_some(())
+            .ok_or_else(|| format!("{force:?} in force, accepted was {text:?}"))
+    }
+}
+
+/// A version in force must not be lower than one before it.
+pub fn check_order(before: Option<&Accepted>, after: Option<&Accepted>) -> Result<(), String> {
+    let number = |accepted: Option<&Accepted>| accepted.map_or(0, |accepted| accepted.version);
+    let (before, after) = (number(before), number(after));
+    (before <= after)
+        .then_some(())
+        .ok_or_else(|| format!("version {after} after {before}"))
+}
--- /dev/null
+++ b/src/rules/history/tests.rs
@@ -0,0 +1,465 @@
+use std::sync::Arc;
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+
+use super::oracle::{Oracle, check_order};
+use super::*;
+use crate::rules::change::Change;
+use crate::rules::record::{Edit, RecordError, TextDigest};
+
+const READERS: usize = 4;
+const PERIOD: Micros = Micros::from_secs(100);
+
+/// Never starts the history anew, so that each version has one text.
+const STEADY: Timing = Timing {
+    period: PERIOD,
+    jitter: Micros::ZERO,
+    wait: Micros::MAX,
+};
+
+fn edit(base: &Accepted, author: &str, text: &str, id: u64) -> Record {
+    Record::Edit(Edit {
+        id: EditId(id),
+        base: base.version,
+        author: author.into(),
+        change: Change::between(&base.text, text),
+        digest: TextDigest::of(text),
+    })
+}
+
+fn renewal(accepted: Accepted, as_of: u64, restart: bool) -> Record {
+    Record::Renewal(Renewal {
+        accepted,
+        as_of,
+        restart,
+    })
+}
+
+fn read_all(oracle: &Oracle, reader: &mut Follower) -> Vec<Decided> {
+    let page = oracle.page(0, reader.next(), usize::MAX);
+    reader.read(&page, Micros::ZERO)
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Edit {
+        reader: usize,
+        text: String,
+        twice: bool,
+    },
+    Resend(prop::sample::Index),
+    Renew(usize),
+    Garbage(Vec<u8>),
+    Read {
+        reader: usize,
+        limit: usize,
+    },
+    Expire(prop::sample::Index),
+    Restart {
+        reader: usize,
+        peer: usize,
+    },
+    Offer {
+        reader: usize,
+        peer: usize,
+    },
+    Outage(bool),
+}
+
+struct Model;
+
+impl ReferenceStateMachine for Model {
+    type State = ();
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions(_: &()) -> BoxedStrategy<Step> {
+        let reader = 0..READERS;
+        let index = any::<prop::sample::Index>();
+        prop_oneof![
+            6 => (reader.clone(), "[abé\n]{0,6}", any::<bool>())
+                .prop_map(|(reader, text, twice)| Step::Edit { reader, text, twice }),
+            2 => index.clone().prop_map(Step::Resend),
+            4 => reader.clone().prop_map(Step::Renew),
+            1 => prop::collection::vec(any::<u8>(), 0..6).prop_map(Step::Garbage),
+            12 => (reader.clone(), 1..6usize)
+                .prop_map(|(reader, limit)| Step::Read { reader, limit }),
+            2 => index.prop_map(Step::Expire),
+            1 => (reader.clone(), reader.clone())
+                .prop_map(|(reader, peer)| Step::Restart { reader, peer }),
+            1 => (reader.clone(), reader)
+                .prop_map(|(reader, peer)| Step::Offer { reader, peer }),
+            1 => any::<bool>().prop_map(Step::Outage),
+        ]
+        .boxed()
+    }
+
+    fn apply((): (), _: &Step) {}
+}
+
+struct Fleet {
+    oracle: Oracle,
+    readers: Vec<Follower>,
+    edits: Vec<bytes::Bytes>,
+    first: u64,
+    out: bool,
+    now: Micros,
+}
+
+impl Fleet {
+    fn new() -> Self {
+        Fleet {
+            oracle: Oracle::default(),
+            readers: (0..READERS).map(|_| Follower::new(STEADY)).collect(),
+            edits: Vec::new(),
+            first: 0,
+            out: false,
+            now: Micros::ZERO,
+        }
+    }
+
+    fn step(&mut self, step: Step) {
+        self.now += Micros::from_secs(1);
+        match step {
+            Step::Edit {
+                reader,
+                text,
+                twice,
+            } => self.edit(reader, &text, twice),
+            Step::Resend(index) if !self.edits.is_empty() => {
+                let data = index.get(&self.edits).clone();
+                self.append(data);
+            }
+            Step::Resend(_) => {}
+            Step::Renew(reader) => self.renew(reader),
+            Step::Garbage(data) => self.append(data.into()),
+            Step::Read { reader, limit } => self.read(reader, limit),
+            Step::Expire(index) => {
+                let last = self.oracle.records.len() as u64;
+                let most = (last - self.first) as usize + 1;
+                self.first += index.index(most) as u64 / 2;
+            }
+            Step::Restart { reader, peer } => {
+                let current = self.readers[peer].current().cloned();
+                self.readers[reader] = Follower::new(STEADY);
+                self.offer(reader, current);
+            }
+            Step::Offer { reader, peer } => {
+                let current = self.readers[peer].current().cloned();
+                self.offer(reader, current);
+            }
+            Step::Outage(out) => self.out = out,
+        }
+    }
+
+    fn append(&mut self, data: bytes::Bytes) {
+        if !self.out {
+            self.oracle.append(data);
+        }
+    }
+
+    fn edit(&mut self, reader: usize, text: &str, twice: bool) {
+        let Some(base) = self.readers[reader].logged().cloned() else {
+            return;
+        };
+        let id = self.edits.len() as u64;
+        let data = edit(&base, &format!("operator {reader}"), text, id).encode();
+        self.edits.push(data.clone());
+        self.append(data.clone());
+        if twice {
+            self.append(data);
+        }
+    }
+
+    fn renew(&mut self, reader: usize) {
+        self.now += PERIOD;
+        self.now += PERIOD;
+        if let Some(record) = self.readers[reader].renewal(self.now) {
+            self.append(record.encode());
+        }
+    }
+
+    fn read(&mut self, reader: usize, limit: usize) {
+        let reader = &mut self.readers[reader];
+        if self.out {
+            reader.unavailable(self.now);
+        } else if reader.next() < self.first {
+            reader.expired(self.first);
+        } else {
+            let page = self.oracle.page(self.first, reader.next(), limit);
+            reader.read(&page, self.now);
+        }
+    }
+
+    fn offer(&mut self, reader: usize, current: Option<Accepted>) {
+        if let Some(current) = current {
+            self.readers[reader].offer_from_peer(current.version, &current.text);
+        }
+    }
+
+    fn check(&self) -> Result<(), String> {
+        self.readers.iter().try_for_each(|reader| {
+            self.oracle.check_logged(reader)?;
+            self.oracle.check_force(reader)
+        })
+    }
+}
+
+struct Machine;
+
+impl StateMachineTest for Machine {
+    type SystemUnderTest = Fleet;
+    type Reference = Model;
+
+    fn init_test((): &()) -> Fleet {
+        Fleet::new()
+    }
+
+    fn apply(mut fleet: Fleet, (): &(), step: Step) -> Fleet {
+        let restarted = match step {
+            Step::Restart { reader, .. } => Some(reader),
+            _ => None,
+        };
+        let before: Vec<Option<Accepted>> =
+            fleet.readers.iter().map(|r| r.current().cloned()).collect();
+        fleet.step(step);
+        for (index, before) in before.iter().enumerate() {
+            if restarted != Some(index) {
+                check_order(before.as_ref(), fleet.readers[index].current()).expect("order");
+            }
+        }
+        fleet.check().expect("readers agree with the oracle");
+        fleet
+    }
+
+    /// Whatever happened, one exact reader's renewal brings every reader to the same version.
+    fn teardown(mut fleet: Fleet, (): ()) {
+        fleet.out = false;
+        let exact = (0..READERS).find(|&reader| {
+            fleet.read(reader, usize::MAX);
+            fleet.readers[reader].logged().is_some()
+        });
+        let Some(exact) = exact else {
+            return;
+        };
+        fleet.renew(exact);
+        for reader in 0..READERS {
+            fleet.read(reader, usize::MAX);
+            fleet.read(reader, usize::MAX);
+            let logged = fleet.readers[reader].logged();
+            let expected = fleet.readers[exact].logged();
+            let empty = expected.is_some_and(|expected| expected.version == 0);
+            assert!(empty || logged == expected, "{logged:?}, not {expected:?}");
+        }
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(7),
+        cases: 512,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn readers_agree_with_the_oracle(sequential 1..80 => Machine);
+}
+
+fn three_versions() -> (Oracle, Vec<Accepted>) {
+    let mut oracle = Oracle::default();
+    let mut versions = vec![Chain::default().current().clone()];
+    for number in 1..=3 {
+        let text = format!("text {number}");
+        let base = versions.last().expect("starts with one");
+        oracle.append(edit(base, "mere", &text, number).encode());
+        versions.push(Accepted::new(number, "mere", &text));
+    }
+    (oracle, versions)
+}
+
+macro_rules! caught {
+    ($($name:ident: |$oracle:ident, $versions:ident, $reader:ident| $fault:block, $check:ident;)+) => {$(
+        #[test]
+        fn $name() {
+            #[allow(unused_mut)]
+            let (mut $oracle, $versions) = three_versions();
+            let mut $reader = Follower::new(STEADY);
+            $fault
+            assert!($oracle.$check(&$reader).is_err());
+        }
+    )+};
+}
+
+caught! {
+    a_skipped_record_is_caught: |oracle, versions, reader| {
+        let mut page = oracle.page(0, 0, 3);
+        page.records.remove(1);
+        reader.read(&page, Micros::ZERO);
+        assert_eq!(versions.len(), 4);
+    }, check_logged;
+    a_renewal_with_a_false_offset_is_caught: |oracle, versions, reader| {
+        oracle.append(renewal(versions[2].clone(), 3, false).encode());
+        reader.expired(3);
+        reader.read(&oracle.page(3, 3, 1), Micros::ZERO);
+    }, check_logged;
+    a_renewal_of_a_version_never_accepted_is_caught: |oracle, versions, reader| {
+        let false_version = Accepted::new(versions.len() as u64, "mere", "false");
+        oracle.append(renewal(false_version, 3, false).encode());
+        read_all(&oracle, &mut reader);
+    }, check_logged;
+    a_peer_with_another_text_is_caught: |oracle, versions, reader| {
+        assert!(reader.offer_from_peer(versions[2].version, "false"));
+    }, check_force;
+    a_peer_with_a_version_never_accepted_is_caught: |oracle, versions, reader| {
+        assert!(reader.offer_from_peer(versions.len() as u64, "false"));
+    }, check_force;
+    a_repeat_under_a_new_id_on_the_new_base_is_caught: |oracle, versions, reader| {
+        let mut page = oracle.page(0, 0, 3);
+        page.records[2].data = edit(&versions[2], "mere", "false", 9).encode();
+        reader.read(&page, Micros::ZERO);
+    }, check_logged;
+}
+
+#[test]
+fn a_version_that_goes_down_is_caught() {
+    let (_, versions) = three_versions();
+    assert!(check_order(Some(&versions[2]), Some(&versions[1])).is_err());
+    assert!(check_order(Some(&versions[1]), None).is_err());
+    assert!(check_order(Some(&versions[1]), Some(&versions[1])).is_ok());
+}
+
+macro_rules! verdicts {
+    ($($name:ident: |$versions:ident| $record:expr => $verdict:expr;)+) => {$(
+        #[test]
+        fn $name() {
+            let (mut oracle, $versions) = three_versions();
+            oracle.append($record.encode());
+            let decided = read_all(&oracle, &mut Follower::new(STEADY));
+            assert_eq!(decided.last().expect("four records").verdict, $verdict);
+        }
+    )+};
+}
+
+fn winner(version: u64) -> Verdict {
+    let author = Some(Arc::from("mere"));
+    Verdict::Lost(crate::rules::Winner { version, author })
+}
+
+fn with_digest_of(record: Record, text: &str) -> Record {
+    match record {
+        Record::Edit(edit) => Record::Edit(Edit {
+            digest: TextDigest::of(text),
+            ..edit
+        }),
+        renewal => renewal,
+    }
+}
+
+verdicts! {
+    next_edit_is_accepted: |v| edit(&v[3], "anita", "new", 9) => Verdict::Accepted(4);
+    late_edit_loses_to_the_first: |v| edit(&v[1], "anita", "new", 9) => winner(2);
+    repeated_edit_is_decided_once: |v| edit(&v[2], "mere", "text 3", 3) => Verdict::Repeated(3);
+    edit_of_the_future_is_bad: |_v| edit(&Accepted::new(9, "", ""), "anita", "new", 9)
+        => Verdict::Bad(RecordError::Ahead);
+    edit_with_another_digest_is_bad: |v|
+        with_digest_of(edit(&v[3], "anita", "new", 9), "other")
+        => Verdict::Bad(RecordError::OtherDigest);
+    edit_that_does_not_fit_is_bad: |v| edit(&Accepted::new(3, "", "long text"), "a", "long text!", 9)
+        => { let _ = &v; Verdict::Bad(RecordError::Malformed) };
+    renewal_changes_nothing: |v| renewal(v[3].clone(), 3, false) => Verdict::Renewed(3);
+    stale_renewal_changes_nothing: |v| renewal(v[2].clone(), 2, false) => Verdict::Outdated(2);
+    renewal_of_the_future_is_bad: |v| renewal(v[3].clone(), 9, false)
+        => Verdict::Bad(RecordError::Ahead);
+}
+
+#[test]
+fn stale_renewal_leads_a_late_reader_to_the_current_version() {
+    let (mut oracle, versions) = three_versions();
+    oracle.append(renewal(versions[2].clone(), 2, false).encode());
+    let mut late = Follower::new(STEADY);
+    late.expired(2);
+    late.read(&oracle.page(2, 2, 2), Micros::ZERO);
+    assert_eq!(late.logged().map(|logged| logged.version), Some(3));
+}
+
+#[test]
+fn renewal_older_than_what_was_read_tells_nothing() {
+    let (mut oracle, versions) = three_versions();
+    oracle.append(renewal(versions[2].clone(), 2, false).encode());
+    let mut late = Follower::new(STEADY);
+    late.expired(3);
+    late.read(&oracle.page(3, 3, 1), Micros::ZERO);
+    assert_eq!(late.logged(), None);
+}
+
+#[test]
+fn peers_version_is_in_force_until_the_log_confirms_it() {
+    let (oracle, versions) = three_versions();
+    let mut reader = Follower::new(STEADY);
+    assert!(reader.offer_from_peer(3, &versions[3].text));
+    assert!(!reader.offer_from_peer(2, &versions[2].text));
+    reader.read(&oracle.page(0, 0, 2), Micros::ZERO);
+    assert_eq!(reader.current().map(|force| force.version), Some(3));
+    assert!(!reader.confirmed());
+    read_all(&oracle, &mut reader);
+    read_all(&oracle, &mut reader);
+    assert!(reader.confirmed());
+    assert_eq!(reader.current(), Some(&versions[3]));
+}
+
+#[test]
+fn history_lost_with_the_log_is_started_anew_from_a_peer() {
+    let timing = Timing {
+        wait: Micros::from_secs(20),
+        ..STEADY
+    };
+    let mut oracle = Oracle::default();
+    let mut readers = [Follower::new(timing), Follower::new(timing)];
+    assert!(readers[0].offer_from_peer(7, "seven"));
+    let mut record = None;
+    for second in [0, 19, 20] {
+        let now = Micros::from_secs(second);
+        assert_eq!(record, None);
+        readers[0].read(&oracle.page(0, 0, 0), now);
+        record = readers[0].renewal(now);
+    }
+    oracle.append(record.expect("due after the wait").encode());
+    for reader in &mut readers {
+        read_all(&oracle, reader);
+        assert_eq!(reader.logged().map(|logged| logged.version), Some(7));
+    }
+}
+
+macro_rules! schedules {
+    ($($name:ident: |$schedule:ident| $events:block, due at $due:expr;)+) => {$(
+        #[test]
+        fn $name() {
+            let secs = Micros::from_secs;
+            let timing = Timing { period: secs(100), jitter: secs(3), wait: secs(20) };
+            let mut $schedule = Schedule::new(timing);
+            $events
+            let due = (0..1_000).find(|&s| $schedule.due(secs(s)).is_some());
+            assert_eq!(due, $due);
+        }
+    )+};
+}
+
+schedules! {
+    renewal_is_due_after_a_period: |s| { s.read(0, Micros::ZERO); }, due at Some(103);
+    anothers_renewal_puts_it_off: |s| { s.renewed(5, Micros::from_secs(50)); }, due at Some(153);
+    expired_renewal_is_due_at_once: |s| {
+        s.renewed(5, Micros::from_secs(30));
+        s.read(5, Micros::from_secs(31));
+        s.read(6, Micros::from_secs(90));
+    }, due at Some(53);
+    start_after_expiry_teaches_no_retention: |s| {
+        s.read(6, Micros::ZERO);
+        s.renewed(9, Micros::from_secs(1));
+    }, due at Some(104);
+}
--- /dev/null
+++ b/src/rules/record.rs
@@ -0,0 +1,248 @@
+//! Records of the rules stream: edits by operators, and renewals of what was accepted.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+
+use super::change::Change;
+use super::parse::MAX_FILE_BYTES;
+
+/// Format of the records, their first byte.
+pub const RECORD_FORMAT: u8 = 1;
+/// Longest author, in bytes.
+pub const MAX_AUTHOR_BYTES: usize = 128;
+/// Largest record, in bytes.
+pub const MAX_RECORD_BYTES: usize = MAX_FILE_BYTES + 1024;
+
+/// SHA-256 of a rules text.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct TextDigest(pub [u8; 32]);
+
+impl TextDigest {
+    /// The digest of a text.
+    pub fn of(text: &str) -> Self {
+        TextDigest(Sha256::digest(text).into())
+    }
+}
+
+/// Tells one edit from another, however often it is appended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct EditId(pub u64);
+
+impl EditId {
+    /// A new random id.
+    pub fn random() -> Self {
+        EditId(rand::random())
+    }
+}
+
+/// A version of the rules that was accepted.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Accepted {
+    /// Its number, from 1.
+    pub version: u64,
+    /// Who applied it.
+    pub author: Arc<str>,
+    /// The text of the rules file.
+    pub text: Arc<str>,
+    /// Digest of the text.
+    pub digest: TextDigest,
+}
+
+impl Accepted {
+    /// A version with the digest of its text.
+    pub fn new(version: u64, author: &str, text: &str) -> Self {
+        Accepted {
+            version,
+            author: author.into(),
+            text: text.into(),
+            digest: TextDigest::of(text),
+        }
+    }
+}
+
+/// An operator's edit.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Edit {
+    /// Tells repeated appends of one edit.
+    pub id: EditId,
+    /// The version that the operator edited.
+    pub base: u64,
+    /// Who applied it.
+    pub author: Arc<str>,
+    /// How the text differs from the base's text.
+    pub change: Change,
+    /// Digest of the new text.
+    pub digest: TextDigest,
+}
+
+/// An accepted version appended anew, before the records that made it expire.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Renewal {
+    /// The version.
+    pub accepted: Accepted,
+    /// The version was current just before the record at this offset.
+    pub as_of: u64,
+    /// Whether it starts the history anew, because the log no longer tells what was current.
+    pub restart: bool,
+}
+
+/// A record of the rules stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Record {
+    /// An operator's edit.
+    Edit(Edit),
+    /// A version appended anew.
+    Renewal(Renewal),
+}
+
+/// Why a record is passed over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum RecordError {
+    /// It is larger than [`MAX_RECORD_BYTES`].
+    #[error("larger than {MAX_RECORD_BYTES} bytes")]
+    TooLarge,
+    /// Its first byte is not [`RECORD_FORMAT`].
+    #[error("of an unknown format")]
+    UnknownFormat,
+    /// It cannot be decoded.
+    #[error("malformed")]
+    Malformed,
+    /// Its author or text is too long.
+    #[error("longer than its limits")]
+    TooLong,
+    /// Its text does not have its digest.
+    #[error("its text does not have its digest")]
+    OtherDigest,
+    /// It is based on a version that does not exist yet, or was current after its own offset.
+    #[error("based on what is still to come")]
+    Ahead,
+}
+
+#[derive(Serialize, Deserialize)]
+enum WireRecord {
+    Edit(WireEdit),
+    Renewal(WireRenewal),
+}
+
+#[derive(Serialize, Deserialize)]
+struct WireEdit {
+    id: EditId,
+    base: u64,
+    author: String,
+    change: Change,
+    digest: TextDigest,
+}
+
+#[derive(Serialize, Deserialize)]
+struct WireRenewal {
+    version: u64,
+    author: String,
+    text: String,
+    digest: TextDigest,
+    as_of: u64,
+    restart: bool,
+}
+
+impl Record {
+    /// The record as it is appended.
+    pub fn encode(&self) -> Bytes {
+        let wire = WireRecord::from(self);
+        let bytes = postcard::to_extend(&wire, vec![RECORD_FORMAT])
+            .expect("a record is written to memory that grows");
+        Bytes::from(bytes)
+    }
+
+    /// Reads an appended record.
+    ///
+    /// # Errors
+    /// Why the record must be passed over; every reader comes to the same result.
+    pub fn decode(data: &[u8]) -> Result<Self, RecordError> {
+        if data.len() > MAX_RECORD_BYTES {
+            return Err(RecordError::TooLarge);
+        }
+        let (&format, body) = data.split_first().ok_or(RecordError::Malformed)?;
+        if format != RECORD_FORMAT {
+            return Err(RecordError::UnknownFormat);
+        }
+        let (wire, rest) =
+            postcard::take_from_bytes::<WireRecord>(body).map_err(|_| RecordError::Malformed)?;
+        if !rest.is_empty() {
+            return Err(RecordError::Malformed);
+        }
+        Record::try_from(wire)
+    }
+}
+
+impl From<&Record> for WireRecord {
+    fn from(record: &Record) -> Self {
+        match record {
+            Record::Edit(edit) => WireRecord::Edit(WireEdit {
+                id: edit.id,
+                base: edit.base,
+                author: edit.author.to_string(),
+                change: edit.change.clone(),
+                digest: edit.digest,
+            }),
+            Record::Renewal(renewal) => WireRecord::Renewal(WireRenewal {
+                version: renewal.accepted.version,
+                author: renewal.accepted.author.to_string(),
+                text: renewal.accepted.text.to_string(),
+                digest: renewal.accepted.digest,
+                as_of: renewal.as_of,
+                restart: renewal.restart,
+            }),
+        }
+    }
+}
+
+impl TryFrom<WireRecord> for Record {
+    type Error = RecordError;
+
+    fn try_from(wire: WireRecord) -> Result<Self, RecordError> {
+        match wire {
+            WireRecord::Edit(edit) => Edit::try_from(edit).map(Record::Edit),
+            WireRecord::Renewal(renewal) => Renewal::try_from(renewal).map(Record::Renewal),
+        }
+    }
+}
+
+impl TryFrom<WireEdit> for Edit {
+    type Error = RecordError;
+
+    fn try_from(edit: WireEdit) -> Result<Self, RecordError> {
+        if edit.author.len() > MAX_AUTHOR_BYTES {
+            return Err(RecordError::TooLong);
+        }
+        Ok(Edit {
+            id: edit.id,
+            base: edit.base,
+            author: edit.author.into(),
+            change: edit.change,
+            digest: edit.digest,
+        })
+    }
+}
+
+impl TryFrom<WireRenewal> for Renewal {
+    type Error = RecordError;
+
+    fn try_from(renewal: WireRenewal) -> Result<Self, RecordError> {
+        if renewal.author.len() > MAX_AUTHOR_BYTES || renewal.text.len() > MAX_FILE_BYTES {
+            return Err(RecordError::TooLong);
+        }
+        let accepted = Accepted::new(renewal.version, &renewal.author, &renewal.text);
+        if accepted.digest != renewal.digest {
+            return Err(RecordError::OtherDigest);
+        }
+        Ok(Renewal {
+            accepted,
+            as_of: renewal.as_of,
+            restart: renewal.restart,
+        })
+    }
+}
--- a/src/rules/tests.rs
+++ b/src/rules/tests.rs
@@ -226,3 +226,33 @@
         }
     }
 }
+
+proptest! {
+    #![proptest_config(fixed_seed())]
+
+    #[test]
+    fn a_change_makes_the_text_that_it_was_made_for(
+        before in "[aé€\n]{0,12}",
+        after in "[aé€\n]{0,12}",
+    ) {
+        let change = change::Change::between(&before, &after);
+        prop_assert_eq!(change.apply(&before), Some(after));
+    }
+
+    #[test]
+    fn any_change_fits_or_is_refused(
+        before in "[aé€]{0,6}",
+        head in 0..20u32,
+        tail in 0..20u32,
+    ) {
+        let _ = change::Change { head, tail, middle: String::new() }.apply(&before);
+    }
+
+    #[test]
+    fn any_bytes_are_a_record_or_refused(data in prop::collection::vec(any::<u8>(), 0..80)) {
+        let framed: Vec<u8> = std::iter::once(record::RECORD_FORMAT).chain(data).collect();
+        if let Ok(record) = Record::decode(&framed) {
+            prop_assert_eq!(Record::decode(&record.encode()), Ok(record));
+        }
+    }
+}
