Exchange service levels over a tree of entries

Cause: levels were known to one entry only, so a client account could be served once per entry. Ruled out: counters for every entry and account (they outgrow the budget with the square). Change: ordered turns in Share, reports and levels toward an exchange; authenticated datagrams; batches up and levels down a tree computed from the member list; UDP loop; cost measurement.

--- a/src/exchange/mod.rs
+++ b/src/exchange/mod.rs
@@ -1,1 +1,26 @@
-//! Exchange of service levels between entries.
+//! Exchange of service levels between entries, over UDP.
+//!
+//! The live entries form a tree computed from the member list. Charges climb it as numbered
+//! batches, each taken in once; levels come down as absolute values. See `docs/FAIRNESS.md`.
+
+pub mod envelope;
+pub mod gossip;
+pub mod measure;
+pub mod names;
+pub mod node;
+pub mod service;
+pub mod tree;
+
+#[cfg(test)]
+mod tests;
+
+use crate::ids::{AccountKey, ServiceKey};
+
+/// A client account at a service.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Pair {
+    /// The service.
+    pub service: ServiceKey,
+    /// The client account.
+    pub account: AccountKey,
+}
--- /dev/null
+++ b/src/exchange/node/pack.rs
@@ -0,0 +1,151 @@
+//! Between a member's state and the rows of datagrams.
+
+use std::collections::BTreeMap;
+
+use super::cells::Cells;
+use super::uplink::Entry;
+use crate::exchange::gossip::{
+    Down, DownRow, Gaps, QUANTUM_US, Section, Up, UpRow, flatten, unflatten,
+};
+use crate::exchange::names::{Names, Number, Recent};
+use crate::share::Demand;
+use crate::units::Micros;
+
+/// Pairs in one datagram of levels.
+const DOWN_PAIRS: usize = 180;
+
+/// A charge as it was read.
+#[derive(Clone, Copy, Debug)]
+pub struct Charge {
+    /// Whose charge it is; `None` when out of range.
+    pub number: Option<Number>,
+    /// Microseconds of slot time.
+    pub charge: i64,
+    /// Demand in the sender's subtree.
+    pub demand: Demand,
+}
+
+/// A level as it was read.
+#[derive(Clone, Copy, Debug)]
+pub struct Level {
+    /// Whose level it is; `None` when out of range.
+    pub number: Option<Number>,
+    /// Microseconds of slot time.
+    pub level: i64,
+    /// Demand as the sender knows it.
+    pub demand: Demand,
+}
+
+/// Rows of a batch, whose entries are sorted by number.
+pub fn up_rows(entries: &[Entry], names: &Names) -> Vec<UpRow> {
+    let mut gaps = Gaps::default();
+    let row = |entry: &Entry| {
+        let number = names.number(entry.pair)?;
+        Some(UpRow {
+            place: gaps.pack(flatten(number), entry.demand),
+            charge: entry.charge / QUANTUM_US,
+        })
+    };
+    entries.iter().filter_map(row).collect()
+}
+
+/// The charges of a batch. Reading ends at the first malformed row.
+pub fn read_up(up: &Up) -> impl Iterator<Item = Charge> {
+    let mut gaps = Gaps::default();
+    up.rows.iter().map_while(move |row| {
+        let (place, demand) = gaps.unpack(row.place)?;
+        Some(Charge {
+            number: unflatten(place),
+            charge: row.charge.checked_mul(QUANTUM_US)?,
+            demand,
+        })
+    })
+}
+
+/// The levels of a datagram. Reading ends at the first malformed row.
+pub fn read_down(down: &Down) -> impl Iterator<Item = Level> {
+    down.sections.iter().flat_map(|section| {
+        let mut gaps = Gaps::default();
+        section.rows.iter().map_while(move |row| {
+            let (place, demand) = gaps.unpack(row.place)?;
+            let level = section.base.checked_add(row.above)?;
+            Some(Level {
+                number: u32::try_from(place).ok().map(|account| Number {
+                    service: section.service,
+                    account,
+                }),
+                level: i64::try_from(level).ok()?.checked_mul(QUANTUM_US)?,
+                demand,
+            })
+        })
+    })
+}
+
+/// What a member without levels tells its children.
+pub fn cold(names: u32, round: u32, period: Micros) -> Down {
+    Down {
+        names,
+        round,
+        period: u16::try_from(period.as_ms()).unwrap_or(u16::MAX),
+        cold: true,
+        ..Down::default()
+    }
+}
+
+/// The levels of all known pairs, in as many datagrams as they need.
+pub fn downs(cells: &Cells, names: &Recent, round: u32, period: Micros) -> Vec<Down> {
+    let Some(names) = names.current() else {
+        return Vec::new();
+    };
+    let mut rows: Vec<_> = cells
+        .iter()
+        .filter_map(|(p, c)| {
+            names
+                .number(p)
+                .map(|n| (n, c.level() / QUANTUM_US, c.demand()))
+        })
+        .collect();
+    rows.sort_unstable_by_key(|&(n, ..)| n);
+    let head = Down {
+        cold: false,
+        ..cold(names.digest(), round, period)
+    };
+    if rows.is_empty() {
+        return vec![head];
+    }
+    rows.chunks(DOWN_PAIRS)
+        .map(|part| Down {
+            sections: sections(part),
+            ..head.clone()
+        })
+        .collect()
+}
+
+fn sections(rows: &[(Number, i64, Demand)]) -> Vec<Section> {
+    let mut by_service: BTreeMap<u16, Vec<_>> = BTreeMap::new();
+    for &(number, level, demand) in rows {
+        let list = by_service.entry(number.service).or_default();
+        list.push((number.account, level as u64, demand));
+    }
+    by_service
+        .into_iter()
+        .map(|(service, list)| section(service, &list))
+        .collect()
+}
+
+fn section(service: u16, list: &[(u32, u64, Demand)]) -> Section {
+    let base = list.iter().map(|&(_, level, _)| level).min().unwrap_or(0);
+    let mut gaps = Gaps::default();
+    let rows = list
+        .iter()
+        .map(|&(account, level, demand)| DownRow {
+            place: gaps.pack(u64::from(account), demand),
+            above: level - base,
+        })
+        .collect();
+    Section {
+        service,
+        base,
+        rows,
+    }
+}
--- /dev/null
+++ b/src/exchange/service.rs
@@ -0,0 +1,166 @@
+//! The exchange's socket and clock: ticks the pure core, sends its datagrams, feeds it received
+//! ones.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use tokio::net::UdpSocket;
+use tokio_util::sync::CancellationToken;
+
+use super::envelope::{MAX_DATAGRAM_BYTES, Newest, Sealer};
+use super::gossip;
+use super::names::Names;
+use super::node::{Node, Outgoing, Update};
+use crate::ids::{BootId, ServiceKey};
+use crate::share::Report;
+use crate::units::Clock;
+
+/// What the exchange needs of the schedulers.
+pub trait Schedulers: Send {
+    /// What each service charged since the last call, and who waits (see
+    /// [`crate::share::Share::collect`]).
+    fn collect(&mut self) -> Vec<(ServiceKey, Vec<Report>)>;
+
+    /// Takes over levels (see [`crate::share::Share::apply`]).
+    fn apply(&mut self, updates: &[Update]);
+
+    /// The live members, when they changed since the last call.
+    fn members(&mut self) -> Option<Vec<SocketAddr>>;
+
+    /// The numbering, when the rules changed since the last call.
+    fn names(&mut self) -> Option<Names>;
+}
+
+/// Counts of the exchange since the process started.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Datagrams sent.
+    pub sent: u64,
+    /// Bytes of datagrams sent, without UDP and IP headers.
+    pub bytes: u64,
+    /// Datagrams that could not be sent.
+    pub unsent: u64,
+    /// Datagrams taken in.
+    pub received: u64,
+    /// Datagrams dropped because of their envelope.
+    pub rejected: u64,
+    /// Datagrams dropped because of their payload.
+    pub malformed: u64,
+}
+
+/// The exchange of one entry.
+pub struct Exchange<S> {
+    socket: UdpSocket,
+    schedulers: S,
+    node: Node,
+    sealer: Sealer,
+    newest: HashMap<SocketAddr, Newest>,
+    members: Vec<SocketAddr>,
+    clock: Clock,
+    counts: Counts,
+}
+
+impl<S: Schedulers> Exchange<S> {
+    /// An exchange on a bound socket, known to the other members as `me`.
+    pub fn new(socket: UdpSocket, me: SocketAddr, secret: &[u8], schedulers: S) -> Self {
+        Exchange {
+            socket,
+            schedulers,
+            node: Node::new(me, Names::default()),
+            sealer: Sealer::new(secret, BootId::random()),
+            newest: HashMap::new(),
+            members: Vec::new(),
+            clock: Clock::start(),
+            counts: Counts::default(),
+        }
+    }
+
+    /// Uses the boot id of the process in place of a random one.
+    pub fn with_boot(mut self, secret: &[u8], boot: BootId) -> Self {
+        self.sealer = Sealer::new(secret, boot);
+        self
+    }
+
+    /// Counts so far.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    /// Runs until cancelled; returns the counts.
+    pub async fn run(mut self, cancel: CancellationToken) -> Counts {
+        let mut buffer = [0; MAX_DATAGRAM_BYTES + 1];
+        let mut due = tokio::time::Instant::now();
+        loop {
+            tokio::select! {
+                _ = cancel.cancelled() => return self.counts,
+                _ = tokio::time::sleep_until(due) => {
+                    self.round().await;
+                    due = tokio::time::Instant::now() + self.node.period().into();
+                }
+                received = self.socket.recv_from(&mut buffer) => {
+                    if let Ok((len, from)) = received {
+                        self.take(from, &buffer[..len]);
+                    }
+                }
+            }
+        }
+    }
+
+    async fn round(&mut self) {
+        let now = self.clock.now();
+        if let Some(names) = self.schedulers.names() {
+            self.node.set_names(names);
+        }
+        if let Some(members) = self.schedulers.members() {
+            self.node.set_members(now, &members);
+            self.newest.retain(|from, _| members.contains(from));
+            self.members = members;
+        }
+        for (service, reports) in self.schedulers.collect() {
+            self.node.collect(service, &reports);
+        }
+        let outgoing = self.node.tick(now);
+        let updates: Vec<_> = self.node.updates().collect();
+        self.schedulers.apply(&updates);
+        for datagram in outgoing {
+            self.send(datagram).await;
+        }
+    }
+
+    async fn send(&mut self, outgoing: Outgoing) {
+        let Ok(datagram) = self.sealer.seal(&outgoing.payload) else {
+            self.counts.unsent += 1;
+            return;
+        };
+        match self.socket.send_to(&datagram, outgoing.to).await {
+            Ok(len) => {
+                self.counts.sent += 1;
+                self.counts.bytes += len as u64;
+            }
+            Err(_) => self.counts.unsent += 1,
+        }
+    }
+
+    fn take(&mut self, from: SocketAddr, datagram: &[u8]) {
+        let Ok(opened) = self.sealer.open(datagram) else {
+            self.counts.rejected += 1;
+            return;
+        };
+        if !self.members.contains(&from) {
+            self.counts.rejected += 1;
+            return;
+        }
+        let newest = self.newest.entry(from).or_default();
+        if newest.take(opened.boot, opened.seq).is_err() {
+            self.counts.rejected += 1;
+            return;
+        }
+        let Ok(gossip) = gossip::decode(opened.payload) else {
+            self.counts.malformed += 1;
+            return;
+        };
+        self.counts.received += 1;
+        self.node
+            .receive(self.clock.now(), from, opened.boot, gossip);
+    }
+}
--- /dev/null
+++ b/src/exchange/tree.rs
@@ -0,0 +1,34 @@
+//! The tree that charges climb, computed from the member list.
+//!
+//! Every member picks at most one parent, which is smaller than itself in the order of addresses.
+//! So the edges form a forest whatever the members believe, and no charge can circulate.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+/// Children of a member when all members are live.
+pub const FAN_OUT: usize = 2;
+
+/// The parent of `me` among `members` (sorted): its nearest ancestor that is not suspected, else
+/// the smallest member before it that is not. `None`: `me` is a root.
+pub fn parent(
+    members: &[SocketAddr],
+    me: SocketAddr,
+    suspects: &BTreeSet<SocketAddr>,
+) -> Option<SocketAddr> {
+    let place = members.partition_point(|&m| m < me);
+    let trusted = |m: &SocketAddr| !suspects.contains(m);
+    ancestors(place)
+        .map(|i| members[i])
+        .find(trusted)
+        .or_else(|| members[..place].iter().copied().find(trusted))
+}
+
+/// Levels of the tree below its root, when all members are live.
+pub fn depth(members: usize) -> usize {
+    ancestors(members.saturating_sub(1)).count()
+}
+
+fn ancestors(place: usize) -> impl Iterator<Item = usize> {
+    std::iter::successors(Some(place), |&i| (i > 0).then(|| (i - 1) / FAN_OUT)).skip(1)
+}
--- /dev/null
+++ b/src/share/mod.rs
@@ -0,0 +1,228 @@
+//! Fair share: how much service each client account has received, fleet-wide.
+//!
+//! One [`Share`] per service. A level is the slot time charged to a client account by all entries,
+//! as far as this entry knows; it is counted alike for every account.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::ids::AccountKey;
+use crate::units::Micros;
+
+#[cfg(test)]
+mod tests;
+
+/// Rounds without any backlog after which an idle account is forgotten.
+const QUIET_ROUNDS: u32 = 300;
+
+/// Whether a client account has work waiting.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Demand {
+    /// Nothing waits.
+    #[default]
+    Idle,
+    /// Work waits, and there was a moment in the last round when none did.
+    Returned,
+    /// Work has waited for the whole of the last round.
+    Steady,
+}
+
+impl Demand {
+    /// Whether work waits now.
+    pub fn waits(self) -> bool {
+        self != Demand::Idle
+    }
+}
+
+/// What one entry has to tell of a client account after a round.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Report {
+    /// The client account.
+    pub account: AccountKey,
+    /// Slot time charged here since the last report, in microseconds; negative when taken back.
+    pub charged: i64,
+    /// Whether the account has work waiting here.
+    pub demand: Demand,
+}
+
+/// Service levels of the client accounts of one service, as one entry knows them.
+#[derive(Debug, Default)]
+pub struct Share {
+    levels: BTreeMap<AccountKey, Level>,
+    turns: BTreeSet<(Micros, AccountKey)>,
+    fleet: BTreeSet<(Micros, AccountKey)>,
+    floor: Micros,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Level {
+    total: Micros,
+    fresh: i64,
+    here: bool,
+    elsewhere: bool,
+    steady: bool,
+    quiet: u32,
+}
+
+impl Share {
+    /// A share without any service.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// The account has work waiting here. One that comes back from idle is lifted to the least
+    /// level among the backlogged of the fleet, so that idling earns no credit.
+    pub fn backlogged(&mut self, account: AccountKey) {
+        let floor = self.floor();
+        self.update(account, |level| {
+            if level.here {
+                return;
+            }
+            level.here = true;
+            level.steady = false;
+            if !level.elsewhere {
+                level.total = level.total.max(floor);
+            }
+        });
+    }
+
+    /// The account has no work waiting here.
+    pub fn idle(&mut self, account: AccountKey) {
+        if self.levels.contains_key(&account) {
+            self.update(account, |level| {
+                level.here = false;
+                level.steady = false;
+            });
+        }
+    }
+
+    /// Charges slot time to the account.
+    pub fn debit(&mut self, account: AccountKey, amount: Micros) {
+        let floor = self.floor();
+        self.update(account, |level| {
+            if !level.here && !level.elsewhere {
+                level.total = level.total.max(floor);
+            }
+            level.total += amount;
+            level.fresh = level.fresh.saturating_add(signed(amount));
+        });
+    }
+
+    /// Takes back slot time that was charged and not used.
+    pub fn credit(&mut self, account: AccountKey, amount: Micros) {
+        if self.levels.contains_key(&account) {
+            self.update(account, |level| {
+                level.total = level.total - amount;
+                level.fresh = level.fresh.saturating_sub(signed(amount));
+            });
+        }
+    }
+
+    /// The account's level. One that is not known has the level it would return with.
+    pub fn level(&self, account: AccountKey) -> Micros {
+        self.levels
+            .get(&account)
+            .map_or(self.floor, |level| level.total)
+    }
+
+    /// The account backlogged here whose turn it is, and its level.
+    pub fn first(&self) -> Option<(AccountKey, Micros)> {
+        self.turns.first().map(|&(level, account)| (account, level))
+    }
+
+    /// The least level among the accounts backlogged here.
+    pub fn least(&self) -> Option<Micros> {
+        self.turns.first().map(|&(level, _)| level)
+    }
+
+    /// Client accounts held in memory.
+    pub fn len(&self) -> usize {
+        self.levels.len()
+    }
+
+    /// Whether no client account is held in memory.
+    pub fn is_empty(&self) -> bool {
+        self.levels.is_empty()
+    }
+
+    /// Ends a round: returns what was charged here and who waits, and forgets the idle accounts
+    /// whose level no longer matters.
+    pub fn collect(&mut self) -> Vec<Report> {
+        let quiet = self.fleet.is_empty();
+        let floor = self.floor();
+        let mut reports = Vec::new();
+        for (&account, level) in &mut self.levels {
+            reports.push(Report {
+                account,
+                charged: std::mem::take(&mut level.fresh),
+                demand: level.demand(),
+            });
+            level.steady = level.here;
+            level.quiet = if quiet { level.quiet + 1 } else { 0 };
+        }
+        self.levels.retain(|_, level| {
+            level.waits() || (level.total > floor && level.quiet < QUIET_ROUNDS)
+        });
+        reports
+    }
+
+    /// Takes over the fleet's level of an account: all that was reported by any entry, this one
+    /// included. What was charged here since the last report is added to it.
+    pub fn apply(&mut self, account: AccountKey, total: Micros, demand: Demand) {
+        if !demand.waits() && !self.levels.contains_key(&account) && total <= self.floor {
+            return;
+        }
+        self.update(account, |level| {
+            level.total = Micros(total.0.saturating_add_signed(level.fresh));
+            level.elsewhere = demand == Demand::Steady;
+        });
+    }
+
+    fn floor(&self) -> Micros {
+        self.fleet.first().map_or(self.floor, |&(level, _)| level)
+    }
+
+    fn update(&mut self, account: AccountKey, change: impl FnOnce(&mut Level)) {
+        let level = self.levels.entry(account).or_default();
+        let before = *level;
+        change(level);
+        let after = *level;
+        reorder(&mut self.turns, account, before, after, |l| l.here);
+        reorder(&mut self.fleet, account, before, after, Level::waits);
+        if let Some(&(least, _)) = self.fleet.first() {
+            self.floor = self.floor.max(least);
+        }
+    }
+}
+
+impl Level {
+    fn waits(&self) -> bool {
+        self.here || self.elsewhere
+    }
+
+    fn demand(&self) -> Demand {
+        match (self.here, self.steady) {
+            (true, true) => Demand::Steady,
+            (true, false) => Demand::Returned,
+            (false, _) => Demand::Idle,
+        }
+    }
+}
+
+fn reorder(
+    order: &mut BTreeSet<(Micros, AccountKey)>,
+    account: AccountKey,
+    before: Level,
+    after: Level,
+    member: impl Fn(&Level) -> bool,
+) {
+    if member(&before) {
+        order.remove(&(before.total, account));
+    }
+    if member(&after) {
+        order.insert((after.total, account));
+    }
+}
+
+fn signed(amount: Micros) -> i64 {
+    i64::try_from(amount.0).unwrap_or(i64::MAX)
+}
