--- a/src/exchange/node.rs
+++ b/src/exchange/node.rs
@@ -86,6 +86,7 @@
     hellos: Vec<(SocketAddr, bool)>,
     round: u32,
     cold: bool,
+    merge: bool,
     period: Micros,
     dropped: Dropped,
 }
@@ -106,6 +107,7 @@
             hellos: Vec::new(),
             round: 0,
             cold: true,
+            merge: false,
             period: MIN_PERIOD,
             dropped: Dropped::default(),
         }
@@ -176,7 +178,7 @@
             .iter()
             .map(|o| o.payload.len() as u64 + OVERHEAD_BYTES)
             .sum();
-        self.period = period(bytes);
+        self.period = period(bytes).max(self.uplink.period).min(MAX_PERIOD);
         out
     }
 
@@ -218,9 +220,8 @@
         if parent == self.uplink.parent {
             return;
         }
-        if self.uplink.parent.is_none() {
-            self.cells.report_alone();
-        }
+        self.merge |= self.uplink.parent.is_none() && !self.cold;
+        self.merge &= parent.is_some();
         self.uplink.join(now, parent, &mut self.cells);
         if let Some(parent) = parent {
             self.children.remove(&parent);
@@ -260,7 +261,7 @@
         };
         let child = self.children.entry(from).or_default();
         child.greet(now, boot, &up);
-        if up.number == 0 {
+        if up.number == 0 || self.cold {
             return;
         }
         if !child.is_next(up.number) {
@@ -285,6 +286,10 @@
             return;
         }
         self.uplink.hear(now, boot, &down, &mut self.cells);
+        if down.cold {
+            self.cells.clear_alone();
+            self.merge = false;
+        }
         if down.epoch != self.uplink.epoch || down.cold {
             return;
         }
@@ -292,6 +297,9 @@
             self.dropped.unnamed += 1;
             return;
         };
+        if std::mem::take(&mut self.merge) {
+            self.cells.report_alone();
+        }
         self.uplink.release(down.taken, &mut self.cells);
         for row in pack::read_down(&down) {
             match row.number.and_then(|n| names.pair(n)) {
@@ -320,7 +328,7 @@
         }
     }
 
-    fn send_up(&self, out: &mut Vec<Outgoing>) {
+    fn send_up(&mut self, out: &mut Vec<Outgoing>) {
         let Some(parent) = self.uplink.parent else {
             return;
         };
@@ -329,7 +337,7 @@
             out.push(outgoing(parent, &Gossip::Up(up)));
         }
         if self.uplink.cold && !self.cold {
-            let seeds = pack::downs(&self.cells, &self.names, self.round, self.period);
+            let seeds = pack::seeds(&self.cells, &self.names, self.round, self.period);
             out.extend(
                 seeds
                     .into_iter()
--- a/src/exchange/node/cells.rs
+++ b/src/exchange/node/cells.rs
@@ -161,6 +161,11 @@
         }
     }
 
+    /// Leaves out what was settled alone: the parent takes over the levels as they are.
+    pub fn clear_alone(&mut self) {
+        self.cells.values_mut().for_each(|c| c.alone = 0);
+    }
+
     /// Takes over a level from the parent.
     pub fn adopt(&mut self, pair: Pair, level: i64, demand: Demand, round: u32) {
         let cell = self.cells.entry(pair).or_default();
@@ -236,10 +241,16 @@
 
     fn set_own(&mut self, service: ServiceKey, reports: &[Report]) {
         let demands: BTreeMap<_, _> = reports.iter().map(|r| (r.account, r.demand)).collect();
-        for (pair, cell) in &mut self.cells {
-            if pair.service == service {
-                cell.own = demands.get(&pair.account).copied().unwrap_or_default();
-            }
+        let first = Pair {
+            service,
+            ..Pair::default()
+        };
+        let of_service = self
+            .cells
+            .range_mut(first..)
+            .take_while(|(p, _)| p.service == service);
+        for (pair, cell) in of_service {
+            cell.own = demands.get(&pair.account).copied().unwrap_or_default();
         }
     }
 
--- a/src/exchange/node/pack.rs
+++ b/src/exchange/node/pack.rs
@@ -4,6 +4,7 @@
 
 use super::cells::Cells;
 use super::uplink::Entry;
+use crate::exchange::Pair;
 use crate::exchange::gossip::{
     Down, DownRow, Gaps, QUANTUM_US, Section, Up, UpRow, flatten, unflatten,
 };
@@ -13,6 +14,8 @@
 
 /// Pairs in one datagram of levels.
 const DOWN_PAIRS: usize = 180;
+/// Idle pairs whose levels are told besides those of waiting ones; the highest go first.
+const IDLE_PAIRS: usize = 60;
 
 /// A charge as it was read.
 #[derive(Clone, Copy, Debug)]
@@ -92,18 +95,39 @@
     }
 }
 
-/// The levels of all known pairs, in as many datagrams as they need.
+/// The levels of all waiting pairs and the highest idle ones, in as many datagrams as they need.
 pub fn downs(cells: &Cells, names: &Recent, round: u32, period: Micros) -> Vec<Down> {
+    let (mut rows, mut idle): (Vec<_>, Vec<_>) = cells
+        .iter()
+        .map(|(pair, cell)| (pair, cell.level(), cell.demand()))
+        .partition(|(.., demand)| demand.waits());
+    idle.sort_unstable_by_key(|&(pair, level, _)| (-level, pair));
+    idle.truncate(IDLE_PAIRS);
+    rows.append(&mut idle);
+    datagrams(rows, names, round, period)
+}
+
+/// The levels without the charges that are still on their way up.
+pub fn seeds(cells: &Cells, names: &Recent, round: u32, period: Micros) -> Vec<Down> {
+    let rows = cells
+        .iter()
+        .map(|(pair, cell)| (pair, cell.base.max(0), cell.demand()))
+        .collect();
+    datagrams(rows, names, round, period)
+}
+
+fn datagrams(
+    rows: Vec<(Pair, i64, Demand)>,
+    names: &Recent,
+    round: u32,
+    period: Micros,
+) -> Vec<Down> {
     let Some(names) = names.current() else {
         return Vec::new();
     };
-    let mut rows: Vec<_> = cells
-        .iter()
-        .filter_map(|(p, c)| {
-            names
-                .number(p)
-                .map(|n| (n, c.level() / QUANTUM_US, c.demand()))
-        })
+    let mut rows: Vec<_> = rows
+        .into_iter()
+        .filter_map(|(p, level, demand)| names.number(p).map(|n| (n, level / QUANTUM_US, demand)))
         .collect();
     rows.sort_unstable_by_key(|&(n, ..)| n);
     let head = Down {
--- a/src/exchange/node/uplink.rs
+++ b/src/exchange/node/uplink.rs
@@ -7,7 +7,7 @@
 use super::cells::Cells;
 use super::pack;
 use crate::exchange::Pair;
-use crate::exchange::gossip::{Down, QUANTUM_US, Up};
+use crate::exchange::gossip::{Down, QUANTUM_US, Up, UpRow};
 use crate::exchange::names::Recent;
 use crate::ids::BootId;
 use crate::share::Demand;
@@ -17,6 +17,10 @@
 const MAX_BATCHES: usize = 8;
 /// Pairs in one batch, so that it fits a datagram.
 const BATCH_PAIRS: usize = 160;
+/// Batches that one round adds.
+const ROUND_BATCHES: usize = 4;
+/// Rounds after which a batch is sent again.
+const RETRY_ROUNDS: u32 = 3;
 
 /// A pair's part of a batch.
 #[derive(Clone, Copy, Debug)]
@@ -35,7 +39,8 @@
     number: u32,
     names: u32,
     entries: Vec<Entry>,
-    up: Up,
+    rows: Vec<UpRow>,
+    age: u32,
 }
 
 /// The edge to the parent.
@@ -96,7 +101,10 @@
         let Some(names) = names.current() else {
             return;
         };
-        let room = MAX_BATCHES.saturating_sub(self.batches.len()) * BATCH_PAIRS;
+        let room = MAX_BATCHES
+            .saturating_sub(self.batches.len())
+            .min(ROUND_BATCHES)
+            * BATCH_PAIRS;
         let mut due: Vec<_> = cells
             .iter_mut()
             .filter(|(_, c)| {
@@ -106,8 +114,9 @@
             })
             .filter_map(|(p, c)| names.number(p).map(|n| (n, p, c)))
             .collect();
-        due.sort_unstable_by_key(|&(n, ..)| n);
+        due.sort_unstable_by_key(|(n, _, c)| (!c.subtree.waits(), -c.pending.abs(), *n));
         due.truncate(room);
+        due.sort_unstable_by_key(|&(n, ..)| n);
         let entries: Vec<_> = due
             .into_iter()
             .map(|(_, pair, cell)| {
@@ -128,16 +137,14 @@
                 number: self.last,
                 names: names.digest(),
                 entries: part.to_vec(),
-                up: Up {
-                    rows: pack::up_rows(part, names),
-                    ..Up::default()
-                },
+                rows: pack::up_rows(part, names),
+                age: 0,
             });
         }
     }
 
-    /// All batches that wait for the parent, or a heartbeat.
-    pub fn datagrams(&self, digest: u32, period: Micros) -> Vec<Up> {
+    /// The batches that are new, or that have waited for [`RETRY_ROUNDS`]; else a heartbeat.
+    pub fn datagrams(&mut self, digest: u32, period: Micros) -> Vec<Up> {
         let head = Up {
             names: digest,
             epoch: self.epoch,
@@ -146,18 +153,22 @@
             period: u16::try_from(period.as_ms()).unwrap_or(u16::MAX),
             rows: Vec::new(),
         };
-        if self.batches.is_empty() {
-            return vec![head];
+        let mut ups = Vec::new();
+        for batch in &mut self.batches {
+            if batch.age.is_multiple_of(RETRY_ROUNDS) {
+                ups.push(Up {
+                    number: batch.number,
+                    names: batch.names,
+                    rows: batch.rows.clone(),
+                    ..head.clone()
+                });
+            }
+            batch.age += 1;
         }
-        self.batches
-            .iter()
-            .map(|b| Up {
-                number: b.number,
-                names: b.names,
-                rows: b.up.rows.clone(),
-                ..head.clone()
-            })
-            .collect()
+        if ups.is_empty() {
+            ups.push(head);
+        }
+        ups
     }
 
     /// Bytes of state.
