Add logs, metrics and traces

Cause: operators need to see what a process does, each request needs a trace with a span for each hop, and `/status` needs counts.

Ruled out: OpenTelemetry counters on the request path (each addition would look up its attributes; instead the exporter observes the same atomic counts that `/status` reads); an in-memory reader for `/status` (it would aggregate everything twice); the logging library's own JSON form (behind a feature that is not built in).

Figures: no performance figure is claimed.

Conclusion: ready to be called by the entry and the agent.

--- /dev/null
+++ b/src/telemetry/tests.rs
@@ -0,0 +1,183 @@
+use opentelemetry_sdk::metrics::{InMemoryMetricExporter, PeriodicReader, SdkMeterProvider};
+use opentelemetry_sdk::trace::{InMemorySpanExporter, SdkTracerProvider};
+
+use super::*;
+use crate::problem::Reason;
+use crate::units::Micros;
+
+macro_rules! traceparents {
+    ($($name:ident: $text:expr => $expected:expr,)+) => {
+        $(
+            #[test]
+            fn $name() {
+                let parsed = $text.parse::<TraceContext>().ok().map(|context| context.to_string());
+                assert_eq!(parsed.as_deref(), $expected);
+            }
+        )+
+    };
+}
+
+const PARENT: &str = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01";
+
+traceparents! {
+    version_00: PARENT => Some(PARENT),
+    not_sampled: "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-00"
+        => Some("00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-00"),
+    unknown_flags_are_not_passed_on: "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-ff"
+        => Some(PARENT),
+    later_version_with_more: "01-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01-what"
+        => Some(PARENT),
+    version_00_with_more: "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01-what" => None,
+    later_version_run_on: "01-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01what" => None,
+    version_ff: "ff-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01" => None,
+    upper_case: "00-0AF7651916CD43DD8448EB211C80319C-b7ad6b7169203331-01" => None,
+    signed_number: "00-+af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01" => None,
+    zero_trace: "00-00000000000000000000000000000000-b7ad6b7169203331-01" => None,
+    zero_span: "00-0af7651916cd43dd8448eb211c80319c-0000000000000000-01" => None,
+    dashes_shifted: "00-0af7651916cd43dd8448eb211c80319-cb7ad6b7169203331-01" => None,
+    short: "00-0af7651916cd43dd8448eb211c80319c" => None,
+    empty: "" => None,
+    split_character: "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-0é" => None,
+}
+
+#[test]
+fn spans_of_a_request_share_its_trace() {
+    let exporter = InMemorySpanExporter::default();
+    let provider = SdkTracerProvider::builder()
+        .with_simple_exporter(exporter.clone())
+        .build();
+    let telemetry = Telemetry::exporting(provider, SdkMeterProvider::default());
+    let caller: TraceContext = PARENT.parse().expect("the constant is a traceparent");
+
+    let mut entry = telemetry.span("entry", Some(&caller));
+    entry.note("account", "school");
+    let queue = telemetry.span("queue", Some(&entry.context()));
+    drop(queue);
+    // The context travels between processes as text.
+    let sent = entry.context().to_string();
+    let received = sent.parse().expect("a context reads back");
+    assert_eq!(entry.context(), received);
+    let agent = telemetry.span("agent", Some(&received));
+    let target = telemetry.span("target", Some(&agent.context()));
+    drop((target, agent, entry));
+
+    let spans = exporter.get_finished_spans().expect("spans are readable");
+    let names: Vec<&str> = spans.iter().map(|span| span.name.as_ref()).collect();
+    assert_eq!(names, ["queue", "target", "agent", "entry"]);
+    let span = |name: &str| spans.iter().find(|span| span.name == name).expect(name);
+    for span in &spans {
+        assert_eq!(
+            u128::from_be_bytes(span.span_context.trace_id().to_bytes()),
+            caller.trace
+        );
+    }
+    for (child, parent) in [("queue", "entry"), ("agent", "entry"), ("target", "agent")] {
+        assert_eq!(
+            span(child).parent_span_id,
+            span(parent).span_context.span_id()
+        );
+    }
+    let above = u64::from_be_bytes(span("entry").parent_span_id.to_bytes());
+    assert_eq!(above, caller.span);
+    assert_eq!(span("entry").attributes[0].value.as_str(), "school");
+}
+
+#[test]
+fn disabled_spans_pass_the_callers_context_on() {
+    let telemetry = Telemetry::disabled();
+    let caller = PARENT.parse().expect("the constant is a traceparent");
+    assert_eq!(telemetry.span("entry", Some(&caller)).context(), caller);
+    let first = telemetry.span("entry", None).context();
+    assert_eq!(first.to_string().parse(), Ok(first));
+    assert_ne!(telemetry.span("entry", None).context(), first);
+}
+
+#[test]
+fn counts_show_in_the_snapshot() {
+    let metrics = Metrics::unexported();
+    metrics.request(Outcome::Whole);
+    metrics.request(Outcome::Whole);
+    metrics.refusal(Reason::OutcomeUnknown);
+    metrics.event(Event::HostsFailure);
+    metrics.change(Gauge::Busy, 3);
+    metrics.change(Gauge::Busy, -1);
+    for ms in 1..=100 {
+        metrics.wait(Micros::from_ms(ms));
+    }
+    metrics.total(Micros::from_secs(3_600));
+
+    let snapshot = metrics.snapshot();
+    assert_eq!(snapshot.requests["whole"], 2);
+    assert_eq!(snapshot.requests["refused"], 0);
+    assert_eq!(snapshot.refusals["outcome_unknown"], 1);
+    assert_eq!(snapshot.refusals.values().sum::<u64>(), 1);
+    assert_eq!(snapshot.events["hosts_failures"], 1);
+    assert_eq!(snapshot.gauges["busy"], 2);
+    let wait = snapshot.wait;
+    assert_eq!(
+        (wait.count, wait.sum_ms, wait.p50_ms, wait.p99_ms),
+        (100, 5_050, 50, 100)
+    );
+    assert_eq!(snapshot.total.p99_ms, 60_000);
+    assert_eq!(Metrics::unexported().snapshot().wait.p99_ms, 0);
+}
+
+#[test]
+fn counts_are_exported() {
+    let exporter = InMemoryMetricExporter::default();
+    let reader = PeriodicReader::builder(exporter.clone()).build();
+    let meters = SdkMeterProvider::builder().with_reader(reader).build();
+    let telemetry = Telemetry::exporting(SdkTracerProvider::default(), meters.clone());
+    telemetry.metrics().request(Outcome::Whole);
+    telemetry.metrics().event(Event::Dispatch);
+    telemetry.metrics().wait(Micros::from_ms(7));
+
+    meters.force_flush().expect("the exporter takes everything");
+    let exported = exporter
+        .get_finished_metrics()
+        .expect("metrics are readable");
+    let text = format!("{exported:?}");
+    let all = [
+        "balsampitch.requests",
+        "balsampitch.refusals",
+        "balsampitch.dispatches",
+        "balsampitch.log_failures",
+        "balsampitch.waiting",
+        "balsampitch.wait",
+    ];
+    for name in all {
+        assert!(
+            text.contains(&format!("\"{name}\"")),
+            "{name} is not in {text}"
+        );
+    }
+    assert!(text.contains("sum: 0.007"), "{text}");
+}
+
+#[test]
+fn log_lines_are_json_objects() {
+    let sink = spdlog::sink::WriteSink::builder()
+        .target(Vec::new())
+        .formatter(logs::JsonLines)
+        .build_arc()
+        .expect("the sink is complete");
+    let logger = spdlog::Logger::builder()
+        .name("balsampitch-test")
+        .sink(sink.clone())
+        .build()
+        .expect("the logger is complete");
+    spdlog::warn!(logger: logger, "peer \"b\"\nwent silent", kv: { age_ms = 7 });
+    spdlog::info!(logger: logger, "back");
+
+    let written = String::from_utf8(sink.clone_target()).expect("lines are text");
+    let lines: Vec<serde_json::Value> = written
+        .lines()
+        .map(|line| serde_json::from_str(line).expect("a line is JSON"))
+        .collect();
+    assert_eq!(lines.len(), 2);
+    assert_eq!(lines[0]["level"], "warn");
+    assert_eq!(lines[0]["process"], "balsampitch-test");
+    assert_eq!(lines[0]["message"], "peer \"b\"\nwent silent");
+    assert_eq!(lines[0]["fields"]["age_ms"], "7");
+    assert!(lines[1]["time_ms"].as_u64() > Some(0));
+}
--- /dev/null
+++ b/src/telemetry/trace.rs
@@ -0,0 +1,151 @@
+//! Spans, and the trace context that ties those of several processes together.
+
+use std::fmt;
+use std::str::FromStr;
+
+use opentelemetry::trace::{
+    Span as _, SpanContext, SpanId, TraceContextExt, TraceFlags, TraceId, TraceState, Tracer,
+};
+use opentelemetry::{Context, KeyValue, Value};
+use opentelemetry_sdk::trace::SdkTracer;
+
+/// Length of a `traceparent` of version 00, in bytes.
+const TRACEPARENT_BYTES: usize = 55;
+/// The version that is no version.
+const INVALID_VERSION: u8 = 0xff;
+/// Flag of a trace that is recorded.
+const SAMPLED: u8 = 0x01;
+
+/// Place in a trace, as W3C `traceparent` carries it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct TraceContext {
+    /// The trace; not zero.
+    pub trace: u128,
+    /// The span within it; not zero.
+    pub span: u64,
+    /// Flags; bit 0: the trace is recorded.
+    pub flags: u8,
+}
+
+/// The text is no `traceparent`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("malformed traceparent")]
+pub struct TraceparentError;
+
+impl TraceContext {
+    /// A new trace that is not recorded.
+    pub fn random() -> Self {
+        TraceContext {
+            trace: rand::random::<u128>().max(1),
+            span: rand::random::<u64>().max(1),
+            flags: 0,
+        }
+    }
+}
+
+impl fmt::Display for TraceContext {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let flags = self.flags & SAMPLED;
+        write!(f, "00-{:032x}-{:016x}-{flags:02x}", self.trace, self.span)
+    }
+}
+
+impl FromStr for TraceContext {
+    type Err = TraceparentError;
+
+    fn from_str(text: &str) -> Result<Self, TraceparentError> {
+        let (head, rest) = text
+            .split_at_checked(TRACEPARENT_BYTES)
+            .ok_or(TraceparentError)?;
+        let mut fields = head.split('-');
+        let version = hex(fields.next(), 2)? as u8;
+        let trace = hex(fields.next(), 32)?;
+        let span = hex(fields.next(), 16)? as u64;
+        let flags = hex(fields.next(), 2)? as u8;
+        // Later versions may append fields.
+        let rest_fits = rest.is_empty() || (version > 0 && rest.starts_with('-'));
+        let valid = version != INVALID_VERSION && trace != 0 && span != 0;
+        if valid && rest_fits && fields.next().is_none() {
+            Ok(TraceContext { trace, span, flags })
+        } else {
+            Err(TraceparentError)
+        }
+    }
+}
+
+fn hex(field: Option<&str>, len: usize) -> Result<u128, TraceparentError> {
+    let field = field.ok_or(TraceparentError)?;
+    let digits = |byte: u8| byte.is_ascii_digit() || (b'a'..=b'f').contains(&byte);
+    if field.len() != len || !field.bytes().all(digits) {
+        return Err(TraceparentError);
+    }
+    u128::from_str_radix(field, 16).map_err(|_| TraceparentError)
+}
+
+impl From<&SpanContext> for TraceContext {
+    fn from(context: &SpanContext) -> Self {
+        TraceContext {
+            trace: u128::from_be_bytes(context.trace_id().to_bytes()),
+            span: u64::from_be_bytes(context.span_id().to_bytes()),
+            flags: context.trace_flags().to_u8(),
+        }
+    }
+}
+
+impl From<&TraceContext> for SpanContext {
+    fn from(context: &TraceContext) -> Self {
+        SpanContext::new(
+            TraceId::from_bytes(context.trace.to_be_bytes()),
+            SpanId::from_bytes(context.span.to_be_bytes()),
+            TraceFlags::new(context.flags),
+            true,
+            TraceState::NONE,
+        )
+    }
+}
+
+/// One hop of a request; it ends when dropped.
+#[derive(Debug)]
+pub struct Span {
+    context: TraceContext,
+    inner: Option<opentelemetry_sdk::trace::Span>,
+}
+
+impl Span {
+    /// Starts a span that is exported.
+    pub(super) fn start(
+        tracer: &SdkTracer,
+        name: &'static str,
+        parent: Option<&TraceContext>,
+    ) -> Self {
+        let mut above = Context::new();
+        if let Some(parent) = parent {
+            above = above.with_remote_span_context(parent.into());
+        }
+        let inner = tracer.start_with_context(name, &above);
+        Span {
+            context: inner.span_context().into(),
+            inner: Some(inner),
+        }
+    }
+
+    /// A span that is not exported: the parent's context passes through.
+    pub(super) fn disabled(parent: Option<&TraceContext>) -> Self {
+        Span {
+            context: parent.copied().unwrap_or_else(TraceContext::random),
+            inner: None,
+        }
+    }
+
+    /// Where the span is, to start others below it here or in another process.
+    pub fn context(&self) -> TraceContext {
+        self.context
+    }
+
+    /// Adds an attribute.
+    pub fn note(&mut self, key: &'static str, value: impl Into<Value>) {
+        if let Some(inner) = &mut self.inner {
+            inner.set_attribute(KeyValue::new(key, value));
+        }
+    }
+}
