Measure the decisions in virtual time

Cause: fairness, use of slots, tails and single runs are goals, and nothing measured them. Ruled out: a cluster simulator; real processes, whose noise hides a gap of milliseconds. Change: balsampitch-bench drives Scheduler and Pull over links with delays and cuts, beside a naive round robin. The scheduler tells what it has charged and takes what others charged.

--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -1,1 +1,21 @@
 //! The measurements of `balsampitch-bench`.
+//!
+//! A small discrete-event harness drives the real decisions in virtual time: the world moves
+//! messages and runs targets, a policy decides. Every run is fixed by its seed.
+
+mod demand;
+mod events;
+mod experiments;
+mod links;
+mod meter;
+mod naive;
+mod ours;
+mod policy;
+mod report;
+mod target;
+#[cfg(test)]
+mod tests;
+mod world;
+
+pub use experiments::{Experiment, Variant, run};
+pub use report::Report;
--- /dev/null
+++ b/src/bench/report.rs
@@ -0,0 +1,44 @@
+//! What an experiment measured.
+
+use serde::Serialize;
+use serde_json::{Map, Value};
+
+/// Figures of one run. Each name ends in its unit.
+#[derive(Clone, Debug, Serialize)]
+pub struct Report {
+    experiment: &'static str,
+    seed: u64,
+    variant: &'static str,
+    #[serde(flatten)]
+    figures: Map<String, Value>,
+}
+
+impl Report {
+    /// A report without figures.
+    pub fn new(experiment: &'static str, seed: u64, variant: &'static str) -> Self {
+        Report {
+            experiment,
+            seed,
+            variant,
+            figures: Map::new(),
+        }
+    }
+
+    /// Adds a figure, rounded to three decimals.
+    pub fn figure(mut self, name: &str, value: f64) -> Self {
+        let rounded = (value * 1e3).round() / 1e3;
+        self.figures.insert(name.to_owned(), Value::from(rounded));
+        self
+    }
+
+    /// Adds a name, as that of a case.
+    pub fn text(mut self, name: &str, value: &str) -> Self {
+        self.figures.insert(name.to_owned(), Value::from(value));
+        self
+    }
+
+    /// A figure by its name.
+    pub fn get(&self, name: &str) -> Option<f64> {
+        self.figures.get(name)?.as_f64()
+    }
+}
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,1 +1,3 @@
 //! Command lines, a file for each binary.
+
+pub mod bench;
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -62,6 +62,7 @@
     jobs: HashMap<JobKey, Held>,
     parked: VecDeque<(AgentKey, OfferId)>,
     waiting: u32,
+    given: BTreeMap<AccountKey, Micros>,
 }
 
 impl Scheduler {
@@ -117,7 +118,7 @@
         }
         held.waiting = true;
         let (account, charged) = (held.job.account, std::mem::take(&mut held.charged));
-        self.share.credit(account, charged);
+        self.credit(account, charged);
         self.queues.entry(account).or_default().push_front(key);
         self.waiting += 1;
         self.share.backlogged(account);
@@ -129,8 +130,9 @@
         if let Some(held) = self.jobs.get_mut(&key)
             && spent > held.charged
         {
-            self.share.debit(held.job.account, spent - held.charged);
+            let (account, more) = (held.job.account, spent - held.charged);
             held.charged = spent;
+            self.debit(account, more);
         }
     }
 
@@ -145,9 +147,9 @@
             return;
         }
         if spent >= held.charged {
-            self.share.debit(account, spent - held.charged);
+            self.debit(account, spent - held.charged);
         } else {
-            self.share.credit(account, held.charged - spent);
+            self.credit(account, held.charged - spent);
         }
     }
 
@@ -164,6 +166,28 @@
         self.share.level(account)
     }
 
+    /// Slot time that this entry has charged to each account, less what it took back.
+    pub fn given(&self) -> impl Iterator<Item = (AccountKey, Micros)> {
+        self.given.iter().map(|(&account, &total)| (account, total))
+    }
+
+    /// Slot time that another entry has charged to the account went from `old` to `new`.
+    pub fn remote(&mut self, account: AccountKey, old: Micros, new: Micros) {
+        self.share.debit(account, new - old);
+        self.share.credit(account, old - new);
+    }
+
+    fn debit(&mut self, account: AccountKey, amount: Micros) {
+        *self.given.entry(account).or_default() += amount;
+        self.share.debit(account, amount);
+    }
+
+    fn credit(&mut self, account: AccountKey, amount: Micros) {
+        let given = self.given.entry(account).or_default();
+        *given = *given - amount;
+        self.share.credit(account, amount);
+    }
+
     fn match_parked(&mut self) -> Option<Assignment> {
         let (account, _) = self.share.first()?;
         let (agent, offer) = self.parked.pop_front()?;
@@ -181,7 +205,8 @@
         let held = self.jobs.get_mut(&job).expect("a waiting request is held");
         held.waiting = false;
         held.charged = held.job.cost;
-        self.share.debit(account, held.job.cost);
+        let cost = held.job.cost;
+        self.debit(account, cost);
         Some(Assignment { job, agent, offer })
     }
 
