--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,5 +1,6 @@
 //! Command lines, a file for each binary.
 
+pub mod bench;
 pub mod shutdown;
 pub mod standin;
 
