--- a/src/rules/mod.rs
+++ b/src/rules/mod.rs
@@ -9,6 +9,7 @@
 pub mod parse;
 pub mod record;
 pub mod renew;
+pub mod service;
 pub mod table;
 pub mod units;
 
