Add a stand-in for a network link, and tests of the stand-ins

Cause: connections that go silent while new ones work, partitions and slow links must be caused in tests.

Ruled out: packet filters (they need privileges and touch the whole machine); dropping bytes in the middle of a TCP stream, which no real network does: a blocked link holds them back until it is healed, as retransmission would.

Change: `standin::link` and the command link, with orders silence, cut, block, heal and delay; tests of all stand-ins. An answer that is to be cut now never ends whole: before, one of no more chunks than the order named came through intact, which the new test found.

--- a/src/cmd/standin.rs
+++ b/src/cmd/standin.rs
@@ -11,14 +11,15 @@
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::standin::log::DEFAULT_RETAIN;
-use crate::standin::{Host, Platform, Target, TargetOptions};
+use crate::standin::{Host, Link, Platform, Target, TargetOptions};
 
 const HELP: &str = "\
-Stand-ins for the platform's services and for a target, with faults to order.
+Stand-ins for the platform's services, a target and a network link, with faults to order.
 
 Usage:
   balsampitch-standin platform --listen ADDR [--hosts FILE] [--retain N]
   balsampitch-standin target --listen ADDR [--slots N] [--fenced]
+  balsampitch-standin link --listen ADDR --to ADDR --admin ADDR
 
 Options:
   --listen ADDR   Address to serve on, as ip:port
@@ -26,6 +27,8 @@
   --retain N      Records kept in a stream of the log
   --slots N       Requests that the target runs at a time
   --fenced        The target refuses old fencing numbers
+  --to ADDR       Address that the link passes connections to
+  --admin ADDR    Address where the link takes orders
   -h, --help      Print this help
   -V, --version   Print the version
 ";
@@ -40,6 +43,7 @@
     Version,
     Platform(PlatformArgs),
     Target(TargetArgs),
+    Link(LinkArgs),
 }
 
 #[derive(Debug)]
@@ -55,6 +59,13 @@
     options: TargetOptions,
 }
 
+#[derive(Debug)]
+struct LinkArgs {
+    listen: SocketAddr,
+    to: SocketAddr,
+    admin: SocketAddr,
+}
+
 /// Options of all commands, as read.
 #[derive(Debug, Default)]
 struct Args {
@@ -63,6 +74,8 @@
     retain: Option<usize>,
     slots: Option<u16>,
     fenced: bool,
+    to: Option<SocketAddr>,
+    admin: Option<SocketAddr>,
 }
 
 /// Runs the binary.
@@ -100,6 +113,8 @@
             ("platform", Long("retain")) => args.retain = Some(parser.value()?.parse()?),
             ("target", Long("slots")) => args.slots = Some(parser.value()?.parse()?),
             ("target", Long("fenced")) => args.fenced = true,
+            ("link", Long("to")) => args.to = Some(parser.value()?.parse()?),
+            ("link", Long("admin")) => args.admin = Some(parser.value()?.parse()?),
             (_, arg) => return Err(arg.unexpected()),
         }
     }
@@ -122,6 +137,11 @@
                 fenced: args.fenced,
             },
         })),
+        "link" => Ok(Command::Link(LinkArgs {
+            listen,
+            to: args.to.ok_or("--to is missing")?,
+            admin: args.admin.ok_or("--admin is missing")?,
+        })),
         _ => Err(format!("no such command: {name}").into()),
     }
 }
@@ -132,6 +152,7 @@
         Command::Version => println!("balsampitch-standin {}", env!("CARGO_PKG_VERSION")),
         Command::Platform(args) => start(platform(args))?,
         Command::Target(args) => start(target(args))?,
+        Command::Link(args) => start(link(args))?,
     }
     Ok(())
 }
@@ -167,6 +188,14 @@
     Ok(())
 }
 
+async fn link(args: LinkArgs) -> anyhow::Result<()> {
+    let link = Link::new(args.to);
+    let listener = bind(args.listen).await?;
+    let admin = bind(args.admin).await?;
+    tokio::join!(link.clone().serve(listener), link.serve_admin(admin));
+    Ok(())
+}
+
 fn read_hosts(path: &Path) -> anyhow::Result<Vec<Host>> {
     let text = std::fs::read_to_string(path)
         .with_context(|| format!("could not read hosts {}", path.display()))?;
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -5,6 +5,7 @@
 pub mod fault;
 pub mod hosts;
 pub mod http;
+pub mod link;
 pub mod log;
 pub mod platform;
 pub mod query;
@@ -14,6 +15,7 @@
 mod work;
 
 pub use hosts::Host;
+pub use link::Link;
 pub use platform::Platform;
 pub use target::{Target, TargetOptions};
 pub use target_fault::{TargetFault, TargetMode};
--- a/src/standin/target_fault.rs
+++ b/src/standin/target_fault.rs
@@ -16,7 +16,7 @@
     Ok,
     /// Runs take `factor` times as long.
     Slow,
-    /// Answers break off after `after_chunks` chunks.
+    /// Answers break off after `after_chunks` chunks, at the latest before their end.
     Cut,
     /// Requests run, but their connection is dropped in place of an answer.
     LoseAnswers,
--- a/src/standin/work.rs
+++ b/src/standin/work.rs
@@ -54,6 +54,13 @@
         }
         self.chunks.send(Ok(chunk)).await.is_ok()
     }
+
+    /// Ends the answer; one that is to be cut never ends whole.
+    async fn finish(self) {
+        if self.left.is_some() {
+            let _ = self.chunks.send(Err(Dropped)).await;
+        }
+    }
 }
 
 /// Waits, then answers the asked number of bytes, or the body.
@@ -108,6 +115,7 @@
         left -= size;
     }
     drop(job.run);
+    sender.finish().await;
 }
 
 async fn send_numbered(job: Job, mut sender: Sender, count: u64, span: Duration) {
@@ -127,4 +135,5 @@
         }
     }
     drop(job.run);
+    sender.finish().await;
 }
--- /dev/null
+++ b/tests/standin.rs
@@ -0,0 +1,402 @@
+//! The stand-ins keep to their interfaces and fail to order.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use balsampitch::standin::hosts::{HostList, HostState};
+use balsampitch::standin::{Host, Link, Platform, Target, TargetOptions};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::Request;
+use hyper_util::rt::TokioIo;
+use serde_json::{Value, json};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+/// Longest wait for something that must come.
+const PATIENCE: Duration = Duration::from_secs(30);
+/// Wait in which something that must not come would have come.
+const QUIET: Duration = Duration::from_millis(200);
+
+struct Reply {
+    status: u16,
+    body: Bytes,
+}
+
+impl Reply {
+    fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).expect("the answer is JSON")
+    }
+}
+
+async fn listen() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("loopback binds");
+    let address = listener
+        .local_addr()
+        .expect("a bound socket has an address");
+    (listener, address)
+}
+
+async fn try_call(
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+) -> Result<Reply, hyper::Error> {
+    let Ok(socket) = TcpStream::connect(address).await else {
+        panic!("the stand-in listens");
+    };
+    let (mut sender, connection) =
+        hyper::client::conn::http1::handshake(TokioIo::new(socket)).await?;
+    tokio::spawn(connection);
+    let answer = tokio::time::timeout(PATIENCE, sender.send_request(request))
+        .await
+        .expect("the stand-in answers or drops in time")?;
+    let status = answer.status().as_u16();
+    let body = answer.into_body().collect().await?.to_bytes();
+    Ok(Reply { status, body })
+}
+
+fn post(path: &str, body: impl Into<Bytes>) -> Request<Full<Bytes>> {
+    let body = Full::new(body.into());
+    Request::post(path)
+        .header("host", "standin")
+        .body(body)
+        .expect("the path is valid")
+}
+
+fn get(path: &str) -> Request<Full<Bytes>> {
+    Request::get(path)
+        .header("host", "standin")
+        .body(Full::default())
+        .expect("the path is valid")
+}
+
+async fn call(address: SocketAddr, request: Request<Full<Bytes>>) -> Reply {
+    try_call(address, request)
+        .await
+        .expect("the stand-in answers")
+}
+
+async fn order(address: SocketAddr, path: &str, order: Value) {
+    let reply = call(address, post(path, order.to_string())).await;
+    assert_eq!(
+        reply.status,
+        200,
+        "{}",
+        String::from_utf8_lossy(&reply.body)
+    );
+}
+
+async fn platform() -> SocketAddr {
+    let (listener, address) = listen().await;
+    tokio::spawn(Platform::new(4).serve(listener));
+    address
+}
+
+async fn target(options: TargetOptions) -> SocketAddr {
+    let (listener, address) = listen().await;
+    tokio::spawn(Target::new(options).serve(listener));
+    address
+}
+
+async fn count(target: SocketAddr, id: &str) -> String {
+    let reply = call(target, get(&format!("/count?id={id}"))).await;
+    String::from_utf8(reply.body.to_vec()).expect("a count is text")
+}
+
+#[tokio::test]
+async fn log_gives_offsets_and_expires() {
+    let log = platform().await;
+    for (offset, data) in ["a", "b", "c", "d", "e"].into_iter().enumerate() {
+        let reply = call(log, post("/log/rules", data)).await;
+        assert_eq!(reply.json(), json!({ "offset": offset }));
+    }
+    let expired = call(log, get("/log/rules?from=0")).await;
+    assert_eq!(
+        (expired.status, expired.json()),
+        (410, json!({ "first": 1 }))
+    );
+    let page = call(log, get("/log/rules?from=3")).await.json();
+    let records = json!([{ "offset": 3, "data": "ZA==" }, { "offset": 4, "data": "ZQ==" }]);
+    assert_eq!(page, json!({ "first": 1, "next": 5, "records": records }));
+
+    order(
+        log,
+        "/fault/expire",
+        json!({ "stream": "rules", "first": 4 }),
+    )
+    .await;
+    assert_eq!(call(log, get("/log/rules?from=3")).await.status, 410);
+    let other = call(log, get("/log/other?from=0")).await.json();
+    assert_eq!(other, json!({ "first": 0, "next": 0, "records": [] }));
+    assert_eq!(call(log, get("/log/rules?from=x")).await.status, 400);
+}
+
+#[tokio::test]
+async fn a_long_poll_ends_with_the_append() {
+    let log = platform().await;
+    let polling = tokio::spawn(call(log, get("/log/s?from=0&wait_ms=20000")));
+    tokio::time::sleep(QUIET).await;
+    assert!(!polling.is_finished());
+    call(log, post("/log/s", "x")).await;
+    let page = polling.await.expect("the poll ends").json();
+    assert_eq!(page["next"], 1);
+}
+
+#[tokio::test]
+async fn an_outage_ends_long_polls() {
+    let log = platform().await;
+    let polling = tokio::spawn(call(log, get("/log/s?from=0&wait_ms=20000")));
+    tokio::time::sleep(QUIET).await;
+    order(log, "/fault/log", json!({ "mode": "down" })).await;
+    assert_eq!(polling.await.expect("the poll ends").status, 503);
+    assert_eq!(call(log, post("/log/s", "x")).await.status, 503);
+    order(log, "/fault/log", json!({ "mode": "ok" })).await;
+    assert_eq!(
+        call(log, post("/log/s", "x")).await.json(),
+        json!({ "offset": 0 })
+    );
+}
+
+macro_rules! lost {
+    ($($name:ident: $mode:literal => $kept:literal,)+) => {
+        $(
+            #[tokio::test]
+            async fn $name() {
+                let log = platform().await;
+                order(log, "/fault/log", json!({ "mode": $mode, "count": 1 })).await;
+                assert!(try_call(log, post("/log/s", "x")).await.is_err());
+                let page = call(log, get("/log/s?from=0")).await.json();
+                assert_eq!(page["next"], $kept);
+                let reply = call(log, post("/log/s", "y")).await.json();
+                assert_eq!(reply["offset"], $kept);
+            }
+        )+
+    };
+}
+
+lost! {
+    a_lost_answer_leaves_the_record: "lose_answers" => 1,
+    a_lost_request_leaves_none: "lose_requests" => 0,
+}
+
+#[tokio::test]
+async fn the_host_list_lags() {
+    let hosts = platform().await;
+    let live = json!([{ "host": "127.0.0.1:9", "zone": "a", "service": "s", "state": "live" }]);
+    order(hosts, "/fault/hosts", json!({ "hosts": live })).await;
+    assert_eq!(call(hosts, get("/hosts")).await.json(), live);
+    order(
+        hosts,
+        "/fault/hosts",
+        json!({ "hosts": [], "lag_ms": 600_000 }),
+    )
+    .await;
+    assert_eq!(call(hosts, get("/hosts")).await.json(), live);
+    order(hosts, "/fault/hosts", json!({ "mode": "down", "count": 1 })).await;
+    assert_eq!(call(hosts, get("/hosts")).await.status, 503);
+}
+
+#[tokio::test(start_paused = true)]
+async fn lists_show_in_order_after_their_lags() {
+    let host = |zone: &str| Host {
+        host: "127.0.0.1:9".into(),
+        zone: zone.into(),
+        service: "s".into(),
+        state: HostState::Leaving,
+    };
+    let mut list = HostList::default();
+    list.set(vec![host("a")], Duration::from_secs(2));
+    list.set(vec![host("b")], Duration::from_secs(1));
+    tokio::time::advance(Duration::from_millis(1_999)).await;
+    assert_eq!(list.shown(), []);
+    tokio::time::advance(Duration::from_millis(1)).await;
+    assert_eq!(list.shown(), [host("b")]);
+}
+
+#[tokio::test]
+async fn a_target_runs_streams_and_counts() {
+    let target = target(TargetOptions::default()).await;
+    let echo = call(target, post("/run?ms=1", "id 1\nrest")).await;
+    assert_eq!(&echo.body[..], b"id 1\nrest");
+    let long = call(target, post("/run?bytes=200000", "id 1")).await;
+    assert_eq!(long.body.len(), 200_000);
+    let stream = call(target, post("/stream?chunks=3&ms=1", "id 1")).await;
+    assert_eq!(&stream.body[..], b"id 1 1\nid 1 2\nid 1 3\n");
+    assert_eq!(count(target, "id%201").await, "3");
+    assert_eq!(count(target, "id+1").await, "3");
+    assert_eq!(count(target, "id%202").await, "0");
+}
+
+#[tokio::test]
+async fn a_cut_answer_is_seen_as_cut() {
+    let target = target(TargetOptions::default()).await;
+    order(
+        target,
+        "/fault/target",
+        json!({ "mode": "cut", "after_chunks": 1, "count": 2 }),
+    )
+    .await;
+    assert!(
+        try_call(target, post("/stream?chunks=3&ms=1", "x"))
+            .await
+            .is_err()
+    );
+    assert!(try_call(target, post("/run", "x")).await.is_err());
+    assert_eq!(call(target, post("/run", "x")).await.status, 200);
+    assert_eq!(count(target, "x").await, "3");
+}
+
+#[tokio::test]
+async fn a_crashed_target_comes_back() {
+    let target = target(TargetOptions::default()).await;
+    let running = tokio::spawn(try_call(target, post("/run?ms=60000", "long")));
+    tokio::time::sleep(QUIET).await;
+    assert!(try_call(target, post("/crash", "bad")).await.is_err());
+    assert!(running.await.expect("the run ends").is_err());
+    assert!(try_call(target, get("/count?id=bad")).await.is_err());
+    tokio::time::sleep(Duration::from_millis(2_200)).await;
+    assert_eq!(count(target, "bad").await, "1");
+    assert_eq!(call(target, get("/state")).await.json()["running"], 0);
+}
+
+#[tokio::test]
+async fn a_fenced_target_refuses_old_numbers() {
+    let fenced = target(TargetOptions {
+        slots: None,
+        fenced: true,
+    })
+    .await;
+    let with = |fence: &str, body: &'static str| {
+        let mut request = post("/run", body);
+        let value = fence.parse().expect("the number is a header value");
+        request.headers_mut().insert("x-balsampitch-fence", value);
+        request
+    };
+    assert_eq!(call(fenced, with("5", "a")).await.status, 200);
+    assert_eq!(call(fenced, with("4", "a")).await.status, 412);
+    assert_eq!(call(fenced, with("5", "a")).await.status, 200);
+    assert_eq!(call(fenced, with("4", "b")).await.status, 200);
+    assert_eq!(call(fenced, with("x", "b")).await.status, 400);
+    assert_eq!(count(fenced, "a").await, "2");
+}
+
+#[tokio::test]
+async fn a_target_keeps_to_its_slots() {
+    let target = target(TargetOptions {
+        slots: Some(2),
+        fenced: false,
+    })
+    .await;
+    let calls: Vec<_> = (0..8)
+        .map(|_| tokio::spawn(call(target, post("/run?ms=20", "x"))))
+        .collect();
+    for call in calls {
+        assert_eq!(call.await.expect("the run ends").status, 200);
+    }
+    let state = call(target, get("/state")).await.json();
+    assert_eq!(state, json!({ "running": 0, "peak": 2, "total": 8 }));
+}
+
+/// A link to a server that echoes bytes.
+async fn echo_link() -> (Link, SocketAddr) {
+    let (server, to) = listen().await;
+    tokio::spawn(async move {
+        while let Ok((socket, _)) = server.accept().await {
+            tokio::spawn(async move {
+                let (mut read, mut write) = socket.into_split();
+                let _ = tokio::io::copy(&mut read, &mut write).await;
+            });
+        }
+    });
+    let (listener, address) = listen().await;
+    let link = Link::new(to);
+    tokio::spawn(link.clone().serve(listener));
+    (link, address)
+}
+
+async fn echoes(socket: &mut TcpStream) -> bool {
+    echoes_within(socket, PATIENCE).await
+}
+
+/// Whether nothing comes back for a while.
+async fn is_silent(socket: &mut TcpStream) -> bool {
+    !echoes_within(socket, QUIET).await
+}
+
+async fn echoes_within(socket: &mut TcpStream, span: Duration) -> bool {
+    socket
+        .write_all(b"ping")
+        .await
+        .expect("the link takes bytes");
+    let mut answer = [0; 4];
+    match tokio::time::timeout(span, socket.read_exact(&mut answer)).await {
+        Ok(read) => read.is_ok() && &answer == b"ping",
+        Err(_) => false,
+    }
+}
+
+#[tokio::test]
+async fn a_silenced_connection_stays_open_and_silent() {
+    let (link, address) = echo_link().await;
+    let mut old = TcpStream::connect(address).await.expect("the link accepts");
+    assert!(echoes(&mut old).await);
+    link.silence();
+    assert!(is_silent(&mut old).await);
+    link.heal();
+    assert!(is_silent(&mut old).await);
+    let mut new = TcpStream::connect(address).await.expect("the link accepts");
+    assert!(echoes(&mut new).await);
+    link.cut();
+    let ended = tokio::time::timeout(PATIENCE, old.read(&mut [0; 8])).await;
+    assert!(!matches!(ended.expect("a cut closes"), Ok(1..)));
+}
+
+#[tokio::test]
+async fn a_blocked_link_passes_bytes_once_healed() {
+    let (link, address) = echo_link().await;
+    let mut old = TcpStream::connect(address).await.expect("the link accepts");
+    assert!(echoes(&mut old).await);
+    link.block();
+    assert!(is_silent(&mut old).await);
+    let mut new = TcpStream::connect(address).await.expect("the link accepts");
+    assert!(is_silent(&mut new).await);
+    link.heal();
+    let mut answer = [0; 4];
+    for socket in [&mut old, &mut new] {
+        let read = tokio::time::timeout(PATIENCE, socket.read_exact(&mut answer)).await;
+        assert!(read.expect("a healed link passes bytes").is_ok());
+    }
+}
+
+#[tokio::test]
+async fn a_delayed_link_takes_its_time() {
+    let (link, address) = echo_link().await;
+    link.delay(Duration::from_millis(150));
+    let mut socket = TcpStream::connect(address).await.expect("the link accepts");
+    assert!(is_silent(&mut socket).await);
+    let mut answer = [0; 4];
+    let read = tokio::time::timeout(PATIENCE, socket.read_exact(&mut answer)).await;
+    assert!(read.expect("a delayed link passes bytes").is_ok());
+}
+
+#[tokio::test]
+async fn a_link_takes_orders_over_http() {
+    let (link, address) = echo_link().await;
+    let (listener, admin) = listen().await;
+    tokio::spawn(link.serve_admin(listener));
+    order(admin, "/delay", json!({ "ms": 5 })).await;
+    order(admin, "/block", json!({})).await;
+    let state = call(admin, get("/state")).await.json();
+    assert_eq!(
+        state,
+        json!({ "accepted": 0, "blocked": true, "delay_ms": 5 })
+    );
+    order(admin, "/heal", json!({})).await;
+    let mut socket = TcpStream::connect(address).await.expect("the link accepts");
+    assert!(echoes(&mut socket).await);
+    order(admin, "/silence", json!({})).await;
+    assert!(is_silent(&mut socket).await);
+    assert_eq!(call(admin, post("/other", "")).await.status, 404);
+}
