--- a/src/agent/core.rs
+++ b/src/agent/core.rs
@@ -14,6 +14,7 @@
 use crate::kernel::ServiceName;
 use crate::ledger::Ledger;
 use crate::pull::{Pull, Step, Steps, Verdict};
+use crate::telemetry::{Event, Telemetry};
 use crate::units::Clock;
 use crate::wire::{Backlog, Dispatch, Known, ToAgent, ToEntry};
 
@@ -51,7 +52,7 @@
 pub struct FromEntry(pub Link, pub ToAgent);
 
 /// A run has ended at the target: its slot is free.
-pub struct Freed;
+pub struct Freed(pub DispatchId);
 
 /// A run's answer is no longer held.
 pub struct Released(pub DispatchId);
@@ -107,11 +108,12 @@
     partial: HashMap<DispatchId, Partial>,
     runs: HashMap<DispatchId, Held>,
     draining: bool,
+    telemetry: Telemetry,
 }
 
 impl Core {
     /// A core without entries.
-    pub fn new(clock: Clock, target: Target, slots: u16) -> Self {
+    pub fn new(clock: Clock, target: Target, slots: u16, telemetry: Telemetry) -> Self {
         Core {
             clock,
             target,
@@ -121,6 +123,7 @@
             partial: HashMap::new(),
             runs: HashMap::new(),
             draining: false,
+            telemetry,
         }
     }
 
@@ -162,6 +165,7 @@
             .dispatched(self.clock.now(), link.entry, offer, backlog);
         self.act(steps);
         if verdict == Verdict::Decline {
+            self.telemetry.metrics().event(Event::Decline);
             // The entry may ask about it later: it must never begin.
             self.ledger.ask(id);
             self.send(link.entry, &ToEntry::Decline { dispatch: id });
@@ -199,7 +203,11 @@
             return;
         };
         if !self.ledger.begin(id) {
-            outbox.send(&ToEntry::Decline { dispatch: id });
+            let known = self.ledger.ask(id);
+            outbox.send(&ToEntry::State {
+                dispatch: id,
+                known,
+            });
             self.free_slot();
             return;
         }
@@ -335,10 +343,20 @@
                 self.dispatched(context, link, *dispatch, backlog);
             }
             ToAgent::Body { dispatch, data } => self.body(context, dispatch, &data),
-            ToAgent::Ask { dispatch, next } => self.ask(link, dispatch, next),
+            ToAgent::Ask {
+                dispatch,
+                next,
+                floor,
+            } => {
+                self.ledger.settle(dispatch.boot, floor);
+                self.ask(link, dispatch, next);
+            }
             ToAgent::Ack { dispatch, next } => self.command(dispatch, Command::Ack { next }),
             ToAgent::Cancel { dispatch } => self.command(dispatch, Command::Cancel),
-            ToAgent::Settled { dispatch } => self.command(dispatch, Command::Settled),
+            ToAgent::Settled { dispatch, floor } => {
+                self.ledger.settle(dispatch.boot, floor);
+                self.command(dispatch, Command::Settled);
+            }
             ToAgent::Heartbeat { backlog } => {
                 self.pull.heard(now, link.entry, backlog);
             }
@@ -353,7 +371,8 @@
 impl Handler<Freed> for Core {
     type Return = ();
 
-    async fn handle(&mut self, _message: Freed, _ctx: &mut Context<Self>) {
+    async fn handle(&mut self, message: Freed, _ctx: &mut Context<Self>) {
+        self.ledger.done(message.0);
         self.free_slot();
     }
 }
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -3,20 +3,28 @@
 pub mod core;
 pub mod dial;
 pub mod run;
+pub mod status;
 
+use std::sync::Arc;
 use std::time::Duration;
 
+use anyhow::Context;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 use xtra::{Address, Mailbox};
 
+use crate::admin;
 use crate::agent::core::{Beat, CORE, Core, Drain, Inspect};
 use crate::agent::dial::Dial;
 use crate::agent::run::Target;
+use crate::agent::status::AgentView;
 use crate::auth::Secret;
 use crate::conn::HEARTBEAT_PERIOD;
 use crate::ids::BootId;
 use crate::kernel::Kernel;
 use crate::settings::AgentSettings;
+use crate::telemetry::{self, Telemetry};
 use crate::units::Clock;
 use crate::wire::AgentInfo;
 
@@ -25,14 +33,31 @@
 /// How often a draining agent looks whether it is done.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
 
+/// Runs an agent as a process of its own, with logs and telemetry.
+///
+/// # Errors
+/// When telemetry cannot be set up or the admin address cannot be listened on.
+pub async fn serve(settings: AgentSettings, drain: CancellationToken) -> anyhow::Result<()> {
+    let telemetry = telemetry::init(&settings.telemetry, "balsampitch-agent")?;
+    run(settings, telemetry.clone(), drain).await?;
+    telemetry.shutdown().await
+}
+
 /// Runs an agent until `drain` is cancelled and all its runs are finished.
 ///
 /// # Errors
-/// When an address cannot be listened on.
-pub async fn run(settings: AgentSettings, drain: CancellationToken) -> anyhow::Result<()> {
+/// When the admin address cannot be listened on.
+pub async fn run(
+    settings: AgentSettings,
+    telemetry: Telemetry,
+    drain: CancellationToken,
+) -> anyhow::Result<()> {
+    let admin = TcpListener::bind(settings.admin)
+        .await
+        .with_context(|| format!("could not listen for operators on {}", settings.admin))?;
     let kernel = Kernel::new();
-    let target = Target::new(settings.target, settings.slots);
-    let core = Core::new(Clock::start(), target, settings.slots);
+    let target = Target::new(settings.target, settings.slots, telemetry.clone());
+    let core = Core::new(Clock::start(), target, settings.slots, telemetry.clone());
     let core = xtra::spawn_tokio(core, Mailbox::bounded(CORE_MAILBOX));
     kernel.register(CORE, core.clone());
     let info = AgentInfo {
@@ -42,22 +67,32 @@
         service: settings.service,
         slots: settings.slots,
     };
+    let view = AgentView {
+        core: core.clone(),
+        telemetry,
+        info: info.clone(),
+    };
+    let (ready_in, ready) = watch::channel(true);
     let dial = Dial {
         core: core.clone(),
         info,
         secret: Secret::new(&settings.secret),
     };
-    let dials: Vec<_> = settings
-        .entries
-        .iter()
-        .map(|&entry| tokio::spawn(dial.clone().run(entry)))
-        .collect();
-    let beat = tokio::spawn(beat(core.clone()));
+    let mut services = vec![
+        tokio::spawn(admin::serve(admin, Arc::new(view), ready)),
+        tokio::spawn(beat(core.clone())),
+    ];
+    services.extend(
+        settings
+            .entries
+            .iter()
+            .map(|&entry| tokio::spawn(dial.clone().run(entry))),
+    );
 
     drain.cancelled().await;
+    ready_in.send_replace(false);
     finish(&core).await;
-    beat.abort();
-    dials.iter().for_each(|d| d.abort());
+    services.iter().for_each(|s| s.abort());
     Ok(())
 }
 
--- a/src/agent/run.rs
+++ b/src/agent/run.rs
@@ -20,6 +20,7 @@
     ACCOUNT_HEADER, FENCE_HEADER, REQUEST_ID_HEADER, TRACE_HEADER, answer_headers,
 };
 use crate::ids::DispatchId;
+use crate::telemetry::{Telemetry, TraceContext};
 use crate::units::Micros;
 use crate::wire::{Dispatch, Finish, Header, MAX_CHUNK_BYTES, ToEntry};
 
@@ -39,22 +40,31 @@
     address: SocketAddr,
     pooled: Client<HttpConnector, Full<Bytes>>,
     fresh: Client<HttpConnector, Full<Bytes>>,
+    telemetry: Telemetry,
 }
 
 impl Target {
     /// A target at this address.
-    pub fn new(address: SocketAddr, slots: u16) -> Self {
+    pub fn new(address: SocketAddr, slots: u16, telemetry: Telemetry) -> Self {
         Target {
             address,
             pooled: client(usize::from(slots)),
             fresh: client(0),
+            telemetry,
         }
     }
 
     /// Sends a request. One that must not run twice gets a connection of its own, so that a stale
     /// one cannot leave its fate in doubt.
-    async fn send(&self, dispatch: &Dispatch, body: Bytes) -> Result<Response<Incoming>, Finish> {
-        let request = self.request(dispatch, body).ok_or(Finish::Unreached)?;
+    async fn send(
+        &self,
+        dispatch: &Dispatch,
+        body: Bytes,
+        trace: TraceContext,
+    ) -> Result<Response<Incoming>, Finish> {
+        let request = self
+            .request(dispatch, body, trace)
+            .ok_or(Finish::Unreached)?;
         let client = if dispatch.idempotent {
             &self.pooled
         } else {
@@ -69,7 +79,12 @@
         })
     }
 
-    fn request(&self, dispatch: &Dispatch, body: Bytes) -> Option<Request<Full<Bytes>>> {
+    fn request(
+        &self,
+        dispatch: &Dispatch,
+        body: Bytes,
+        trace: TraceContext,
+    ) -> Option<Request<Full<Bytes>>> {
         let uri: Uri = format!("http://{}{}", self.address, dispatch.path)
             .parse()
             .ok()?;
@@ -83,9 +98,7 @@
         if let Some(fence) = dispatch.fence {
             builder = builder.header(FENCE_HEADER, fence);
         }
-        if let Some(trace) = &dispatch.trace {
-            builder = builder.header(TRACE_HEADER, trace);
-        }
+        builder = builder.header(TRACE_HEADER, trace.to_string());
         builder.body(Full::new(body)).ok()
     }
 }
@@ -164,10 +177,14 @@
     pub async fn run(mut self, dispatch: Dispatch, body: Bytes) {
         let id = dispatch.dispatch;
         let start = Instant::now();
-        let finish = self.relay(&dispatch, body, start).await;
+        let above: Option<TraceContext> = dispatch.trace.as_ref().and_then(|t| t.parse().ok());
+        let mut span = self.target.telemetry.span("agent", above.as_ref());
+        let finish = self.relay(&dispatch, body, start, span.context()).await;
+        span.note("finish", format!("{finish:?}"));
+        drop(span);
         let spent = Micros::from(start.elapsed());
         // The core outlives its runs.
-        let _ = self.core.send(Freed).await;
+        let _ = self.core.send(Freed(id)).await;
         let (chunks, bytes) = (self.kept.seq, self.kept.total);
         let end = ToEntry::End {
             dispatch: id,
@@ -186,10 +203,17 @@
     }
 
     /// Passes the target's answer on as it comes.
-    async fn relay(&mut self, dispatch: &Dispatch, body: Bytes, start: Instant) -> Finish {
+    async fn relay(
+        &mut self,
+        dispatch: &Dispatch,
+        body: Bytes,
+        start: Instant,
+        above: TraceContext,
+    ) -> Finish {
         let id = dispatch.dispatch;
         let target = self.target.clone();
-        let mut answer = std::pin::pin!(target.send(dispatch, body));
+        let span = target.telemetry.span("target", Some(&above));
+        let mut answer = std::pin::pin!(target.send(dispatch, body, span.context()));
         let response = loop {
             tokio::select! {
                 response = &mut answer => break response,
--- /dev/null
+++ b/src/agent/status.rs
@@ -0,0 +1,43 @@
+//! What an agent shows on its admin address.
+
+use serde::Serialize;
+use serde_json::Value;
+use xtra::Address;
+
+use crate::admin::Status;
+use crate::agent::core::{Core, CoreStatus, Inspect};
+use crate::telemetry::Telemetry;
+use crate::telemetry::metrics::Snapshot;
+use crate::wire::AgentInfo;
+
+/// Answers for an agent.
+#[derive(Clone)]
+pub struct AgentView {
+    /// The core.
+    pub core: Address<Core>,
+    /// Metrics.
+    pub telemetry: Telemetry,
+    /// Who the agent is.
+    pub info: AgentInfo,
+}
+
+/// The answer to `/status`.
+#[derive(Debug, Serialize)]
+struct AgentStatus<'a> {
+    role: &'static str,
+    info: &'a AgentInfo,
+    core: Option<CoreStatus>,
+    metrics: Snapshot,
+}
+
+impl Status for AgentView {
+    async fn status(&self) -> Value {
+        let status = AgentStatus {
+            role: "agent",
+            info: &self.info,
+            core: self.core.send(Inspect).await.ok(),
+            metrics: self.telemetry.metrics().snapshot(),
+        };
+        serde_json::to_value(status).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/src/bin/balsampitch-agent.rs
@@ -0,0 +1,7 @@
+//! The `balsampitch-agent` binary.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    balsampitch::cmd::agent::main()
+}
--- /dev/null
+++ b/src/bin/balsampitch-entry.rs
@@ -0,0 +1,7 @@
+//! The `balsampitch-entry` binary.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    balsampitch::cmd::entry::main()
+}
--- /dev/null
+++ b/src/bin/balsampitch-local.rs
@@ -0,0 +1,7 @@
+//! The `balsampitch-local` binary.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    balsampitch::cmd::local::main()
+}
--- /dev/null
+++ b/src/cmd/entry.rs
@@ -0,0 +1,25 @@
+//! `balsampitch-entry`.
+
+use std::process::ExitCode;
+
+use crate::cmd::{Failure, Program, Start, shutdown};
+use crate::settings::EntrySettings;
+
+const PROGRAM: Program = Program {
+    name: "balsampitch-entry",
+    about: "takes callers' requests and shares the targets' slots between client accounts",
+};
+
+/// Runs the binary.
+pub fn main() -> ExitCode {
+    PROGRAM.exit_code(run())
+}
+
+fn run() -> Result<(), Failure> {
+    match PROGRAM.start::<EntrySettings>()? {
+        Start::Run(settings) => {
+            shutdown::block_on(|drain| crate::entry::serve(settings, drain)).map_err(Into::into)
+        }
+        Start::Done => Ok(()),
+    }
+}
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,6 +1,9 @@
 //! Command lines, a file for each binary.
 
+pub mod agent;
 pub mod bench;
+pub mod entry;
+pub mod local;
 pub mod shutdown;
 pub mod standin;
 
--- a/src/entry/desk.rs
+++ b/src/entry/desk.rs
@@ -10,6 +10,7 @@
 use xtra::prelude::*;
 
 use crate::conn::Outbox;
+use crate::dispatches::Dispatches;
 use crate::entry::request::Request;
 use crate::entry::routes::{Event, Route, Routes};
 use crate::ids::{AgentKey, BootId, DispatchId, JobKey, OfferId, ServiceKey};
@@ -158,14 +159,13 @@
 #[derive(xtra::Actor)]
 pub struct Desk {
     clock: Clock,
-    boot: BootId,
+    dispatches: Dispatches,
     rules: watch::Receiver<Arc<Table>>,
     routes: Routes,
     agents: Slab<AgentState>,
     hosts: HashMap<SocketAddr, AgentKey>,
     jobs: Slab<JobState>,
     schedulers: Vec<Scheduler>,
-    seq: u64,
 }
 
 impl Desk {
@@ -178,14 +178,13 @@
     ) -> Self {
         Desk {
             clock,
-            boot,
+            dispatches: Dispatches::new(boot),
             rules,
             routes,
             agents: Slab::new(),
             hosts: HashMap::new(),
             jobs: Slab::new(),
             schedulers: Vec::new(),
-            seq: 0,
         }
     }
 
@@ -210,11 +209,7 @@
     /// Sends an assigned request to its agent.
     fn send(&mut self, service: ServiceKey, assigned: Assignment) {
         let backlog = self.scheduler(service).backlog();
-        self.seq += 1;
-        let id = DispatchId {
-            boot: self.boot,
-            seq: self.seq,
-        };
+        let id = self.dispatches.open();
         let now = self.clock.now();
         let job = self
             .jobs
@@ -259,7 +254,7 @@
             idempotent: request.idempotent,
             fence: None,
             deadline: Some(job.deadline - now),
-            trace: request.trace.clone(),
+            trace: request.trace.map(|t| t.to_string()),
         };
         outbox.send(&ToAgent::Dispatch {
             dispatch: Box::new(dispatch),
@@ -283,6 +278,8 @@
             return;
         };
         self.routes.remove(id);
+        self.dispatches.close(id);
+        self.routes.raise(self.dispatches.floor());
         if let Some(state) = self.agents.get_mut(agent.index()) {
             state.jobs.retain(|&j| j != key);
         }
--- a/src/entry/flight.rs
+++ b/src/entry/flight.rs
@@ -1,4 +1,4 @@
-//! The task of one caller's request: follows its dispatches and passes the answer on.
+//! The task of one caller's request: carries out what its [`Attempt`] decides.
 
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -9,25 +9,25 @@
 use tokio::time::Instant;
 use xtra::Address;
 
+use crate::attempt::{Action, Attempt, Event as Happening, Outcome, Plan};
 use crate::conn::Outbox;
 use crate::entry::desk::{Arrive, Desk, Over, Returned};
 use crate::entry::request::Request;
-use crate::entry::routes::Event;
-use crate::ids::{AgentKey, BootId, DispatchId, JobKey};
-use crate::problem::{Problem, Reason};
-use crate::units::Micros;
-use crate::wire::{Finish, Header, Known, ToAgent};
-
-/// Longest wait for an agent whose connection was lost.
-pub const RETURN_TIMEOUT: Duration = Duration::from_secs(10);
-/// Most dispatches of one request.
-pub const MAX_TRIES: u32 = 3;
+use crate::entry::routes::{Event, Routes};
+use crate::ids::{AgentKey, JobKey};
+use crate::problem::{Execution, Problem, Reason};
+use crate::telemetry::{self, Metrics, Span, Telemetry};
+use crate::units::{Clock, Micros};
+use crate::wire::{Header, ToAgent};
 
 /// Wait that a refused caller is asked for.
 pub const QUEUE_RETRY: Duration = Duration::from_secs(1);
 
-const DEFAULT_DEADLINE: Duration = Duration::from_secs(60);
+/// A caller that takes nothing for this long has its answer broken off.
+const STALL_TIMEOUT: Duration = Duration::from_secs(60);
+/// Chunks that are passed on before the agent is told.
 const ACK_CHUNKS: u64 = 32;
+/// Bytes that are passed on before the agent is told.
 const ACK_BYTES: u64 = 64 * 1024;
 
 /// An answer's status and headers.
@@ -39,15 +39,13 @@
     pub headers: Vec<Header>,
 }
 
-/// A piece of an answer's body, or the word that it broke off.
+/// A piece of an answer's body.
 #[derive(Debug)]
 pub enum Piece {
     /// Bytes of the body.
     Data(Bytes),
     /// The answer is complete. Without it, a body that stops is broken off.
     End,
-    /// The answer cannot be completed.
-    Broken,
 }
 
 /// Where the answer goes.
@@ -67,200 +65,204 @@
     }
 }
 
-#[derive(Debug)]
-struct Sent {
-    dispatch: DispatchId,
+/// What a flight shares with the rest of the entry.
+#[derive(Clone)]
+pub struct Tools {
+    /// The desk.
+    pub desk: Address<Desk>,
+    /// Where the entry's dispatches stand.
+    pub routes: Routes,
+    /// The process's clock.
+    pub clock: Clock,
+    /// Metrics and traces.
+    pub telemetry: Telemetry,
+}
+
+/// The agent of the dispatch in flight, and its connection.
+#[derive(Clone, Debug)]
+struct Link {
     agent: AgentKey,
-    boot: BootId,
     outbox: Outbox,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Ending {
+/// What has been passed on since the agent was last told.
+#[derive(Clone, Copy, Debug, Default)]
+struct Unacked {
     chunks: u64,
     bytes: u64,
-    finish: Finish,
-    spent: Micros,
-}
-
-/// How a flight ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Outcome {
-    /// The whole answer was passed on.
-    Answered,
-    /// The caller got a refusal.
-    Refused(Problem),
-    /// The answer broke off after its head had been passed on.
-    Broken,
-    /// The caller went away.
-    Gone,
 }
 
 /// A request on its way.
 pub struct Flight {
-    desk: Address<Desk>,
-    job: JobKey,
+    tools: Tools,
     request: Arc<Request>,
     events: mpsc::Receiver<Event>,
-    deadline: Instant,
     caller: Caller,
-}
-
-struct Progress {
-    sent: Option<Sent>,
-    tries: u32,
-    next: u64,
-    bytes: u64,
+    attempt: Attempt,
+    job: JobKey,
+    link: Option<Link>,
     pending: VecDeque<Bytes>,
-    ending: Option<Ending>,
-    missing: Option<Instant>,
-    unacked: (u64, u64),
-    acked: u64,
+    unacked: Unacked,
+    passed: u64,
+    spent: Option<Micros>,
+    gone: bool,
+    arrived: Micros,
+    queue_span: Option<Span>,
 }
 
 impl Flight {
     /// A request that has not arrived at the desk yet.
     pub fn new(
-        desk: Address<Desk>,
+        tools: Tools,
         request: Arc<Request>,
         events: mpsc::Receiver<Event>,
         caller: Caller,
     ) -> Self {
-        let deadline = Instant::now() + DEFAULT_DEADLINE;
+        let arrived = tools.clock.now();
         Flight {
-            desk,
-            job: JobKey::default(),
+            attempt: Attempt::new(Plan::new(request.idempotent)),
+            tools,
             request,
             events,
-            deadline,
             caller,
+            job: JobKey::default(),
+            link: None,
+            pending: VecDeque::new(),
+            unacked: Unacked::default(),
+            passed: 0,
+            spent: None,
+            gone: false,
+            arrived,
+            queue_span: None,
         }
     }
 
-    /// Sets the moment after which no answer is wanted.
-    pub fn deadline(mut self, deadline: Instant) -> Self {
-        self.deadline = deadline;
-        self
-    }
-
     /// Brings the request to the desk and follows it to its end.
-    pub async fn run(mut self, arrive: Arrive) -> Outcome {
-        match self.desk.send(arrive).await {
-            Ok(Some(job)) => self.job = job,
+    pub async fn run(mut self, arrive: Arrive, mut span: Span) -> Outcome {
+        let plan = Plan::new(self.request.idempotent).deadline(Some(arrive.deadline));
+        self.attempt = Attempt::new(plan);
+        self.queue_span = Some(self.tools.telemetry.span("queue", Some(&span.context())));
+        let outcome = match self.tools.desk.send(arrive).await {
+            Ok(Some(job)) => {
+                self.job = job;
+                self.follow().await
+            }
             Ok(None) => {
                 let problem = Problem::not_run(429, Reason::QueueFull);
-                return self.refuse(problem.retry_after(QUEUE_RETRY));
+                self.refuse(problem.retry_after(QUEUE_RETRY))
             }
-            Err(_) => return self.refuse(Problem::not_run(503, Reason::Draining)),
-        }
-        self.follow().await
+            Err(_) => self.refuse(Problem::not_run(503, Reason::Draining)),
+        };
+        self.count(outcome);
+        span.note("outcome", telemetry::Outcome::from(outcome).label());
+        outcome
     }
 
     async fn follow(&mut self) -> Outcome {
-        let mut state = Progress {
-            sent: None,
-            tries: 0,
-            next: 0,
-            bytes: 0,
-            pending: VecDeque::new(),
-            ending: None,
-            missing: None,
-            unacked: (0, 0),
-            acked: 0,
-        };
-        let outcome = loop {
-            if let Some(outcome) = self.step(&mut state).await {
-                break outcome;
+        loop {
+            if let Some(outcome) = self.attempt.outcome()
+                && (self.pending.is_empty() || outcome != Outcome::Whole)
+            {
+                return self.finish(outcome).await;
             }
-        };
-        self.finish(&state, outcome).await;
-        outcome
+            self.step().await;
+        }
     }
 
-    async fn step(&mut self, state: &mut Progress) -> Option<Outcome> {
-        if state.pending.is_empty()
-            && let Some(end) = state.ending
-        {
-            return self.ended(state, end).await;
-        }
-        let timer = state.missing.unwrap_or(self.deadline).min(self.deadline);
+    /// Waits for the next event and takes it in.
+    async fn step(&mut self) {
         let body = self.caller.body.clone();
+        let wake = self.wake();
+        let waits = !self.pending.is_empty();
         tokio::select! {
-            event = self.events.recv() => match event {
-                Some(event) => self.event(state, event).await,
-                None => Some(Outcome::Broken),
-            },
-            permit = body.reserve(), if !state.pending.is_empty() => match permit {
+            event = self.events.recv(), if self.attempt.outcome().is_none() => {
+                let event = event.expect("the flight holds no sender's last copy");
+                self.event(event).await;
+            }
+            permit = body.reserve(), if waits => match permit {
                 Ok(permit) => {
-                    let data = state.pending.pop_front().expect("the queue is not empty");
-                    state.unacked = (state.unacked.0 + 1, state.unacked.1 + data.len() as u64);
+                    let data = self.pending.pop_front().expect("a piece waits");
+                    let size = data.len();
                     permit.send(Piece::Data(data));
-                    self.acknowledge(state);
-                    None
+                    self.passed_on(size);
                 }
-                Err(_) => self.caller_gone(state),
+                Err(_) => self.caller_gone().await,
             },
-            () = body.closed(), if state.pending.is_empty() && self.may_cancel(state) => {
-                Some(Outcome::Gone)
-            }
-            () = tokio::time::sleep_until(timer) => Some(self.timed_out(state)),
+            () = body.closed(), if !waits && !self.gone => self.caller_gone().await,
+            () = tokio::time::sleep_until(wake) => self.woken(waits).await,
+        }
+    }
+
+    fn wake(&self) -> Instant {
+        match self.attempt.wake() {
+            Some(at) => Instant::now() + Duration::from(at - self.tools.clock.now()),
+            None => Instant::now() + STALL_TIMEOUT,
+        }
+    }
+
+    async fn woken(&mut self, waits: bool) {
+        if waits && self.attempt.outcome().is_some() {
+            // The caller has stalled: what it took ends without an end mark.
+            self.pending.clear();
+            self.gone = true;
+            return;
         }
+        self.decide(Happening::Tick, None).await;
     }
 
-    async fn event(&mut self, state: &mut Progress, event: Event) -> Option<Outcome> {
-        match event {
+    async fn event(&mut self, event: Event) {
+        let (happening, passed) = match event {
             Event::Sent {
                 dispatch,
                 agent,
                 boot,
                 outbox,
             } => {
-                state.sent = Some(Sent {
-                    dispatch,
-                    agent,
-                    boot,
-                    outbox,
-                });
-                state.tries += 1;
-                None
-            }
-            Event::Lost { agent } => {
-                if state.sent.as_ref().is_some_and(|s| s.agent == agent) {
-                    state.missing = Some(Instant::now() + RETURN_TIMEOUT);
-                }
-                None
+                self.link = Some(Link { agent, outbox });
+                self.queue_span = None;
+                self.tools
+                    .telemetry
+                    .metrics()
+                    .event(telemetry::Event::Dispatch);
+                (
+                    Happening::Dispatched {
+                        agent,
+                        boot,
+                        dispatch,
+                    },
+                    None,
+                )
             }
+            Event::Lost { agent } => (Happening::Lost(agent), None),
             Event::Back {
                 agent,
                 boot,
                 outbox,
-            } => self.back(state, agent, boot, outbox).await,
-            Event::Declined { dispatch } if state.is(dispatch) => self.again(state).await,
+            } => {
+                if let Some(link) = self.link.as_mut().filter(|l| l.agent == agent) {
+                    link.outbox = outbox;
+                }
+                (Happening::Back(agent, boot), None)
+            }
+            Event::Declined { dispatch } => (Happening::Declined(dispatch), None),
             Event::Head {
                 dispatch,
                 status,
                 headers,
-            } if state.is(dispatch) => {
-                if state.next == 0 {
-                    state.next = 1;
-                    if let Some(head) = self.caller.head.take() {
-                        // A caller that is gone shows when the body is passed on.
-                        let _ = head.send(Ok(Head { status, headers }));
-                    }
-                }
-                None
-            }
+            } => (
+                Happening::Head(dispatch),
+                Some(Passed::Head(Head { status, headers })),
+            ),
             Event::Chunk {
                 dispatch,
                 seq,
                 data,
-            } if state.is(dispatch) => {
-                if seq == state.next && seq > 0 {
-                    state.next += 1;
-                    state.bytes += data.len() as u64;
-                    state.pending.push_back(data);
-                }
-                None
+            } => {
+                let len = data.len();
+                (
+                    Happening::Chunk { dispatch, seq, len },
+                    Some(Passed::Data(data)),
+                )
             }
             Event::End {
                 dispatch,
@@ -268,99 +270,117 @@
                 chunks,
                 bytes,
                 spent,
-            } if state.is(dispatch) => {
-                state.ending = Some(Ending {
-                    chunks,
-                    bytes,
-                    finish,
-                    spent,
-                });
-                None
+            } => {
+                if self.attempt.dispatch() == Some(dispatch) {
+                    self.spent = Some(spent);
+                }
+                (
+                    Happening::End {
+                        dispatch,
+                        finish,
+                        chunks,
+                        bytes,
+                    },
+                    None,
+                )
             }
-            Event::State { dispatch, known } if state.is(dispatch) => match known {
-                Known::Running | Known::Done => None,
-                Known::NeverSeen => self.again(state).await,
-                Known::Forgotten => Some(self.fail(state, 502, Reason::OutcomeUnknown)),
-            },
-            _ => None,
-        }
+            Event::State { dispatch, known } => (Happening::State(dispatch, known), None),
+        };
+        self.decide(happening, passed).await;
     }
 
-    /// The agent is back: ask it, unless it was restarted and knows nothing.
-    async fn back(
-        &mut self,
-        state: &mut Progress,
-        agent: AgentKey,
-        boot: BootId,
-        outbox: Outbox,
-    ) -> Option<Outcome> {
-        let next = state.next;
-        let sent = state.sent.as_mut().filter(|s| s.agent == agent)?;
-        state.missing = None;
-        if sent.boot != boot {
-            return self.run_lost(state).await;
+    /// Lets the attempt decide and carries its actions out.
+    async fn decide(&mut self, happening: Happening, mut passed: Option<Passed>) {
+        let actions = self.attempt.on(self.tools.clock.now(), happening);
+        for action in actions {
+            match action {
+                Action::Ask { dispatch, next } => {
+                    self.tools
+                        .telemetry
+                        .metrics()
+                        .event(telemetry::Event::Resume);
+                    let floor = self.tools.routes.floor();
+                    self.send(&ToAgent::Ask {
+                        dispatch,
+                        next,
+                        floor,
+                    });
+                }
+                Action::Requeue => self.requeue().await,
+                Action::Refuse(problem) => {
+                    self.refuse(problem);
+                }
+                Action::Deliver => self.deliver(passed.take()),
+                Action::Cancel(dispatch) => self.send(&ToAgent::Cancel { dispatch }),
+                Action::Settle(dispatch) => {
+                    let floor = self.tools.routes.floor();
+                    self.send(&ToAgent::Settled { dispatch, floor });
+                }
+                // `finish` ends a complete answer once all of it is passed on; an answer that is
+                // not ended is broken off; the desk closes a dispatch that is returned or over.
+                Action::Complete | Action::Abort | Action::Close(_) | Action::Crash => {}
+            }
         }
-        outbox.send(&ToAgent::Ask {
-            dispatch: sent.dispatch,
-            next,
-        });
-        sent.outbox = outbox;
-        None
     }
 
-    /// The run is lost with its agent: only what may run twice is tried again.
-    async fn run_lost(&mut self, state: &mut Progress) -> Option<Outcome> {
-        if self.request.idempotent && state.next == 0 {
-            return self.again(state).await;
+    fn send(&self, message: &ToAgent) {
+        if let Some(link) = &self.link {
+            link.outbox.send(message);
         }
-        Some(self.fail(state, 502, Reason::OutcomeUnknown))
     }
 
-    /// Puts the request back at the head of its queue.
-    async fn again(&mut self, state: &mut Progress) -> Option<Outcome> {
-        if state.tries >= MAX_TRIES {
-            let problem = Problem::not_run(503, Reason::NoCapacity);
-            return Some(self.refuse(problem));
-        }
-        state.sent = None;
-        state.missing = None;
-        state.ending = None;
+    async fn requeue(&mut self) {
+        self.link = None;
+        self.spent = None;
+        self.tools
+            .telemetry
+            .metrics()
+            .event(telemetry::Event::Retry);
         // The desk outlives every request.
-        let _ = self.desk.send(Returned(self.job)).await;
-        None
+        let _ = self.tools.desk.send(Returned(self.job)).await;
     }
 
-    /// The target's answer has ended, and all of it has been passed on.
-    async fn ended(&mut self, state: &mut Progress, end: Ending) -> Option<Outcome> {
-        state.ending = None;
-        let whole =
-            end.finish == Finish::Whole && end.chunks + 1 == state.next && end.bytes == state.bytes;
-        match end.finish {
-            Finish::Whole if whole => Some(Outcome::Answered),
-            Finish::Unreached => self.again(state).await,
-            Finish::Crashed if self.request.idempotent && state.next == 0 => {
-                self.again(state).await
+    fn deliver(&mut self, passed: Option<Passed>) {
+        match passed {
+            Some(Passed::Head(head)) => {
+                self.tools
+                    .telemetry
+                    .metrics()
+                    .wait(self.tools.clock.now() - self.arrived);
+                if let Some(to) = self.caller.head.take() {
+                    // A caller that is gone shows when the body is passed on.
+                    let _ = to.send(Ok(head));
+                }
             }
-            _ => Some(self.fail(state, 502, Reason::TargetFailed)),
+            Some(Passed::Data(data)) if self.gone => self.passed_on(data.len()),
+            Some(Passed::Data(data)) => self.pending.push_back(data),
+            None => {}
         }
-        .inspect(|_| state.ending = Some(end))
     }
 
-    fn timed_out(&mut self, state: &Progress) -> Outcome {
-        if state.sent.is_none() {
-            return self.refuse(Problem::not_run(503, Reason::DeadlinePassed));
+    /// Counts a chunk that the caller has, and tells the agent of several at a time.
+    fn passed_on(&mut self, size: usize) {
+        self.passed += 1;
+        self.unacked.chunks += 1;
+        self.unacked.bytes += size as u64;
+        if self.unacked.chunks < ACK_CHUNKS && self.unacked.bytes < ACK_BYTES {
+            return;
+        }
+        self.unacked = Unacked::default();
+        if let Some(dispatch) = self.attempt.dispatch() {
+            self.send(&ToAgent::Ack {
+                dispatch,
+                next: self.passed + 1,
+            });
         }
-        self.fail(state, 504, Reason::OutcomeUnknown)
     }
 
-    /// A failure after dispatch: a refusal before the head was passed on, a broken answer after.
-    fn fail(&mut self, _state: &Progress, status: u16, reason: Reason) -> Outcome {
-        if self.caller.head.is_some() {
-            return self.refuse(Problem::unknown(status, reason));
+    async fn caller_gone(&mut self) {
+        self.gone = true;
+        while let Some(data) = self.pending.pop_front() {
+            self.passed_on(data.len());
         }
-        // A caller that is gone needs no word.
-        let _ = self.caller.body.try_send(Piece::Broken);
-        Outcome::Broken
+        self.decide(Happening::Gone, None).await;
     }
 
     fn refuse(&mut self, problem: Problem) -> Outcome {
@@ -371,66 +391,49 @@
         Outcome::Refused(problem)
     }
 
-    fn caller_gone(&mut self, state: &mut Progress) -> Option<Outcome> {
-        if self.may_cancel(state) {
-            return Some(Outcome::Gone);
-        }
-        state.pending.clear();
-        None
-    }
-
-    /// Whether nothing is lost when the request is dropped: it waits, or may run again.
-    fn may_cancel(&self, state: &Progress) -> bool {
-        state.sent.is_none() || self.request.idempotent
-    }
-
-    fn acknowledge(&self, state: &mut Progress) {
-        if state.unacked.0 < ACK_CHUNKS && state.unacked.1 < ACK_BYTES {
-            return;
-        }
-        state.unacked = (0, 0);
-        state.acked = state.next - state.pending.len() as u64;
-        if let Some(sent) = &state.sent {
-            sent.outbox.send(&ToAgent::Ack {
-                dispatch: sent.dispatch,
-                next: state.acked,
-            });
-        }
-    }
-
-    async fn finish(&mut self, state: &Progress, outcome: Outcome) {
-        if outcome == Outcome::Answered {
+    async fn finish(&mut self, outcome: Outcome) -> Outcome {
+        if outcome == Outcome::Whole && !self.gone {
             // A caller that is gone needs no word.
             let _ = self.caller.body.send(Piece::End).await;
         }
-        if let Some(sent) = &state.sent {
-            let message = match outcome {
-                Outcome::Answered => ToAgent::Settled {
-                    dispatch: sent.dispatch,
-                },
-                _ if state.ending.is_some() => ToAgent::Settled {
-                    dispatch: sent.dispatch,
-                },
-                _ => ToAgent::Cancel {
-                    dispatch: sent.dispatch,
-                },
-            };
-            sent.outbox.send(&message);
-        }
-        let spent = state.ending.map(|e| e.spent);
         // The desk outlives every request.
         let _ = self
+            .tools
             .desk
             .send(Over {
                 job: self.job,
-                spent,
+                spent: self.spent,
             })
             .await;
+        outcome
+    }
+
+    fn count(&self, outcome: Outcome) {
+        let metrics: &Metrics = self.tools.telemetry.metrics();
+        metrics.request(outcome.into());
+        metrics.total(self.tools.clock.now() - self.arrived);
+        if let Outcome::Refused(problem) = outcome {
+            metrics.refusal(problem.reason);
+        }
     }
 }
 
-impl Progress {
-    fn is(&self, dispatch: DispatchId) -> bool {
-        self.sent.as_ref().is_some_and(|s| s.dispatch == dispatch)
+/// The part of an event that goes on to the caller.
+enum Passed {
+    Head(Head),
+    Data(Bytes),
+}
+
+impl From<Outcome> for telemetry::Outcome {
+    fn from(outcome: Outcome) -> Self {
+        match outcome {
+            Outcome::Whole => telemetry::Outcome::Whole,
+            Outcome::Cut => telemetry::Outcome::Cut,
+            Outcome::Abandoned(_) => telemetry::Outcome::Abandoned,
+            Outcome::Refused(problem) if problem.execution == Execution::NotRun => {
+                telemetry::Outcome::Refused
+            }
+            Outcome::Refused(_) => telemetry::Outcome::Unknown,
+        }
     }
 }
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -17,18 +17,16 @@
 use hyper_util::server::graceful::GracefulShutdown;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
-use xtra::Address;
 
-use crate::entry::desk::{Arrive, Desk};
-use crate::entry::flight::{Caller, Flight, Head, Piece, QUEUE_RETRY};
+use crate::entry::desk::Arrive;
+use crate::entry::flight::{Caller, Flight, Head, Piece, QUEUE_RETRY, Tools};
 use crate::entry::request::{self, Request};
 use crate::entry::routes::FLIGHT_EVENTS;
 use crate::ids::{AccountKey, RequestId, ServiceKey};
 use crate::problem::{Problem, Reason};
 use crate::rules::Table;
-use crate::units::Clock;
+use crate::telemetry::{Span, TraceContext};
 
 /// Longest time to read a request's head.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
@@ -42,12 +40,10 @@
 /// What every caller's connection needs.
 #[derive(Clone)]
 pub struct Http {
-    /// The desk.
-    pub desk: Address<Desk>,
+    /// What flights share.
+    pub tools: Tools,
     /// The rules in force.
     pub rules: watch::Receiver<Arc<Table>>,
-    /// The process's clock.
-    pub clock: Clock,
     /// Cancelled when the entry stops taking requests.
     pub drain: CancellationToken,
 }
@@ -76,7 +72,6 @@
     ) -> Poll<Option<Result<Frame<Bytes>, BrokenAnswer>>> {
         self.pieces.poll_recv(context).map(|piece| match piece {
             Some(Piece::Data(data)) => Some(Ok(Frame::data(data))),
-            Some(Piece::Broken) => Some(Err(BrokenAnswer)),
             Some(Piece::End) => None,
             None => Some(Err(BrokenAnswer)),
         })
@@ -158,8 +153,14 @@
         let service = table
             .service(name)
             .ok_or(Problem::not_run(404, Reason::NoService))?;
-        let request = read(id, http, &table, account, service, path).await?;
-        self.fly(Arc::new(request), &table).await
+        let above: Option<TraceContext> = request::trace(http.headers());
+        let mut span = self.tools.telemetry.span("entry", above.as_ref());
+        span.note("request", id.to_string());
+        span.note("service", name.to_owned());
+        let context = span.context();
+        let mut request = read(id, http, &table, account, service, path).await?;
+        request.trace = Some(context);
+        self.fly(Arc::new(request), &table, span).await
     }
 
     /// Hands the request to the desk and waits for the head of its answer.
@@ -167,6 +168,7 @@
         self,
         request: Arc<Request>,
         table: &Table,
+        span: Span,
     ) -> Result<Response<AnswerBody>, Problem> {
         let allowed = table.service_at(request.service).deadline;
         let (events_in, events) = mpsc::channel(FLIGHT_EVENTS);
@@ -175,12 +177,12 @@
         let arrive = Arrive {
             request: request.clone(),
             events: events_in,
-            deadline: self.clock.now() + allowed,
+            deadline: self.tools.clock.now() + allowed,
         };
-        let flight = Flight::new(self.desk, request, events, Caller::new(head_in, body_in))
-            .deadline(Instant::now() + Duration::from(allowed));
+        let caller = Caller::new(head_in, body_in);
+        let flight = Flight::new(self.tools, request, events, caller);
         // A task of its own: a caller that goes away must not tear it from its place.
-        tokio::spawn(flight.run(arrive));
+        tokio::spawn(flight.run(arrive, span));
         let head = head
             .await
             .map_err(|_| Problem::unknown(502, Reason::OutcomeUnknown))??;
@@ -217,11 +219,7 @@
         body,
         key,
         hint: request::cost_hint(&parts.headers),
-        trace: parts
-            .headers
-            .get(request::TRACE_HEADER)
-            .and_then(|v| v.to_str().ok())
-            .map(str::to_owned),
+        trace: None,
     })
 }
 
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -6,80 +6,120 @@
 pub mod http;
 pub mod request;
 pub mod routes;
+pub mod status;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use anyhow::Context;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
-use xtra::Mailbox;
+use xtra::{Address, Mailbox};
 
+use crate::admin;
 use crate::auth::Secret;
 use crate::conn::HEARTBEAT_PERIOD;
 use crate::entry::agents::Agents;
 use crate::entry::desk::{Beat, DESK, Desk};
+use crate::entry::flight::Tools;
 use crate::entry::http::Http;
 use crate::entry::routes::Routes;
+use crate::entry::status::EntryView;
 use crate::ids::BootId;
-use crate::kernel::Kernel;
-use crate::rules::Table;
+use crate::kernel::{Kernel, ServiceName};
+use crate::platform::Client;
+use crate::rules::renew::Timing;
+use crate::rules::service::Handle;
 use crate::settings::EntrySettings;
+use crate::telemetry::{self, Telemetry};
 use crate::units::Clock;
 
+/// Name under which the rules' handle is registered.
+pub const RULES: ServiceName = ServiceName("rules");
+
 /// Messages that wait for the desk before senders wait too.
 const DESK_MAILBOX: usize = 4096;
 
+/// Runs an entry as a process of its own: logs, telemetry, and the rules from the log.
+///
+/// # Errors
+/// When telemetry cannot be set up or an address cannot be listened on.
+pub async fn serve(settings: EntrySettings, drain: CancellationToken) -> anyhow::Result<()> {
+    let telemetry = telemetry::init(&settings.telemetry, "balsampitch-entry")?;
+    let rules = crate::rules::service::spawn(Client::new(settings.platform), Timing::random());
+    run(settings, rules, telemetry.clone(), drain).await?;
+    telemetry.shutdown().await
+}
+
 /// Runs an entry until `drain` is cancelled and all its requests are finished.
 ///
 /// # Errors
 /// When an address cannot be listened on.
 pub async fn run(
     settings: EntrySettings,
-    rules: watch::Receiver<Arc<Table>>,
+    rules: Handle,
+    telemetry: Telemetry,
     drain: CancellationToken,
 ) -> anyhow::Result<()> {
     let callers = listen(settings.listen, "callers").await?;
     let peers = listen(settings.peer, "agents").await?;
+    let admin = listen(settings.admin, "operators").await?;
     let kernel = Kernel::new();
     let clock = Clock::start();
     let boot = BootId::random();
     let routes = Routes::default();
+    kernel.register(RULES, rules.clone());
 
-    let desk = Desk::new(clock, boot, rules.clone(), routes.clone());
+    let desk = Desk::new(clock, boot, rules.table(), routes.clone());
     let desk = xtra::spawn_tokio(desk, Mailbox::bounded(DESK_MAILBOX));
     kernel.register(DESK, desk.clone());
 
     let secret = Secret::new(&settings.secret);
     let agents = Agents {
         desk: desk.clone(),
-        routes,
+        routes: routes.clone(),
         secret,
         boot,
     };
-    let listener = tokio::spawn(agents.listen(peers));
-    let beat = tokio::spawn(beat(desk.clone()));
+    let (ready_in, ready) = watch::channel(false);
+    let view = EntryView {
+        desk: desk.clone(),
+        rules: rules.clone(),
+        telemetry: telemetry.clone(),
+        boot,
+    };
+    let services = [
+        tokio::spawn(agents.listen(peers)),
+        tokio::spawn(beat(desk.clone())),
+        tokio::spawn(admin::serve(admin, Arc::new(view), ready)),
+        tokio::spawn(readiness(rules.clone(), ready_in, drain.clone())),
+    ];
 
-    Http {
+    let tools = Tools {
         desk,
-        rules,
+        routes,
         clock,
+        telemetry,
+    };
+    Http {
+        tools,
+        rules: rules.table(),
         drain,
     }
     .listen(callers)
     .await;
-    beat.abort();
-    listener.abort();
+    services.iter().for_each(|s| s.abort());
     Ok(())
 }
 
-async fn listen(address: std::net::SocketAddr, whom: &str) -> anyhow::Result<TcpListener> {
+async fn listen(address: SocketAddr, whom: &str) -> anyhow::Result<TcpListener> {
     TcpListener::bind(address)
         .await
         .with_context(|| format!("could not listen for {whom} on {address}"))
 }
 
-async fn beat(desk: xtra::Address<Desk>) {
+async fn beat(desk: Address<Desk>) {
     let mut ticks = tokio::time::interval(HEARTBEAT_PERIOD);
     loop {
         ticks.tick().await;
@@ -88,3 +128,13 @@
         }
     }
 }
+
+/// An entry is ready while it has rules and does not drain.
+async fn readiness(rules: Handle, ready: watch::Sender<bool>, drain: CancellationToken) {
+    let mut table = rules.table();
+    // The service outlives the entry.
+    let _ = table.wait_for(|t| t.version() > 0).await;
+    ready.send_replace(true);
+    drain.cancelled().await;
+    ready.send_replace(false);
+}
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -7,6 +7,7 @@
 use crate::ids::{AccountKey, RequestId, ServiceKey};
 use crate::problem::{Problem, Reason};
 use crate::rules::Table;
+use crate::telemetry::TraceContext;
 use crate::units::Micros;
 use crate::wire::{Header, MAX_HEADERS};
 
@@ -69,8 +70,8 @@
     pub key: Option<String>,
     /// The caller's cost hint.
     pub hint: Option<Micros>,
-    /// The caller's trace context.
-    pub trace: Option<String>,
+    /// Trace context of the entry's span.
+    pub trace: Option<TraceContext>,
 }
 
 /// The service's name and the path towards the target.
@@ -153,6 +154,11 @@
     text.trim().parse::<u64>().ok().map(Micros::from_ms)
 }
 
+/// The caller's trace context; a malformed one is ignored, as the standard asks.
+pub fn trace(headers: &HeaderMap) -> Option<TraceContext> {
+    headers.get(TRACE_HEADER)?.to_str().ok()?.parse().ok()
+}
+
 fn kept(headers: &HeaderMap, wanted: impl Fn(&HeaderName) -> bool) -> Vec<Header> {
     headers
         .iter()
--- a/src/entry/routes.rs
+++ b/src/entry/routes.rs
@@ -1,6 +1,7 @@
 //! Where the frames about each dispatch go.
 
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
 use bytes::Bytes;
@@ -71,6 +72,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Routes {
     map: Arc<Mutex<HashMap<DispatchId, Route>>>,
+    floor: Arc<AtomicU64>,
 }
 
 impl Routes {
@@ -84,6 +86,16 @@
         self.lock().remove(&id);
     }
 
+    /// No open dispatch of this entry has a lower `seq`.
+    pub fn floor(&self) -> u64 {
+        self.floor.load(Ordering::Acquire)
+    }
+
+    /// Sets the floor; only the desk does.
+    pub fn raise(&self, floor: u64) {
+        self.floor.store(floor, Ordering::Release);
+    }
+
     /// The route of a dispatch.
     pub fn get(&self, id: DispatchId) -> Option<Route> {
         self.lock().get(&id).cloned()
--- /dev/null
+++ b/src/entry/status.rs
@@ -0,0 +1,77 @@
+//! What an entry shows on its admin address.
+
+use serde::Serialize;
+use serde_json::Value;
+use xtra::Address;
+
+use crate::admin::Status;
+use crate::entry::desk::{Desk, DeskStatus, Inspect};
+use crate::ids::BootId;
+use crate::rules::service::Handle;
+use crate::telemetry::Telemetry;
+use crate::telemetry::metrics::Snapshot;
+
+/// Answers for an entry.
+#[derive(Clone)]
+pub struct EntryView {
+    /// The desk.
+    pub desk: Address<Desk>,
+    /// The rules in force.
+    pub rules: Handle,
+    /// Metrics.
+    pub telemetry: Telemetry,
+    /// This run of the entry.
+    pub boot: BootId,
+}
+
+/// The answer to `/status`.
+#[derive(Debug, Serialize)]
+struct EntryStatus {
+    role: &'static str,
+    boot: String,
+    rules: RulesStatus,
+    desk: Option<DeskStatus>,
+    metrics: Snapshot,
+}
+
+/// The rules in force.
+#[derive(Debug, Serialize)]
+struct RulesStatus {
+    version: u64,
+    confirmed: bool,
+    reachable: bool,
+}
+
+impl EntryView {
+    fn rules(&self) -> RulesStatus {
+        let view = self.rules.view().borrow().clone();
+        RulesStatus {
+            version: view.table.version(),
+            confirmed: view.confirmed,
+            reachable: view.reachable,
+        }
+    }
+}
+
+impl Status for EntryView {
+    async fn status(&self) -> Value {
+        let status = EntryStatus {
+            role: "entry",
+            boot: self.boot.to_string(),
+            rules: self.rules(),
+            desk: self.desk.send(Inspect).await.ok(),
+            metrics: self.telemetry.metrics().snapshot(),
+        };
+        serde_json::to_value(status).unwrap_or_default()
+    }
+
+    async fn extra(&self, path: &str) -> Option<Value> {
+        match path {
+            "/shares" => {
+                let desk = self.desk.send(Inspect).await.ok()?;
+                serde_json::to_value(desk.services).ok()
+            }
+            _ => None,
+        }
+    }
+}
--- a/src/local.rs
+++ b/src/local.rs
@@ -1,1 +1,224 @@
 //! A whole small fleet in one process, for a newcomer's laptop.
+//!
+//! Entries, agents, and stand-ins for the platform and the targets, on loopback.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use anyhow::Context;
+use tokio::net::TcpListener;
+use tokio::task::JoinSet;
+use tokio_util::sync::CancellationToken;
+
+use crate::platform::{Client, Log, RULES};
+use crate::rules::change::Change;
+use crate::rules::record::TextDigest;
+use crate::rules::{Edit, EditId, KeyDigest, Record};
+use crate::settings::{AgentSettings, EntrySettings, TelemetrySettings};
+use crate::standin::hosts::HostState;
+use crate::standin::{Host, Platform, Target, TargetOptions};
+
+/// Records that the stand-in log keeps in a stream.
+const LOG_RECORDS: usize = 100_000;
+/// The key that the local processes share.
+const LOCAL_SECRET: &str = "shared by the local fleet only";
+/// Who applies the sample rules.
+const AUTHOR: &str = "balsampitch-local";
+/// Services of the sample rules, each with targets of its own.
+const SERVICES: [&str; 2] = ["model", "orders"];
+/// Availability zones over which the local hosts are spread.
+const ZONES: [&str; 3] = ["a", "b", "c"];
+
+/// What to start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LocalOptions {
+    /// Port of the first entry; entry `i` listens on `port + i`.
+    pub port: u16,
+    /// Admin port of the first entry.
+    pub admin: u16,
+    /// Entries to start.
+    pub entries: u16,
+    /// Targets to start for each service.
+    pub targets: u16,
+    /// Requests that each target runs at a time.
+    pub slots: u16,
+}
+
+impl Default for LocalOptions {
+    fn default() -> Self {
+        LocalOptions {
+            port: 8080,
+            admin: 9080,
+            entries: 2,
+            targets: 3,
+            slots: 4,
+        }
+    }
+}
+
+/// Runs the fleet until `drain` is cancelled and every process in it has finished.
+///
+/// # Errors
+/// When a port is taken, the sample rules are not accepted, or a process fails.
+pub async fn run(options: LocalOptions, drain: CancellationToken) -> anyhow::Result<()> {
+    let platform = start_platform(&options).await?;
+    publish(&Client::new(platform.address), &sample_rules(&options)).await?;
+    let mut fleet = JoinSet::new();
+    let peers = reserve(options.entries).await?;
+    for (at, &peer) in peers.iter().enumerate() {
+        let settings = entry_settings(&options, at as u16, peer, &peers, platform.address);
+        fleet.spawn(crate::entry::serve(settings, drain.clone()));
+    }
+    for (at, &(target, service)) in platform.targets.iter().enumerate() {
+        let settings =
+            agent_settings(&options, at, target, service, &peers, platform.address).await?;
+        fleet.spawn(crate::agent::serve(settings, drain.clone()));
+    }
+    announce(&options);
+    while let Some(ended) = fleet.join_next().await {
+        ended.context("could not keep a process of the fleet running")??;
+    }
+    Ok(())
+}
+
+/// The stand-ins' addresses.
+struct Standins {
+    address: SocketAddr,
+    targets: Vec<(SocketAddr, &'static str)>,
+}
+
+async fn start_platform(options: &LocalOptions) -> anyhow::Result<Standins> {
+    let mut targets = Vec::new();
+    let mut hosts = Vec::new();
+    for service in SERVICES {
+        for at in 0..options.targets {
+            let listener = listen(0).await?;
+            let address = listener.local_addr()?;
+            let target = Target::new(TargetOptions {
+                slots: options.slots.into(),
+                ..Default::default()
+            });
+            tokio::spawn(target.serve(listener));
+            hosts.push(Host {
+                host: address.to_string(),
+                zone: zone(at.into()),
+                service: service.to_owned(),
+                state: HostState::Live,
+            });
+            targets.push((address, service));
+        }
+    }
+    let listener = listen(0).await?;
+    let address = listener.local_addr()?;
+    let platform = Platform::new(LOG_RECORDS);
+    platform.set_hosts(hosts, Duration::ZERO);
+    tokio::spawn(platform.serve(listener));
+    Ok(Standins { address, targets })
+}
+
+/// Makes a text the first version in an empty log.
+async fn publish(log: &Client, text: &str) -> anyhow::Result<()> {
+    let record = Record::Edit(Edit {
+        id: EditId::random(),
+        base: 0,
+        author: AUTHOR.into(),
+        change: Change::between("", text),
+        digest: TextDigest::of(text),
+    });
+    log.append(RULES, record.encode())
+        .await
+        .context("could not apply the sample rules")?;
+    Ok(())
+}
+
+/// The rules of the README's first steps.
+fn sample_rules(options: &LocalOptions) -> String {
+    let digest = |key: &str| hex::encode(KeyDigest::of(key.as_bytes()).0);
+    let asked = "# asked for by the README's first steps";
+    format!(
+        "account school key-sha256={school} queue=1000 body=1MiB  {asked}\n\
+         account club key-sha256={club} queue=1000 body=1MiB  {asked}\n\
+         service model slots={slots} repeatable=yes deadline=30s hedge=5% retry=10%  {asked}\n\
+         service orders slots={slots} repeatable=no deadline=60s  {asked}\n",
+        school = digest("school-key"),
+        club = digest("club-key"),
+        slots = options.slots,
+    )
+}
+
+fn entry_settings(
+    options: &LocalOptions,
+    at: u16,
+    peer: SocketAddr,
+    peers: &[SocketAddr],
+    platform: SocketAddr,
+) -> EntrySettings {
+    EntrySettings {
+        listen: loopback(options.port + at),
+        peer,
+        admin: loopback(options.admin + at),
+        zone: zone(at.into()),
+        entries: peers.to_vec(),
+        platform,
+        secret: LOCAL_SECRET.to_owned(),
+        telemetry: TelemetrySettings::default(),
+    }
+}
+
+async fn agent_settings(
+    options: &LocalOptions,
+    at: usize,
+    target: SocketAddr,
+    service: &str,
+    peers: &[SocketAddr],
+    platform: SocketAddr,
+) -> anyhow::Result<AgentSettings> {
+    Ok(AgentSettings {
+        target,
+        service: service.to_owned(),
+        slots: options.slots,
+        zone: zone(at),
+        admin: listen(0).await?.local_addr()?,
+        entries: peers.to_vec(),
+        platform,
+        secret: LOCAL_SECRET.to_owned(),
+        telemetry: TelemetrySettings::default(),
+    })
+}
+
+/// Free ports for the entries' peer addresses.
+async fn reserve(count: u16) -> anyhow::Result<Vec<SocketAddr>> {
+    let mut held = Vec::new();
+    for _ in 0..count {
+        held.push(listen(0).await?);
+    }
+    held.iter().map(|l| Ok(l.local_addr()?)).collect()
+}
+
+async fn listen(port: u16) -> anyhow::Result<TcpListener> {
+    let address = loopback(port);
+    TcpListener::bind(address)
+        .await
+        .with_context(|| format!("could not listen on {address}"))
+}
+
+fn loopback(port: u16) -> SocketAddr {
+    (Ipv4Addr::LOCALHOST, port).into()
+}
+
+fn zone(at: usize) -> String {
+    ZONES[at % ZONES.len()].to_owned()
+}
+
+fn announce(options: &LocalOptions) {
+    for at in 0..options.entries {
+        let (port, admin) = (options.port + at, options.admin + at);
+        println!("entry {at}: http://127.0.0.1:{port}  admin: http://127.0.0.1:{admin}/status");
+    }
+    println!("try:");
+    println!(
+        "curl -H 'Authorization: Bearer school-key' -d 'hello' \
+         'http://127.0.0.1:{}/model/run?ms=50'",
+        options.port
+    );
+}
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -1,88 +1,81 @@
 //! One request from end to end, within one process.
 
-use std::net::SocketAddr;
-use std::sync::Arc;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
-use balsampitch::rules::{self, Table};
-use balsampitch::settings::{AgentSettings, EntrySettings, TelemetrySettings};
-use balsampitch::standin::{Target, TargetOptions};
+use balsampitch::local::{self, LocalOptions};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::{Request, Response};
+use hyper::Request;
 use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use tokio::net::TcpListener;
-use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
-const SECRET: &str = "a key for tests only";
+type Http = Client<HttpConnector, Full<Bytes>>;
 
-async fn free() -> SocketAddr {
+async fn free_port() -> u16 {
     let listener = TcpListener::bind("127.0.0.1:0")
         .await
         .expect("a port is free");
     listener
         .local_addr()
         .expect("a bound listener has an address")
+        .port()
 }
 
 struct Fleet {
     callers: SocketAddr,
+    http: Http,
     drain: CancellationToken,
 }
 
 impl Fleet {
     async fn start() -> Fleet {
-        let text = include_str!("../examples/local.rules");
-        let rules = rules::parse(text).expect("the example is right");
-        let (_, table) = watch::channel(Arc::new(rules.table(&Table::default(), 1)));
-        let (callers, peer, unused) = (free().await, free().await, free().await);
+        let options = LocalOptions {
+            port: free_port().await,
+            admin: free_port().await,
+            entries: 1,
+            targets: 1,
+            slots: 2,
+        };
         let drain = CancellationToken::new();
-        let entry = EntrySettings {
-            listen: callers,
-            peer,
-            admin: unused,
-            zone: "a".into(),
-            entries: vec![peer],
-            platform: unused,
-            secret: SECRET.into(),
-            telemetry: TelemetrySettings::default(),
+        tokio::spawn(local::run(options, drain.clone()));
+        let callers = (Ipv4Addr::LOCALHOST, options.port).into();
+        let fleet = Fleet {
+            callers,
+            http: http(),
+            drain,
         };
-        tokio::spawn(balsampitch::entry::run(entry, table, drain.clone()));
-        for service in ["model", "orders"] {
-            let listener = TcpListener::bind("127.0.0.1:0")
+        fleet.ready(options.admin).await;
+        fleet
+    }
+
+    async fn ready(&self, admin: u16) {
+        let uri: hyper::Uri = format!("http://127.0.0.1:{admin}/readyz")
+            .parse()
+            .expect("the address is a URI");
+        for _ in 0..500 {
+            if self
+                .http
+                .get(uri.clone())
                 .await
-                .expect("a port is free");
-            let target = listener
-                .local_addr()
-                .expect("a bound listener has an address");
-            let options = TargetOptions::default();
-            tokio::spawn(Target::new(options).serve(listener));
-            let agent = AgentSettings {
-                target,
-                service: service.into(),
-                slots: 2,
-                zone: "a".into(),
-                admin: unused,
-                entries: vec![peer],
-                platform: unused,
-                secret: SECRET.into(),
-                telemetry: TelemetrySettings::default(),
-            };
-            tokio::spawn(balsampitch::agent::run(agent, drain.clone()));
+                .is_ok_and(|r| r.status() == 200)
+            {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
         }
-        tokio::time::sleep(Duration::from_millis(100)).await;
-        Fleet { callers, drain }
+        panic!("the entry is not ready");
     }
 
     async fn call(&self, key: &str, path: &str, body: &str) -> (u16, String, bool) {
-        let client: Client<_, Full<Bytes>> = Client::builder(TokioExecutor::new()).build_http();
         let request = Request::post(format!("http://{}{path}", self.callers))
             .header("authorization", format!("Bearer {key}"))
             .body(Full::from(body.to_owned()))
             .expect("the request is well formed");
-        let response: Response<_> = client.request(request).await.expect("the entry answers");
+        let response = self.http.request(request).await.expect("the entry answers");
         let named = response.headers().contains_key("x-request-id");
         let status = response.status().as_u16();
         let body = response
@@ -99,6 +92,10 @@
     }
 }
 
+fn http() -> Http {
+    Client::builder(TokioExecutor::new()).build_http()
+}
+
 impl Drop for Fleet {
     fn drop(&mut self) {
         self.drain.cancel();
