Test flipping, idling, rejoining and restarts, and the loop on loopback

Cause: these paths had no test of their own. Change: scenario table with a clean bound, a naive search beside Share::first, three members on UDP.

--- a/src/exchange/tests.rs
+++ b/src/exchange/tests.rs
@@ -326,3 +326,120 @@
     };
     assert_eq!(world.node_level(0, pair), Micros::ZERO);
 }
+
+/// Service that account 0 got above account 1 after `before`, in microseconds of slot time.
+fn lead(fault: Fault, before: fn(&mut World)) -> (i64, World) {
+    let mut world = World::new(5, 23, fault);
+    (1..ACCOUNTS).for_each(|a| world.event(Event::Flood(a)));
+    world.run(200);
+    before(&mut world);
+    let start = world.served;
+    (0..ACCOUNTS).for_each(|a| world.event(Event::Flood(a)));
+    world.run(600);
+    let gained = |a: usize| world.served[a] - start[a];
+    (gained(0) - gained(1), world)
+}
+
+fn flip(world: &mut World) {
+    for _ in 0..300 {
+        world.event(Event::Demand(1, 0, true));
+        world.run(1);
+        world.event(Event::Demand(1, 0, false));
+        world.run(9);
+    }
+}
+
+fn flip_between_entries(world: &mut World) {
+    for round in 0..300 {
+        world.event(Event::Demand(round % 5, 0, true));
+        world.run(1);
+        world.event(Event::Demand(round % 5, 0, false));
+        world.run(3);
+    }
+}
+
+fn stay_away(world: &mut World) {
+    world.run(2_000);
+}
+
+fn flood_alone(world: &mut World) {
+    (1..ACCOUNTS).for_each(|a| world.event(Event::Leave(a)));
+    world.event(Event::Flood(0));
+    world.run(2_000);
+}
+
+fn split_and_rejoin(world: &mut World) {
+    world.event(Event::Flood(0));
+    world.event(Event::Partition(0b11000));
+    world.run(1_000);
+    world.event(Event::Heal);
+    world.run(100);
+}
+
+fn restart_all_in_turn(world: &mut World) {
+    world.event(Event::Flood(0));
+    for entry in 0..5 {
+        world.event(Event::Restart(entry));
+        world.run(100);
+        (0..ACCOUNTS).for_each(|a| world.event(Event::Flood(a)));
+    }
+}
+
+fn keep_credit(world: &mut World) {
+    stay_away(world);
+    world.event(Event::Flood(0));
+    world.run(40);
+    world.grant(0, Micros::from_secs(100));
+}
+
+fn earns_no_credit(before: fn(&mut World)) {
+    let (lead, world) = lead(Fault::None, before);
+    println!("lead {lead} us, bound {} us", world.clean_bound());
+    assert!(lead.abs() <= world.clean_bound(), "lead {lead}");
+}
+
+cases! { earns_no_credit:
+    flipping_earns_no_credit(flip);
+    flipping_between_entries_earns_no_credit(flip_between_entries);
+    idling_earns_no_credit(stay_away);
+    flooding_alone_is_not_held_against(flood_alone);
+    rejoining_earns_no_credit(split_and_rejoin);
+    restarts_earn_no_credit(restart_all_in_turn);
+}
+
+#[test]
+fn credit_check_finds_credit_kept_over_idling() {
+    let (lead, world) = lead(Fault::None, keep_credit);
+    assert!(lead > world.clean_bound(), "lead {lead}");
+}
+
+#[test]
+fn a_restarted_root_learns_the_levels() {
+    let mut world = World::new(5, 3, Fault::None);
+    (0..ACCOUNTS).for_each(|a| world.event(Event::Flood(a)));
+    world.run(1_000);
+    let before = world.levels(4);
+    world.event(Event::Restart(0));
+    world.run(200);
+    for (now, then) in world.levels(0).into_iter().zip(before) {
+        assert!(now >= then, "{now} {then}");
+    }
+}
+
+#[test]
+fn cost_slopes() {
+    let sizes: &[(usize, usize, usize)] = match cfg!(debug_assertions) {
+        true => &[(3, 15, 4), (10, 350, 35)],
+        false => &[
+            (3, 15, 4),
+            (40, 3_500, 350),
+            (370, 3_500, 35),
+            (370, 3_500, 350),
+        ],
+    };
+    for &(members, accounts, backlogged) in sizes {
+        let cost = control_cost(members, accounts, backlogged, 17, 40);
+        println!("{members} members, {accounts} accounts, {backlogged} backlogged: {cost:?}");
+        assert!(cost.max_bytes <= 3_000.0, "{cost:?}");
+    }
+}
--- a/src/exchange/tests/world.rs
+++ b/src/exchange/tests/world.rs
@@ -215,10 +215,24 @@
         QUANTUM_US * 2 * (tree::depth(self.entries.len()) as i64 + 1)
     }
 
-    /// Bound of the service gap, see `docs/FAIRNESS.md`.
+    /// Bound of the service gap when datagrams are lost, see `docs/FAIRNESS.md`.
     pub fn bound(&self) -> i64 {
+        self.bound_with(4)
+    }
+
+    /// Bound of the service gap when none is lost.
+    pub fn clean_bound(&self) -> i64 {
+        self.bound_with(1)
+    }
+
+    /// Gives an account credit at the first entry.
+    pub fn grant(&mut self, account: usize, amount: Micros) {
+        self.entries[0].share.credit(key(account), amount);
+    }
+
+    fn bound_with(&self, tries: u64) -> i64 {
         let hops = 2 * tree::depth(self.entries.len()) as u64 + 1;
-        let late = 4 * PERIOD_US * hops;
+        let late = tries * PERIOD_US * hops;
         (2 * SLOTS as u64 * (late + MAX_COST_US)) as i64
     }
 
--- a/src/share/tests.rs
+++ b/src/share/tests.rs
@@ -1,1 +1,136 @@
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, RngSeed};
 
+use super::{Demand, Report, Share};
+use crate::ids::AccountKey;
+use crate::units::Micros;
+
+const A: AccountKey = AccountKey(0);
+const B: AccountKey = AccountKey(1);
+
+macro_rules! cases {
+    ($check:ident: $($name:ident($($arg:expr),* $(,)?);)*) => {
+        $(#[test] fn $name() { $check($($arg),*) })*
+    };
+}
+
+type Steps = fn(&mut Share);
+
+fn ends_at(steps: Steps, first: Option<(AccountKey, u64)>) {
+    let mut share = Share::new();
+    steps(&mut share);
+    assert_eq!(share.first(), first.map(|(a, level)| (a, Micros(level))));
+}
+
+cases! { ends_at:
+    nobody_waits(|_| {}, None);
+    least_level_first(|s| { both(s); s.debit(A, Micros(5)); }, Some((B, 0)));
+    ties_by_key(both, Some((A, 0)));
+    credit_is_taken_back(|s| { both(s); s.debit(A, Micros(5)); s.debit(B, Micros(9));
+        s.credit(B, Micros(8)); }, Some((B, 1)));
+    return_is_lifted(|s| { s.backlogged(A); s.debit(A, Micros(7)); s.backlogged(B);
+        s.idle(A); }, Some((B, 7)));
+    return_is_lifted_to_the_fleet(|s| { s.apply(A, Micros(50), Demand::Steady);
+        s.backlogged(B); }, Some((B, 50)));
+    backlogged_elsewhere_is_not_lifted(|s| { s.apply(A, Micros(3), Demand::Steady);
+        s.apply(B, Micros(9), Demand::Steady); s.idle(A); s.backlogged(A); }, Some((A, 3)));
+    own_charges_stay_on_top(|s| { s.backlogged(A); s.collect(); s.debit(A, Micros(4));
+        s.apply(A, Micros(10), Demand::Steady); }, Some((A, 14)));
+    flipping_earns_nothing(|s| { s.backlogged(B); s.debit(B, Micros(100));
+        (0..50).for_each(|_| { s.backlogged(A); s.idle(A); }); s.debit(B, Micros(100));
+        s.backlogged(A); }, Some((A, 200)));
+}
+
+fn both(share: &mut Share) {
+    share.backlogged(A);
+    share.backlogged(B);
+}
+
+#[test]
+fn reports_tell_charges_once_and_demand() {
+    let mut share = Share::new();
+    share.backlogged(A);
+    share.debit(A, Micros(9));
+    share.credit(A, Micros(2));
+    let report = |charged, demand| {
+        vec![Report {
+            account: A,
+            charged,
+            demand,
+        }]
+    };
+    assert_eq!(share.collect(), report(7, Demand::Returned));
+    assert_eq!(share.collect(), report(0, Demand::Steady));
+}
+
+#[test]
+fn idle_accounts_are_forgotten() {
+    let mut share = Share::new();
+    for key in 0..1_000 {
+        share.backlogged(AccountKey(key));
+        share.debit(AccountKey(key), Micros(1));
+        share.idle(AccountKey(key));
+    }
+    (0..400).for_each(|_| drop(share.collect()));
+    assert!(share.is_empty());
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Wait(u32),
+    Idle(u32),
+    Debit(u32, u64),
+    Credit(u32, u64),
+    Apply(u32, u64, bool),
+    Collect,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let (key, amount) = (0..6u32, 0..100u64);
+    prop_oneof![
+        key.clone().prop_map(Step::Wait),
+        key.clone().prop_map(Step::Idle),
+        (key.clone(), amount.clone()).prop_map(|(k, n)| Step::Debit(k, n)),
+        (key.clone(), amount.clone()).prop_map(|(k, n)| Step::Credit(k, n)),
+        (key, amount, any::<bool>()).prop_map(|(k, n, on)| Step::Apply(k, n, on)),
+        Just(Step::Collect),
+    ]
+}
+
+fn take(share: &mut Share, waits: &mut [bool; 6], step: Step) {
+    match step {
+        Step::Wait(k) => {
+            waits[k as usize] = true;
+            share.backlogged(AccountKey(k));
+        }
+        Step::Idle(k) => {
+            waits[k as usize] = false;
+            share.idle(AccountKey(k));
+        }
+        Step::Debit(k, n) => share.debit(AccountKey(k), Micros(n)),
+        Step::Credit(k, n) => share.credit(AccountKey(k), Micros(n)),
+        Step::Apply(k, n, true) => share.apply(AccountKey(k), Micros(n), Demand::Steady),
+        Step::Apply(k, n, false) => share.apply(AccountKey(k), Micros(n), Demand::Idle),
+        Step::Collect => drop(share.collect()),
+    }
+}
+
+proptest! {
+    #![proptest_config(Config { failure_persistence: None, rng_algorithm: RngAlgorithm::ChaCha,
+        rng_seed: RngSeed::Fixed(9), ..Config::default() })]
+
+    /// The ordered turns against a search of all accounts.
+    #[test]
+    fn first_is_the_least_of_all(steps in prop::collection::vec(step(), 0..60)) {
+        let mut share = Share::new();
+        let mut waits = [false; 6];
+        for step in steps {
+            take(&mut share, &mut waits, step);
+            let naive = (0..6u32)
+                .filter(|&k| waits[k as usize])
+                .map(|k| (share.level(AccountKey(k)), AccountKey(k)))
+                .min();
+            prop_assert_eq!(share.first(), naive.map(|(level, k)| (k, level)));
+        }
+    }
+}
--- /dev/null
+++ b/tests/exchange_udp.rs
@@ -0,0 +1,129 @@
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use balsampitch::exchange::names::Names;
+use balsampitch::exchange::node::Update;
+use balsampitch::exchange::service::{Exchange, Schedulers};
+use balsampitch::ids::{AccountKey, ServiceKey};
+use balsampitch::rules::{Account, Service, Table};
+use balsampitch::share::{Report, Share};
+use balsampitch::units::Micros;
+use tokio::net::UdpSocket;
+use tokio_util::sync::CancellationToken;
+
+const A: AccountKey = AccountKey(0);
+const SECRET: &[u8] = b"secret of the loopback test";
+const LIMIT: Duration = Duration::from_secs(30);
+
+#[derive(Clone)]
+struct Fake {
+    share: Arc<Mutex<Share>>,
+    members: Option<Vec<SocketAddr>>,
+    names: Option<Names>,
+}
+
+impl Schedulers for Fake {
+    fn collect(&mut self) -> Vec<(ServiceKey, Vec<Report>)> {
+        let reports = self.share.lock().expect("not poisoned").collect();
+        vec![(ServiceKey(0), reports)]
+    }
+
+    fn apply(&mut self, updates: &[Update]) {
+        let mut share = self.share.lock().expect("not poisoned");
+        for update in updates {
+            share.apply(update.pair.account, update.level, update.demand);
+        }
+    }
+
+    fn members(&mut self) -> Option<Vec<SocketAddr>> {
+        self.members.take()
+    }
+
+    fn names(&mut self) -> Option<Names> {
+        self.names.take()
+    }
+}
+
+fn names() -> Names {
+    let account = Account {
+        name: "school".into(),
+        keys: Vec::new(),
+        queue_limit: 1,
+        body_limit: 1,
+        live: true,
+    };
+    let service = Service {
+        name: "model".into(),
+        slots: 1,
+        repeatable: true,
+        fenced: false,
+        deadline: Micros::ZERO,
+        hedge_percent: 0,
+        retry_percent: 0,
+        live: true,
+    };
+    Names::of(&Table::default().succeed(1, vec![account], vec![service]))
+}
+
+async fn sockets(count: usize) -> (Vec<UdpSocket>, Vec<SocketAddr>) {
+    let mut sockets = Vec::new();
+    for _ in 0..count {
+        sockets.push(
+            UdpSocket::bind("127.0.0.1:0")
+                .await
+                .expect("loopback binds"),
+        );
+    }
+    let list = sockets
+        .iter()
+        .map(|s| s.local_addr().expect("bound"))
+        .collect();
+    (sockets, list)
+}
+
+#[tokio::test]
+async fn levels_reach_every_member_and_forgeries_none() {
+    let (sockets, members) = sockets(3).await;
+    let cancel = CancellationToken::new();
+    let mut shares = Vec::new();
+    let mut tasks = Vec::new();
+    for (socket, &me) in sockets.into_iter().zip(&members) {
+        let fake = Fake {
+            share: Arc::default(),
+            members: Some(members.clone()),
+            names: Some(names()),
+        };
+        fake.share.lock().expect("not poisoned").backlogged(A);
+        shares.push(fake.share.clone());
+        let exchange = Exchange::new(socket, me, SECRET, fake);
+        tasks.push(tokio::spawn(exchange.run(cancel.clone())));
+    }
+    let stranger = UdpSocket::bind("127.0.0.1:0")
+        .await
+        .expect("loopback binds");
+    for junk in [&[0u8; 3][..], &[1; 100], &[1; 3_000]] {
+        stranger
+            .send_to(junk, members[0])
+            .await
+            .expect("loopback sends");
+    }
+    shares[2]
+        .lock()
+        .expect("not poisoned")
+        .debit(A, Micros::from_secs(5));
+    let agreed = async {
+        let known = |s: &Arc<Mutex<Share>>| s.lock().expect("not poisoned").level(A);
+        while shares.iter().any(|s| known(s) < Micros::from_ms(4_900)) {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    let outcome = tokio::time::timeout(LIMIT, agreed).await;
+    cancel.cancel();
+    let mut rejected = Vec::new();
+    for task in tasks {
+        rejected.push(task.await.expect("the exchange ends").rejected);
+    }
+    assert!(outcome.is_ok(), "levels did not arrive");
+    assert_eq!(rejected[0], 3);
+}
