Pass a round through the whole tree within one period

Cause: each hop waited for its own timer; at 8 levels and 2.6 s a level was 17 periods old. Ruled out: a wider tree (more levels sent down by each member, so a longer period). Change: levels go down when the parent's have come, charges go up when all children's have; the root's period is the longest that any subtree needs to stay within budget.

--- a/src/exchange/gossip.rs
+++ b/src/exchange/gossip.rs
@@ -38,8 +38,10 @@
     pub oldest: u32,
     /// This batch; 0 when there is none and the datagram is a heartbeat.
     pub number: u32,
-    /// Milliseconds between the sender's rounds.
+    /// Milliseconds between rounds that the sender's subtree needs to stay within budget.
     pub period: u16,
+    /// Whether more datagrams of the round follow.
+    pub more: bool,
     /// The charges.
     pub rows: Vec<UpRow>,
 }
@@ -66,6 +68,8 @@
     pub round: u32,
     /// Milliseconds between the sender's rounds.
     pub period: u16,
+    /// Whether more datagrams of the round follow.
+    pub more: bool,
     /// The sender has just started and knows no levels.
     pub cold: bool,
     /// The levels, by service.
--- a/src/exchange/measure.rs
+++ b/src/exchange/measure.rs
@@ -57,9 +57,9 @@
 struct Fleet {
     nodes: Vec<Node>,
     sealers: Vec<Sealer>,
-    clocks: Vec<Micros>,
     sent: Vec<(u64, u64)>,
-    spans: Vec<Micros>,
+    now: Micros,
+    start: Micros,
     busy: Micros,
 }
 
@@ -67,50 +67,59 @@
     fn new(members: usize, accounts: usize, services: usize) -> Self {
         let names = Names::of(&table(accounts, services));
         let list: Vec<_> = (0..members).map(address).collect();
-        let nodes = list
-            .iter()
-            .map(|&me| {
-                let mut node = Node::new(me, names.clone());
-                node.set_members(Micros::ZERO, &list);
-                node
-            })
-            .collect();
+        let member = |&me: &SocketAddr| {
+            let mut node = Node::new(me, names.clone());
+            node.set_members(Micros::ZERO, &list);
+            node
+        };
+        let sealer = |i| Sealer::new(b"a secret to measure with", BootId(i as u64));
         Fleet {
-            nodes,
-            sealers: (0..members)
-                .map(|i| Sealer::new(b"a secret to measure with", BootId(i as u64)))
-                .collect(),
-            clocks: vec![Micros::ZERO; members],
+            nodes: list.iter().map(member).collect(),
+            sealers: (0..members).map(sealer).collect(),
             sent: vec![(0, 0); members],
-            spans: vec![Micros::ZERO; members],
+            now: Micros::ZERO,
+            start: Micros::ZERO,
             busy: Micros::ZERO,
         }
     }
 
     fn reset(&mut self) {
         self.sent.fill((0, 0));
-        self.spans.fill(Micros::ZERO);
+        self.start = self.now;
         self.busy = Micros::ZERO;
     }
 
+    /// One round of the root: time passes to its next one, and all datagrams arrive.
     fn round(&mut self, busy: &[usize], services: usize) {
-        let now = self.clocks.iter().copied().max().unwrap_or_default();
-        for index in 0..self.nodes.len() {
-            let reports = reports(busy, services, index);
-            let start = tokio::time::Instant::now();
-            self.step(index, now, &reports);
-            self.busy += start.elapsed().into();
-            let period = self.nodes[index].period();
-            self.spans[index] += period;
-            self.clocks[index] = now + period;
+        let reports: Vec<_> = (0..self.nodes.len())
+            .map(|index| reports(busy, services, index))
+            .collect();
+        let start = tokio::time::Instant::now();
+        let mut due: Vec<usize> = (0..self.nodes.len()).collect();
+        while !due.is_empty() {
+            let mut next = std::collections::BTreeSet::new();
+            for index in due {
+                self.step(index, &reports[index], &mut next);
+            }
+            due = next.into_iter().collect();
         }
+        self.busy += start.elapsed().into();
+        self.now = self.nodes[0].wake();
     }
 
-    fn step(&mut self, index: usize, now: Micros, reports: &[Vec<Report>]) {
-        for (service, reports) in reports.iter().enumerate() {
-            self.nodes[index].collect(ServiceKey::from(service), reports);
-        }
-        for outgoing in self.nodes[index].tick(now) {
+    fn step(
+        &mut self,
+        index: usize,
+        reports: &[Vec<Report>],
+        touched: &mut std::collections::BTreeSet<usize>,
+    ) {
+        let collect = || {
+            let by_service = reports.iter().enumerate();
+            by_service
+                .map(|(s, list)| (ServiceKey::from(s), list.as_slice()))
+                .collect()
+        };
+        for outgoing in self.nodes[index].tick(self.now, collect) {
             let sent = &mut self.sent[index];
             sent.0 += (outgoing.payload.len() + ENVELOPE_BYTES) as u64 + HEADER_BYTES;
             sent.1 += 1;
@@ -122,23 +131,16 @@
                 continue;
             };
             if let Ok(gossip) = gossip::decode(opened.payload) {
-                self.nodes[to].receive(now, address(index), opened.boot, gossip);
+                self.nodes[to].receive(self.now, address(index), opened.boot, gossip);
+                touched.insert(to);
             }
         }
     }
 
     fn cost(&self, rounds: usize) -> ControlCost {
-        let rate = |amount: u64, span: Micros| amount as f64 / span.as_secs_f64().max(1e-6);
-        let bytes = self
-            .sent
-            .iter()
-            .zip(&self.spans)
-            .map(|(s, &t)| rate(s.0, t));
-        let messages = self
-            .sent
-            .iter()
-            .zip(&self.spans)
-            .map(|(s, &t)| rate(s.1, t));
+        let span = (self.now - self.start).as_secs_f64().max(1e-6);
+        let bytes = self.sent.iter().map(|s| s.0 as f64 / span);
+        let messages = self.sent.iter().map(|s| s.1 as f64 / span);
         let members = self.nodes.len().max(1) as f64;
         ControlCost {
             max_bytes: bytes.clone().fold(0.0, f64::max),
--- a/src/exchange/node.rs
+++ b/src/exchange/node.rs
@@ -25,6 +25,8 @@
 pub const MIN_PERIOD: Micros = Micros::from_ms(200);
 /// Longest time between rounds.
 pub const MAX_PERIOD: Micros = Micros::from_ms(8_000);
+/// Time that a member waits for its children's charges, for each level below it.
+const HOP_WAIT: Micros = Micros::from_ms(50);
 /// Rounds without a datagram after which a neighbour is taken for dead.
 const SILENT_ROUNDS: u64 = 4;
 /// Rounds that a member without levels waits for its children's before it is a root on its own.
@@ -88,6 +90,13 @@
     cold: bool,
     merge: bool,
     period: Micros,
+    need: Micros,
+    sent: u64,
+    next: Micros,
+    ready: bool,
+    up_by: Option<Micros>,
+    news: bool,
+    patience: Micros,
     dropped: Dropped,
 }
 
@@ -109,6 +118,13 @@
             cold: true,
             merge: false,
             period: MIN_PERIOD,
+            need: MIN_PERIOD,
+            sent: 0,
+            next: Micros::ZERO,
+            ready: false,
+            up_by: None,
+            news: false,
+            patience: Micros::ZERO,
             dropped: Dropped::default(),
         }
     }
@@ -123,6 +139,8 @@
         self.suspects.retain(|s| members.binary_search(s).is_ok());
         self.children
             .retain(|c, _| members.binary_search(c).is_ok());
+        let below = super::tree::levels_below(members, self.me);
+        self.patience = Micros(HOP_WAIT.0 * below as u64);
         self.choose_parent(now);
     }
 
@@ -156,37 +174,60 @@
         self.cold
     }
 
-    /// Takes in what one service charged since the last round.
-    pub fn collect(&mut self, service: ServiceKey, reports: &[Report]) {
-        self.cells.collect(service, reports);
+    /// When [`Node::tick`] has to be called, if no datagram comes before.
+    pub fn wake(&self) -> Micros {
+        self.up_by.map_or(self.next, |up| up.min(self.next))
     }
 
-    /// Ends a round: what to send. [`Node::period`] then tells when the next one is due.
-    pub fn tick(&mut self, now: Micros) -> Vec<Outgoing> {
-        self.round = self.round.wrapping_add(1);
+    /// Does what is due, and returns what to send. To be called at [`Node::wake`] and after each
+    /// [`Node::receive`]; `collect` is called when charges are wanted.
+    ///
+    /// Levels go down as soon as the parent's have come; charges go up as soon as all children's
+    /// have. So a round passes the whole tree within one period.
+    pub fn tick<R, C>(&mut self, now: Micros, collect: C) -> Vec<Outgoing>
+    where
+        R: AsRef<[Report]>,
+        C: FnOnce() -> Vec<(ServiceKey, R)>,
+    {
         self.drop_silent(now);
-        let joined = self.combined_demands();
-        self.cells.settle_demands(joined);
-        if self.cold && self.uplink.parent.is_none() && self.round >= COLD_ROUNDS {
-            self.cold = false;
+        let mut out = Vec::new();
+        let down = self.ready || now >= self.next;
+        if down {
+            self.begin_round(now);
         }
-        match self.uplink.parent {
-            Some(_) => self.uplink.fill(&mut self.cells, &self.names),
-            None => self.cells.settle_root(),
+        let root = self.uplink.parent.is_none();
+        let up = self
+            .up_by
+            .is_some_and(|by| now >= by || self.all_reported());
+        if up || (down && root) {
+            for (service, reports) in collect() {
+                self.cells.collect(service, reports.as_ref());
+            }
+            let joined = self.combined_demands();
+            self.cells.settle_demands(joined);
         }
-        self.cells.forget();
-        let mut out = Vec::new();
-        self.send_up(&mut out);
-        self.send_down(&mut out);
-        self.send_hellos(&mut out);
-        let bytes = out
-            .iter()
-            .map(|o| o.payload.len() as u64 + OVERHEAD_BYTES)
-            .sum();
-        self.period = period(bytes).max(self.uplink.period).min(MAX_PERIOD);
+        if down {
+            self.finish_down(&mut out);
+        }
+        if up {
+            self.up_by = None;
+            self.uplink.fill(&mut self.cells, &self.names);
+            self.send_up(&mut out);
+        }
+        if up || down {
+            self.news = true;
+            self.cells.forget();
+        }
+        let bytes = |o: &Outgoing| o.payload.len() as u64 + OVERHEAD_BYTES;
+        self.sent += out.iter().map(bytes).sum::<u64>();
         out
     }
 
+    /// Whether levels changed since the last call.
+    pub fn changed(&mut self) -> bool {
+        std::mem::take(&mut self.news)
+    }
+
     /// Takes in a datagram.
     pub fn receive(&mut self, now: Micros, from: SocketAddr, boot: BootId, gossip: Gossip) {
         if self.members.binary_search(&from).is_err() || from == self.me {
@@ -204,6 +245,43 @@
         }
     }
 
+    fn begin_round(&mut self, now: Micros) {
+        self.round = self.round.wrapping_add(1);
+        self.ready = false;
+        self.need = period(std::mem::take(&mut self.sent));
+        match self.uplink.parent {
+            None => {
+                self.period = self.subtree_need();
+                self.next = now + self.period;
+                self.cold &= self.round < COLD_ROUNDS;
+            }
+            Some(_) => {
+                self.period = self.uplink.period.max(MIN_PERIOD);
+                self.next = now + self.period + Micros(self.period.0 / 2);
+                self.up_by = Some(now + self.patience);
+            }
+        }
+        self.children.values_mut().for_each(|c| c.reported = false);
+    }
+
+    fn finish_down(&mut self, out: &mut Vec<Outgoing>) {
+        if self.uplink.parent.is_none() {
+            self.cells.settle_root();
+        }
+        self.send_down(out);
+        self.send_hellos(out);
+    }
+
+    fn all_reported(&self) -> bool {
+        self.children.values().all(|c| c.reported)
+    }
+
+    fn subtree_need(&self) -> Micros {
+        let children = self.children.values().map(|c| c.period);
+        let need = children.fold(self.need, Micros::max);
+        need.clamp(MIN_PERIOD, MAX_PERIOD)
+    }
+
     /// The levels to give to the schedulers.
     pub fn updates(&self) -> impl Iterator<Item = Update> {
         self.cells.updates()
@@ -236,7 +314,7 @@
     fn drop_silent(&mut self, now: Micros) {
         let limit = |period: Micros| Micros(period.0.max(self.period.0) * SILENT_ROUNDS);
         self.children
-            .retain(|_, c| now.saturating_sub(c.heard) <= limit(c.period));
+            .retain(|_, c| now.saturating_sub(c.heard) <= limit(Micros::ZERO));
         let Some(parent) = self.uplink.parent else {
             return;
         };
@@ -266,6 +344,7 @@
         };
         let child = self.children.entry(from).or_default();
         child.greet(now, boot, &up);
+        child.reported |= !up.more;
         if up.number == 0 || self.cold {
             return;
         }
@@ -291,6 +370,7 @@
             return;
         }
         self.uplink.hear(now, boot, &down, &mut self.cells);
+        self.ready |= !down.more;
         if down.cold {
             self.cells.clear_alone();
             self.merge = false;
@@ -333,12 +413,13 @@
         }
     }
 
-    fn send_up(&mut self, out: &mut Vec<Outgoing>) {
+    fn send_up(&self, out: &mut Vec<Outgoing>) {
         let Some(parent) = self.uplink.parent else {
             return;
         };
         let digest = self.digest();
-        for up in self.uplink.datagrams(digest, self.period) {
+        let need = self.subtree_need();
+        for up in self.uplink.datagrams(digest, need) {
             out.push(outgoing(parent, &Gossip::Up(up)));
         }
         if self.uplink.cold && !self.cold {
--- a/src/exchange/node/pack.rs
+++ b/src/exchange/node/pack.rs
@@ -137,9 +137,12 @@
     if rows.is_empty() {
         return vec![head];
     }
+    let last = (rows.len() - 1) / DOWN_PAIRS;
     rows.chunks(DOWN_PAIRS)
-        .map(|part| Down {
+        .enumerate()
+        .map(|(i, part)| Down {
             sections: sections(part),
+            more: i < last,
             ..head.clone()
         })
         .collect()
--- a/src/exchange/node/uplink.rs
+++ b/src/exchange/node/uplink.rs
@@ -19,8 +19,6 @@
 const BATCH_PAIRS: usize = 160;
 /// Batches that one round adds.
 const ROUND_BATCHES: usize = 4;
-/// Rounds after which a batch is sent again.
-const RETRY_ROUNDS: u32 = 3;
 
 /// A pair's part of a batch.
 #[derive(Clone, Copy, Debug)]
@@ -40,7 +38,6 @@
     names: u32,
     entries: Vec<Entry>,
     rows: Vec<UpRow>,
-    age: u32,
 }
 
 /// The edge to the parent.
@@ -138,36 +135,34 @@
                 names: names.digest(),
                 entries: part.to_vec(),
                 rows: pack::up_rows(part, names),
-                age: 0,
             });
         }
     }
 
-    /// The batches that are new, or that have waited for [`RETRY_ROUNDS`]; else a heartbeat.
-    pub fn datagrams(&mut self, digest: u32, period: Micros) -> Vec<Up> {
+    /// The batches that the parent was not heard to have taken; else a heartbeat.
+    pub fn datagrams(&self, digest: u32, period: Micros) -> Vec<Up> {
         let head = Up {
             names: digest,
             epoch: self.epoch,
             oldest: self.batches.front().map_or(self.last + 1, |b| b.number),
             number: 0,
             period: u16::try_from(period.as_ms()).unwrap_or(u16::MAX),
+            more: true,
             rows: Vec::new(),
         };
         let mut ups = Vec::new();
-        for batch in &mut self.batches {
-            if batch.age.is_multiple_of(RETRY_ROUNDS) {
-                ups.push(Up {
-                    number: batch.number,
-                    names: batch.names,
-                    rows: batch.rows.clone(),
-                    ..head.clone()
-                });
-            }
-            batch.age += 1;
+        for batch in &self.batches {
+            ups.push(Up {
+                number: batch.number,
+                names: batch.names,
+                rows: batch.rows.clone(),
+                ..head.clone()
+            });
         }
         if ups.is_empty() {
             ups.push(head);
         }
+        ups.last_mut().expect("there is one").more = false;
         ups
     }
 
@@ -203,7 +198,9 @@
     pub taken: u32,
     /// When it was last heard.
     pub heard: Micros,
-    /// Time between its rounds.
+    /// Whether its charges of this round have come.
+    pub reported: bool,
+    /// Time between rounds that its subtree needs to stay within budget.
     pub period: Micros,
     /// Pairs that wait in its subtree.
     pub demands: BTreeMap<Pair, Demand>,
--- a/src/exchange/service.rs
+++ b/src/exchange/service.rs
@@ -93,20 +93,21 @@
         loop {
             tokio::select! {
                 _ = cancel.cancelled() => return self.counts,
-                _ = tokio::time::sleep_until(due) => {
-                    self.round().await;
-                    due = tokio::time::Instant::now() + self.node.period().into();
-                }
+                _ = tokio::time::sleep_until(due) => self.refresh(),
                 received = self.socket.recv_from(&mut buffer) => {
                     if let Ok((len, from)) = received {
                         self.take(from, &buffer[..len]);
                     }
                 }
             }
+            self.tick().await;
+            let wait = self.node.wake() - self.clock.now();
+            due = tokio::time::Instant::now() + wait.into();
         }
     }
 
-    async fn round(&mut self) {
+    /// Takes over changes of rules and members.
+    fn refresh(&mut self) {
         let now = self.clock.now();
         if let Some(names) = self.schedulers.names() {
             self.node.set_names(names);
@@ -116,10 +117,14 @@
             self.newest.retain(|from, _| members.contains(from));
             self.members = members;
         }
-        for (service, reports) in self.schedulers.collect() {
-            self.node.collect(service, &reports);
+    }
+
+    async fn tick(&mut self) {
+        let schedulers = &mut self.schedulers;
+        let outgoing = self.node.tick(self.clock.now(), || schedulers.collect());
+        if !self.node.changed() {
+            return;
         }
-        let outgoing = self.node.tick(now);
         let updates: Vec<_> = self.node.updates().collect();
         self.schedulers.apply(&updates);
         for datagram in outgoing {
--- a/src/exchange/tests/world.rs
+++ b/src/exchange/tests/world.rs
@@ -422,23 +422,23 @@
     }
 
     fn rounds(&mut self) {
-        for e in 0..self.entries.len() {
-            if self.entries[e].due > self.now {
-                continue;
-            }
-            self.round(e);
-        }
+        (0..self.entries.len()).for_each(|e| self.round(e));
     }
 
     fn round(&mut self, e: usize) {
         let now = Micros(self.now);
         let entry = &mut self.entries[e];
-        if self.fault != Fault::NoCollect {
-            let reports = entry.share.collect();
-            entry.node.collect(SERVICE, &reports);
+        if self.now < entry.due {
+            return;
+        }
+        let (share, fault) = (&mut entry.share, self.fault);
+        let outgoing = entry.node.tick(now, || match fault {
+            Fault::NoCollect => Vec::new(),
+            _ => vec![(SERVICE, share.collect())],
+        });
+        if !entry.node.changed() {
+            return;
         }
-        let outgoing = entry.node.tick(now);
-        entry.due = self.now + entry.node.period().0;
         let updates: Vec<_> = entry.node.updates().collect();
         for update in updates {
             entry
--- a/src/exchange/tree.rs
+++ b/src/exchange/tree.rs
@@ -24,6 +24,16 @@
         .or_else(|| members[..place].iter().copied().find(trusted))
 }
 
+/// Levels of the tree below `me` among `members` (sorted), when all members are live.
+pub fn levels_below(members: &[SocketAddr], me: SocketAddr) -> usize {
+    let place = members.partition_point(|&m| m < me);
+    let first_child = |i: &usize| Some(i * FAN_OUT + 1);
+    std::iter::successors(Some(place), first_child)
+        .skip(1)
+        .take_while(|&i| i < members.len())
+        .count()
+}
+
 /// Levels of the tree below its root, when all members are live.
 pub fn depth(members: usize) -> usize {
     ancestors(members.saturating_sub(1)).count()
