--- a/tests/standin.rs
+++ b/tests/standin.rs
@@ -1,34 +1,21 @@
 //! The stand-ins keep to their interfaces and fail to order.
 
+mod common;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use balsampitch::standin::hosts::{HostList, HostState};
 use balsampitch::standin::{Host, Link, Platform, Target, TargetOptions};
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
-use hyper::Request;
-use hyper_util::rt::TokioIo;
+use common::PATIENCE;
+use common::http::{Call, CallError, Caller, Reply};
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
-/// Longest wait for something that must come.
-const PATIENCE: Duration = Duration::from_secs(30);
 /// Wait in which something that must not come would have come.
 const QUIET: Duration = Duration::from_millis(200);
 
-struct Reply {
-    status: u16,
-    body: Bytes,
-}
-
-impl Reply {
-    fn json(&self) -> Value {
-        serde_json::from_slice(&self.body).expect("the answer is JSON")
-    }
-}
-
 async fn listen() -> (TcpListener, SocketAddr) {
     let listener = TcpListener::bind("127.0.0.1:0")
         .await
@@ -39,47 +26,17 @@
     (listener, address)
 }
 
-async fn try_call(
-    address: SocketAddr,
-    request: Request<Full<Bytes>>,
-) -> Result<Reply, hyper::Error> {
-    let Ok(socket) = TcpStream::connect(address).await else {
-        panic!("the stand-in listens");
-    };
-    let (mut sender, connection) =
-        hyper::client::conn::http1::handshake(TokioIo::new(socket)).await?;
-    tokio::spawn(connection);
-    let answer = tokio::time::timeout(PATIENCE, sender.send_request(request))
-        .await
-        .expect("the stand-in answers or drops in time")?;
-    let status = answer.status().as_u16();
-    let body = answer.into_body().collect().await?.to_bytes();
-    Ok(Reply { status, body })
-}
-
-fn post(path: &str, body: impl Into<Bytes>) -> Request<Full<Bytes>> {
-    let body = Full::new(body.into());
-    Request::post(path)
-        .header("host", "standin")
-        .body(body)
-        .expect("the path is valid")
+/// Calls on a connection of its own, as faults may end it.
+async fn try_call(address: SocketAddr, call: Call) -> Result<Reply, CallError> {
+    Caller::new().call(address, call).await
 }
 
-fn get(path: &str) -> Request<Full<Bytes>> {
-    Request::get(path)
-        .header("host", "standin")
-        .body(Full::default())
-        .expect("the path is valid")
-}
-
-async fn call(address: SocketAddr, request: Request<Full<Bytes>>) -> Reply {
-    try_call(address, request)
-        .await
-        .expect("the stand-in answers")
+async fn call(address: SocketAddr, call: Call) -> Reply {
+    try_call(address, call).await.expect("the stand-in answers")
 }
 
 async fn order(address: SocketAddr, path: &str, order: Value) {
-    let reply = call(address, post(path, order.to_string())).await;
+    let reply = call(address, Call::post(path, order.to_string())).await;
     assert_eq!(
         reply.status,
         200,
@@ -101,7 +58,7 @@
 }
 
 async fn count(target: SocketAddr, id: &str) -> String {
-    let reply = call(target, get(&format!("/count?id={id}"))).await;
+    let reply = call(target, Call::get(format!("/count?id={id}"))).await;
     String::from_utf8(reply.body.to_vec()).expect("a count is text")
 }
 
@@ -109,15 +66,15 @@
 async fn log_gives_offsets_and_expires() {
     let log = platform().await;
     for (offset, data) in ["a", "b", "c", "d", "e"].into_iter().enumerate() {
-        let reply = call(log, post("/log/rules", data)).await;
+        let reply = call(log, Call::post("/log/rules", data)).await;
         assert_eq!(reply.json(), json!({ "offset": offset }));
     }
-    let expired = call(log, get("/log/rules?from=0")).await;
+    let expired = call(log, Call::get("/log/rules?from=0")).await;
     assert_eq!(
         (expired.status, expired.json()),
         (410, json!({ "first": 1 }))
     );
-    let page = call(log, get("/log/rules?from=3")).await.json();
+    let page = call(log, Call::get("/log/rules?from=3")).await.json();
     let records = json!([{ "offset": 3, "data": "ZA==" }, { "offset": 4, "data": "ZQ==" }]);
     assert_eq!(page, json!({ "first": 1, "next": 5, "records": records }));
 
@@ -127,19 +84,19 @@
         json!({ "stream": "rules", "first": 4 }),
     )
     .await;
-    assert_eq!(call(log, get("/log/rules?from=3")).await.status, 410);
-    let other = call(log, get("/log/other?from=0")).await.json();
+    assert_eq!(call(log, Call::get("/log/rules?from=3")).await.status, 410);
+    let other = call(log, Call::get("/log/other?from=0")).await.json();
     assert_eq!(other, json!({ "first": 0, "next": 0, "records": [] }));
-    assert_eq!(call(log, get("/log/rules?from=x")).await.status, 400);
+    assert_eq!(call(log, Call::get("/log/rules?from=x")).await.status, 400);
 }
 
 #[tokio::test]
 async fn a_long_poll_ends_with_the_append() {
     let log = platform().await;
-    let polling = tokio::spawn(call(log, get("/log/s?from=0&wait_ms=20000")));
+    let polling = tokio::spawn(call(log, Call::get("/log/s?from=0&wait_ms=20000")));
     tokio::time::sleep(QUIET).await;
     assert!(!polling.is_finished());
-    call(log, post("/log/s", "x")).await;
+    call(log, Call::post("/log/s", "x")).await;
     let page = polling.await.expect("the poll ends").json();
     assert_eq!(page["next"], 1);
 }
@@ -147,14 +104,14 @@
 #[tokio::test]
 async fn an_outage_ends_long_polls() {
     let log = platform().await;
-    let polling = tokio::spawn(call(log, get("/log/s?from=0&wait_ms=20000")));
+    let polling = tokio::spawn(call(log, Call::get("/log/s?from=0&wait_ms=20000")));
     tokio::time::sleep(QUIET).await;
     order(log, "/fault/log", json!({ "mode": "down" })).await;
     assert_eq!(polling.await.expect("the poll ends").status, 503);
-    assert_eq!(call(log, post("/log/s", "x")).await.status, 503);
+    assert_eq!(call(log, Call::post("/log/s", "x")).await.status, 503);
     order(log, "/fault/log", json!({ "mode": "ok" })).await;
     assert_eq!(
-        call(log, post("/log/s", "x")).await.json(),
+        call(log, Call::post("/log/s", "x")).await.json(),
         json!({ "offset": 0 })
     );
 }
@@ -166,10 +123,10 @@
             async fn $name() {
                 let log = platform().await;
                 order(log, "/fault/log", json!({ "mode": $mode, "count": 1 })).await;
-                assert!(try_call(log, post("/log/s", "x")).await.is_err());
-                let page = call(log, get("/log/s?from=0")).await.json();
+                assert!(try_call(log, Call::post("/log/s", "x")).await.is_err());
+                let page = call(log, Call::get("/log/s?from=0")).await.json();
                 assert_eq!(page["next"], $kept);
-                let reply = call(log, post("/log/s", "y")).await.json();
+                let reply = call(log, Call::post("/log/s", "y")).await.json();
                 assert_eq!(reply["offset"], $kept);
             }
         )+
@@ -186,16 +143,16 @@
     let hosts = platform().await;
     let live = json!([{ "host": "127.0.0.1:9", "zone": "a", "service": "s", "state": "live" }]);
     order(hosts, "/fault/hosts", json!({ "hosts": live })).await;
-    assert_eq!(call(hosts, get("/hosts")).await.json(), live);
+    assert_eq!(call(hosts, Call::get("/hosts")).await.json(), live);
     order(
         hosts,
         "/fault/hosts",
         json!({ "hosts": [], "lag_ms": 600_000 }),
     )
     .await;
-    assert_eq!(call(hosts, get("/hosts")).await.json(), live);
+    assert_eq!(call(hosts, Call::get("/hosts")).await.json(), live);
     order(hosts, "/fault/hosts", json!({ "mode": "down", "count": 1 })).await;
-    assert_eq!(call(hosts, get("/hosts")).await.status, 503);
+    assert_eq!(call(hosts, Call::get("/hosts")).await.status, 503);
 }
 
 #[tokio::test(start_paused = true)]
@@ -218,11 +175,11 @@
 #[tokio::test]
 async fn a_target_runs_streams_and_counts() {
     let target = target(TargetOptions::default()).await;
-    let echo = call(target, post("/run?ms=1", "id 1\nrest")).await;
+    let echo = call(target, Call::post("/run?ms=1", "id 1\nrest")).await;
     assert_eq!(&echo.body[..], b"id 1\nrest");
-    let long = call(target, post("/run?bytes=200000", "id 1")).await;
+    let long = call(target, Call::post("/run?bytes=200000", "id 1")).await;
     assert_eq!(long.body.len(), 200_000);
-    let stream = call(target, post("/stream?chunks=3&ms=1", "id 1")).await;
+    let stream = call(target, Call::post("/stream?chunks=3&ms=1", "id 1")).await;
     assert_eq!(&stream.body[..], b"id 1 1\nid 1 2\nid 1 3\n");
     assert_eq!(count(target, "id%201").await, "3");
     assert_eq!(count(target, "id+1").await, "3");
@@ -239,26 +196,26 @@
     )
     .await;
     assert!(
-        try_call(target, post("/stream?chunks=3&ms=1", "x"))
+        try_call(target, Call::post("/stream?chunks=3&ms=1", "x"))
             .await
             .is_err()
     );
-    assert!(try_call(target, post("/run", "x")).await.is_err());
-    assert_eq!(call(target, post("/run", "x")).await.status, 200);
+    assert!(try_call(target, Call::post("/run", "x")).await.is_err());
+    assert_eq!(call(target, Call::post("/run", "x")).await.status, 200);
     assert_eq!(count(target, "x").await, "3");
 }
 
 #[tokio::test]
 async fn a_crashed_target_comes_back() {
     let target = target(TargetOptions::default()).await;
-    let running = tokio::spawn(try_call(target, post("/run?ms=60000", "long")));
+    let running = tokio::spawn(try_call(target, Call::post("/run?ms=60000", "long")));
     tokio::time::sleep(QUIET).await;
-    assert!(try_call(target, post("/crash", "bad")).await.is_err());
+    assert!(try_call(target, Call::post("/crash", "bad")).await.is_err());
     assert!(running.await.expect("the run ends").is_err());
-    assert!(try_call(target, get("/count?id=bad")).await.is_err());
+    assert!(try_call(target, Call::get("/count?id=bad")).await.is_err());
     tokio::time::sleep(Duration::from_millis(2_200)).await;
     assert_eq!(count(target, "bad").await, "1");
-    assert_eq!(call(target, get("/state")).await.json()["running"], 0);
+    assert_eq!(call(target, Call::get("/state")).await.json()["running"], 0);
 }
 
 #[tokio::test]
@@ -269,10 +226,7 @@
     })
     .await;
     let with = |fence: &str, body: &'static str| {
-        let mut request = post("/run", body);
-        let value = fence.parse().expect("the number is a header value");
-        request.headers_mut().insert("x-balsampitch-fence", value);
-        request
+        Call::post("/run", body).header("x-balsampitch-fence", fence)
     };
     assert_eq!(call(fenced, with("5", "a")).await.status, 200);
     assert_eq!(call(fenced, with("4", "a")).await.status, 412);
@@ -290,12 +244,12 @@
     })
     .await;
     let calls: Vec<_> = (0..8)
-        .map(|_| tokio::spawn(call(target, post("/run?ms=20", "x"))))
+        .map(|_| tokio::spawn(call(target, Call::post("/run?ms=20", "x"))))
         .collect();
     for call in calls {
         assert_eq!(call.await.expect("the run ends").status, 200);
     }
-    let state = call(target, get("/state")).await.json();
+    let state = call(target, Call::get("/state")).await.json();
     assert_eq!(state, json!({ "running": 0, "peak": 2, "total": 8 }));
 }
 
@@ -388,7 +342,7 @@
     tokio::spawn(link.serve_admin(listener));
     order(admin, "/delay", json!({ "ms": 5 })).await;
     order(admin, "/block", json!({})).await;
-    let state = call(admin, get("/state")).await.json();
+    let state = call(admin, Call::get("/state")).await.json();
     assert_eq!(
         state,
         json!({ "accepted": 0, "blocked": true, "delay_ms": 5 })
@@ -398,5 +352,5 @@
     assert!(echoes(&mut socket).await);
     order(admin, "/silence", json!({})).await;
     assert!(is_silent(&mut socket).await);
-    assert_eq!(call(admin, post("/other", "")).await.status, 404);
+    assert_eq!(call(admin, Call::post("/other", "")).await.status, 404);
 }
