--- /dev/null
+++ b/src/platform/client.rs
@@ -0,0 +1,76 @@
+//! The platform's log and host list over HTTP.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::StatusCode;
+
+use super::http::{Bounds, Http};
+use super::wire::{Appended, Expired, WireHost, WirePage};
+use super::{AppendError, Cause, Host, Hosts, Log, Page, ReadError, Stream};
+
+/// Longest time for a call, and for a read beyond the time that it may wait for a record.
+pub const CALL_TIMEOUT: Duration = Duration::from_secs(5);
+/// Largest answer to an append, in bytes.
+pub const MAX_APPEND_ANSWER_BYTES: usize = 4 * 1024;
+/// Largest answer to a read, in bytes.
+pub const MAX_READ_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+/// Largest host list, in bytes.
+pub const MAX_HOSTS_ANSWER_BYTES: usize = 4 * 1024 * 1024;
+
+/// A client of the platform. Clones share connections.
+#[derive(Clone, Debug)]
+pub struct Client {
+    http: Http,
+}
+
+impl Client {
+    /// A client of the platform at this address.
+    pub fn new(addr: SocketAddr) -> Self {
+        Client {
+            http: Http::new(addr),
+        }
+    }
+}
+
+impl Log for Client {
+    async fn append(&self, stream: Stream, data: Bytes) -> Result<u64, AppendError> {
+        let path = format!("/log/{}", stream.0);
+        let bounds = Bounds {
+            timeout: CALL_TIMEOUT,
+            answer: MAX_APPEND_ANSWER_BYTES,
+        };
+        let answer = self.http.post(&path, data, bounds).await?;
+        let appended: Appended = answer.json()?;
+        Ok(appended.offset)
+    }
+
+    async fn read(&self, stream: Stream, from: u64, wait: Duration) -> Result<Page, ReadError> {
+        let path = format!("/log/{}?from={from}&wait_ms={}", stream.0, wait.as_millis());
+        let bounds = Bounds {
+            timeout: wait + CALL_TIMEOUT,
+            answer: MAX_READ_ANSWER_BYTES,
+        };
+        let answer = self.http.get(&path, bounds).await?;
+        if answer.status == StatusCode::GONE {
+            let Expired { first } = answer.decode()?;
+            return Err(ReadError::Expired { first });
+        }
+        let page: WirePage = answer.json()?;
+        Ok(Page::try_from(page)?)
+    }
+}
+
+impl Hosts for Client {
+    async fn hosts(&self) -> Result<Vec<Host>, ReadError> {
+        let bounds = Bounds {
+            timeout: CALL_TIMEOUT,
+            answer: MAX_HOSTS_ANSWER_BYTES,
+        };
+        let answer = self.http.get("/hosts", bounds).await?;
+        let hosts: Vec<WireHost> = answer.json()?;
+        let hosts: Result<Vec<Host>, Cause> = hosts.into_iter().map(Host::try_from).collect();
+        Ok(hosts?)
+    }
+}
