Add the operator's command, and check settings field by field

Cause: operators need to check, apply and compare rules and to see what entries know; a settings fault must name its field and what was expected. Ruled out: overwriting whatever is current on apply (an operator would undo an edit that he never saw): `rules show` writes the version on the first line and `rules apply` takes it as its base; a library for error paths, since the error's place in the text gives the field. Change: `balsampitch-ctl` with a file for each subcommand and a small `Run` trait. Settings refuse port 0, unspecified addresses, duplicates, zero limits and names that no path can hold. Conclusion: the edits' outcome is told in races, lost answers and outages over the log fake; the admin answers are read without a fixed form, and no entry has served them yet.

--- /dev/null
+++ b/src/bin/balsampitch-ctl.rs
@@ -0,0 +1,10 @@
+//! The operator's command.
+
+use std::process::ExitCode;
+
+use balsampitch::cmd::ctl;
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> ExitCode {
+    ctl::main().await
+}
--- /dev/null
+++ b/src/cmd/ctl/history.rs
@@ -0,0 +1,41 @@
+//! `rules history`.
+
+use super::args::Args;
+use super::log::Reader;
+use super::view::Table;
+use super::{Failure, Run};
+use crate::platform::Client;
+
+/// Lists the versions that the log still tells.
+pub struct History {
+    client: Client,
+}
+
+impl History {
+    /// Lists the versions in the log of the platform in the arguments.
+    pub fn new(args: &Args) -> Result<Self, Failure> {
+        let client = Client::new(args.platform()?);
+        Ok(History { client })
+    }
+}
+
+impl Run for History {
+    async fn run(self) -> Result<String, Failure> {
+        let mut reader = Reader::new(self.client);
+        let current = reader.current().await?;
+        let mut table = Table::new(["version", "offset", "author"]);
+        for past in reader.follower().past() {
+            let numbers = [past.version.to_string(), past.offset.to_string()];
+            table.row(numbers.into_iter().chain([past.author.to_string()]));
+        }
+        if reader.follower().past().next().is_none() && current.version > 0 {
+            let columns = [current.version.to_string(), "expired".to_owned()];
+            table.row(columns.into_iter().chain([current.author.to_string()]));
+        }
+        let counts = reader.follower().counts();
+        Ok(format!(
+            "{table}{} edits lost a race, {} came again, {} renewals, {} records passed over\n",
+            counts.lost, counts.repeated, counts.renewed, counts.bad
+        ))
+    }
+}
--- /dev/null
+++ b/src/cmd/ctl/show.rs
@@ -0,0 +1,26 @@
+//! `rules show`.
+
+use super::args::Args;
+use super::log::Reader;
+use super::{Failure, Run, file};
+use crate::platform::Client;
+
+/// Prints the current rules.
+pub struct Show {
+    client: Client,
+}
+
+impl Show {
+    /// Prints the rules in the log of the platform in the arguments.
+    pub fn new(args: &Args) -> Result<Self, Failure> {
+        let client = Client::new(args.platform()?);
+        Ok(Show { client })
+    }
+}
+
+impl Run for Show {
+    async fn run(self) -> Result<String, Failure> {
+        let current = Reader::new(self.client).current().await?;
+        Ok(file::header(current.version, &current.author) + &current.text)
+    }
+}
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,5 +1,7 @@
 //! Command lines, a file for each binary.
 
+pub mod ctl;
+
 use std::ffi::OsString;
 use std::path::PathBuf;
 use std::process::ExitCode;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -7,6 +7,8 @@
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 
+use crate::rules::parse::MAX_NAME_BYTES;
+
 /// Settings of `balsampitch-entry`.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -55,6 +57,16 @@
     pub telemetry: TelemetrySettings,
 }
 
+/// Settings of `balsampitch-ctl`.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct CtlSettings {
+    /// Address of the platform's log.
+    pub platform: Option<SocketAddr>,
+    /// Admin addresses of entries.
+    pub admin: Vec<SocketAddr>,
+}
+
 /// Logs and telemetry of a process.
 #[derive(Clone, Debug, Default, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -87,44 +99,163 @@
 
 impl Check for EntrySettings {
     fn faults(&self) -> Vec<String> {
-        let mut faults = common_faults(&self.zone, &self.entries, &self.secret);
+        let mut faults = Faults::default();
+        faults.bind("listen", self.listen);
+        faults.bind("peer", self.peer);
+        faults.bind("admin", self.admin);
+        faults.distinct(&[
+            ("listen", self.listen),
+            ("peer", self.peer),
+            ("admin", self.admin),
+        ]);
+        faults.connect("peer", self.peer);
+        faults.connect("platform", self.platform);
+        faults.word("zone", &self.zone);
+        faults.entries(&self.entries);
+        faults.secret(&self.secret);
+        faults.telemetry(&self.telemetry);
         if !self.entries.contains(&self.peer) {
-            faults.push(format!(
-                "entries: must hold this entry's own peer address {}",
-                self.peer
-            ));
+            let peer = self.peer;
+            faults.push(
+                "entries",
+                format!("expected this entry's own peer address {peer}"),
+            );
         }
-        faults
+        faults.0
     }
 }
 
 impl Check for AgentSettings {
     fn faults(&self) -> Vec<String> {
-        let mut faults = common_faults(&self.zone, &self.entries, &self.secret);
+        let mut faults = Faults::default();
+        faults.bind("admin", self.admin);
+        faults.connect("target", self.target);
+        faults.connect("platform", self.platform);
+        faults.distinct(&[("target", self.target), ("admin", self.admin)]);
+        faults.word("service", &self.service);
+        faults.word("zone", &self.zone);
         if self.slots == 0 {
-            faults.push("slots: must be at least 1".into());
+            faults.push("slots", "is 0, expected at least 1".to_owned());
         }
-        if self.service.is_empty() {
-            faults.push("service: must not be empty".into());
+        faults.entries(&self.entries);
+        faults.secret(&self.secret);
+        faults.telemetry(&self.telemetry);
+        faults.0
+    }
+}
+
+impl Check for CtlSettings {
+    fn faults(&self) -> Vec<String> {
+        let mut faults = Faults::default();
+        if let Some(platform) = self.platform {
+            faults.connect("platform", platform);
         }
-        faults
+        faults.addrs("admin", &self.admin);
+        faults.0
     }
 }
 
-fn common_faults(zone: &str, entries: &[SocketAddr], secret: &str) -> Vec<String> {
-    let mut faults = Vec::new();
-    if zone.is_empty() {
-        faults.push("zone: must not be empty".into());
+/// Faults of one file, each a field and what was expected of it.
+#[derive(Default)]
+struct Faults(Vec<String>);
+
+impl Faults {
+    fn push(&mut self, field: &str, fault: String) {
+        self.0.push(format!("{field}: {fault}"));
+    }
+
+    /// An address to listen on: its port must be known to others.
+    fn bind(&mut self, field: &str, addr: SocketAddr) {
+        if addr.port() == 0 {
+            self.push(field, format!("{addr} has port 0, expected 1 to 65535"));
+        }
+    }
+
+    /// An address to connect to.
+    fn connect(&mut self, field: &str, addr: SocketAddr) {
+        let ip = addr.ip();
+        if ip.is_unspecified() || ip.is_multicast() {
+            self.push(
+                field,
+                format!("{addr} is no host's address, expected one to connect to"),
+            );
+        }
+        if addr.port() == 0 {
+            let fault = format!("{addr} has port 0, expected 1 to 65535");
+            if !self.0.contains(&format!("{field}: {fault}")) {
+                self.push(field, fault);
+            }
+        }
+    }
+
+    fn addrs(&mut self, field: &str, addrs: &[SocketAddr]) {
+        for (index, &addr) in addrs.iter().enumerate() {
+            self.connect(&format!("{field}[{index}]"), addr);
+            if addrs[..index].contains(&addr) {
+                self.push(
+                    field,
+                    format!("{addr} is given twice, expected each address once"),
+                );
+            }
+        }
+    }
+
+    fn entries(&mut self, entries: &[SocketAddr]) {
+        if entries.is_empty() {
+            self.push(
+                "entries",
+                "is empty, expected at least one entry".to_owned(),
+            );
+        }
+        self.addrs("entries", entries);
     }
-    if entries.is_empty() {
-        faults.push("entries: must name at least one entry".into());
+
+    fn distinct(&mut self, fields: &[(&str, SocketAddr)]) {
+        for (index, (field, addr)) in fields.iter().enumerate() {
+            let same = fields[..index].iter().find(|(_, other)| other == addr);
+            if let Some((other, _)) = same {
+                self.push(
+                    field,
+                    format!("{addr} is also `{other}`, expected another address"),
+                );
+            }
+        }
     }
-    if secret.len() < MIN_SECRET_BYTES {
-        faults.push(format!(
-            "secret: must be at least {MIN_SECRET_BYTES} bytes long"
-        ));
+
+    fn word(&mut self, field: &str, word: &str) {
+        let plain = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.');
+        if word.is_empty() || word.len() > MAX_NAME_BYTES || !word.bytes().all(plain) {
+            let expected = "letters, digits, `-`, `_` or `.`";
+            self.push(
+                field,
+                format!("{word:?} is not a name, expected 1 to {MAX_NAME_BYTES} {expected}"),
+            );
+        }
+    }
+
+    fn secret(&mut self, secret: &str) {
+        let length = secret.len();
+        if length < MIN_SECRET_BYTES {
+            let expected = format!("expected at least {MIN_SECRET_BYTES}");
+            self.push("secret", format!("is {length} bytes long, {expected}"));
+        }
+    }
+
+    fn telemetry(&mut self, telemetry: &TelemetrySettings) {
+        let Some(otlp) = &telemetry.otlp else {
+            return;
+        };
+        let addr = otlp
+            .strip_prefix("http://")
+            .map(|rest| rest.trim_end_matches('/'));
+        if addr
+            .and_then(|addr| addr.parse::<SocketAddr>().ok())
+            .is_none()
+        {
+            let fault = format!("{otlp:?} is not an endpoint, expected http://ip:port");
+            self.push("telemetry.otlp", fault);
+        }
     }
-    faults
 }
 
 /// Reads and checks a settings file.
@@ -142,8 +273,39 @@
 /// # Errors
 /// When the text is not JSON of this kind, or has faults; all faults are named.
 pub fn parse<T: Check>(text: &str) -> anyhow::Result<T> {
-    let settings: T = serde_json::from_str(text)?;
+    let settings: T = serde_json::from_str(text).map_err(|error| name_field(text, error))?;
     let faults = settings.faults();
     anyhow::ensure!(faults.is_empty(), "{}", faults.join("; "));
     Ok(settings)
 }
+
+/// Adds the field to an error about a field's value, found from the error's place in the text.
+fn name_field(text: &str, error: serde_json::Error) -> anyhow::Error {
+    let message = error.to_string();
+    let names_it = ["unknown field", "missing field", "duplicate field"];
+    if !error.is_data() || names_it.iter().any(|start| message.starts_with(start)) {
+        return anyhow::Error::new(error);
+    }
+    let lines = text.split_inclusive('\n').take(error.line() - 1);
+    let end = lines.map(str::len).sum::<usize>() + error.column();
+    match text.get(..end).and_then(last_field) {
+        Some(field) => anyhow::anyhow!("{field}: {message}"),
+        None => anyhow::Error::new(error),
+    }
+}
+
+/// The last name in JSON text that is followed by a colon.
+fn last_field(text: &str) -> Option<&str> {
+    let mut end = text.len();
+    while let Some(colon) = text[..end].rfind(':') {
+        let name = text[..colon].trim_end().strip_suffix('"');
+        if let Some((_, name)) = name.and_then(|name| name.rsplit_once('"')) {
+            return Some(name);
+        }
+        end = colon;
+    }
+    None
+}
+
+#[cfg(test)]
+mod tests;
