--- a/src/cmd/ctl/show.rs
+++ b/src/cmd/ctl/show.rs
@@ -21,6 +21,9 @@
 impl Run for Show {
     async fn run(self) -> Result<String, Failure> {
         let current = Reader::new(self.client).current().await?;
+        if current.version == 0 {
+            return Ok("# version 0, no rules yet\n".to_owned());
+        }
         Ok(file::header(current.version, &current.author) + &current.text)
     }
 }
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -2,6 +2,9 @@
 
 pub mod ctl;
 
+#[cfg(test)]
+mod tests;
+
 use std::ffi::OsString;
 use std::path::PathBuf;
 use std::process::ExitCode;
--- a/src/rules/history.rs
+++ b/src/rules/history.rs
@@ -77,7 +77,7 @@
     pub fn new(timing: Timing) -> Self {
         Follower {
             next: 0,
-            state: State::Exact(Chain::default()),
+            state: State::from_offset(0),
             force: None,
             tail: false,
             schedule: Schedule::new(timing),
@@ -151,11 +151,11 @@
     pub fn expired(&mut self, first: u64) {
         self.counts.gaps += 1;
         self.tail = false;
+        if first < self.next {
+            self.schedule.begun_anew();
+        }
         self.next = first;
-        self.state = State::Seeking(Kept {
-            start: first,
-            ..Kept::default()
-        });
+        self.state = State::from_offset(first);
     }
 
     /// The log could not be read.
@@ -307,6 +307,19 @@
     }
 }
 
+impl State {
+    /// The state before the record at `start`; nothing comes before offset 0.
+    fn from_offset(start: u64) -> Self {
+        if start == 0 {
+            return State::Exact(Chain::default());
+        }
+        State::Seeking(Kept {
+            start,
+            ..Kept::default()
+        })
+    }
+}
+
 impl Kept {
     fn push(&mut self, offset: u64, record: Record, bytes: usize) {
         self.bytes += bytes;
--- a/src/rules/history/tests.rs
+++ b/src/rules/history/tests.rs
@@ -103,6 +103,7 @@
 }
 
 struct Fleet {
+    timing: Timing,
     oracle: Oracle,
     readers: Vec<Follower>,
     edits: Vec<bytes::Bytes>,
@@ -112,10 +113,11 @@
 }
 
 impl Fleet {
-    fn new() -> Self {
+    fn new(timing: Timing) -> Self {
         Fleet {
+            timing,
             oracle: Oracle::default(),
-            readers: (0..READERS).map(|_| Follower::new(STEADY)).collect(),
+            readers: (0..READERS).map(|_| Follower::new(timing)).collect(),
             edits: Vec::new(),
             first: 0,
             out: false,
@@ -123,6 +125,22 @@
         }
     }
 
+    /// Takes a step, after which no reader that went on has a lower version in force.
+    fn step_in_order(&mut self, step: Step) {
+        let restarted = match step {
+            Step::Restart { reader, .. } => Some(reader),
+            _ => None,
+        };
+        let current = |reader: &Follower| reader.current().cloned();
+        let before: Vec<Option<Accepted>> = self.readers.iter().map(current).collect();
+        self.step(step);
+        for (index, before) in before.iter().enumerate() {
+            if restarted != Some(index) {
+                check_order(before.as_ref(), self.readers[index].current()).expect("order");
+            }
+        }
+    }
+
     fn step(&mut self, step: Step) {
         self.now += Micros::from_secs(1);
         match step {
@@ -146,7 +164,7 @@
             }
             Step::Restart { reader, peer } => {
                 let current = self.readers[peer].current().cloned();
-                self.readers[reader] = Follower::new(STEADY);
+                self.readers[reader] = Follower::new(self.timing);
                 self.offer(reader, current);
             }
             Step::Offer { reader, peer } => {
@@ -217,22 +235,11 @@
     type Reference = Model;
 
     fn init_test((): &()) -> Fleet {
-        Fleet::new()
+        Fleet::new(STEADY)
     }
 
     fn apply(mut fleet: Fleet, (): &(), step: Step) -> Fleet {
-        let restarted = match step {
-            Step::Restart { reader, .. } => Some(reader),
-            _ => None,
-        };
-        let before: Vec<Option<Accepted>> =
-            fleet.readers.iter().map(|r| r.current().cloned()).collect();
-        fleet.step(step);
-        for (index, before) in before.iter().enumerate() {
-            if restarted != Some(index) {
-                check_order(before.as_ref(), fleet.readers[index].current()).expect("order");
-            }
-        }
+        fleet.step_in_order(step);
         fleet.check().expect("readers agree with the oracle");
         fleet
     }
@@ -271,6 +278,70 @@
     fn readers_agree_with_the_oracle(sequential 1..80 => Machine);
 }
 
+/// Starts the history anew at once when the end of the stream does not tell the version in force.
+const EAGER: Timing = Timing {
+    wait: Micros::ZERO,
+    ..STEADY
+};
+
+struct Anew;
+
+impl StateMachineTest for Anew {
+    type SystemUnderTest = Fleet;
+    type Reference = Model;
+
+    fn init_test((): &()) -> Fleet {
+        Fleet::new(EAGER)
+    }
+
+    fn apply(mut fleet: Fleet, (): &(), step: Step) -> Fleet {
+        fleet.step_in_order(step);
+        fleet
+    }
+
+    /// Renewals alone bring all readers to one version, no lower than any in force.
+    fn teardown(mut fleet: Fleet, (): ()) {
+        fleet.out = false;
+        let version = |reader: &Follower| reader.current().map_or(0, |force| force.version);
+        let highest = fleet.readers.iter().map(version).max();
+        for reader in (0..READERS).cycle().take(READERS * 4) {
+            for _ in 0..3 {
+                fleet.read(reader, usize::MAX);
+            }
+            fleet.renew(reader);
+        }
+        for reader in 0..READERS {
+            fleet.read(reader, usize::MAX);
+            fleet.read(reader, usize::MAX);
+        }
+        let first = fleet.readers[0].logged().expect("told by a renewal");
+        assert!(
+            Some(first.version) >= highest,
+            "{first:?} below {highest:?}"
+        );
+        for reader in &fleet.readers {
+            let logged = reader.logged().expect("told by a renewal");
+            assert_eq!(
+                (logged.version, logged.digest),
+                (first.version, first.digest)
+            );
+            assert!(reader.confirmed());
+        }
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(11),
+        cases: 512,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn histories_begun_anew_come_together(sequential 1..80 => Anew);
+}
+
 fn three_versions() -> (Oracle, Vec<Accepted>) {
     let mut oracle = Oracle::default();
     let mut versions = vec![Chain::default().current().clone()];
@@ -378,6 +449,21 @@
         => Verdict::Bad(RecordError::Ahead);
 }
 
+#[test]
+fn of_two_texts_of_one_version_all_come_to_the_same() {
+    let texts = [
+        Accepted::new(3, "mere", "one"),
+        Accepted::new(3, "anita", "two"),
+    ];
+    let ends = [0, 1].map(|own| {
+        let mut chain = Chain::at(texts[own].clone());
+        chain.decide(0, &renewal(texts[0].clone(), 0, true));
+        chain.decide(1, &renewal(texts[1].clone(), 1, true));
+        chain.current().clone()
+    });
+    assert_eq!(ends[0], ends[1]);
+}
+
 #[test]
 fn stale_renewal_leads_a_late_reader_to_the_current_version() {
     let (mut oracle, versions) = three_versions();
@@ -436,6 +522,24 @@
     }
 }
 
+#[test]
+fn stream_begun_anew_is_read_from_its_start() {
+    let (oracle, versions) = three_versions();
+    let mut reader = Follower::new(STEADY);
+    read_all(&oracle, &mut reader);
+    let mut anew = Oracle::default();
+    anew.append(edit(&versions[0], "anita", "other", 9).encode());
+    let page = Page {
+        next: 1,
+        ..Page::default()
+    };
+    reader.read(&page, Micros::ZERO);
+    read_all(&anew, &mut reader);
+    assert_eq!(reader.logged().map(|logged| logged.version), Some(1));
+    assert_eq!(reader.current(), Some(&versions[3]));
+    assert!(!reader.confirmed());
+}
+
 macro_rules! schedules {
     ($($name:ident: |$schedule:ident| $events:block, due at $due:expr;)+) => {$(
         #[test]
--- a/src/rules/parse.rs
+++ b/src/rules/parse.rs
@@ -21,7 +21,7 @@
 /// Reads the text of a rules file.
 ///
 /// # Errors
-/// One error a fault, in line order; each names its line and column and what was expected.
+/// One error a fault, in line and column order; each names its line and column and what was expected.
 pub fn parse(text: &str) -> Result<Rules, Vec<RuleError>> {
     if text.len() > MAX_FILE_BYTES {
         let fault = Fault::FileTooLarge(text.len());
@@ -78,6 +78,7 @@
         let mut faults = Faults::default();
         let rule = self.rule(number, line, &mut faults);
         let clean = faults.0.is_empty();
+        faults.0.sort_by_key(|&(column, _)| column);
         let placed = faults.0.into_iter().map(|(column, fault)| RuleError {
             line: number,
             column,
--- a/src/rules/renew.rs
+++ b/src/rules/renew.rs
@@ -85,6 +85,12 @@
         self.wanted = None;
     }
 
+    /// The stream was begun anew: no renewal is in it.
+    pub fn begun_anew(&mut self) {
+        self.covered = 0;
+        self.held = false;
+    }
+
     /// This reader is about to append.
     pub fn appended(&mut self, now: Micros) {
         self.renewed = now;
--- a/src/rules/tests.rs
+++ b/src/rules/tests.rs
@@ -69,9 +69,9 @@
         ["line 1, column 1: key 8ce6e72a.. is already on line 1"];
     control_character: "service a # \u{1b}[2J" => ["line 1, column 13: control character"];
     every_fault_of_every_line: "service a slots=0 hedge=x\ntarget b # x\naccount c # x" => [
-        "line 1, column 26: no comment",
         "line 1, column 11: field `slots`",
         "line 1, column 19: field `hedge`",
+        "line 1, column 26: no comment",
         "line 2, column 1: \"target\"",
         "line 3, column 10: no field `key-sha256`",
     ];
@@ -190,6 +190,22 @@
     })
 }
 
+#[test]
+fn design_size_fits() {
+    let accounts = (0..3_500).map(|i| {
+        let keys = hex::encode(KeyDigest::of(format!("key {i}").as_bytes()).0);
+        format!("account account-{i} key-sha256={keys} queue=200 body=1MiB  # asked by {i}\n")
+    });
+    let services = (0..17).map(|i| format!("service model-{i} slots=4  # asked by {i}\n"));
+    let text: String = accounts.chain(services).collect();
+    let rules = parse(&text).expect("well-formed");
+    let table = rules.table(&Table::default(), 1);
+    assert_eq!(table.caller(b"key 3499"), table.account("account-3499"));
+    let longer = text.replacen("queue=200", "queue=201", 1);
+    let change = change::Change::between(&text, &longer);
+    assert_eq!(change.middle, "1");
+}
+
 fn fixed_seed() -> ProptestConfig {
     ProptestConfig {
         failure_persistence: None,
