--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod agent;
 pub mod bench;
+pub mod ctl;
 pub mod entry;
 pub mod local;
 pub mod shutdown;
