Split batches and levels by their encoded size

Cause: a batch of 160 pairs with large charges outgrew a datagram; it could not be sealed and would have held up its uplink for good. Sums of hostile charges could overflow. Ruled out: smaller fixed batches (more headers on every round). Change: rows are split by encoded size; sums saturate; the status can be followed while the loop runs. Conclusion: largest payload within bounds for charges up to 2^50 us of 3,500 accounts.

--- a/src/exchange/measure.rs
+++ b/src/exchange/measure.rs
@@ -204,7 +204,7 @@
     }
 }
 
-fn table(accounts: usize, services: usize) -> Table {
+pub(super) fn table(accounts: usize, services: usize) -> Table {
     let accounts = (0..accounts).map(|i| Account {
         name: format!("account-{i:05}"),
         keys: Vec::new(),
--- a/src/exchange/node/cells.rs
+++ b/src/exchange/node/cells.rs
@@ -43,7 +43,8 @@
 impl Cell {
     /// All that is known to be charged.
     pub fn level(&self) -> i64 {
-        (self.base + self.unacked + self.pending).max(0)
+        let own = self.unacked.saturating_add(self.pending);
+        self.base.saturating_add(own).max(0)
     }
 
     /// Demand wherever it is known.
@@ -52,10 +53,8 @@
     }
 
     fn lift(&mut self, floor: i64) {
-        let missing = floor - self.level();
-        if missing > 0 {
-            self.base += missing;
-        }
+        let missing = floor.saturating_sub(self.level());
+        self.base = self.base.saturating_add(missing.max(0));
     }
 }
 
@@ -139,8 +138,8 @@
     pub fn settle_root(&mut self) {
         for cell in self.cells.values_mut() {
             let amount = std::mem::take(&mut cell.pending);
-            cell.base = (cell.base + amount).max(0);
-            cell.alone += amount;
+            cell.base = cell.base.saturating_add(amount).max(0);
+            cell.alone = cell.alone.saturating_add(amount);
             cell.fleet = Demand::Idle;
         }
     }
@@ -154,10 +153,13 @@
             *known = cell.alone.min(*known);
         }
         for (pair, cell) in &mut self.cells {
-            let amount = (cell.alone - least[&pair.service]).min(MERGE_CAP_US);
+            let amount = cell
+                .alone
+                .saturating_sub(least[&pair.service])
+                .min(MERGE_CAP_US);
             cell.alone = 0;
-            cell.base -= amount;
-            cell.pending += amount;
+            cell.base = cell.base.saturating_sub(amount);
+            cell.pending = cell.pending.saturating_add(amount);
         }
     }
 
--- a/src/exchange/node/pack.rs
+++ b/src/exchange/node/pack.rs
@@ -5,6 +5,7 @@
 use super::cells::Cells;
 use super::uplink::Entry;
 use crate::exchange::Pair;
+use crate::exchange::envelope::MAX_PAYLOAD_BYTES;
 use crate::exchange::gossip::{
     Down, DownRow, Gaps, QUANTUM_US, Section, Up, UpRow, flatten, unflatten,
 };
@@ -12,8 +13,10 @@
 use crate::share::Demand;
 use crate::units::Micros;
 
-/// Pairs in one datagram of levels.
-const DOWN_PAIRS: usize = 180;
+/// Bytes of rows in one datagram; the rest is for fields and the first row.
+const ROWS_BYTES: usize = MAX_PAYLOAD_BYTES - 64;
+/// Bytes that a section adds to its rows, at most.
+const SECTION_BYTES: usize = 24;
 /// Idle pairs whose levels are told besides those of waiting ones; the highest go first.
 const IDLE_PAIRS: usize = 60;
 
@@ -39,6 +42,38 @@
     pub demand: Demand,
 }
 
+/// Splits entries, sorted by number, into batches that fit a datagram each.
+pub fn batches<'a>(entries: &'a [Entry], names: &Names) -> Vec<&'a [Entry]> {
+    let place = |entry: &Entry| names.number(entry.pair).map_or(0, flatten);
+    split(entries, |before, entry| {
+        let gap = place(entry) - before.map_or(0, place);
+        let charge = (entry.charge / QUANTUM_US).unsigned_abs();
+        varint_bytes(gap << 2) + varint_bytes(charge << 1)
+    })
+}
+
+fn split<T>(rows: &[T], size: impl Fn(Option<&T>, &T) -> usize) -> Vec<&[T]> {
+    let mut parts = Vec::new();
+    let (mut start, mut used) = (0, 0);
+    for (i, row) in rows.iter().enumerate() {
+        let before = i.checked_sub(1).map(|b| &rows[b]);
+        let bytes = size(before, row);
+        if used + bytes > ROWS_BYTES {
+            parts.push(&rows[start..i]);
+            (start, used) = (i, 0);
+        }
+        used += bytes;
+    }
+    parts.push(&rows[start..]);
+    parts.retain(|part| !part.is_empty());
+    parts
+}
+
+fn varint_bytes(value: u64) -> usize {
+    let bits = u64::BITS - value.leading_zeros();
+    bits.div_ceil(7).max(1) as usize
+}
+
 /// Rows of a batch, whose entries are sorted by number.
 pub fn up_rows(entries: &[Entry], names: &Names) -> Vec<UpRow> {
     let mut gaps = Gaps::default();
@@ -137,8 +172,22 @@
     if rows.is_empty() {
         return vec![head];
     }
-    let last = (rows.len() - 1) / DOWN_PAIRS;
-    rows.chunks(DOWN_PAIRS)
+    let mut least: BTreeMap<u16, i64> = BTreeMap::new();
+    for &(number, level, _) in &rows {
+        let known = least.entry(number.service).or_insert(level);
+        *known = level.min(*known);
+    }
+    let parts = split(&rows, |before, row| {
+        let &(number, level, _) = row;
+        let known = before.filter(|b| b.0.service == number.service);
+        let gap = number.account - known.map_or(0, |b| b.0.account);
+        let section = if known.is_none() { SECTION_BYTES } else { 0 };
+        let above = (level - least[&number.service]) as u64;
+        section + varint_bytes(u64::from(gap) << 2) + varint_bytes(above)
+    });
+    let last = parts.len() - 1;
+    parts
+        .into_iter()
         .enumerate()
         .map(|(i, part)| Down {
             sections: sections(part),
--- a/src/exchange/node/uplink.rs
+++ b/src/exchange/node/uplink.rs
@@ -15,7 +15,7 @@
 
 /// Batches that may wait for the parent; later charges stay in their cells.
 const MAX_BATCHES: usize = 8;
-/// Pairs in one batch, so that it fits a datagram.
+/// Pairs that one batch is reckoned to hold.
 const BATCH_PAIRS: usize = 160;
 /// Batches that one round adds.
 const ROUND_BATCHES: usize = 4;
@@ -86,8 +86,8 @@
             let batch = self.batches.pop_front().expect("the front was just seen");
             for entry in batch.entries {
                 if let Some(cell) = cells.get_mut(entry.pair) {
-                    cell.unacked -= entry.charge;
-                    cell.base += entry.charge;
+                    cell.unacked = cell.unacked.saturating_sub(entry.charge);
+                    cell.base = cell.base.saturating_add(entry.charge);
                 }
             }
         }
@@ -105,21 +105,27 @@
         let mut due: Vec<_> = cells
             .iter_mut()
             .filter(|(_, c)| {
-                c.pending.abs() >= QUANTUM_US
+                c.pending.unsigned_abs() >= QUANTUM_US as u64
                     || c.told != c.subtree
                     || c.subtree == Demand::Returned
             })
             .filter_map(|(p, c)| names.number(p).map(|n| (n, p, c)))
             .collect();
-        due.sort_unstable_by_key(|(n, _, c)| (!c.subtree.waits(), -c.pending.abs(), *n));
+        due.sort_unstable_by_key(|(n, _, c)| {
+            (
+                !c.subtree.waits(),
+                std::cmp::Reverse(c.pending.unsigned_abs()),
+                *n,
+            )
+        });
         due.truncate(room);
         due.sort_unstable_by_key(|&(n, ..)| n);
         let entries: Vec<_> = due
             .into_iter()
             .map(|(_, pair, cell)| {
                 let charge = cell.pending / QUANTUM_US * QUANTUM_US;
-                cell.pending -= charge;
-                cell.unacked += charge;
+                cell.pending = cell.pending.saturating_sub(charge);
+                cell.unacked = cell.unacked.saturating_add(charge);
                 cell.told = cell.subtree;
                 Entry {
                     pair,
@@ -128,7 +134,7 @@
                 }
             })
             .collect();
-        for part in entries.chunks(BATCH_PAIRS) {
+        for part in pack::batches(&entries, names) {
             self.last += 1;
             self.batches.push_back(Batch {
                 number: self.last,
@@ -179,8 +185,8 @@
         self.last = 0;
         for entry in self.batches.drain(..).flat_map(|b| b.entries) {
             if let Some(cell) = cells.get_mut(entry.pair) {
-                cell.unacked -= entry.charge;
-                cell.pending += entry.charge;
+                cell.unacked = cell.unacked.saturating_sub(entry.charge);
+                cell.pending = cell.pending.saturating_add(entry.charge);
             }
         }
         for (_, cell) in cells.iter_mut() {
--- a/src/exchange/service.rs
+++ b/src/exchange/service.rs
@@ -5,15 +5,16 @@
 use std::net::SocketAddr;
 
 use tokio::net::UdpSocket;
+use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
 use super::envelope::{MAX_DATAGRAM_BYTES, Newest, Sealer};
 use super::gossip;
 use super::names::Names;
-use super::node::{Node, Outgoing, Update};
+use super::node::{Dropped, Node, Outgoing, Update};
 use crate::ids::{BootId, ServiceKey};
 use crate::share::Report;
-use crate::units::Clock;
+use crate::units::{Clock, Micros};
 
 /// What the exchange needs of the schedulers.
 pub trait Schedulers: Send {
@@ -48,6 +49,23 @@
     pub malformed: u64,
 }
 
+/// What an operator may ask of the exchange.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Status {
+    /// The parent in the tree; `None` at a root.
+    pub parent: Option<SocketAddr>,
+    /// Time between rounds.
+    pub period: Micros,
+    /// Changes of parent, or of the parent's run, so far.
+    pub epoch: u32,
+    /// Whether it still waits for levels.
+    pub cold: bool,
+    /// Datagrams.
+    pub counts: Counts,
+    /// Datagrams and rows that were authentic and not used.
+    pub dropped: Dropped,
+}
+
 /// The exchange of one entry.
 pub struct Exchange<S> {
     socket: UdpSocket,
@@ -58,6 +76,7 @@
     members: Vec<SocketAddr>,
     clock: Clock,
     counts: Counts,
+    status: watch::Sender<Status>,
 }
 
 impl<S: Schedulers> Exchange<S> {
@@ -72,6 +91,7 @@
             members: Vec::new(),
             clock: Clock::start(),
             counts: Counts::default(),
+            status: watch::Sender::default(),
         }
     }
 
@@ -81,9 +101,9 @@
         self
     }
 
-    /// Counts so far.
-    pub fn counts(&self) -> Counts {
-        self.counts
+    /// Follows the status while the exchange runs.
+    pub fn status(&self) -> watch::Receiver<Status> {
+        self.status.subscribe()
     }
 
     /// Runs until cancelled; returns the counts.
@@ -130,6 +150,14 @@
         for datagram in outgoing {
             self.send(datagram).await;
         }
+        self.status.send_replace(Status {
+            parent: self.node.parent(),
+            period: self.node.period(),
+            epoch: self.node.epoch(),
+            cold: self.node.is_cold(),
+            counts: self.counts,
+            dropped: self.node.dropped(),
+        });
     }
 
     async fn send(&mut self, outgoing: Outgoing) {
--- a/src/exchange/tests.rs
+++ b/src/exchange/tests.rs
@@ -7,11 +7,13 @@
     ENVELOPE_BYTES, EnvelopeError, MAX_DATAGRAM_BYTES, MAX_PAYLOAD_BYTES, Newest, Sealer,
 };
 use super::gossip::{self, Gossip};
-use super::measure::control_cost;
+use super::measure::{self, control_cost};
 use super::names::{Names, Recent};
+use super::node::Node;
 use super::{Pair, tree};
-use crate::ids::{AccountKey, BootId};
+use crate::ids::{AccountKey, BootId, ServiceKey};
 use crate::rules::{Account, Table};
+use crate::share::{Demand, Report};
 use crate::units::Micros;
 
 mod world;
@@ -447,3 +449,53 @@
         assert!(cost.max_bytes <= 3_000.0, "{cost:?}");
     }
 }
+
+#[test]
+fn datagrams_fit_whatever_they_carry() {
+    let members = addresses(2);
+    let names = Names::of(&measure::table(3_500, 17));
+    let mut nodes = members
+        .clone()
+        .into_iter()
+        .map(|m| Node::new(m, names.clone()));
+    let (mut root, mut leaf) = (nodes.next().expect("two"), nodes.next().expect("two"));
+    root.set_members(Micros::ZERO, &members);
+    leaf.set_members(Micros::ZERO, &members);
+    let reports = |service: usize| -> Vec<Report> {
+        let charged = |a: usize| i64::MAX >> (a % 50 + 13);
+        let report = |a| Report {
+            account: AccountKey::from(a),
+            charged: charged(a),
+            demand: Demand::Steady,
+        };
+        (0..3_500)
+            .filter(|a| a % 17 == service)
+            .map(report)
+            .collect()
+    };
+    let all = || {
+        (0..17)
+            .map(|s| (ServiceKey::from(s), reports(s)))
+            .collect::<Vec<_>>()
+    };
+    let mut payloads = 0;
+    let decode = |p: &[u8]| gossip::decode(p).expect("members send valid payloads");
+    for _ in 0..40 {
+        let now = root.wake();
+        let down = root.tick(now, all);
+        for out in &down {
+            leaf.receive(now, members[0], BootId(1), decode(&out.payload));
+        }
+        let up = leaf.tick(now, all);
+        for out in &up {
+            root.receive(now, members[1], BootId(2), decode(&out.payload));
+        }
+        let largest = up.iter().chain(&down).map(|o| o.payload.len()).max();
+        assert!(
+            largest.is_none_or(|l| l <= MAX_PAYLOAD_BYTES),
+            "{largest:?}"
+        );
+        payloads += up.len() + down.len();
+    }
+    assert!(payloads > 100, "{payloads}");
+}
