Test fleets of separate processes

Cause: what runs in one process says little about processes that start, stop and fail apart from each other.

Change: `tests/fleet` starts a platform, targets with agents and entries, on request with links before the entries and with fencing targets; it applies the sample rules through the log and waits for readiness.

--- /dev/null
+++ b/tests/fleet/mod.rs
@@ -0,0 +1,348 @@
+//! A whole fleet of processes: platform, targets with their agents, entries.
+
+// Each test binary uses a part of it.
+#![allow(dead_code)]
+
+use std::net::SocketAddr;
+
+use balsampitch::rules::change::Change;
+use balsampitch::rules::record::TextDigest;
+use balsampitch::rules::{Edit, EditId, Record};
+use serde_json::{Value, json};
+
+use crate::common::http::{Call, CallError, Caller, Reply};
+use crate::common::process::Process;
+use crate::common::{Place, arg, await_until};
+
+const STANDIN: &str = env!("CARGO_BIN_EXE_balsampitch-standin");
+const ENTRY: &str = env!("CARGO_BIN_EXE_balsampitch-entry");
+const AGENT: &str = env!("CARGO_BIN_EXE_balsampitch-agent");
+const SECRET: &str = "a key for tests only";
+const RULES: &str = include_str!("../../examples/local.rules");
+
+/// Targets of one service.
+#[derive(Clone, Copy, Debug)]
+pub struct Targets {
+    pub service: &'static str,
+    pub count: usize,
+    pub slots: u16,
+}
+
+/// What a fleet is made of.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    entries: usize,
+    targets: Vec<Targets>,
+    links: bool,
+    fenced: bool,
+}
+
+impl Plan {
+    /// A fleet with so many entries and no targets.
+    pub fn entries(entries: usize) -> Self {
+        Plan {
+            entries,
+            targets: Vec::new(),
+            links: false,
+            fenced: false,
+        }
+    }
+
+    /// Adds targets.
+    pub fn targets(mut self, service: &'static str, count: usize, slots: u16) -> Self {
+        self.targets.push(Targets {
+            service,
+            count,
+            slots,
+        });
+        self
+    }
+
+    /// Puts a link before each entry, which the agents connect through.
+    pub fn links(mut self) -> Self {
+        self.links = true;
+        self
+    }
+
+    /// Makes the targets refuse old fencing numbers.
+    pub fn fenced(mut self) -> Self {
+        self.fenced = true;
+        self
+    }
+
+    /// Starts the fleet and waits until all of it is ready.
+    pub async fn start(self) -> Fleet {
+        Fleet::start(self).await
+    }
+}
+
+/// An entry's process, with the link that its agents connect through.
+pub struct EntryHost {
+    pub process: Process,
+    pub callers: SocketAddr,
+    pub admin: SocketAddr,
+    pub link: Option<LinkHost>,
+    settings: Value,
+    name: String,
+}
+
+/// A link's process.
+pub struct LinkHost {
+    pub process: Process,
+    pub admin: SocketAddr,
+}
+
+/// A target's process, and that of its agent.
+pub struct TargetHost {
+    pub service: &'static str,
+    pub target: Process,
+    pub address: SocketAddr,
+    pub agent: Process,
+    pub admin: SocketAddr,
+    settings: Value,
+    name: String,
+}
+
+/// A running fleet; all of it ends when dropped.
+pub struct Fleet {
+    pub entries: Vec<EntryHost>,
+    pub targets: Vec<TargetHost>,
+    pub platform: SocketAddr,
+    pub caller: Caller,
+    pub log: Process,
+    place: Place,
+}
+
+/// Addresses of an entry, as the others must know them before it starts.
+struct EntryAddresses {
+    callers: SocketAddr,
+    peer: SocketAddr,
+    admin: SocketAddr,
+    /// Where agents connect.
+    front: SocketAddr,
+}
+
+impl EntryAddresses {
+    fn new(place: &Place, link: bool) -> Self {
+        let peer = place.address();
+        EntryAddresses {
+            callers: place.address(),
+            peer,
+            admin: place.address(),
+            front: if link { place.address() } else { peer },
+        }
+    }
+}
+
+impl Fleet {
+    async fn start(plan: Plan) -> Fleet {
+        let place = Place::new();
+        let caller = Caller::new();
+        let platform = place.address();
+        let listen = platform.to_string();
+        let log = Process::start(
+            &place,
+            "platform",
+            STANDIN,
+            &["platform", "--listen", &listen],
+        );
+        await_healthy(&caller, platform).await;
+        apply_rules(&caller, platform, RULES).await;
+
+        let addresses: Vec<EntryAddresses> = (0..plan.entries)
+            .map(|_| EntryAddresses::new(&place, plan.links))
+            .collect();
+        let mut fleet = Fleet {
+            entries: Vec::new(),
+            targets: Vec::new(),
+            platform,
+            caller,
+            log,
+            place,
+        };
+        for own in &addresses {
+            fleet.start_entry(own, &addresses);
+        }
+        let fronts: Vec<SocketAddr> = addresses.iter().map(|entry| entry.front).collect();
+        for targets in &plan.targets {
+            for _ in 0..targets.count {
+                fleet.start_target(targets, &fronts, plan.fenced);
+            }
+        }
+        fleet.set_hosts(|_| "live").await;
+        fleet.ready().await;
+        fleet
+    }
+
+    fn start_entry(&mut self, own: &EntryAddresses, all: &[EntryAddresses]) {
+        let name = format!("entry-{}", self.entries.len());
+        let peers: Vec<SocketAddr> = all.iter().map(|entry| entry.peer).collect();
+        let settings = json!({
+            "listen": own.callers,
+            "peer": own.peer,
+            "admin": own.admin,
+            "zone": "a",
+            "entries": peers,
+            "platform": self.platform,
+            "secret": SECRET,
+        });
+        let link = (own.front != own.peer).then(|| self.start_link(&name, own));
+        let process = start_with_settings(&self.place, &name, ENTRY, &settings);
+        self.entries.push(EntryHost {
+            process,
+            callers: own.callers,
+            admin: own.admin,
+            link,
+            settings,
+            name,
+        });
+    }
+
+    fn start_link(&self, name: &str, own: &EntryAddresses) -> LinkHost {
+        let admin = self.place.address();
+        let (listen, to, orders) = (
+            own.front.to_string(),
+            own.peer.to_string(),
+            admin.to_string(),
+        );
+        let args = ["link", "--listen", &listen, "--to", &to, "--admin", &orders];
+        let process = Process::start(&self.place, &format!("{name}-link"), STANDIN, &args);
+        LinkHost { process, admin }
+    }
+
+    fn start_target(&mut self, targets: &Targets, entries: &[SocketAddr], fenced: bool) {
+        let name = format!("agent-{}", self.targets.len());
+        let address = self.place.address();
+        let admin = self.place.address();
+        let listen = address.to_string();
+        let mut args = vec!["target", "--listen", &listen];
+        if fenced {
+            args.push("--fenced");
+        }
+        let target = Process::start(&self.place, &format!("{name}-target"), STANDIN, &args);
+        let settings = json!({
+            "target": address,
+            "service": targets.service,
+            "slots": targets.slots,
+            "zone": "a",
+            "admin": admin,
+            "entries": entries,
+            "platform": self.platform,
+            "secret": SECRET,
+        });
+        let agent = start_with_settings(&self.place, &name, AGENT, &settings);
+        self.targets.push(TargetHost {
+            service: targets.service,
+            target,
+            address,
+            agent,
+            admin,
+            settings,
+            name,
+        });
+    }
+
+    /// Starts an entry anew, after its process ended, with the settings it had.
+    pub async fn restart_entry(&mut self, index: usize) {
+        let entry = &mut self.entries[index];
+        entry.process.kill();
+        entry.process = start_with_settings(&self.place, &entry.name, ENTRY, &entry.settings);
+        self.ready().await;
+    }
+
+    /// Starts an agent anew, after its process ended, with the settings it had.
+    pub async fn restart_agent(&mut self, index: usize) {
+        let host = &mut self.targets[index];
+        host.agent.kill();
+        host.agent = start_with_settings(&self.place, &host.name, AGENT, &host.settings);
+        self.ready().await;
+    }
+
+    /// Sets the platform's host list; `state` gives the state of the target at an index.
+    pub async fn set_hosts(&self, state: impl Fn(usize) -> &'static str) {
+        let hosts: Vec<Value> = self
+            .targets
+            .iter()
+            .enumerate()
+            .map(|(index, host)| {
+                json!({
+                    "host": host.address,
+                    "zone": "a",
+                    "service": host.service,
+                    "state": state(index),
+                })
+            })
+            .collect();
+        let order = json!({ "hosts": hosts }).to_string();
+        self.order(self.platform, Call::post("/fault/hosts", order))
+            .await;
+    }
+
+    /// Gives a stand-in an order.
+    pub async fn order(&self, to: SocketAddr, call: Call) {
+        let reply = self
+            .caller
+            .call(to, call)
+            .await
+            .expect("a stand-in takes orders");
+        assert_eq!(reply.status, 200, "{}", reply.text());
+    }
+
+    /// Calls an entry.
+    pub async fn call(&self, entry: usize, call: Call) -> Result<Reply, CallError> {
+        self.caller.call(self.entries[entry].callers, call).await
+    }
+
+    /// How often the targets of the fleet ran a body with this first line.
+    pub async fn count(&self, id: &str) -> u64 {
+        let mut sum = 0;
+        for host in &self.targets {
+            let reply = self
+                .caller
+                .call(host.address, Call::get(format!("/count?id={id}")))
+                .await;
+            let text = reply.expect("a target tells its counts").text();
+            sum += text.parse::<u64>().expect("a count is a number");
+        }
+        sum
+    }
+
+    /// Waits until all entries and agents that run are ready.
+    pub async fn ready(&self) {
+        let entries = self.entries.iter().map(|entry| entry.admin);
+        let agents = self.targets.iter().map(|host| host.admin);
+        for admin in entries.chain(agents) {
+            await_until("readiness", || is_ok(&self.caller, admin, "/readyz")).await;
+        }
+    }
+}
+
+fn start_with_settings(place: &Place, name: &str, binary: &str, settings: &Value) -> Process {
+    let path = place.write(&format!("{name}.json"), settings);
+    Process::start(place, name, binary, &["--settings", arg(&path)])
+}
+
+async fn is_ok(caller: &Caller, address: SocketAddr, path: &str) -> bool {
+    let reply = caller.call(address, Call::get(path)).await;
+    reply.is_ok_and(|reply| reply.status == 200)
+}
+
+async fn await_healthy(caller: &Caller, address: SocketAddr) {
+    await_until("health", || is_ok(caller, address, "/healthz")).await;
+}
+
+/// Appends the first version of the rules.
+async fn apply_rules(caller: &Caller, platform: SocketAddr, text: &str) {
+    let edit = Edit {
+        id: EditId::random(),
+        base: 0,
+        author: "tests".into(),
+        change: Change::between("", text),
+        digest: TextDigest::of(text),
+    };
+    let record = Record::Edit(edit).encode();
+    let reply = caller
+        .call(platform, Call::post("/log/rules", record))
+        .await;
+    assert_eq!(reply.expect("the log answers").status, 200);
+}
