Order an account's requests by class, learn costs, prefer swift targets

Cause: with 20 % long work at 110 % load, short work waited 19.7 s at the 99th percentile. Ruled out: order by arrival plus four times the cost (ageing): once longs have aged it is first come first served again, 19.7 s. Charging the whole expected cost at dispatch: 23.3 s with classes; charging at most 50 ms of it: 17.8 s and a gap of 77.6 s. Change: classes of expected slot time within an account, the least served first; at most 500 ms charged before it is used; expected cost learnt per account and magnitude of hint; parked offers chosen by prompt prefix and by targets not slowed; refusal of what cannot meet its deadline; hedges that take spare offers only, within a budget.

--- a/src/bench/ours.rs
+++ b/src/bench/ours.rs
@@ -234,7 +234,7 @@
         for key in keys {
             entry.sent.remove(&key);
             entry.jobs.remove(&key);
-            entry.scheduler.ended(now, key, Micros::ZERO);
+            entry.scheduler.aborted(key, Micros::ZERO);
             out.push(Action::Refuse(key, Refusal::Unknown));
         }
     }
@@ -302,7 +302,7 @@
         match entry.scheduler.arrive(now, job.key, wanted) {
             Arrival::Assigned(assignment) => self.dispatch(e, assignment, out),
             Arrival::Queued => {}
-            Arrival::Full => {
+            Arrival::Full | Arrival::TooLate => {
                 entry.jobs.remove(&job.key);
                 out.push(Action::Refuse(job.key, Refusal::NotRun));
             }
--- a/src/entry/desk.rs
+++ b/src/entry/desk.rs
@@ -329,7 +329,7 @@
                     self.announce(service);
                 }
             }
-            Arrival::Full => {
+            Arrival::Full | Arrival::TooLate => {
                 self.jobs.remove(key.index());
                 return None;
             }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 //! ([`entry`], [`agent`]) do the input and output.
 
 pub mod admin;
+pub mod affinity;
 pub mod agent;
 pub mod auth;
 pub mod bench;
@@ -13,6 +14,7 @@
 pub mod conn;
 pub mod entry;
 pub mod exchange;
+pub mod hedge;
 pub mod ids;
 pub mod kernel;
 pub mod learn;
--- a/src/queue.rs
+++ b/src/queue.rs
@@ -1,44 +1,109 @@
-//! The waiting requests of one client account for one service.
+//! The waiting requests of one client account for one service: short before long.
+//!
+//! Requests are put into classes by expected slot time. The class with the least service so far
+//! goes first, so short work passes long work and long work keeps its part: none starves, whatever
+//! the load. What an account gains by a wrong hint it takes from its own other requests.
 
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
 
 use crate::ids::JobKey;
+use crate::units::Micros;
 
-/// A bounded queue: a flood fills its own and nobody else's.
+/// Classes of expected slot time.
+const CLASSES: usize = 4;
+/// Expected slot time up to which a request is of the shortest class.
+const SHORTEST: Micros = Micros::from_ms(500);
+/// How many times longer than the last a class reaches.
+const CLASS_FACTOR: u64 = 8;
+
+/// A class in order of arrival.
 #[derive(Debug, Default)]
-pub struct Queue {
+struct Class {
     jobs: VecDeque<JobKey>,
+    served: Micros,
+}
+
+/// A queue of requests in classes.
+#[derive(Debug, Default)]
+pub struct Queue {
+    classes: [Class; CLASSES],
+    /// Requests that were declined; they go first.
+    head: VecDeque<JobKey>,
+    /// Class and expected slot time of each request.
+    waiting: HashMap<JobKey, (usize, Micros)>,
 }
 
 impl Queue {
     /// Requests that wait.
     pub fn len(&self) -> usize {
-        self.jobs.len()
+        self.head.len() + self.classes.iter().map(|c| c.jobs.len()).sum::<usize>()
     }
 
     /// Whether nothing waits.
     pub fn is_empty(&self) -> bool {
-        self.jobs.is_empty()
+        self.len() == 0
     }
 
-    /// Adds a request at the end.
-    pub fn push(&mut self, job: JobKey) {
-        self.jobs.push_back(job);
+    /// Adds a request with its expected slot time.
+    pub fn push(&mut self, job: JobKey, expected: Micros) {
+        let at = class(expected);
+        if self.classes[at].jobs.is_empty() {
+            self.lift(at);
+        }
+        self.classes[at].jobs.push_back(job);
+        self.waiting.insert(job, (at, expected));
     }
 
     /// Puts a request back at the head, as one that was declined.
     pub fn push_front(&mut self, job: JobKey) {
-        self.jobs.push_front(job);
+        self.head.push_front(job);
     }
 
     /// Takes the request whose turn it is.
     pub fn pop(&mut self) -> Option<JobKey> {
-        self.jobs.pop_front()
+        if let Some(job) = self.head.pop_front() {
+            return Some(job);
+        }
+        let class = self
+            .classes
+            .iter_mut()
+            .filter(|c| !c.jobs.is_empty())
+            .min_by_key(|c| c.served)?;
+        let job = class.jobs.pop_front()?;
+        let (_, expected) = self.waiting.remove(&job)?;
+        class.served += expected;
+        Some(job)
     }
 
     /// Removes a request wherever it stands. Returns whether it was there.
     pub fn remove(&mut self, job: JobKey) -> bool {
-        let found = self.jobs.iter().position(|&j| j == job);
-        found.and_then(|at| self.jobs.remove(at)).is_some()
+        if let Some((at, _)) = self.waiting.remove(&job) {
+            self.classes[at].jobs.retain(|&j| j != job);
+            return true;
+        }
+        let len = self.head.len();
+        self.head.retain(|&j| j != job);
+        self.head.len() < len
+    }
+
+    /// A class that comes back from idle gets no credit for it.
+    fn lift(&mut self, at: usize) {
+        let busy = self.classes.iter().filter(|c| !c.jobs.is_empty());
+        if let Some(least) = busy.map(|c| c.served).min() {
+            let class = &mut self.classes[at];
+            class.served = class.served.max(least);
+        }
+    }
+}
+
+/// The class of an expected slot time.
+fn class(expected: Micros) -> usize {
+    let mut limit = SHORTEST;
+    for at in 0..CLASSES - 1 {
+        if expected <= limit {
+            return at;
+        }
+        limit = Micros(limit.0 * CLASS_FACTOR);
     }
+    CLASSES - 1
 }
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -4,7 +4,11 @@
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
+use crate::affinity::Affinity;
+use crate::hedge::Budget;
 use crate::ids::{AccountKey, AgentKey, JobKey, OfferId};
+use crate::learn::Learn;
+use crate::pace::Pace;
 use crate::queue::Queue;
 use crate::share::Share;
 use crate::units::Micros;
@@ -15,7 +19,7 @@
 pub struct Job {
     /// The client account that pays for it.
     pub account: AccountKey,
-    /// Expected slot time; wrong hints are settled at the end.
+    /// The caller's hint of its slot time; corrected by what was learnt, settled at the end.
     pub cost: Micros,
     /// Most requests that the account may have waiting here.
     pub limit: u32,
@@ -34,6 +38,8 @@
     Queued,
     /// The account's queue is full; the request was not taken.
     Full,
+    /// It would still wait at its deadline; the request was not taken.
+    TooLate,
 }
 
 /// A request for an offered slot.
@@ -47,11 +53,31 @@
     pub offer: OfferId,
 }
 
+/// Most slot time that is charged before it is used; what runs longer is charged as it runs.
+const UPFRONT: Micros = Micros::from_ms(500);
+/// Parked offers that are looked through for the best one.
+const PARKED_SCAN: usize = 64;
+/// Weight of the latest turn in an account's time between turns.
+const TURN_WEIGHT: f64 = 0.125;
+/// How many times its expected slot time a request runs before it may be hedged.
+const HEDGE_FACTOR: u64 = 3;
+
 #[derive(Debug)]
 struct Held {
     job: Job,
+    /// Slot time to expect, as learnt when it arrived.
+    expected: Micros,
     charged: Micros,
     waiting: bool,
+    agent: Option<AgentKey>,
+    hedged: bool,
+}
+
+/// Time between an account's turns while it is backlogged.
+#[derive(Clone, Copy, Debug, Default)]
+struct Turns {
+    last: Micros,
+    gap: Option<f64>,
 }
 
 /// The queues, service levels and parked offers of one service at one entry.
@@ -59,10 +85,16 @@
 pub struct Scheduler {
     share: Share,
     queues: BTreeMap<AccountKey, Queue>,
+    turns: BTreeMap<AccountKey, Turns>,
     jobs: HashMap<JobKey, Held>,
     parked: VecDeque<(AgentKey, OfferId)>,
     waiting: u32,
     given: BTreeMap<AccountKey, Micros>,
+    learn: Learn,
+    pace: Pace,
+    affinity: Affinity,
+    /// The latest moment that was passed in.
+    seen: Micros,
 }
 
 impl Scheduler {
@@ -72,32 +104,43 @@
     }
 
     /// A request arrives.
-    pub fn arrive(&mut self, _now: Micros, key: JobKey, job: Job) -> Arrival {
+    pub fn arrive(&mut self, now: Micros, key: JobKey, job: Job) -> Arrival {
+        self.seen = now;
+        let expected = self.learn.expect(job.account, job.cost);
         let queue = self.queues.entry(job.account).or_default();
         if queue.len() >= job.limit as usize {
             return Arrival::Full;
         }
-        queue.push(key);
+        if self.too_late(now, &job, expected) {
+            return Arrival::TooLate;
+        }
+        let held = Held {
+            job,
+            expected,
+            charged: Micros::ZERO,
+            waiting: true,
+            agent: None,
+            hedged: false,
+        };
+        self.jobs.insert(key, held);
+        let queue = self.queues.entry(job.account).or_default();
+        if queue.is_empty() {
+            self.turns.entry(job.account).or_default().last = now;
+        }
+        queue.push(key, expected);
         self.waiting += 1;
-        self.jobs.insert(
-            key,
-            Held {
-                job,
-                charged: Micros::ZERO,
-                waiting: true,
-            },
-        );
         self.share.backlogged(job.account);
-        match self.match_parked() {
+        match self.match_parked(now) {
             Some(assignment) => Arrival::Assigned(assignment),
             None => Arrival::Queued,
         }
     }
 
     /// An agent offers a slot. `None`: nothing waits, the offer is parked.
-    pub fn offer(&mut self, _now: Micros, agent: AgentKey, offer: OfferId) -> Option<Assignment> {
+    pub fn offer(&mut self, now: Micros, agent: AgentKey, offer: OfferId) -> Option<Assignment> {
+        self.seen = now;
         self.parked.push_back((agent, offer));
-        self.match_parked()
+        self.match_parked(now)
     }
 
     /// An offer no longer stands.
@@ -108,36 +151,57 @@
     /// None of the agent's offers stands any more.
     pub fn lost(&mut self, agent: AgentKey) {
         self.parked.retain(|p| p.0 != agent);
+        self.pace.forget(agent);
     }
 
     /// A dispatched request was not begun: it goes back to the head, its charge undone.
-    pub fn returned(&mut self, _now: Micros, key: JobKey) -> Option<Assignment> {
+    pub fn returned(&mut self, now: Micros, key: JobKey) -> Option<Assignment> {
         let held = self.jobs.get_mut(&key)?;
         if held.waiting {
             return None;
         }
         held.waiting = true;
+        held.agent = None;
+        held.hedged = false;
         let (account, charged) = (held.job.account, std::mem::take(&mut held.charged));
         self.credit(account, charged);
         self.queues.entry(account).or_default().push_front(key);
         self.waiting += 1;
         self.share.backlogged(account);
-        self.match_parked()
+        self.match_parked(now)
     }
 
     /// Slot time that a running request has used so far.
     pub fn progress(&mut self, key: JobKey, spent: Micros) {
-        if let Some(held) = self.jobs.get_mut(&key)
-            && spent > held.charged
-        {
+        let now = self.seen;
+        let Some(held) = self.jobs.get_mut(&key).filter(|h| !h.waiting) else {
+            return;
+        };
+        if let Some(agent) = held.agent {
+            self.pace.running(now, agent, held.expected, spent);
+        }
+        if spent > held.charged {
             let (account, more) = (held.job.account, spent - held.charged);
             held.charged = spent;
             self.debit(account, more);
         }
     }
 
-    /// A request is over: its charge is settled at the slot time it took.
-    pub fn ended(&mut self, _now: Micros, key: JobKey, spent: Micros) {
+    /// A request ran to its end: its charge is settled at the slot time it took, which is learnt.
+    pub fn ended(&mut self, now: Micros, key: JobKey, spent: Micros) {
+        self.seen = now;
+        if let Some(held) = self.jobs.get(&key)
+            && let Some(agent) = held.agent
+            && spent > Micros::ZERO
+        {
+            self.pace.record(now, agent, held.expected, spent);
+            self.learn.record(held.job.account, held.job.cost, spent);
+        }
+        self.aborted(key, spent);
+    }
+
+    /// A request is over before its end: its charge is settled, nothing is learnt.
+    pub fn aborted(&mut self, key: JobKey, spent: Micros) {
         let Some(held) = self.jobs.remove(&key) else {
             return;
         };
@@ -153,6 +217,49 @@
         }
     }
 
+    /// A second copy of an idempotent request that runs late on a slowed target. It takes a parked
+    /// offer that no waiting request wants, so it costs no account its turn, and is not charged.
+    pub fn hedge(&mut self, now: Micros, key: JobKey, budget: &mut Budget) -> Option<Assignment> {
+        let held = self.jobs.get(&key).filter(|h| !h.waiting && !h.hedged)?;
+        let slow = held.agent?;
+        let late = held.charged.0 > held.expected.0.saturating_mul(HEDGE_FACTOR);
+        if self.waiting > 0 || !late || !self.pace.slow(now, slow) {
+            return None;
+        }
+        let pace = &self.pace;
+        let at = self
+            .parked
+            .iter()
+            .take(PARKED_SCAN)
+            .position(|p| p.0 != slow && !pace.slow(now, p.0))?;
+        if !budget.take() {
+            return None;
+        }
+        let (agent, offer) = self.parked.remove(at).expect("the offer was found");
+        let held = self.jobs.get_mut(&key).expect("the request is held");
+        held.hedged = true;
+        Some(Assignment {
+            job: key,
+            agent,
+            offer,
+        })
+    }
+
+    /// The second copy was not begun, or its agent is lost.
+    pub fn unhedged(&mut self, key: JobKey) {
+        if let Some(held) = self.jobs.get_mut(&key) {
+            held.hedged = false;
+        }
+    }
+
+    /// The second copy stands in for the first, whose agent is lost.
+    pub fn promoted(&mut self, key: JobKey, agent: AgentKey) {
+        if let Some(held) = self.jobs.get_mut(&key).filter(|h| !h.waiting) {
+            held.hedged = false;
+            held.agent = Some(agent);
+        }
+    }
+
     /// Slot time charged for a request so far.
     pub fn charged(&self, key: JobKey) -> Micros {
         self.jobs
@@ -174,6 +281,22 @@
         self.share.level(account)
     }
 
+    /// Time after which a refused caller of the account does well to come back: the expected wait
+    /// times one half to three halves, by `salt`, so that callers do not come back together.
+    pub fn retry_after(&self, account: AccountKey, salt: u64) -> Micros {
+        /// Shortest time that is told.
+        const LEAST: Micros = Micros::from_secs(1);
+        let wait = self.wait(account).max(LEAST);
+        Micros(wait.0 / 2 + salt % wait.0)
+    }
+
+    /// Time for which a request of the account would wait if it arrived now.
+    pub fn wait(&self, account: AccountKey) -> Micros {
+        let len = self.queues.get(&account).map_or(0, Queue::len);
+        let gap = self.turns.get(&account).and_then(|t| t.gap);
+        Micros((len as f64 * gap.unwrap_or_default()) as u64)
+    }
+
     /// Slot time that this entry has charged to each account, less what it took back.
     pub fn given(&self) -> impl Iterator<Item = (AccountKey, Micros)> {
         self.given.iter().map(|(&account, &total)| (account, total))
@@ -196,9 +319,20 @@
         self.share.credit(account, amount);
     }
 
-    fn match_parked(&mut self) -> Option<Assignment> {
+    /// Whether the request would wait past its deadline. One at the head of its queue is tried.
+    fn too_late(&self, now: Micros, job: &Job, expected: Micros) -> bool {
+        let wait = self.wait(job.account);
+        let Some(deadline) = job.deadline else {
+            return false;
+        };
+        wait > Micros::ZERO && now + wait + expected > deadline
+    }
+
+    fn match_parked(&mut self, now: Micros) -> Option<Assignment> {
+        if self.parked.is_empty() {
+            return None;
+        }
         let (account, _) = self.share.first()?;
-        let (agent, offer) = self.parked.pop_front()?;
         let queue = self
             .queues
             .get_mut(&account)
@@ -210,14 +344,36 @@
             self.share.idle(account);
         }
         self.waiting -= 1;
-        let held = self.jobs.get_mut(&job).expect("a waiting request is held");
-        held.waiting = false;
-        held.charged = held.job.cost;
-        let cost = held.job.cost;
-        self.debit(account, cost);
+        self.turns.entry(account).or_default().pass(now);
+        let (agent, offer) = self.choose(now, job);
+        self.charge(job, agent);
         Some(Assignment { job, agent, offer })
     }
 
+    /// Takes the parked offer that suits the request best: of the target that served its prefix,
+    /// else the oldest of a target that is not slowed, else the oldest.
+    fn choose(&mut self, now: Micros, key: JobKey) -> (AgentKey, OfferId) {
+        let job = &self.jobs[&key].job;
+        let known = job.prefix.and_then(|p| self.affinity.agent(job.account, p));
+        let rank = |agent: AgentKey| (self.pace.slow(now, agent), Some(agent) != known);
+        let scan = self.parked.iter().take(PARKED_SCAN).enumerate();
+        let best = scan.min_by_key(|(at, p)| (rank(p.0), *at));
+        let at = best.map(|(at, _)| at).expect("an offer is parked");
+        self.parked.remove(at).expect("the offer was found")
+    }
+
+    fn charge(&mut self, key: JobKey, agent: AgentKey) {
+        let held = self.jobs.get_mut(&key).expect("a waiting request is held");
+        held.waiting = false;
+        held.agent = Some(agent);
+        held.charged = held.expected.min(UPFRONT);
+        let (job, charged) = (held.job, held.charged);
+        self.debit(job.account, charged);
+        if let Some(prefix) = job.prefix {
+            self.affinity.record(job.account, prefix, agent);
+        }
+    }
+
     fn unqueue(&mut self, account: AccountKey, key: JobKey) {
         let Some(queue) = self.queues.get_mut(&account) else {
             return;
@@ -230,3 +386,13 @@
         }
     }
 }
+
+impl Turns {
+    /// The account has its turn.
+    fn pass(&mut self, now: Micros) {
+        let span = (now - self.last).0 as f64;
+        let gap = self.gap.unwrap_or(span);
+        self.gap = Some(gap + TURN_WEIGHT * (span - gap));
+        self.last = now;
+    }
+}
