Drive the real exchange in the bench

Cause: the bench measured an idealised exchange of whole counters. Ruled out: keeping both; the idealised one hid the period of the real one. Change: every entry of the harness runs exchange::node; datagrams cross the harness's links. The scheduler passes collect and apply on to its share.

--- a/src/bench/experiments.rs
+++ b/src/bench/experiments.rs
@@ -1,12 +1,13 @@
 //! The experiments: what is asked of the policy, and which figures are taken.
 
+use crate::exchange::node::MIN_PERIOD;
 use crate::ids::{AccountKey, AgentKey, EntryKey};
 use crate::units::Micros;
 
 use super::demand::{Crest, Demand, Flow, Mix, Via};
 use super::meter::percentile;
 use super::naive::Naive;
-use super::ours::{EXCHANGE, Ours};
+use super::ours::Ours;
 use super::policy::{Node, Policy, Refusal, TICK};
 use super::report::Report;
 use super::world::{Fate, Fault, Layout, Request, World};
@@ -72,9 +73,7 @@
 /// Runs an experiment. One report for each of its cases.
 pub fn run(experiment: Experiment, seed: u64, variant: Variant) -> Vec<Report> {
     match variant {
-        Variant::Fleet => measure(experiment, seed, |l: &Layout| {
-            Ours::new(l.entries, l.agents, l.slots)
-        }),
+        Variant::Fleet => measure(experiment, seed, Ours::new),
         Variant::Naive => measure(experiment, seed, |l: &Layout| {
             Naive::new(l.entries, l.agents, l.slots)
         }),
@@ -189,7 +188,7 @@
     flows[0].via = Via::One(EntryKey(0));
     let demand = Demand::new(seed, layout.entries, flows);
     let mut world = World::new(&layout, demand, make(&layout));
-    let mut stale = EXCHANGE + TICK;
+    let mut stale = MIN_PERIOD + TICK;
     if parted {
         stale += CUT.1 - CUT.0;
         for (a, b) in pairs(layout.entries) {
--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -7,6 +7,7 @@
 mod events;
 mod experiments;
 mod links;
+mod member;
 mod meter;
 mod naive;
 mod ours;
--- a/src/bench/ours.rs
+++ b/src/bench/ours.rs
@@ -2,21 +2,21 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use crate::ids::{AccountKey, AgentKey, BootId, DispatchId, EntryKey, JobKey, OfferId};
+use crate::ids::{AgentKey, BootId, DispatchId, EntryKey, JobKey, OfferId};
 use crate::ledger::Ledger;
 use crate::pull::{Pull, Step, Steps, Verdict};
 use crate::scheduler::{Arrival, Assignment, Job, Scheduler};
 use crate::units::Micros;
 use crate::wire::{Backlog, Known};
 
+use super::member::Member;
 use super::policy::{Action, Actions, Arriving, Live, Message, Node, Policy, Refusal};
+use super::world::Layout;
 
 /// Requests that an account may have waiting at one entry.
 const QUEUE_LIMIT: u32 = 400;
 /// Time between heartbeats.
 const HEARTBEAT: Micros = Micros::from_ms(500);
-/// Time between rounds of the exchange.
-pub const EXCHANGE: Micros = Micros::from_ms(500);
 /// Longest time for which an entry waits to learn what became of a dispatch.
 const ASK_TIMEOUT: Micros = Micros::from_secs(5);
 
@@ -30,7 +30,7 @@
     lost: Option<Micros>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Entry {
     scheduler: Scheduler,
     boot: BootId,
@@ -38,7 +38,7 @@
     jobs: HashMap<JobKey, Arriving>,
     sent: BTreeMap<JobKey, Sent>,
     up: Vec<bool>,
-    heard: HashMap<(EntryKey, AccountKey), Micros>,
+    member: Member,
 }
 
 #[derive(Debug)]
@@ -54,23 +54,28 @@
 #[derive(Debug)]
 pub struct Ours {
     slots: u16,
+    accounts: usize,
     entries: Vec<Entry>,
     agents: Vec<Agent>,
     beat: Micros,
-    round: Micros,
 }
 
 impl Ours {
-    /// A policy for these numbers of entries, agents, and slots of each agent.
-    pub fn new(entries: usize, agents: usize, slots: u16) -> Self {
+    /// A policy for the layout's processes.
+    pub fn new(layout: &Layout) -> Self {
+        let entry = |i: usize| {
+            let me = EntryKey::from(i);
+            let member = Member::new(Micros::ZERO, me, layout.entries, layout.accounts);
+            Entry::new(BootId(i as u64), layout.agents, member)
+        };
         Ours {
-            slots,
-            entries: (0..entries)
-                .map(|i| Entry::new(BootId(i as u64), agents))
+            slots: layout.slots,
+            accounts: layout.accounts,
+            entries: (0..layout.entries).map(entry).collect(),
+            agents: (0..layout.agents)
+                .map(|_| Agent::new(layout.slots, 0))
                 .collect(),
-            agents: (0..agents).map(|_| Agent::new(slots, 0)).collect(),
             beat: Micros::ZERO,
-            round: Micros::ZERO,
         }
     }
 
@@ -239,33 +244,30 @@
         }
     }
 
-    fn exchange(&mut self, e: EntryKey, live: &Live, out: &mut Actions) {
-        let given: Vec<_> = self.entries[e.index()].scheduler.given().collect();
-        for other in 0..self.entries.len() {
-            let to = Node::Entry(EntryKey::from(other));
-            if other != e.index() && live.runs(to) {
-                let message = Message::Levels(given.clone());
-                out.push(Action::Send(Node::Entry(e), to, message));
-            }
-        }
-    }
-
-    fn merge(&mut self, e: EntryKey, from: EntryKey, levels: Vec<(AccountKey, Micros)>) {
+    fn exchange(&mut self, now: Micros, e: EntryKey, out: &mut Actions) {
         let entry = &mut self.entries[e.index()];
-        for (account, total) in levels {
-            let held = entry.heard.entry((from, account)).or_default();
-            entry.scheduler.remote(account, *held, total);
-            *held = total;
+        let boot = entry.boot;
+        for datagram in entry.member.tick(now, &mut entry.scheduler) {
+            let message = Message::Gossip(boot, datagram.payload);
+            out.push(Action::Send(
+                Node::Entry(e),
+                Node::Entry(datagram.to),
+                message,
+            ));
         }
     }
 }
 
 impl Entry {
-    fn new(boot: BootId, agents: usize) -> Self {
+    fn new(boot: BootId, agents: usize, member: Member) -> Self {
         Entry {
+            scheduler: Scheduler::new(),
             boot,
+            seq: 0,
+            jobs: HashMap::new(),
+            sent: BTreeMap::new(),
             up: vec![false; agents],
-            ..Entry::default()
+            member,
         }
     }
 
@@ -314,8 +316,10 @@
             (Node::Agent(a), Node::Entry(e)) => self.at_entry(now, e, a, message, out),
             (Node::Entry(e), Node::Agent(a)) => self.at_agent(now, e, a, message, out),
             (Node::Entry(from), Node::Entry(e)) => {
-                if let Message::Levels(levels) = message {
-                    self.merge(e, from, levels);
+                if let Message::Gossip(boot, payload) = message {
+                    let member = &mut self.entries[e.index()].member;
+                    member.receive(now, from, boot, &payload);
+                    self.exchange(now, e, out);
                 }
             }
             (Node::Agent(_), Node::Agent(_)) => {}
@@ -363,12 +367,13 @@
         }
     }
 
-    fn restart(&mut self, _now: Micros, node: Node) {
+    fn restart(&mut self, now: Micros, node: Node) {
         match node {
             Node::Entry(e) => {
                 let agents = self.agents.len();
                 let boot = BootId(self.entries[e.index()].boot.0 + (1 << 32));
-                self.entries[e.index()] = Entry::new(boot, agents);
+                let member = Member::new(now, e, self.entries.len(), self.accounts);
+                self.entries[e.index()] = Entry::new(boot, agents, member);
             }
             Node::Agent(a) => {
                 let boot = self.agents[a.index()].boot + 1;
@@ -379,7 +384,6 @@
 
     fn tick(&mut self, now: Micros, live: &Live, out: &mut Actions) {
         let beat = now >= self.beat;
-        let round = now >= self.round;
         for i in 0..self.entries.len() {
             let e = EntryKey::from(i);
             if !live.runs(Node::Entry(e)) {
@@ -392,16 +396,13 @@
                 let up = (0..entry.up.len()).filter(|&a| entry.up[a]);
                 out.extend(up.map(|a| to_agent(e, AgentKey::from(a), message.clone())));
             }
-            if round {
-                self.exchange(e, live, out);
+            if now >= self.entries[i].member.wake() {
+                self.exchange(now, e, out);
             }
         }
         if beat {
             self.beat = now + HEARTBEAT;
         }
-        if round {
-            self.round = now + EXCHANGE;
-        }
     }
 }
 
--- a/src/bench/policy.rs
+++ b/src/bench/policy.rs
@@ -1,6 +1,7 @@
 //! What a routing policy does in the harness: messages between nodes and work that starts.
 
-use crate::ids::{AccountKey, AgentKey, DispatchId, EntryKey, JobKey, OfferId};
+use crate::exchange::envelope::ENVELOPE_BYTES;
+use crate::ids::{AccountKey, AgentKey, BootId, DispatchId, EntryKey, JobKey, OfferId};
 use crate::units::Micros;
 use crate::wire::{self, Backlog, ToAgent, ToEntry};
 
@@ -32,8 +33,8 @@
     Progress(JobKey, Micros),
     /// What waits at an entry.
     Heartbeat(Backlog),
-    /// Cumulative service that an entry has given to each account.
-    Levels(Vec<(AccountKey, Micros)>),
+    /// A datagram of the exchange, and its sender's boot id.
+    Gossip(BootId, Vec<u8>),
     /// What became of the dispatch?
     Ask(JobKey, DispatchId),
     /// Whether the agent has begun the request; if not, it never will.
@@ -43,6 +44,9 @@
 /// Bytes of the TCP and IP headers around a frame.
 const FRAME_BYTES: u64 = 40;
 
+/// Bytes of the UDP and IP headers around a datagram.
+const DATAGRAM_BYTES: u64 = 28;
+
 impl Message {
     /// Bytes on the wire when the message is control traffic and no request or answer.
     pub fn control_bytes(&self) -> Option<u64> {
@@ -54,6 +58,10 @@
                 backlog: *backlog,
             }),
             Message::Heartbeat(backlog) => frame(&ToAgent::Heartbeat { backlog: *backlog }),
+            Message::Gossip(_, payload) => {
+                let bytes = payload.len() + ENVELOPE_BYTES;
+                return Some(bytes as u64 + DATAGRAM_BYTES);
+            }
             _ => return None,
         };
         Some(body + FRAME_BYTES)
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -10,7 +10,7 @@
 use crate::learn::Learn;
 use crate::pace::Pace;
 use crate::queue::Queue;
-use crate::share::Share;
+use crate::share::{Demand, Report, Share};
 use crate::units::Micros;
 use crate::wire::Backlog;
 
@@ -89,7 +89,6 @@
     jobs: HashMap<JobKey, Held>,
     parked: VecDeque<(AgentKey, OfferId)>,
     waiting: u32,
-    given: BTreeMap<AccountKey, Micros>,
     learn: Learn,
     pace: Pace,
     affinity: Affinity,
@@ -164,7 +163,7 @@
         held.agent = None;
         held.hedged = false;
         let (account, charged) = (held.job.account, std::mem::take(&mut held.charged));
-        self.credit(account, charged);
+        self.share.credit(account, charged);
         self.queues.entry(account).or_default().push_front(key);
         self.waiting += 1;
         self.share.backlogged(account);
@@ -183,7 +182,7 @@
         if spent > held.charged {
             let (account, more) = (held.job.account, spent - held.charged);
             held.charged = spent;
-            self.debit(account, more);
+            self.share.debit(account, more);
         }
     }
 
@@ -211,9 +210,9 @@
             return;
         }
         if spent >= held.charged {
-            self.debit(account, spent - held.charged);
+            self.share.debit(account, spent - held.charged);
         } else {
-            self.credit(account, held.charged - spent);
+            self.share.credit(account, held.charged - spent);
         }
     }
 
@@ -297,26 +296,14 @@
         Micros((len as f64 * gap.unwrap_or_default()) as u64)
     }
 
-    /// Slot time that this entry has charged to each account, less what it took back.
-    pub fn given(&self) -> impl Iterator<Item = (AccountKey, Micros)> {
-        self.given.iter().map(|(&account, &total)| (account, total))
+    /// What was charged here since the last call, and who waits, for the exchange.
+    pub fn collect(&mut self) -> Vec<Report> {
+        self.share.collect()
     }
 
-    /// Slot time that another entry has charged to the account went from `old` to `new`.
-    pub fn remote(&mut self, account: AccountKey, old: Micros, new: Micros) {
-        self.share.debit(account, new - old);
-        self.share.credit(account, old - new);
-    }
-
-    fn debit(&mut self, account: AccountKey, amount: Micros) {
-        *self.given.entry(account).or_default() += amount;
-        self.share.debit(account, amount);
-    }
-
-    fn credit(&mut self, account: AccountKey, amount: Micros) {
-        let given = self.given.entry(account).or_default();
-        *given = *given - amount;
-        self.share.credit(account, amount);
+    /// Takes over the fleet's level of an account from the exchange.
+    pub fn apply(&mut self, account: AccountKey, total: Micros, demand: Demand) {
+        self.share.apply(account, total, demand);
     }
 
     /// Whether the request would wait past its deadline. One at the head of its queue is tried.
@@ -368,7 +355,7 @@
         held.agent = Some(agent);
         held.charged = held.expected.min(UPFRONT);
         let (job, charged) = (held.job, held.charged);
-        self.debit(job.account, charged);
+        self.share.debit(job.account, charged);
         if let Some(prefix) = job.prefix {
             self.affinity.record(job.account, prefix, agent);
         }
