Claim keys in the log, share levels between entries, heed the host list

Cause: an order with an idempotency key was run as often as it came; entries knew nothing of each other's charges; leaving hosts were known only from their agents. Ruled out: a lock service or an expiry for keys (a paused holder could wake and act); a peer protocol of its own for joining a repeat (the caller's own request, marked, does it over HTTP); schedulers behind messages (the exchange is a plain loop, one lock held for microseconds suffices). Change: `keyed` claims through the log before dispatch, `answers` and `join` give a repeat the holder's answer, `guard` holds back requests that crash targets, `pool` and its bridge connect the schedulers with the exchange, `hosts` follows the host list, the desk checks a claim's age in the step that dispatches.

--- a/src/entry/agents.rs
+++ b/src/entry/agents.rs
@@ -5,9 +5,8 @@
 
 use crate::auth::Secret;
 use crate::conn::{self, Inbox};
-use crate::entry::desk::{
-    AgentDown, AgentLeaving, AgentUp, Desk, Link, Offered, Progressed, Voided,
-};
+use crate::entry::desk::Desk;
+use crate::entry::messages::{AgentDown, AgentLeaving, AgentUp, Link, Offered, Progressed, Voided};
 use crate::entry::routes::{Event, Routes};
 use crate::ids::{BootId, DispatchId};
 use crate::wire::ToEntry;
--- /dev/null
+++ b/src/entry/answers.rs
@@ -0,0 +1,154 @@
+//! Answers to keyed requests, kept so that a repeat gets the same one.
+
+use std::collections::{HashMap, VecDeque};
+use std::sync::{Arc, Mutex, MutexGuard};
+
+use bytes::{Bytes, BytesMut};
+use tokio::sync::{mpsc, oneshot, watch};
+
+use crate::claim::Digest;
+use crate::entry::flight::{Head, Piece};
+use crate::problem::Problem;
+use crate::wire::Header;
+
+/// Most answers that an entry keeps.
+pub const MAX_ANSWERS: usize = 4_096;
+/// Largest body of an answer that is kept, in bytes.
+pub const MAX_ANSWER_BYTES: usize = 64 * 1024;
+
+/// A whole answer.
+#[derive(Debug)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// Headers.
+    pub headers: Vec<Header>,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// What is known of a keyed request's answer.
+#[derive(Clone, Debug)]
+pub enum Kept {
+    /// It is on its way.
+    Pending,
+    /// It is here.
+    Whole(Arc<Answer>),
+    /// It was refused.
+    Refused(Problem),
+    /// It broke off, or was too large to keep.
+    Lost,
+}
+
+/// The answers, by [`Digest::of_key`]. Clones share them.
+#[derive(Clone, Debug, Default)]
+pub struct Answers {
+    table: Arc<Mutex<Table>>,
+}
+
+#[derive(Debug, Default)]
+struct Table {
+    kept: HashMap<Digest, watch::Receiver<Kept>>,
+    order: VecDeque<Digest>,
+}
+
+/// Where the first caller's copy of the answer goes.
+#[derive(Debug)]
+pub struct Copy {
+    /// Takes the head, or a refusal.
+    pub head: oneshot::Sender<Result<Head, Problem>>,
+    /// Takes the body.
+    pub body: mpsc::Sender<Piece>,
+}
+
+impl Answers {
+    /// Nothing is kept.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Waits for the answer to the request that holds the key here. `None`: it is not known here.
+    pub async fn wait(&self, key: Digest) -> Option<Kept> {
+        let mut kept = self.lock().kept.get(&key).cloned()?;
+        let settled = kept.wait_for(|k| !matches!(k, Kept::Pending)).await;
+        settled.map(|k| k.clone()).ok()
+    }
+
+    /// Keeps the answer that comes through `head` and `body`, and passes it on to the caller. The
+    /// answer is taken in full even when that caller goes away.
+    pub async fn keep(
+        self,
+        key: Digest,
+        head: oneshot::Receiver<Result<Head, Problem>>,
+        body: mpsc::Receiver<Piece>,
+        copy: Copy,
+    ) {
+        let (state, kept) = watch::channel(Kept::Pending);
+        self.lock().put(key, kept);
+        let result = match head.await {
+            Ok(Ok(head)) => record(head, body, copy).await,
+            Ok(Err(problem)) => {
+                // A caller that is gone needs no word.
+                let _ = copy.head.send(Err(problem));
+                Kept::Refused(problem)
+            }
+            Err(_) => Kept::Lost,
+        };
+        if matches!(result, Kept::Refused(_)) {
+            self.lock().kept.remove(&key);
+        }
+        state.send_replace(result);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Table> {
+        self.table.lock().expect("no holder of the answers panics")
+    }
+}
+
+impl Table {
+    fn put(&mut self, key: Digest, kept: watch::Receiver<Kept>) {
+        self.kept.insert(key, kept);
+        self.order.push_back(key);
+        while self.order.len() > MAX_ANSWERS {
+            let oldest = self.order.pop_front().expect("the order is not empty");
+            self.kept.remove(&oldest);
+        }
+    }
+}
+
+/// Passes a body on and records it while it fits.
+async fn record(head: Head, mut body: mpsc::Receiver<Piece>, copy: Copy) -> Kept {
+    let (status, headers) = (head.status, head.headers.clone());
+    // A caller that is gone is no reason to stop.
+    let _ = copy.head.send(Ok(head));
+    let mut bytes = BytesMut::new();
+    let mut fits = true;
+    loop {
+        let piece = body.recv().await;
+        match &piece {
+            Some(Piece::Data(data)) => {
+                fits &= bytes.len() + data.len() <= MAX_ANSWER_BYTES;
+                if fits {
+                    bytes.extend_from_slice(data);
+                }
+            }
+            Some(Piece::End) => {}
+            None => return Kept::Lost,
+        }
+        let ended = matches!(piece, Some(Piece::End));
+        if let Some(piece) = piece {
+            // As above.
+            let _ = copy.body.send(piece).await;
+        }
+        if ended && fits {
+            return Kept::Whole(Arc::new(Answer {
+                status,
+                headers,
+                body: bytes.freeze(),
+            }));
+        }
+        if ended {
+            return Kept::Lost;
+        }
+    }
+}
--- a/src/entry/desk.rs
+++ b/src/entry/desk.rs
@@ -1,150 +1,42 @@
 //! The entry's central service: agents, waiting requests, and who gets which slot.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use serde::Serialize;
 use slab::Slab;
 use tokio::sync::{mpsc, watch};
 use xtra::prelude::*;
 
 use crate::conn::Outbox;
 use crate::dispatches::Dispatches;
+use crate::entry::figures::{AgentStatus, DeskStatus, LevelStatus, ServiceStatus};
+use crate::entry::keyed::Keyed;
+use crate::entry::messages::{
+    AgentDown, AgentLeaving, AgentUp, Arrive, Beat, HostsLeaving, Inspect, Link, Offered, Over,
+    Progressed, Returned, Voided,
+};
+use crate::entry::pool::Pool;
 use crate::entry::request::Request;
 use crate::entry::routes::{Event, Route, Routes};
-use crate::ids::{AgentKey, BootId, DispatchId, JobKey, OfferId, ServiceKey};
-use crate::kernel::ServiceName;
+use crate::ids::{AgentKey, BootId, DispatchId, JobKey, ServiceKey};
+use crate::problem::{Problem, Reason};
 use crate::rules::Table;
 use crate::scheduler::{Arrival, Assignment, Job, Scheduler};
 use crate::units::{Clock, Micros};
 use crate::wire::{AgentInfo, Backlog, Dispatch, MAX_CHUNK_BYTES, ToAgent};
 
-/// Name under which the desk's address is registered.
-pub const DESK: ServiceName = ServiceName("desk");
-
 /// Expected slot time of a request without a hint.
 const DEFAULT_COST: Micros = Micros::from_ms(100);
 
-/// A request arrives. Returns its key, or `None` when its account's queue is full.
-pub struct Arrive {
-    /// The request.
-    pub request: Arc<Request>,
-    /// Its task.
-    pub events: mpsc::Sender<Event>,
-    /// The moment after which no answer is wanted.
-    pub deadline: Micros,
-}
-
-/// An agent has connected.
-pub struct AgentUp {
-    /// Who it is.
-    pub info: AgentInfo,
-    /// The connection.
-    pub outbox: Outbox,
-}
-
-/// Names one connection of an agent.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Link {
-    /// The agent.
-    pub agent: AgentKey,
-    /// Which of its connections, from 1.
-    pub number: u64,
-}
-
-/// An agent's connection is gone.
-pub struct AgentDown(pub Link);
-
-/// An agent offers a slot.
-pub struct Offered(pub Link, pub OfferId);
-
-/// An agent withdraws an offer.
-pub struct Voided(pub Link, pub OfferId);
-
-/// An agent takes no new work.
-pub struct AgentLeaving(pub Link);
-
-/// A dispatched request was not begun and waits again.
-pub struct Returned(pub JobKey);
-
-/// A running request has used this much slot time.
-pub struct Progressed {
-    /// The request.
-    pub job: JobKey,
-    /// Its dispatch; a report about an earlier one is stale.
-    pub dispatch: DispatchId,
-    /// Slot time so far.
-    pub spent: Micros,
-}
-
-/// A request is over, whether it waited or ran.
-pub struct Over {
-    /// The request.
-    pub job: JobKey,
-    /// Slot time to charge; `None` keeps the charge so far.
-    pub spent: Option<Micros>,
-}
-
-/// Asks for the figures of `/status`.
-pub struct Inspect;
-
-/// Asks for the heartbeat to each connected agent.
-pub struct Beat;
-
-/// Figures of `/status`.
-#[derive(Clone, Debug, Serialize)]
-pub struct DeskStatus {
-    /// Connected agents.
-    pub agents: Vec<AgentStatus>,
-    /// What waits, by service.
-    pub services: Vec<ServiceStatus>,
-    /// Requests held, waiting or running.
-    pub jobs: usize,
-}
-
-/// An agent in `/status`.
-#[derive(Clone, Debug, Serialize)]
-pub struct AgentStatus {
-    /// Its target's address.
-    pub host: SocketAddr,
-    /// Its service.
-    pub service: String,
-    /// Its availability zone.
-    pub zone: String,
-    /// Whether it is connected.
-    pub up: bool,
-    /// Whether it takes no new work.
-    pub leaving: bool,
-    /// Requests that this entry runs on it.
-    pub running: usize,
-}
-
-/// A service in `/status`.
-#[derive(Clone, Debug, Serialize)]
-pub struct ServiceStatus {
-    /// Its name.
-    pub service: String,
-    /// Requests that wait here.
-    pub waiting: u32,
-    /// Service levels of its client accounts, in milliseconds.
-    pub levels: Vec<LevelStatus>,
-}
-
-/// An account's service level in `/status`.
-#[derive(Clone, Debug, Serialize)]
-pub struct LevelStatus {
-    /// The account.
-    pub account: String,
-    /// Slot time charged, in milliseconds.
-    pub level_ms: u64,
-}
-
 struct AgentState {
     info: AgentInfo,
     link: u64,
     outbox: Option<Outbox>,
+    /// The agent says that it takes no new work.
     leaving: bool,
+    /// The host list says so.
+    listed: bool,
     jobs: Vec<JobKey>,
 }
 
@@ -155,6 +47,9 @@
     sent: Option<(DispatchId, AgentKey)>,
 }
 
+/// A request's claim is too old to be dispatched.
+struct ClaimExpired;
+
 /// The desk.
 #[derive(xtra::Actor)]
 pub struct Desk {
@@ -164,8 +59,10 @@
     routes: Routes,
     agents: Slab<AgentState>,
     hosts: HashMap<SocketAddr, AgentKey>,
+    departing: HashSet<SocketAddr>,
     jobs: Slab<JobState>,
-    schedulers: Vec<Scheduler>,
+    pool: Pool,
+    keyed: Keyed,
 }
 
 impl Desk {
@@ -175,6 +72,8 @@
         boot: BootId,
         rules: watch::Receiver<Arc<Table>>,
         routes: Routes,
+        pool: Pool,
+        keyed: Keyed,
     ) -> Self {
         Desk {
             clock,
@@ -183,16 +82,15 @@
             routes,
             agents: Slab::new(),
             hosts: HashMap::new(),
+            departing: HashSet::new(),
             jobs: Slab::new(),
-            schedulers: Vec::new(),
+            pool,
+            keyed,
         }
     }
 
-    fn scheduler(&mut self, service: ServiceKey) -> &mut Scheduler {
-        while self.schedulers.len() <= service.index() {
-            self.schedulers.push(Scheduler::new());
-        }
-        &mut self.schedulers[service.index()]
+    fn with<T>(&self, service: ServiceKey, act: impl FnOnce(&mut Scheduler) -> T) -> T {
+        self.pool.with(service, act)
     }
 
     fn service_of(&self, agent: AgentKey) -> Option<ServiceKey> {
@@ -206,54 +104,63 @@
             .filter(|a| a.link == link.number)
     }
 
-    /// Sends an assigned request to its agent.
+    /// Sends an assigned request to its agent. When its claim is too old, the offer goes to the
+    /// next request.
     fn send(&mut self, service: ServiceKey, assigned: Assignment) {
-        let backlog = self.scheduler(service).backlog();
+        let mut next = Some(assigned);
+        while let Some(assigned) = next.take() {
+            let request = self.jobs[assigned.job.index()].request.clone();
+            match self.fence(&request) {
+                Ok(fence) => self.dispatch(service, assigned, &request, fence),
+                Err(ClaimExpired) => {
+                    // A task that is gone says so with `Over`, which follows.
+                    let _ = self.jobs[assigned.job.index()]
+                        .events
+                        .try_send(Event::Expired);
+                    let now = self.clock.now();
+                    next = self.with(service, |s| s.offer(now, assigned.agent, assigned.offer));
+                }
+            }
+        }
+    }
+
+    fn dispatch(
+        &mut self,
+        service: ServiceKey,
+        assigned: Assignment,
+        request: &Request,
+        fence: Option<u64>,
+    ) {
+        let backlog = self.with(service, |s| s.backlog());
         let id = self.dispatches.open();
-        let now = self.clock.now();
-        let job = self
-            .jobs
-            .get_mut(assigned.job.index())
-            .expect("an assigned request is held");
-        let agent = self
-            .agents
-            .get_mut(assigned.agent.index())
-            .expect("an offering agent is known");
-        let outbox = agent
-            .outbox
-            .clone()
-            .expect("an offering agent is connected");
-        job.sent = Some((id, assigned.agent));
-        agent.jobs.push(assigned.job);
-        self.routes.insert(
-            id,
-            Route {
-                job: assigned.job,
-                events: job.events.clone(),
-            },
-        );
+        let left = self.jobs[assigned.job.index()].deadline - self.clock.now();
+        let (boot, outbox) = self.pair(assigned, id);
+        let job = &self.jobs[assigned.job.index()];
+        let route = Route {
+            job: assigned.job,
+            events: job.events.clone(),
+        };
+        self.routes.insert(id, route);
         let event = Event::Sent {
             dispatch: id,
             agent: assigned.agent,
-            boot: agent.info.boot,
+            boot,
             outbox: outbox.clone(),
         };
         // A task that is gone says so with `Over`, which follows.
         let _ = job.events.try_send(event);
-        let request = job.request.clone();
-        let account = self.rules.borrow().account_at(request.account).name.clone();
         let dispatch = Dispatch {
             dispatch: id,
             offer: assigned.offer,
             request: request.id,
-            account,
+            account: self.rules.borrow().account_at(request.account).name.clone(),
             method: request.method.clone(),
             path: request.path.clone(),
             headers: request.headers.clone(),
             body_bytes: request.body.len() as u64,
             idempotent: request.idempotent,
-            fence: None,
-            deadline: Some(job.deadline - now),
+            fence,
+            deadline: Some(left),
             trace: request.trace.map(|t| t.to_string()),
         };
         outbox.send(&ToAgent::Dispatch {
@@ -269,6 +176,35 @@
         }
     }
 
+    /// Pairs a request with its agent.
+    fn pair(&mut self, assigned: Assignment, id: DispatchId) -> (BootId, Outbox) {
+        let job = &mut self.jobs[assigned.job.index()];
+        job.sent = Some((id, assigned.agent));
+        let agent = &mut self.agents[assigned.agent.index()];
+        agent.jobs.push(assigned.job);
+        let outbox = agent
+            .outbox
+            .clone()
+            .expect("an offering agent is connected");
+        (agent.info.boot, outbox)
+    }
+
+    /// Lets go of a request that was not taken, and says when to come back.
+    fn turned_away(&mut self, key: JobKey, status: u16, reason: Reason) -> Problem {
+        let job = self.jobs.remove(key.index());
+        let (account, service) = (job.request.account, job.request.service);
+        let wait = self.with(service, |s| s.retry_after(account, rand::random()));
+        Problem::not_run(status, reason).retry_after(wait.into())
+    }
+
+    /// The fencing number of a request; `Err` when its claim is too old to be dispatched.
+    fn fence(&self, request: &Request) -> Result<Option<u64>, ClaimExpired> {
+        match request.claim {
+            None => Ok(None),
+            Some(id) => self.keyed.may_dispatch(id).map(Some).ok_or(ClaimExpired),
+        }
+    }
+
     /// Ends the pairing of a request with its agent.
     fn unsend(&mut self, key: JobKey) {
         let Some(job) = self.jobs.get_mut(key.index()) else {
@@ -287,7 +223,7 @@
 
     /// Tells the agents of a service that work waits here.
     fn announce(&mut self, service: ServiceKey) {
-        let backlog = self.scheduler(service).backlog();
+        let backlog = self.with(service, |s| s.backlog());
         let name = self.rules.borrow().service_at(service).name.clone();
         for (_, agent) in &self.agents {
             if agent.info.service == name
@@ -300,9 +236,9 @@
 }
 
 impl Handler<Arrive> for Desk {
-    type Return = Option<JobKey>;
+    type Return = Result<JobKey, Problem>;
 
-    async fn handle(&mut self, message: Arrive, _ctx: &mut Context<Self>) -> Option<JobKey> {
+    async fn handle(&mut self, message: Arrive, _ctx: &mut Context<Self>) -> Self::Return {
         let now = self.clock.now();
         let request = message.request;
         let (account, service) = (request.account, request.service);
@@ -313,25 +249,24 @@
             prefix: None,
             deadline: Some(message.deadline),
         };
-        let key = JobKey::from(self.jobs.insert(JobState {
+        let state = JobState {
             request,
             events: message.events,
             deadline: message.deadline,
             sent: None,
-        }));
-        match self.scheduler(service).arrive(now, key, job) {
+        };
+        let key = JobKey::from(self.jobs.insert(state));
+        match self.with(service, |s| s.arrive(now, key, job)) {
             Arrival::Assigned(assigned) => self.send(service, assigned),
             Arrival::Queued => {
-                if self.scheduler(service).backlog().waiting == 1 {
+                if self.with(service, |s| s.backlog()).waiting == 1 {
                     self.announce(service);
                 }
             }
-            Arrival::Full | Arrival::TooLate => {
-                self.jobs.remove(key.index());
-                return None;
-            }
+            Arrival::Full => return Err(self.turned_away(key, 429, Reason::QueueFull)),
+            Arrival::TooLate => return Err(self.turned_away(key, 503, Reason::DeadlinePassed)),
         }
-        Some(key)
+        Ok(key)
     }
 }
 
@@ -348,6 +283,7 @@
                     link: 0,
                     outbox: None,
                     leaving: false,
+                    listed: self.departing.contains(&info.host),
                     jobs: Vec::new(),
                 };
                 let agent = AgentKey::from(self.agents.insert(state));
@@ -356,7 +292,7 @@
             }
         };
         if let Some(service) = self.service_of(agent) {
-            self.scheduler(service).lost(agent);
+            self.with(service, |s| s.lost(agent));
         }
         let state = &mut self.agents[agent.index()];
         if let Some(old) = state.outbox.replace(outbox.clone()) {
@@ -394,7 +330,7 @@
         state.outbox = None;
         let jobs = state.jobs.clone();
         if let Some(service) = self.service_of(link.agent) {
-            self.scheduler(service).lost(link.agent);
+            self.with(service, |s| s.lost(link.agent));
         }
         for key in jobs {
             // A task that is gone says so with `Over`, which follows.
@@ -414,7 +350,7 @@
         let Some(state) = self.current(link) else {
             return;
         };
-        if state.leaving {
+        if state.leaving || state.listed {
             return;
         }
         let outbox = state.outbox.clone();
@@ -427,10 +363,10 @@
             }
             return;
         };
-        match self.scheduler(service).offer(now, link.agent, offer) {
+        match self.with(service, |s| s.offer(now, link.agent, offer)) {
             Some(assigned) => self.send(service, assigned),
             None => {
-                let backlog = self.scheduler(service).backlog();
+                let backlog = self.with(service, |s| s.backlog());
                 if let Some(outbox) = outbox {
                     outbox.send(&ToAgent::Parked { offer, backlog });
                 }
@@ -447,7 +383,7 @@
         if self.current(link).is_some()
             && let Some(service) = self.service_of(link.agent)
         {
-            self.scheduler(service).void(link.agent, offer);
+            self.with(service, |s| s.void(link.agent, offer));
         }
     }
 }
@@ -462,7 +398,28 @@
         };
         state.leaving = true;
         if let Some(service) = self.service_of(link.agent) {
-            self.scheduler(service).lost(link.agent);
+            self.with(service, |s| s.lost(link.agent));
+        }
+    }
+}
+
+impl Handler<HostsLeaving> for Desk {
+    type Return = ();
+
+    async fn handle(&mut self, message: HostsLeaving, _ctx: &mut Context<Self>) {
+        self.departing = message.0;
+        let mut gone = Vec::new();
+        for (at, agent) in &mut self.agents {
+            let listed = self.departing.contains(&agent.info.host);
+            if listed && !agent.listed {
+                gone.push(AgentKey::from(at));
+            }
+            agent.listed = listed;
+        }
+        for agent in gone {
+            if let Some(service) = self.service_of(agent) {
+                self.with(service, |s| s.lost(agent));
+            }
         }
     }
 }
@@ -478,7 +435,7 @@
             return;
         };
         let service = job.request.service;
-        if let Some(assigned) = self.scheduler(service).returned(now, key) {
+        if let Some(assigned) = self.with(service, |s| s.returned(now, key)) {
             self.send(service, assigned);
         }
     }
@@ -498,7 +455,7 @@
         };
         if job.sent.is_some_and(|(id, _)| id == dispatch) {
             let service = job.request.service;
-            self.scheduler(service).progress(key, spent);
+            self.with(service, |s| s.progress(key, spent));
         }
     }
 }
@@ -512,11 +469,10 @@
         let Some(job) = self.jobs.try_remove(message.job.index()) else {
             return;
         };
-        let scheduler = self.scheduler(job.request.service);
-        let spent = message
-            .spent
-            .unwrap_or_else(|| scheduler.charged(message.job));
-        scheduler.ended(now, message.job, spent);
+        self.with(job.request.service, |s| {
+            let spent = message.spent.unwrap_or_else(|| s.charged(message.job));
+            s.ended(now, message.job, spent);
+        });
     }
 }
 
@@ -533,7 +489,7 @@
             };
             let service = self.service_of(AgentKey::from(at));
             let backlog = service
-                .map(|s| self.scheduler(s).backlog())
+                .map(|s| self.with(s, |s| s.backlog()))
                 .unwrap_or_default();
             outbox.send(&ToAgent::Heartbeat { backlog });
         }
@@ -550,24 +506,21 @@
             service: a.info.service.clone(),
             zone: a.info.zone.clone(),
             up: a.outbox.is_some(),
-            leaving: a.leaving,
+            leaving: a.leaving || a.listed,
             running: a.jobs.len(),
         });
         let agents = agents.collect();
         let services = rules
             .services()
             .map(|(key, service)| {
-                let scheduler = self.scheduler(key);
+                let levels = rules.accounts().map(|(k, a)| LevelStatus {
+                    account: a.name.clone(),
+                    level_ms: self.with(key, |s| s.level(k)).as_ms(),
+                });
                 ServiceStatus {
                     service: service.name.clone(),
-                    waiting: scheduler.backlog().waiting,
-                    levels: rules
-                        .accounts()
-                        .map(|(k, a)| LevelStatus {
-                            account: a.name.clone(),
-                            level_ms: scheduler.level(k).as_ms(),
-                        })
-                        .collect(),
+                    waiting: self.with(key, |s| s.backlog()).waiting,
+                    levels: levels.collect(),
                 }
             })
             .collect();
--- a/src/entry/flight.rs
+++ b/src/entry/flight.rs
@@ -10,8 +10,12 @@
 use xtra::Address;
 
 use crate::attempt::{Action, Attempt, Event as Happening, Outcome, Plan};
+use crate::claim::Fate;
 use crate::conn::Outbox;
-use crate::entry::desk::{Arrive, Desk, Over, Returned};
+use crate::entry::desk::Desk;
+use crate::entry::guard::{Guard, Trial};
+use crate::entry::keyed::Keyed;
+use crate::entry::messages::{Arrive, Over, Returned};
 use crate::entry::request::Request;
 use crate::entry::routes::{Event, Routes};
 use crate::ids::{AgentKey, JobKey};
@@ -76,6 +80,10 @@
     pub clock: Clock,
     /// Metrics and traces.
     pub telemetry: Telemetry,
+    /// Claims on idempotency keys.
+    pub keyed: Keyed,
+    /// Requests that crash their targets.
+    pub guard: Guard,
 }
 
 /// The agent of the dispatch in flight, and its connection.
@@ -108,6 +116,8 @@
     gone: bool,
     arrived: Micros,
     queue_span: Option<Span>,
+    status: u16,
+    trial: Option<Trial>,
 }
 
 impl Flight {
@@ -134,25 +144,31 @@
             gone: false,
             arrived,
             queue_span: None,
+            status: 0,
+            trial: None,
         }
     }
 
+    /// The request is the one further try of one that crashed a target.
+    pub fn trial(mut self, trial: Option<Trial>) -> Self {
+        self.trial = trial;
+        self
+    }
+
     /// Brings the request to the desk and follows it to its end.
     pub async fn run(mut self, arrive: Arrive, mut span: Span) -> Outcome {
         let plan = Plan::new(self.request.idempotent).deadline(Some(arrive.deadline));
         self.attempt = Attempt::new(plan);
         self.queue_span = Some(self.tools.telemetry.span("queue", Some(&span.context())));
         let outcome = match self.tools.desk.send(arrive).await {
-            Ok(Some(job)) => {
+            Ok(Ok(job)) => {
                 self.job = job;
                 self.follow().await
             }
-            Ok(None) => {
-                let problem = Problem::not_run(429, Reason::QueueFull);
-                self.refuse(problem.retry_after(QUEUE_RETRY))
-            }
+            Ok(Err(problem)) => self.refuse(problem),
             Err(_) => self.refuse(Problem::not_run(503, Reason::Draining)),
         };
+        self.settle(outcome);
         self.count(outcome);
         span.note("outcome", telemetry::Outcome::from(outcome).label());
         outcome
@@ -233,6 +249,7 @@
                     None,
                 )
             }
+            Event::Expired => (Happening::GiveUp(Reason::LogUnavailable), None),
             Event::Lost { agent } => (Happening::Lost(agent), None),
             Event::Back {
                 agent,
@@ -292,6 +309,7 @@
     /// Lets the attempt decide and carries its actions out.
     async fn decide(&mut self, happening: Happening, mut passed: Option<Passed>) {
         let actions = self.attempt.on(self.tools.clock.now(), happening);
+        let mut requeue = false;
         for action in actions {
             match action {
                 Action::Ask { dispatch, next } => {
@@ -306,7 +324,8 @@
                         floor,
                     });
                 }
-                Action::Requeue => self.requeue().await,
+                Action::Requeue => requeue = true,
+                Action::Crash => self.tools.guard.crashed(&self.request),
                 Action::Refuse(problem) => {
                     self.refuse(problem);
                 }
@@ -318,9 +337,12 @@
                 }
                 // `finish` ends a complete answer once all of it is passed on; an answer that is
                 // not ended is broken off; the desk closes a dispatch that is returned or over.
-                Action::Complete | Action::Abort | Action::Close(_) | Action::Crash => {}
+                Action::Complete | Action::Abort | Action::Close(_) => {}
             }
         }
+        if requeue {
+            self.requeue().await;
+        }
     }
 
     fn send(&self, message: &ToAgent) {
@@ -332,6 +354,12 @@
     async fn requeue(&mut self) {
         self.link = None;
         self.spent = None;
+        if self.trial.is_none() {
+            match self.tools.guard.admit(&self.request) {
+                Ok(trial) => self.trial = trial,
+                Err(problem) => return self.give_up(problem.reason),
+            }
+        }
         self.tools
             .telemetry
             .metrics()
@@ -340,6 +368,16 @@
         let _ = self.tools.desk.send(Returned(self.job)).await;
     }
 
+    /// Takes the waiting request no further.
+    fn give_up(&mut self, reason: Reason) {
+        let now = self.tools.clock.now();
+        for action in self.attempt.on(now, Happening::GiveUp(reason)) {
+            if let Action::Refuse(problem) = action {
+                self.refuse(problem);
+            }
+        }
+    }
+
     fn deliver(&mut self, passed: Option<Passed>) {
         match passed {
             Some(Passed::Head(head)) => {
@@ -347,6 +385,7 @@
                     .telemetry
                     .metrics()
                     .wait(self.tools.clock.now() - self.arrived);
+                self.status = head.status;
                 if let Some(to) = self.caller.head.take() {
                     // A caller that is gone shows when the body is passed on.
                     let _ = to.send(Ok(head));
@@ -408,6 +447,23 @@
         outcome
     }
 
+    /// Reports what became of a claim and a trial.
+    fn settle(&mut self, outcome: Outcome) {
+        if let Some(claim) = self.request.claim {
+            let fate = match outcome {
+                Outcome::Whole => Fate::Done {
+                    status: self.status,
+                },
+                _ if outcome.not_run() => Fate::NotRun,
+                _ => Fate::Unknown,
+            };
+            self.tools.keyed.over(claim, fate);
+        }
+        if let Some(trial) = self.trial.take() {
+            self.tools.guard.over(trial);
+        }
+    }
+
     fn count(&self, outcome: Outcome) {
         let metrics: &Metrics = self.tools.telemetry.metrics();
         metrics.request(outcome.into());
--- /dev/null
+++ b/src/entry/guard.rs
@@ -0,0 +1,110 @@
+//! Keeps requests that crash their targets from crashing more.
+
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use crate::claim::Digest;
+use crate::entry::request::Request;
+use crate::problem::{Problem, Reason};
+use crate::quarantine::{Admit, Quarantine, Sighting};
+use crate::units::Clock;
+
+/// The quarantine as this entry knows it. Clones share it.
+#[derive(Clone, Debug)]
+pub struct Guard {
+    state: Arc<Mutex<State>>,
+    clock: Clock,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    quarantine: Quarantine,
+    /// Whether something was seen that peers have not been told.
+    news: bool,
+}
+
+/// The one further try of a request that crashed a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Trial {
+    digest: Digest,
+    id: u64,
+}
+
+impl Guard {
+    /// Nothing has crashed yet.
+    pub fn new(clock: Clock) -> Self {
+        Guard {
+            state: Arc::default(),
+            clock,
+        }
+    }
+
+    /// Whether a request may be dispatched, and as which trial.
+    ///
+    /// # Errors
+    /// A problem while it is held back.
+    pub fn admit(&self, request: &Request) -> Result<Option<Trial>, Problem> {
+        let mut state = self.lock();
+        if state.quarantine.is_empty() {
+            return Ok(None);
+        }
+        let (digest, id) = (request.digest(), rand::random());
+        match state.quarantine.admit(self.clock.now(), digest, id) {
+            Admit::Free => Ok(None),
+            Admit::Trial => {
+                state.news = true;
+                Ok(Some(Trial { digest, id }))
+            }
+            Admit::Refused(wait) => {
+                let problem = Problem::not_run(503, Reason::Quarantined);
+                Err(problem.retry_after(Duration::from(wait)))
+            }
+        }
+    }
+
+    /// The request crashed a target.
+    pub fn crashed(&self, request: &Request) {
+        let mut state = self.lock();
+        state
+            .quarantine
+            .crashed(self.clock.now(), request.digest(), rand::random());
+        state.news = true;
+    }
+
+    /// A trial is over.
+    pub fn over(&self, trial: Trial) {
+        self.lock()
+            .quarantine
+            .try_over(self.clock.now(), trial.digest, trial.id);
+    }
+
+    /// Takes a peer's sightings in.
+    pub fn merge(&self, sightings: &[Sighting]) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        sightings
+            .iter()
+            .for_each(|s| state.quarantine.merge(now, s));
+    }
+
+    /// The sightings for peers, when there are new ones.
+    pub fn news(&self) -> Option<Vec<Sighting>> {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        std::mem::take(&mut state.news).then(|| state.quarantine.sightings(now).collect())
+    }
+
+    /// All sightings that still count, for peers that may have missed some.
+    pub fn all(&self) -> Vec<Sighting> {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        state.quarantine.expire(now);
+        state.quarantine.sightings(now).collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state
+            .lock()
+            .expect("no holder of the quarantine panics")
+    }
+}
--- /dev/null
+++ b/src/entry/hosts.rs
@@ -0,0 +1,30 @@
+//! Follows the platform's host list, which says which hosts are leaving.
+
+use std::collections::HashSet;
+use std::time::Duration;
+
+use xtra::Address;
+
+use crate::entry::desk::Desk;
+use crate::entry::messages::HostsLeaving;
+use crate::platform::{HostState, Hosts};
+
+/// Time between two readings of the host list.
+pub const HOSTS_PERIOD: Duration = Duration::from_secs(1);
+
+/// Reads the list until the desk is gone. A reading that fails changes nothing: hosts that were
+/// leaving still are, and all others still serve.
+pub async fn follow<H: Hosts>(platform: H, desk: Address<Desk>) {
+    let mut ticks = tokio::time::interval(HOSTS_PERIOD);
+    while desk.is_connected() {
+        ticks.tick().await;
+        let Ok(hosts) = platform.hosts().await else {
+            continue;
+        };
+        let leaving = hosts.iter().filter(|h| h.state == HostState::Leaving);
+        let leaving: HashSet<_> = leaving.map(|h| h.addr).collect();
+        if desk.send(HostsLeaving(leaving)).await.is_err() {
+            return;
+        }
+    }
+}
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -10,6 +10,7 @@
 use http_body_util::{BodyExt, Either, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Frame, Incoming};
 use hyper::header::{CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER};
+use hyper::http::request::Parts;
 use hyper::service::service_fn;
 use hyper::{Request as HttpRequest, Response, StatusCode};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
@@ -19,14 +20,19 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio_util::sync::CancellationToken;
 
-use crate::entry::desk::Arrive;
+use crate::claim::{Digest, Fate};
+use crate::entry::answers::{Answer, Answers, Copy};
 use crate::entry::flight::{Caller, Flight, Head, Piece, QUEUE_RETRY, Tools};
+use crate::entry::join::{Joiner, Repeat};
+use crate::entry::keyed::Turn;
+use crate::entry::messages::Arrive;
 use crate::entry::request::{self, Request};
 use crate::entry::routes::FLIGHT_EVENTS;
 use crate::ids::{AccountKey, RequestId, ServiceKey};
 use crate::problem::{Problem, Reason};
 use crate::rules::Table;
 use crate::telemetry::{Span, TraceContext};
+use crate::wire::Header;
 
 /// Longest time to read a request's head.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
@@ -42,6 +48,10 @@
 pub struct Http {
     /// What flights share.
     pub tools: Tools,
+    /// Answers to keyed requests.
+    pub answers: Answers,
+    /// Gets answers of other requests with the same key.
+    pub joiner: Joiner,
     /// The rules in force.
     pub rules: watch::Receiver<Arc<Table>>,
     /// Cancelled when the entry stops taking requests.
@@ -157,69 +167,151 @@
         let mut span = self.tools.telemetry.span("entry", above.as_ref());
         span.note("request", id.to_string());
         span.note("service", name.to_owned());
-        let context = span.context();
-        let mut request = read(id, http, &table, account, service, path).await?;
-        request.trace = Some(context);
-        self.fly(Arc::new(request), &table, span).await
+        let (parts, body) = http.into_parts();
+        let arrived = Arrived {
+            id,
+            account,
+            service,
+            path,
+            trace: span.context(),
+        };
+        let request = read(arrived, &parts, body, &table).await?;
+        if request.key.is_some() && !request.idempotent {
+            return self.keyed(request, &parts, &table, span).await;
+        }
+        let head = self.fly(request, &table, span)?;
+        let (head, pieces) = (head.head, head.body);
+        let head = head
+            .await
+            .map_err(|_| Problem::unknown(502, Reason::OutcomeUnknown))??;
+        Ok(head_response(head, Pieces { pieces }))
     }
 
-    /// Hands the request to the desk and waits for the head of its answer.
-    async fn fly(
+    /// Runs a request under its idempotency key, or gets the answer of the one that holds it.
+    async fn keyed(
         self,
-        request: Arc<Request>,
+        mut request: Request,
+        parts: &Parts,
         table: &Table,
         span: Span,
     ) -> Result<Response<AnswerBody>, Problem> {
+        let account = &table.account_at(request.account).name;
+        let name = request.key.clone().unwrap_or_default();
+        let key = Digest::of_key(account, name.as_bytes());
+        match self
+            .tools
+            .keyed
+            .claim(account, &name, request.digest())
+            .await?
+        {
+            Turn::Ours(id) => {
+                request.claim = Some(id);
+                let answers = self.answers.clone();
+                let flown = match self.clone().fly(request, table, span) {
+                    Ok(flown) => flown,
+                    Err(problem) => {
+                        self.tools.keyed.over(id, Fate::NotRun);
+                        return Err(problem);
+                    }
+                };
+                let (head_in, head) = oneshot::channel();
+                let (body_in, pieces) = mpsc::channel(BODY_PIECES);
+                let copy = Copy {
+                    head: head_in,
+                    body: body_in,
+                };
+                tokio::spawn(answers.keep(key, flown.head, flown.body, copy));
+                let head = head
+                    .await
+                    .map_err(|_| Problem::unknown(502, Reason::OutcomeUnknown))??;
+                Ok(head_response(head, Pieces { pieces }))
+            }
+            Turn::Theirs(holder, boot, _) => {
+                let path = parts.uri.path_and_query().map_or("/", |p| p.as_str());
+                let repeat = Repeat {
+                    request: &request,
+                    path,
+                    headers: &parts.headers,
+                    key,
+                };
+                let answer = self.joiner.answer(repeat, holder, boot).await?;
+                Ok(whole_response(answer))
+            }
+        }
+    }
+
+    /// Hands the request to the desk. Its answer comes through the returned channels.
+    fn fly(self, request: Request, table: &Table, span: Span) -> Result<Flown, Problem> {
+        let trial = self.tools.guard.admit(&request)?;
         let allowed = table.service_at(request.service).deadline;
         let (events_in, events) = mpsc::channel(FLIGHT_EVENTS);
-        let (body_in, pieces) = mpsc::channel(BODY_PIECES);
+        let (body_in, body) = mpsc::channel(BODY_PIECES);
         let (head_in, head) = oneshot::channel();
+        let request = Arc::new(request);
         let arrive = Arrive {
             request: request.clone(),
             events: events_in,
             deadline: self.tools.clock.now() + allowed,
         };
         let caller = Caller::new(head_in, body_in);
-        let flight = Flight::new(self.tools, request, events, caller);
+        let flight = Flight::new(self.tools, request, events, caller).trial(trial);
         // A task of its own: a caller that goes away must not tear it from its place.
         tokio::spawn(flight.run(arrive, span));
-        let head = head
-            .await
-            .map_err(|_| Problem::unknown(502, Reason::OutcomeUnknown))??;
-        Ok(head_response(head, pieces))
+        Ok(Flown { head, body })
     }
 }
 
+/// The answer of a request that is under way.
+struct Flown {
+    head: oneshot::Receiver<Result<Head, Problem>>,
+    body: mpsc::Receiver<Piece>,
+}
+
+/// What is known of a request before its headers and body are read.
+struct Arrived {
+    id: RequestId,
+    account: AccountKey,
+    service: ServiceKey,
+    path: String,
+    trace: TraceContext,
+}
+
 /// Pause after the listener failed to accept, as when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Reads the rest of the request: headers to pass on and the whole body.
 async fn read(
-    id: RequestId,
-    http: HttpRequest<Incoming>,
+    arrived: Arrived,
+    parts: &Parts,
+    body: Incoming,
     table: &Table,
-    account: AccountKey,
-    service: ServiceKey,
-    path: String,
 ) -> Result<Request, Problem> {
-    let (parts, body) = http.into_parts();
+    let Arrived {
+        id,
+        account,
+        service,
+        path,
+        trace,
+    } = arrived;
     let limit = usize::try_from(table.account_at(account).body_limit).unwrap_or(usize::MAX);
     let headers = request::passed_headers(&parts.headers)?;
     let key = request::idempotency_key(&parts.headers)?;
     let body = read_body(body, limit).await?;
-    let repeatable = table.service_at(service).repeatable;
+    let rule = table.service_at(service);
     Ok(Request {
         id,
         account,
         service,
-        idempotent: repeatable || request::is_idempotent(&parts.method),
+        name: rule.name.clone(),
+        idempotent: rule.repeatable || request::is_idempotent(&parts.method),
         method: parts.method.to_string(),
         path,
         headers,
         body,
         key,
+        claim: None,
         hint: request::cost_hint(&parts.headers),
-        trace: None,
+        trace: Some(trace),
     })
 }
 
@@ -238,16 +330,27 @@
     }
 }
 
-fn head_response(head: Head, pieces: mpsc::Receiver<Piece>) -> Response<AnswerBody> {
-    let mut response = Response::new(Either::Right(Pieces { pieces }));
+fn head_response(head: Head, pieces: Pieces) -> Response<AnswerBody> {
+    let mut response = Response::new(Either::Right(pieces));
     *response.status_mut() = StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY);
-    for header in head.headers {
+    put_headers(&mut response, head.headers);
+    response
+}
+
+fn put_headers(response: &mut Response<AnswerBody>, headers: Vec<Header>) {
+    for header in headers {
         let name = HeaderName::from_bytes(header.name.as_bytes());
         let value = HeaderValue::from_bytes(&header.value);
         if let (Ok(name), Ok(value)) = (name, value) {
             response.headers_mut().append(name, value);
         }
     }
+}
+
+fn whole_response(answer: Answer) -> Response<AnswerBody> {
+    let mut response = Response::new(Either::Left(Full::from(answer.body)));
+    *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    put_headers(&mut response, answer.headers);
     response
 }
 
--- /dev/null
+++ b/src/entry/messages.rs
@@ -0,0 +1,87 @@
+//! Messages to the entry's desk.
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use tokio::sync::mpsc;
+
+use crate::conn::Outbox;
+use crate::entry::request::Request;
+use crate::entry::routes::Event;
+use crate::ids::{AgentKey, DispatchId, JobKey, OfferId};
+use crate::kernel::ServiceName;
+use crate::units::Micros;
+use crate::wire::AgentInfo;
+
+/// Name under which the desk's address is registered.
+pub const DESK: ServiceName = ServiceName("desk");
+
+/// A request arrives. Returns its key, or why it was not taken.
+pub struct Arrive {
+    /// The request.
+    pub request: Arc<Request>,
+    /// Its task.
+    pub events: mpsc::Sender<Event>,
+    /// The moment after which no answer is wanted.
+    pub deadline: Micros,
+}
+
+/// An agent has connected.
+pub struct AgentUp {
+    /// Who it is.
+    pub info: AgentInfo,
+    /// The connection.
+    pub outbox: Outbox,
+}
+
+/// Names one connection of an agent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Link {
+    /// The agent.
+    pub agent: AgentKey,
+    /// Which of its connections, from 1.
+    pub number: u64,
+}
+
+/// An agent's connection is gone.
+pub struct AgentDown(pub Link);
+
+/// An agent offers a slot.
+pub struct Offered(pub Link, pub OfferId);
+
+/// An agent withdraws an offer.
+pub struct Voided(pub Link, pub OfferId);
+
+/// An agent takes no new work.
+pub struct AgentLeaving(pub Link);
+
+/// A dispatched request was not begun and waits again.
+pub struct Returned(pub JobKey);
+
+/// A running request has used this much slot time.
+pub struct Progressed {
+    /// The request.
+    pub job: JobKey,
+    /// Its dispatch; a report about an earlier one is stale.
+    pub dispatch: DispatchId,
+    /// Slot time so far.
+    pub spent: Micros,
+}
+
+/// A request is over, whether it waited or ran.
+pub struct Over {
+    /// The request.
+    pub job: JobKey,
+    /// Slot time to charge; `None` keeps the charge so far.
+    pub spent: Option<Micros>,
+}
+
+/// The host list was read: these hosts are leaving.
+pub struct HostsLeaving(pub HashSet<SocketAddr>);
+
+/// Asks for the figures of `/status`.
+pub struct Inspect;
+
+/// Asks for the heartbeat to each connected agent.
+pub struct Beat;
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,9 +1,17 @@
 //! The entry: takes callers' requests, queues them by client account, streams answers back.
 
 pub mod agents;
+pub mod answers;
 pub mod desk;
+pub mod figures;
 pub mod flight;
+pub mod guard;
+pub mod hosts;
 pub mod http;
+pub mod join;
+pub mod keyed;
+pub mod messages;
+pub mod pool;
 pub mod request;
 pub mod routes;
 pub mod status;
@@ -12,7 +20,7 @@
 use std::sync::Arc;
 
 use anyhow::Context;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 use xtra::{Address, Mailbox};
@@ -21,11 +29,18 @@
 use crate::auth::Secret;
 use crate::conn::HEARTBEAT_PERIOD;
 use crate::entry::agents::Agents;
-use crate::entry::desk::{Beat, DESK, Desk};
+use crate::entry::answers::Answers;
+use crate::entry::desk::Desk;
 use crate::entry::flight::Tools;
+use crate::entry::guard::Guard;
 use crate::entry::http::Http;
+use crate::entry::join::Joiner;
+use crate::entry::keyed::Keyed;
+use crate::entry::messages::{Beat, DESK};
+use crate::entry::pool::{Bridge, Pool};
 use crate::entry::routes::Routes;
 use crate::entry::status::EntryView;
+use crate::exchange::service::Exchange;
 use crate::ids::BootId;
 use crate::kernel::{Kernel, ServiceName};
 use crate::platform::Client;
@@ -38,6 +53,9 @@
 /// Name under which the rules' handle is registered.
 pub const RULES: ServiceName = ServiceName("rules");
 
+/// Name under which the exchange's status is registered.
+pub const EXCHANGE: ServiceName = ServiceName("exchange");
+
 /// Messages that wait for the desk before senders wait too.
 const DESK_MAILBOX: usize = 4096;
 
@@ -71,10 +89,28 @@
     let routes = Routes::default();
     kernel.register(RULES, rules.clone());
 
-    let desk = Desk::new(clock, boot, rules.table(), routes.clone());
+    let log = Client::new(settings.platform);
+    let keyed = Keyed::new(log.clone(), clock, settings.listen, boot);
+    let pool = Pool::new();
+    let desk = Desk::new(
+        clock,
+        boot,
+        rules.table(),
+        routes.clone(),
+        pool.clone(),
+        keyed.clone(),
+    );
     let desk = xtra::spawn_tokio(desk, Mailbox::bounded(DESK_MAILBOX));
     kernel.register(DESK, desk.clone());
 
+    let socket = UdpSocket::bind(settings.peer)
+        .await
+        .with_context(|| format!("could not listen for entries on {}", settings.peer))?;
+    let bridge = Bridge::new(pool, rules.table(), settings.entries.clone());
+    let key = settings.secret.as_bytes();
+    let exchange = Exchange::new(socket, settings.peer, key, bridge).with_boot(key, boot);
+    kernel.register(EXCHANGE, exchange.status());
+
     let secret = Secret::new(&settings.secret);
     let agents = Agents {
         desk: desk.clone(),
@@ -92,18 +128,28 @@
     let services = [
         tokio::spawn(agents.listen(peers)),
         tokio::spawn(beat(desk.clone())),
+        tokio::spawn(keyed.clone().follow()),
+        tokio::spawn(hosts::follow(log, desk.clone())),
+        tokio::spawn(async move { drop(exchange.run(CancellationToken::new()).await) }),
         tokio::spawn(admin::serve(admin, Arc::new(view), ready)),
         tokio::spawn(readiness(rules.clone(), ready_in, drain.clone())),
     ];
 
+    let guard = Guard::new(clock);
     let tools = Tools {
         desk,
         routes,
         clock,
         telemetry,
+        keyed,
+        guard,
     };
+    let answers = Answers::new();
+    let joiner = Joiner::new(answers.clone(), boot);
     Http {
         tools,
+        answers,
+        joiner,
         rules: rules.table(),
         drain,
     }
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -4,6 +4,8 @@
 use hyper::header::{AUTHORIZATION, HeaderMap, HeaderName};
 use hyper::{Method, Uri};
 
+use crate::claim::{ClaimId, Digest};
+use crate::entry::join::JOIN_HEADER;
 use crate::ids::{AccountKey, RequestId, ServiceKey};
 use crate::problem::{Problem, Reason};
 use crate::rules::Table;
@@ -28,7 +30,7 @@
 const BEARER: &str = "Bearer ";
 
 /// Headers that concern one connection only, or that the fleet sets itself.
-const DROPPED_HEADERS: [&str; 16] = [
+const DROPPED_HEADERS: [&str; 17] = [
     "connection",
     "keep-alive",
     "proxy-authenticate",
@@ -45,6 +47,7 @@
     REQUEST_ID_HEADER,
     TRACE_HEADER,
     FENCE_HEADER,
+    JOIN_HEADER,
 ];
 
 /// A caller's request.
@@ -56,6 +59,8 @@
     pub account: AccountKey,
     /// The service that runs it.
     pub service: ServiceKey,
+    /// The service's name.
+    pub name: String,
     /// HTTP method.
     pub method: String,
     /// Path and query towards the target.
@@ -68,12 +73,26 @@
     pub idempotent: bool,
     /// The caller's idempotency key.
     pub key: Option<String>,
+    /// The claim on that key under which it runs.
+    pub claim: Option<ClaimId>,
     /// The caller's cost hint.
     pub hint: Option<Micros>,
     /// Trace context of the entry's span.
     pub trace: Option<TraceContext>,
 }
 
+impl Request {
+    /// Digest of service, method, path and body: what makes two requests the same.
+    pub fn digest(&self) -> Digest {
+        Digest::of(&[
+            self.name.as_bytes(),
+            self.method.as_bytes(),
+            self.path.as_bytes(),
+            &self.body,
+        ])
+    }
+}
+
 /// The service's name and the path towards the target.
 ///
 /// # Errors
--- a/src/entry/routes.rs
+++ b/src/entry/routes.rs
@@ -25,6 +25,8 @@
         boot: BootId,
         outbox: Outbox,
     },
+    /// Its claim is too old to be dispatched.
+    Expired,
     /// The connection to the agent of its dispatch was lost.
     Lost { agent: AgentKey },
     /// The agent is back on a new connection; `boot` differs when it was restarted.
--- a/src/entry/status.rs
+++ b/src/entry/status.rs
@@ -5,7 +5,9 @@
 use xtra::Address;
 
 use crate::admin::Status;
-use crate::entry::desk::{Desk, DeskStatus, Inspect};
+use crate::entry::desk::Desk;
+use crate::entry::figures::DeskStatus;
+use crate::entry::messages::Inspect;
 use crate::ids::BootId;
 use crate::rules::service::Handle;
 use crate::telemetry::Telemetry;
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -91,6 +91,11 @@
         Self::default()
     }
 
+    /// Whether nothing is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.seen.is_empty()
+    }
+
     /// Whether the request may be dispatched. `id` is a new random number for its trial.
     pub fn admit(&mut self, now: Micros, digest: Digest, id: u64) -> Admit {
         let Some(seen) = self.seen.get(&digest) else {
