Renew rules by what the log can afford

Ruled out: a longer fixed period (a small fleet that restarts as a whole would lose its rules); a period that grows while records last (each restarted process would begin with a short one). Change: the period is 5 minutes or the text's length at 10 bytes a second, whichever is longer, and a third of the time that records were last seen to last, if that is shorter. Authors hold no control characters, so that they stay on the line on which they are printed.

--- a/src/cmd/ctl/apply.rs
+++ b/src/cmd/ctl/apply.rs
@@ -62,9 +62,10 @@
     pub fn new(path: &str, args: &Args) -> Result<Self, Failure> {
         let user = || std::env::var("USER").ok();
         let author = args.author.clone().or_else(user).unwrap_or_default();
-        if author.is_empty() || author.len() > MAX_AUTHOR_BYTES {
+        let plain = !author.is_empty() && !author.contains(char::is_control);
+        if !plain || author.len() > MAX_AUTHOR_BYTES {
             return Err(usage(anyhow!(
-                "no --author NAME of 1 to {MAX_AUTHOR_BYTES} bytes"
+                "no --author NAME of 1 to {MAX_AUTHOR_BYTES} printable bytes"
             )));
         }
         let client = Client::new(args.platform()?);
--- a/src/cmd/ctl/tests.rs
+++ b/src/cmd/ctl/tests.rs
@@ -41,6 +41,10 @@
     no_admin: "status" => "no --admin ADDR";
     no_platform: "rules show" => "no --platform ADDR";
     bad_version: "rules apply f --based-on x" => "\"x\" is not a version, expected a whole number";
+    author_too_long: "rules apply f --author \
+        aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\
+        aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
+        => "no --author NAME of 1 to 128 printable bytes";
     missing_settings: "status --settings /nowhere/at-all.json" => "could not read settings";
 }
 
--- a/src/rules/history.rs
+++ b/src/rules/history.rs
@@ -4,6 +4,8 @@
 //! starts after earlier records expired keeps what it reads until a renewal tells which version
 //! was current at an offset that it has read from; then it decides what it kept.
 
+use serde::Serialize;
+
 use super::chain::{Chain, Past, Verdict};
 use super::parse::MAX_FILE_BYTES;
 use super::record::{Accepted, EditId, Record, Renewal};
@@ -30,7 +32,7 @@
 }
 
 /// Records counted since the reader started.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct Counts {
     /// Edits accepted.
     pub accepted: u64,
@@ -177,7 +179,8 @@
 
     /// The renewal to append now, if one is due.
     pub fn renewal(&mut self, now: Micros) -> Option<Record> {
-        let due = self.schedule.due(now)?;
+        let bytes = self.force.as_ref().map_or(0, |force| force.text.len());
+        let due = self.schedule.due(now, bytes)?;
         let (accepted, restart) = match (due, &self.state) {
             (Due::Renew, State::Exact(chain)) => (chain.current().clone(), false),
             (Due::Renew, State::Seeking(_)) => return None,
--- a/src/rules/history/tests.rs
+++ b/src/rules/history/tests.rs
@@ -541,29 +541,35 @@
 }
 
 macro_rules! schedules {
-    ($($name:ident: |$schedule:ident| $events:block, due at $due:expr;)+) => {$(
+    ($($name:ident: |$schedule:ident| $events:block, $bytes:literal bytes due at $due:expr;)+) => {$(
         #[test]
         fn $name() {
             let secs = Micros::from_secs;
             let timing = Timing { period: secs(100), jitter: secs(3), wait: secs(20) };
             let mut $schedule = Schedule::new(timing);
             $events
-            let due = (0..1_000).find(|&s| $schedule.due(secs(s)).is_some());
+            let due = (0..1_000).find(|&s| $schedule.due(secs(s), $bytes).is_some());
             assert_eq!(due, $due);
         }
     )+};
 }
 
 schedules! {
-    renewal_is_due_after_a_period: |s| { s.read(0, Micros::ZERO); }, due at Some(103);
-    anothers_renewal_puts_it_off: |s| { s.renewed(5, Micros::from_secs(50)); }, due at Some(153);
+    renewal_is_due_after_a_period: |s| { s.read(0, Micros::ZERO); }, 0 bytes due at Some(103);
+    anothers_renewal_puts_it_off: |s| { s.renewed(5, Micros::from_secs(50)); }, 0 bytes due at Some(153);
+    long_text_is_renewed_less_often: |s| { s.read(0, Micros::ZERO); }, 5_000 bytes due at Some(503);
+    long_text_that_expired_is_due_at_once: |s| {
+        s.renewed(5, Micros::from_secs(30));
+        s.read(5, Micros::from_secs(31));
+        s.read(6, Micros::from_secs(90));
+    }, 5_000 bytes due at Some(53);
     expired_renewal_is_due_at_once: |s| {
         s.renewed(5, Micros::from_secs(30));
         s.read(5, Micros::from_secs(31));
         s.read(6, Micros::from_secs(90));
-    }, due at Some(53);
+    }, 0 bytes due at Some(53);
     start_after_expiry_teaches_no_retention: |s| {
         s.read(6, Micros::ZERO);
         s.renewed(9, Micros::from_secs(1));
-    }, due at Some(104);
+    }, 0 bytes due at Some(104);
 }
--- a/src/rules/record.rs
+++ b/src/rules/record.rs
@@ -215,9 +215,7 @@
     type Error = RecordError;
 
     fn try_from(edit: WireEdit) -> Result<Self, RecordError> {
-        if edit.author.len() > MAX_AUTHOR_BYTES {
-            return Err(RecordError::TooLong);
-        }
+        check_author(&edit.author)?;
         Ok(Edit {
             id: edit.id,
             base: edit.base,
@@ -232,7 +230,8 @@
     type Error = RecordError;
 
     fn try_from(renewal: WireRenewal) -> Result<Self, RecordError> {
-        if renewal.author.len() > MAX_AUTHOR_BYTES || renewal.text.len() > MAX_FILE_BYTES {
+        check_author(&renewal.author)?;
+        if renewal.text.len() > MAX_FILE_BYTES {
             return Err(RecordError::TooLong);
         }
         let accepted = Accepted::new(renewal.version, &renewal.author, &renewal.text);
@@ -246,3 +245,14 @@
         })
     }
 }
+
+/// An author stands on one line wherever it is printed.
+fn check_author(author: &str) -> Result<(), RecordError> {
+    if author.len() > MAX_AUTHOR_BYTES {
+        return Err(RecordError::TooLong);
+    }
+    if author.contains(char::is_control) {
+        return Err(RecordError::Malformed);
+    }
+    Ok(())
+}
--- a/src/rules/renew.rs
+++ b/src/rules/renew.rs
@@ -5,8 +5,11 @@
 
 use crate::units::Micros;
 
-/// How often a version is appended anew, unless its records are seen to expire sooner.
-pub const RENEW_PERIOD: Micros = Micros::from_secs(3_600);
+/// How often a short text is appended anew, unless its records are seen to expire sooner.
+pub const RENEW_PERIOD: Micros = Micros::from_secs(300);
+/// Bytes a second that renewals of a long text may add to the log. Bounds what a late reader must
+/// read, and what every reader reads again.
+pub const RENEW_BYTES_PER_S: u64 = 10;
 /// Shortest time between renewals.
 pub const MIN_PERIOD: Micros = Micros::from_secs(2);
 /// Longest time over which readers spread a renewal that all of them want.
@@ -20,7 +23,7 @@
 /// Times of one reader.
 #[derive(Clone, Copy, Debug)]
 pub struct Timing {
-    /// How often a version is appended anew.
+    /// How often a short text is appended anew.
     pub period: Micros,
     /// This reader's part of [`RENEW_SPREAD`].
     pub jitter: Micros,
@@ -52,7 +55,8 @@
 #[derive(Debug)]
 pub struct Schedule {
     timing: Timing,
-    period: Micros,
+    /// Longest period, as learnt from records that expired.
+    limit: Micros,
     /// The newest offset that a renewal tells the version of.
     covered: u64,
     /// Whether the log was seen to hold that renewal.
@@ -69,7 +73,7 @@
     pub fn new(timing: Timing) -> Self {
         Schedule {
             timing,
-            period: timing.period,
+            limit: Micros::MAX,
             covered: 0,
             held: false,
             renewed: Micros::ZERO,
@@ -106,7 +110,7 @@
         }
         if std::mem::take(&mut self.held) {
             let lasted = Micros((now - self.renewed).0 / RENEWALS_PER_RETENTION);
-            self.period = self.period.min(lasted.max(MIN_PERIOD));
+            self.limit = self.limit.min(lasted.max(MIN_PERIOD));
         }
         self.wanted(now);
     }
@@ -125,17 +129,22 @@
         }
     }
 
-    /// What is due now.
-    pub fn due(&self, now: Micros) -> Option<Due> {
+    /// What is due now, for a text of this many bytes.
+    pub fn due(&self, now: Micros, bytes: usize) -> Option<Due> {
         if let Some(since) = self.unconfirmed {
             let due = now >= since + self.timing.wait + self.timing.jitter;
             return due.then_some(Due::Restart);
         }
-        let periodic = now >= self.renewed + self.period + self.timing.jitter;
+        let periodic = now >= self.renewed + self.period(bytes) + self.timing.jitter;
         let wanted = self.wanted.is_some_and(|since| {
             let spread = since + self.timing.jitter;
             now >= spread.max(self.renewed + MIN_PERIOD)
         });
         (periodic || wanted).then_some(Due::Renew)
     }
+
+    fn period(&self, bytes: usize) -> Micros {
+        let affordable = Micros::from_secs(bytes as u64 / RENEW_BYTES_PER_S);
+        affordable.max(self.timing.period).min(self.limit)
+    }
 }
