--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -130,7 +130,9 @@
         tokio::spawn(beat(desk.clone())),
         tokio::spawn(keyed.clone().follow()),
         tokio::spawn(hosts::follow(log, desk.clone())),
-        tokio::spawn(async move { drop(exchange.run(CancellationToken::new()).await) }),
+        tokio::spawn(async move {
+            exchange.run(CancellationToken::new()).await;
+        }),
         tokio::spawn(admin::serve(admin, Arc::new(view), ready)),
         tokio::spawn(readiness(rules.clone(), ready_in, drain.clone())),
     ];
