Test what a merge after a partition moves

Cause: leaving the merge or its cap out failed no test. Change: two members apart, then together; 30 s carried whole, 90 s cut to 60 s.

--- a/src/exchange/tests.rs
+++ b/src/exchange/tests.rs
@@ -499,3 +499,54 @@
     }
     assert!(payloads > 100, "{payloads}");
 }
+
+/// Two members that were apart; account 1 got `lead` seconds more than account 0 at the second.
+fn merges(lead: u64, moved: u64) {
+    let members = addresses(2);
+    let names = Names::of(&measure::table(2, 1));
+    let mut nodes = [
+        Node::new(members[0], names.clone()),
+        Node::new(members[1], names),
+    ];
+    let charges = [[0, 0], [5, 5 + lead]];
+    let mut left = [1, 1];
+    let mut now = Micros::ZERO;
+    for round in 0..60 {
+        if round == 20 {
+            nodes.iter_mut().for_each(|n| n.set_members(now, &members));
+        }
+        for i in [0, 1] {
+            let seconds = if round == 10 {
+                std::mem::take(&mut left[i])
+            } else {
+                0
+            };
+            let report = |a: usize| Report {
+                account: AccountKey::from(a),
+                charged: (charges[i][a] * seconds * 1_000_000) as i64,
+                demand: Demand::Steady,
+            };
+            let sent = nodes[i].tick(now, || vec![(ServiceKey(0), [report(0), report(1)])]);
+            for out in sent {
+                let known = gossip::decode(&out.payload).expect("members send valid payloads");
+                nodes[1 - i].receive(now, members[i], BootId(i as u64), known);
+            }
+        }
+        now += Micros::from_ms(200);
+    }
+    let level = |n: &Node, a: usize| {
+        n.level(Pair {
+            account: AccountKey::from(a),
+            ..Pair::default()
+        })
+    };
+    for node in &nodes {
+        let seen = level(node, 1) - level(node, 0);
+        assert_eq!(seen.as_ms().div_ceil(1_000), moved, "{seen}");
+    }
+}
+
+cases! { merges:
+    a_merge_carries_what_was_charged_apart(30, 30);
+    a_merge_is_capped(90, 60);
+}
