Let the stand-in's command line use what the others share

Cause: exit codes and the handling of signals stood twice.

Ruled out: the shared reading of a settings file, as the stand-in has none.

Change: `cmd::standin` uses `Program`, `Failure` and `shutdown::block_on`.

Conclusion: one place for exit codes and signals.

--- a/src/cmd/standin.rs
+++ b/src/cmd/standin.rs
@@ -8,8 +8,8 @@
 use anyhow::Context;
 use lexopt::prelude::*;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
 
+use crate::cmd::{Failure, Program, shutdown};
 use crate::standin::log::DEFAULT_RETAIN;
 use crate::standin::{Host, Link, Platform, Target, TargetOptions};
 
@@ -33,8 +33,10 @@
   -V, --version   Print the version
 ";
 
-/// Exit code of a wrong command line.
-const EXIT_USAGE: u8 = 2;
+const PROGRAM: Program = Program {
+    name: "balsampitch-standin",
+    about: "stands in for the platform's services, a target or a network link",
+};
 
 /// What to do.
 #[derive(Debug)]
@@ -80,20 +82,28 @@
 
 /// Runs the binary.
 pub fn main() -> ExitCode {
-    let command = match parse(lexopt::Parser::from_env()) {
-        Ok(command) => command,
-        Err(error) => {
-            eprintln!("balsampitch-standin: {error}");
-            return ExitCode::from(EXIT_USAGE);
-        }
-    };
-    match run(command) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("balsampitch-standin: {error:#}");
-            ExitCode::FAILURE
-        }
+    PROGRAM.exit_code(run())
+}
+
+fn run() -> Result<(), Failure> {
+    match parse(lexopt::Parser::from_env())? {
+        Command::Help => print!("{HELP}"),
+        Command::Version => println!("{}", PROGRAM.version()),
+        Command::Platform(args) => serve(platform(args))?,
+        Command::Target(args) => serve(target(args))?,
+        Command::Link(args) => serve(link(args))?,
     }
+    Ok(())
+}
+
+/// Serves until a signal asks the process to stop.
+fn serve(serving: impl Future<Output = anyhow::Result<()>>) -> anyhow::Result<()> {
+    shutdown::block_on(|stop| async move {
+        tokio::select! {
+            ended = serving => ended,
+            () = stop.cancelled() => Ok(()),
+        }
+    })
 }
 
 fn parse(mut parser: lexopt::Parser) -> Result<Command, lexopt::Error> {
@@ -146,33 +156,6 @@
     }
 }
 
-fn run(command: Command) -> anyhow::Result<()> {
-    match command {
-        Command::Help => print!("{HELP}"),
-        Command::Version => println!("balsampitch-standin {}", env!("CARGO_PKG_VERSION")),
-        Command::Platform(args) => start(platform(args))?,
-        Command::Target(args) => start(target(args))?,
-        Command::Link(args) => start(link(args))?,
-    }
-    Ok(())
-}
-
-fn start(serving: impl Future<Output = anyhow::Result<()>>) -> anyhow::Result<()> {
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .enable_all()
-        .build()
-        .context("could not start the runtime")?;
-    runtime.block_on(async {
-        let mut terminate =
-            signal(SignalKind::terminate()).context("could not listen for signals")?;
-        tokio::select! {
-            ended = serving => ended,
-            _ = terminate.recv() => Ok(()),
-            _ = tokio::signal::ctrl_c() => Ok(()),
-        }
-    })
-}
-
 async fn platform(args: PlatformArgs) -> anyhow::Result<()> {
     let platform = Platform::new(args.retain);
     if let Some(path) = &args.hosts {
