--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 //! ([`entry`], [`agent`]) do the input and output.
 
 pub mod admin;
+pub mod affinity;
 pub mod agent;
 pub mod attempt;
 pub mod auth;
@@ -16,6 +17,7 @@
 pub mod dispatches;
 pub mod entry;
 pub mod exchange;
+pub mod hedge;
 pub mod ids;
 pub mod kernel;
 pub mod learn;
