Show that a request crashes two targets at most

Cause: the limit on crashes was shown for one entry only.

Ruled out: a fuzz of its own; the merge is fuzzed already.

Change: three entries try a crashing request in turn, with their crashes merged (two crashes) and not merged (more).

Conclusion: holds once crashes are exchanged; within one exchange interval each entry may try once.

--- a/src/quarantine/tests.rs
+++ b/src/quarantine/tests.rs
@@ -116,3 +116,38 @@
         proptest::prop_assert_eq!(one, other);
     }
 }
+
+/// Targets that a request crashes when each of three entries tries it whenever it may.
+fn crashes(merged: bool) -> usize {
+    let mut entries = vec![Quarantine::new(); 3];
+    let mut crashed = 0;
+    for round in 0..30u64 {
+        let now = Micros::from_secs(round);
+        let entry = round as usize % entries.len();
+        let trial = 2 * round;
+        if matches!(
+            entries[entry].admit(now, digest(), trial),
+            Admit::Refused(_)
+        ) {
+            continue;
+        }
+        crashed += 1;
+        entries[entry].crashed(now, digest(), trial + 1);
+        entries[entry].try_over(now, digest(), trial);
+        let from = entries[entry].clone();
+        if merged {
+            entries.iter_mut().for_each(|to| tell(&from, to, now));
+        }
+    }
+    crashed
+}
+
+#[test]
+fn a_request_crashes_two_targets_at_most() {
+    assert_eq!(crashes(true), MAX_CRASHES);
+}
+
+#[test]
+fn without_merging_a_request_crashes_more_targets() {
+    assert!(crashes(false) > MAX_CRASHES);
+}
