Decline only what was never seen, and keep answers in the tested buffer

Cause: a read of the agent against the ledger's rules found that an oversized body was declined without being barred, that a decline went out whatever the ledger knew, that a stale pooled connection counted as a crash of the target, and that the run kept chunks in a second buffer of its own. Ruled out: an unconditional second try on any connection (a crash would pass as unreached). Change: one way to decline, which bars first and answers with what is known; idempotent calls get one more connection, and only its outcome after a first failure still counts as a crash; the run uses the resume buffer, which also bounds the number of pieces. Conclusion: a decline is now as true as the ledger.

--- a/src/agent/core.rs
+++ b/src/agent/core.rs
@@ -157,7 +157,7 @@
     ) {
         let (id, offer) = (dispatch.dispatch, dispatch.offer);
         if dispatch.body_bytes > MAX_BODY_BYTES {
-            self.send(link.entry, &ToEntry::Decline { dispatch: id });
+            self.decline(link, id);
             return;
         }
         let (verdict, steps) = self
@@ -165,10 +165,7 @@
             .dispatched(self.clock.now(), link.entry, offer, backlog);
         self.act(steps);
         if verdict == Verdict::Decline {
-            self.telemetry.metrics().event(Event::Decline);
-            // The entry may ask about it later: it must never begin.
-            self.ledger.ask(id);
-            self.send(link.entry, &ToEntry::Decline { dispatch: id });
+            self.decline(link, id);
             return;
         }
         let partial = Partial {
@@ -183,6 +180,20 @@
         }
     }
 
+    /// Bars a dispatch and says so. One that may have begun before is answered with what is known
+    /// of it: only what was never seen is declined.
+    fn decline(&mut self, link: Link, id: DispatchId) {
+        self.telemetry.metrics().event(Event::Decline);
+        let answer = match self.ledger.ask(id) {
+            Known::NeverSeen => ToEntry::Decline { dispatch: id },
+            known => ToEntry::State {
+                dispatch: id,
+                known,
+            },
+        };
+        self.send(link.entry, &answer);
+    }
+
     fn body(&mut self, context: &Context<Self>, id: DispatchId, data: &Bytes) {
         let Some(partial) = self.partial.get_mut(&id) else {
             return;
@@ -203,11 +214,7 @@
             return;
         };
         if !self.ledger.begin(id) {
-            let known = self.ledger.ask(id);
-            outbox.send(&ToEntry::State {
-                dispatch: id,
-                known,
-            });
+            self.decline(partial.link, id);
             self.free_slot();
             return;
         }
--- a/src/agent/run.rs
+++ b/src/agent/run.rs
@@ -20,14 +20,11 @@
     ACCOUNT_HEADER, FENCE_HEADER, REQUEST_ID_HEADER, TRACE_HEADER, answer_headers,
 };
 use crate::ids::DispatchId;
+use crate::resume::Resume;
 use crate::telemetry::{Telemetry, TraceContext};
 use crate::units::Micros;
-use crate::wire::{Dispatch, Finish, Header, MAX_CHUNK_BYTES, ToEntry};
+use crate::wire::{Dispatch, Finish, Header, Known, MAX_CHUNK_BYTES, ToEntry};
 
-/// Bytes of an answer that are kept until the entry has passed them on.
-pub const RESUME_BYTES: usize = 256 * 1024;
-/// Chunks of an answer that are kept until the entry has passed them on.
-pub const RESUME_CHUNKS: usize = 256;
 /// How long a whole answer is kept for an entry that does not ask.
 pub const KEEP_TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -61,16 +58,35 @@
         dispatch: &Dispatch,
         body: Bytes,
         trace: TraceContext,
+    ) -> Result<Response<Incoming>, Finish> {
+        if !dispatch.idempotent {
+            return self.try_send(&self.fresh, dispatch, body, trace).await;
+        }
+        match self
+            .try_send(&self.pooled, dispatch, body.clone(), trace)
+            .await
+        {
+            // The connection may have been stale; what follows shows whether the target crashed.
+            Err(Finish::Crashed) => self
+                .try_send(&self.fresh, dispatch, body, trace)
+                .await
+                .map_err(|_| Finish::Crashed),
+            other => other,
+        }
+    }
+
+    async fn try_send(
+        &self,
+        client: &Client<HttpConnector, Full<Bytes>>,
+        dispatch: &Dispatch,
+        body: Bytes,
+        trace: TraceContext,
     ) -> Result<Response<Incoming>, Finish> {
         let request = self
             .request(dispatch, body, trace)
             .ok_or(Finish::Unreached)?;
-        let client = if dispatch.idempotent {
-            &self.pooled
-        } else {
-            &self.fresh
-        };
-        client.request(request).await.map_err(|e| {
+        let answer = client.request(request).await;
+        answer.map_err(|e| {
             if e.is_connect() {
                 Finish::Unreached
             } else {
@@ -142,10 +158,9 @@
 /// The frames of the answer that may have to be sent again.
 #[derive(Debug, Default)]
 struct Kept {
-    head: Option<ToEntry>,
-    chunks: std::collections::VecDeque<(u64, Bytes)>,
-    size: usize,
-    seq: u64,
+    /// Head and chunks.
+    pieces: Resume<ToEntry>,
+    /// Length of all chunks, in bytes.
     total: u64,
     end: Option<ToEntry>,
 }
@@ -185,7 +200,7 @@
         let spent = Micros::from(start.elapsed());
         // The core outlives its runs.
         let _ = self.core.send(Freed(id)).await;
-        let (chunks, bytes) = (self.kept.seq, self.kept.total);
+        let (chunks, bytes) = (self.kept.pieces.next().saturating_sub(1), self.kept.total);
         let end = ToEntry::End {
             dispatch: id,
             finish,
@@ -232,7 +247,7 @@
         self.head(id, parts.status.as_u16(), answer_headers(&parts.headers));
         loop {
             tokio::select! {
-                frame = body.frame(), if self.kept.has_room() => match frame {
+                frame = body.frame(), if !self.kept.pieces.full() => match frame {
                     Some(Ok(frame)) => {
                         if let Ok(data) = frame.into_data() {
                             self.data(id, data);
@@ -281,10 +296,10 @@
         match command {
             None | Some(Command::Cancel) => return Some(Stop::Cancelled),
             Some(Command::Settled) => return Some(Stop::Released),
-            Some(Command::Ack { next }) => self.kept.ack(next),
+            Some(Command::Ack { next }) => self.kept.pieces.ack(next),
             Some(Command::Resume { next, outbox }) => {
                 self.outbox = outbox;
-                self.kept.ack(next);
+                self.kept.pieces.ack(next);
                 self.resend(id, next);
             }
             Some(Command::Report) => {
@@ -305,62 +320,35 @@
             headers,
         };
         self.outbox.send(&head);
-        self.kept.head = Some(head);
+        self.kept.pieces.push(head, 0);
     }
 
     fn data(&mut self, id: DispatchId, mut data: Bytes) {
         while !data.is_empty() {
             let piece = data.split_to(data.len().min(MAX_CHUNK_BYTES));
-            let seq = self.kept.push(piece.clone());
-            self.outbox.send(&ToEntry::Chunk {
+            let len = piece.len();
+            let chunk = ToEntry::Chunk {
                 dispatch: id,
-                seq,
+                seq: self.kept.pieces.next(),
                 data: piece,
-            });
+            };
+            self.outbox.send(&chunk);
+            self.kept.pieces.push(chunk, len);
+            self.kept.total += len as u64;
         }
     }
 
+    /// Sends all that the entry misses again.
     fn resend(&self, id: DispatchId, next: u64) {
-        if next == 0
-            && let Some(head) = &self.kept.head
-        {
-            self.outbox.send(head);
-        }
-        for (seq, data) in &self.kept.chunks {
-            if *seq >= next {
-                let chunk = ToEntry::Chunk {
-                    dispatch: id,
-                    seq: *seq,
-                    data: data.clone(),
-                };
-                self.outbox.send(&chunk);
-            }
+        match self.kept.pieces.from(next) {
+            Some(missing) => missing.for_each(|(_, frame)| self.outbox.send(frame)),
+            None => self.outbox.send(&ToEntry::State {
+                dispatch: id,
+                known: Known::Forgotten,
+            }),
         }
         if let Some(end) = &self.kept.end {
             self.outbox.send(end);
         }
     }
 }
-
-impl Kept {
-    fn has_room(&self) -> bool {
-        self.size < RESUME_BYTES && self.chunks.len() < RESUME_CHUNKS
-    }
-
-    fn push(&mut self, data: Bytes) -> u64 {
-        self.seq += 1;
-        self.size += data.len();
-        self.total += data.len() as u64;
-        self.chunks.push_back((self.seq, data));
-        self.seq
-    }
-
-    fn ack(&mut self, next: u64) {
-        while let Some((seq, data)) = self.chunks.front()
-            && *seq < next
-        {
-            self.size -= data.len();
-            self.chunks.pop_front();
-        }
-    }
-}
--- a/src/resume.rs
+++ b/src/resume.rs
@@ -7,6 +7,9 @@
 /// Most bytes of one answer that wait for their acknowledgement.
 pub const MAX_HELD_BYTES: usize = 256 * 1024;
 
+/// Most pieces of one answer that wait for their acknowledgement.
+pub const MAX_HELD_PIECES: usize = 512;
+
 /// The pieces of one answer from the first that is not acknowledged.
 #[derive(Clone, Debug)]
 pub struct Resume<T> {
@@ -59,7 +62,7 @@
 
     /// Whether reading from the target must wait for acknowledgements.
     pub fn full(&self) -> bool {
-        self.bytes >= MAX_HELD_BYTES
+        self.bytes >= MAX_HELD_BYTES || self.pieces.len() >= MAX_HELD_PIECES
     }
 
     /// The number of the piece that comes next.
