--- a/tests/exchange_udp.rs
+++ b/tests/exchange_udp.rs
@@ -19,7 +19,7 @@
 #[derive(Clone)]
 struct Fake {
     share: Arc<Mutex<Share>>,
-    members: Option<Vec<SocketAddr>>,
+    members: Arc<Mutex<Option<Vec<SocketAddr>>>>,
     names: Option<Names>,
 }
 
@@ -37,7 +37,7 @@
     }
 
     fn members(&mut self) -> Option<Vec<SocketAddr>> {
-        self.members.take()
+        self.members.lock().expect("not poisoned").take()
     }
 
     fn names(&mut self) -> Option<Names> {
@@ -91,7 +91,7 @@
     for (socket, &me) in sockets.into_iter().zip(&members) {
         let fake = Fake {
             share: Arc::default(),
-            members: Some(members.clone()),
+            members: Arc::new(Mutex::new(Some(members.clone()))),
             names: Some(names()),
         };
         fake.share.lock().expect("not poisoned").backlogged(A);
@@ -127,3 +127,36 @@
     assert!(outcome.is_ok(), "levels did not arrive");
     assert_eq!(rejected[0], 3);
 }
+
+#[tokio::test]
+async fn a_new_member_list_is_taken_over() {
+    let (sockets, members) = sockets(2).await;
+    let last = *members.iter().max().expect("there are two");
+    let cancel = CancellationToken::new();
+    let mut followed = None;
+    for (socket, &me) in sockets.into_iter().zip(&members) {
+        let fake = Fake {
+            share: Arc::default(),
+            members: Arc::new(Mutex::new(Some(members.clone()))),
+            names: Some(names()),
+        };
+        let list = fake.members.clone();
+        let exchange = Exchange::new(socket, me, SECRET, fake);
+        if me == last {
+            followed = Some((exchange.status(), list));
+        }
+        tokio::spawn(exchange.run(cancel.clone()));
+    }
+    let (mut status, list) = followed.expect("one is last");
+    let outcome = tokio::time::timeout(LIMIT, async {
+        let joined = status
+            .wait_for(|s| s.parent.is_some() && !s.cold)
+            .await
+            .is_ok();
+        *list.lock().expect("not poisoned") = Some(vec![last]);
+        joined && status.wait_for(|s| s.parent.is_none()).await.is_ok()
+    })
+    .await;
+    cancel.cancel();
+    assert_eq!(outcome, Ok(true));
+}
