Measure the exchange at the design size; test classes, costs, pace, budgets

Cause: control cost was measured for the harness's own messages only; four modules had no tests. Ruled out: a run of 370 entries in the harness; the exchange measures itself in process. Change: a second case of the control experiment; tables of cases for queue, learn, hedge, pace.

--- a/src/bench/experiments.rs
+++ b/src/bench/experiments.rs
@@ -1,5 +1,6 @@
 //! The experiments: what is asked of the policy, and which figures are taken.
 
+use crate::exchange::measure::control_cost;
 use crate::exchange::node::MIN_PERIOD;
 use crate::ids::{AccountKey, AgentKey, EntryKey};
 use crate::units::Micros;
@@ -93,7 +94,7 @@
             .map(|&load| blocking(seed, load, &make))
             .collect(),
         Experiment::Slowed => vec![slowed(seed, &make)],
-        Experiment::Control => vec![control(seed, &make)],
+        Experiment::Control => vec![control(seed, &make), exchange_cost(seed, P::NAME)],
         Experiment::Once => vec![once(seed, &make)],
         Experiment::Failover => [Loss::Agent, Loss::Entry, Loss::Zone]
             .iter()
@@ -322,6 +323,7 @@
     let (messages, bytes) = world.meter.control();
     let per_node = |n: u64| n as f64 / END.as_secs_f64() / nodes;
     Report::new("control", seed, P::NAME)
+        .text("case", "tovolea")
         .figure("control_bytes_per_s", per_node(bytes))
         .figure("control_messages_per_s", per_node(messages))
         .figure(
@@ -330,6 +332,28 @@
         )
 }
 
+/// The exchange alone at the size to design for, measured in process.
+fn exchange_cost(seed: u64, variant: &'static str) -> Report {
+    const MEMBERS: usize = 370;
+    const ACCOUNTS: usize = 3_500;
+    const BACKLOGGED: usize = 350;
+    const SERVICES: usize = 17;
+    const ROUNDS: usize = 20;
+    let report = Report::new("control", seed, variant).text("case", "exchange of 370 entries");
+    if variant == Naive::NAME {
+        return report.figure("control_bytes_per_s", 0.0);
+    }
+    let cost = control_cost(MEMBERS, ACCOUNTS, BACKLOGGED, SERVICES, ROUNDS);
+    let period = cost.period_ms.max(1) as f64;
+    report
+        .figure("control_bytes_per_s", cost.max_bytes)
+        .figure("mean_bytes_per_s", cost.mean_bytes)
+        .figure("control_messages_per_s", cost.max_messages)
+        .figure("core_percent", cost.round_micros / period / 10.0)
+        .figure("period_ms", period)
+        .figure("state_bytes", cost.state_bytes as f64)
+}
+
 /// Orders while agents are cut off, killed and restarted.
 fn once<P: Policy>(seed: u64, make: &impl Fn(&Layout) -> P) -> Report {
     const LOAD: f64 = 0.7;
--- a/src/hedge.rs
+++ b/src/hedge.rs
@@ -1,5 +1,8 @@
 //! A budget for second copies: a share of first copies, so that retries and hedges cannot pile up.
 
+#[cfg(test)]
+mod tests;
+
 /// Credits that one copy costs.
 const COPY_COST: u32 = 100;
 /// Most copies that can be saved up.
--- a/src/learn.rs
+++ b/src/learn.rs
@@ -9,6 +9,9 @@
 use crate::ids::AccountKey;
 use crate::units::Micros;
 
+#[cfg(test)]
+mod tests;
+
 /// Magnitudes of hint that are told apart; each is twice the one before.
 const MAGNITUDES: usize = 24;
 /// Least hint that is told from none.
--- a/src/pace.rs
+++ b/src/pace.rs
@@ -5,6 +5,9 @@
 use crate::ids::AgentKey;
 use crate::units::Micros;
 
+#[cfg(test)]
+mod tests;
+
 /// How many times slower than its peers a target counts as slowed.
 const SLOW_FACTOR: f64 = 2.5;
 /// Weight of an outcome in its agent's stretch.
--- a/src/queue.rs
+++ b/src/queue.rs
@@ -9,6 +9,9 @@
 use crate::ids::JobKey;
 use crate::units::Micros;
 
+#[cfg(test)]
+mod tests;
+
 /// Classes of expected slot time.
 const CLASSES: usize = 4;
 /// Expected slot time up to which a request is of the shortest class.
