--- a/src/entry/desk.rs
+++ b/src/entry/desk.rs
@@ -19,7 +19,7 @@
 use crate::entry::pool::Pool;
 use crate::entry::request::Request;
 use crate::entry::routes::{Event, Route, Routes};
-use crate::ids::{AgentKey, BootId, DispatchId, JobKey, ServiceKey};
+use crate::ids::{AgentKey, BootId, DispatchId, JobKey, OfferId, ServiceKey};
 use crate::problem::{Problem, Reason};
 use crate::rules::Table;
 use crate::scheduler::{Arrival, Assignment, Job, Scheduler};
@@ -37,6 +37,10 @@
     leaving: bool,
     /// The host list says so.
     listed: bool,
+    /// Offers that the scheduler has.
+    parked: Vec<OfferId>,
+    /// Offers that wait until the rules know the service, or the host list says live again.
+    held: Vec<OfferId>,
     jobs: Vec<JobKey>,
 }
 
@@ -176,12 +180,75 @@
         }
     }
 
+    /// An offer stands: it goes to the service's scheduler, or is held until it may.
+    fn offered(&mut self, agent: AgentKey, offer: OfferId) {
+        let now = self.clock.now();
+        let service = self
+            .service_of(agent)
+            .filter(|_| !self.agents[agent.index()].listed);
+        let Some(service) = service else {
+            self.agents[agent.index()].held.push(offer);
+            self.park(agent, offer, Backlog::default());
+            return;
+        };
+        self.agents[agent.index()].parked.push(offer);
+        match self.with(service, |s| s.offer(now, agent, offer)) {
+            Some(assigned) => self.send(service, assigned),
+            None => {
+                let backlog = self.with(service, |s| s.backlog());
+                self.park(agent, offer, backlog);
+            }
+        }
+    }
+
+    fn park(&self, agent: AgentKey, offer: OfferId, backlog: Backlog) {
+        if let Some(outbox) = &self.agents[agent.index()].outbox {
+            outbox.send(&ToAgent::Parked { offer, backlog });
+        }
+    }
+
+    /// Takes an agent's offers from the scheduler; they stand, and are held.
+    fn hold(&mut self, agent: AgentKey) {
+        if let Some(service) = self.service_of(agent) {
+            self.with(service, |s| s.lost(agent));
+        }
+        let state = &mut self.agents[agent.index()];
+        state.held.append(&mut state.parked);
+    }
+
+    /// Gives held offers to the schedulers that may use them now.
+    fn unhold(&mut self) {
+        let waiting = self
+            .agents
+            .iter()
+            .filter(|(_, a)| !a.held.is_empty() && !a.listed);
+        let agents: Vec<AgentKey> = waiting.map(|(at, _)| AgentKey::from(at)).collect();
+        for agent in agents {
+            if self.service_of(agent).is_some() {
+                let held = std::mem::take(&mut self.agents[agent.index()].held);
+                held.into_iter()
+                    .for_each(|offer| self.offered(agent, offer));
+            }
+        }
+    }
+
+    /// None of the agent's offers stands any more.
+    fn withdraw(&mut self, agent: AgentKey) {
+        if let Some(service) = self.service_of(agent) {
+            self.with(service, |s| s.lost(agent));
+        }
+        let state = &mut self.agents[agent.index()];
+        state.parked.clear();
+        state.held.clear();
+    }
+
     /// Pairs a request with its agent.
     fn pair(&mut self, assigned: Assignment, id: DispatchId) -> (BootId, Outbox) {
         let job = &mut self.jobs[assigned.job.index()];
         job.sent = Some((id, assigned.agent));
         let agent = &mut self.agents[assigned.agent.index()];
         agent.jobs.push(assigned.job);
+        agent.parked.retain(|&o| o != assigned.offer);
         let outbox = agent
             .outbox
             .clone()
@@ -284,6 +351,8 @@
                     outbox: None,
                     leaving: false,
                     listed: self.departing.contains(&info.host),
+                    parked: Vec::new(),
+                    held: Vec::new(),
                     jobs: Vec::new(),
                 };
                 let agent = AgentKey::from(self.agents.insert(state));
@@ -291,9 +360,7 @@
                 agent
             }
         };
-        if let Some(service) = self.service_of(agent) {
-            self.with(service, |s| s.lost(agent));
-        }
+        self.withdraw(agent);
         let state = &mut self.agents[agent.index()];
         if let Some(old) = state.outbox.replace(outbox.clone()) {
             old.close();
@@ -329,9 +396,7 @@
         };
         state.outbox = None;
         let jobs = state.jobs.clone();
-        if let Some(service) = self.service_of(link.agent) {
-            self.with(service, |s| s.lost(link.agent));
-        }
+        self.withdraw(link.agent);
         for key in jobs {
             // A task that is gone says so with `Over`, which follows.
             let _ = self.jobs[key.index()]
@@ -346,31 +411,11 @@
 
     async fn handle(&mut self, message: Offered, _ctx: &mut Context<Self>) {
         let Offered(link, offer) = message;
-        let now = self.clock.now();
         let Some(state) = self.current(link) else {
             return;
         };
-        if state.leaving || state.listed {
-            return;
-        }
-        let outbox = state.outbox.clone();
-        let Some(service) = self.service_of(link.agent) else {
-            if let Some(outbox) = outbox {
-                outbox.send(&ToAgent::Parked {
-                    offer,
-                    backlog: Backlog::default(),
-                });
-            }
-            return;
-        };
-        match self.with(service, |s| s.offer(now, link.agent, offer)) {
-            Some(assigned) => self.send(service, assigned),
-            None => {
-                let backlog = self.with(service, |s| s.backlog());
-                if let Some(outbox) = outbox {
-                    outbox.send(&ToAgent::Parked { offer, backlog });
-                }
-            }
+        if !state.leaving {
+            self.offered(link.agent, offer);
         }
     }
 }
@@ -380,9 +425,12 @@
 
     async fn handle(&mut self, message: Voided, _ctx: &mut Context<Self>) {
         let Voided(link, offer) = message;
-        if self.current(link).is_some()
-            && let Some(service) = self.service_of(link.agent)
-        {
+        let Some(state) = self.current(link) else {
+            return;
+        };
+        state.parked.retain(|&o| o != offer);
+        state.held.retain(|&o| o != offer);
+        if let Some(service) = self.service_of(link.agent) {
             self.with(service, |s| s.void(link.agent, offer));
         }
     }
@@ -397,9 +445,7 @@
             return;
         };
         state.leaving = true;
-        if let Some(service) = self.service_of(link.agent) {
-            self.with(service, |s| s.lost(link.agent));
-        }
+        self.withdraw(link.agent);
     }
 }
 
@@ -416,11 +462,8 @@
             }
             agent.listed = listed;
         }
-        for agent in gone {
-            if let Some(service) = self.service_of(agent) {
-                self.with(service, |s| s.lost(agent));
-            }
-        }
+        gone.into_iter().for_each(|agent| self.hold(agent));
+        self.unhold();
     }
 }
 
@@ -480,6 +523,7 @@
     type Return = ();
 
     async fn handle(&mut self, _message: Beat, _ctx: &mut Context<Self>) {
+        self.unhold();
         for at in 0..self.agents.capacity() {
             let Some(state) = self.agents.get(at) else {
                 continue;
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -35,6 +35,7 @@
     targets: Vec<Targets>,
     links: bool,
     fenced: bool,
+    unruled: bool,
 }
 
 impl Plan {
@@ -45,6 +46,7 @@
             targets: Vec::new(),
             links: false,
             fenced: false,
+            unruled: false,
         }
     }
 
@@ -70,7 +72,13 @@
         self
     }
 
-    /// Starts the fleet and waits until all of it is ready.
+    /// Starts without rules; [`Fleet::apply_rules`] brings them.
+    pub fn unruled(mut self) -> Self {
+        self.unruled = true;
+        self
+    }
+
+    /// Starts the fleet and waits until all of it is ready; without rules, until it runs.
     pub async fn start(self) -> Fleet {
         Fleet::start(self).await
     }
@@ -147,7 +155,9 @@
             &["platform", "--listen", &listen],
         );
         await_healthy(&caller, platform).await;
-        apply_rules(&caller, platform, RULES).await;
+        if !plan.unruled {
+            apply_rules(&caller, platform, RULES).await;
+        }
 
         let addresses: Vec<EntryAddresses> = (0..plan.entries)
             .map(|_| EntryAddresses::new(&place, plan.links))
@@ -170,7 +180,11 @@
             }
         }
         fleet.set_hosts(|_| "live").await;
-        fleet.ready().await;
+        if plan.unruled {
+            fleet.running().await;
+        } else {
+            fleet.ready().await;
+        }
         fleet
     }
 
@@ -242,6 +256,26 @@
         });
     }
 
+    /// Applies the sample rules and waits until all are ready.
+    pub async fn apply_rules(&self) {
+        apply_rules(&self.caller, self.platform, RULES).await;
+        self.ready().await;
+    }
+
+    /// Waits until all entries run and each knows all agents.
+    async fn running(&self) {
+        for entry in &self.entries {
+            await_until("agents", || self.knows_agents(entry.admin)).await;
+        }
+    }
+
+    async fn knows_agents(&self, admin: SocketAddr) -> bool {
+        let reply = self.caller.call(admin, Call::get("/status")).await;
+        let Ok(reply) = reply else { return false };
+        let up = |host: &&TargetHost| reply.text().contains(&host.address.to_string());
+        self.targets.iter().filter(up).count() == self.targets.len()
+    }
+
     /// Starts an entry anew, after its process ended, with the settings it had.
     pub async fn restart_entry(&mut self, index: usize) {
         let entry = &mut self.entries[index];
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -61,6 +61,19 @@
     );
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn slots_offered_before_the_rules_are_used_after_them() {
+    let fleet = Plan::entries(1)
+        .targets("model", 1, 4)
+        .unruled()
+        .start()
+        .await;
+    fleet.apply_rules().await;
+    let (call, answer) = numbered(0);
+    let reply = fleet.call(0, call).await.expect("the entry answers");
+    assert_whole(&reply, &answer);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn many_callers_get_their_own_whole_answers() {
     let fleet = Plan::entries(2).targets("model", 5, 4).start().await;
