--- a/src/exchange/tests.rs
+++ b/src/exchange/tests.rs
@@ -7,15 +7,17 @@
     ENVELOPE_BYTES, EnvelopeError, MAX_DATAGRAM_BYTES, MAX_PAYLOAD_BYTES, Newest, Sealer,
 };
 use super::gossip::{self, Gossip};
-use super::measure::control_cost;
+use super::measure::{self, control_cost};
 use super::names::{Names, Recent};
+use super::node::Node;
 use super::{Pair, tree};
-use crate::ids::{AccountKey, BootId};
+use crate::ids::{AccountKey, BootId, ServiceKey};
 use crate::rules::{Account, Table};
+use crate::share::{Demand, Report};
 use crate::units::Micros;
 
-mod world;
-use world::{ACCOUNTS, Event, Fault, World};
+mod oracle;
+use oracle::{ACCOUNTS, Event, Fault, World};
 
 macro_rules! cases {
     ($check:ident: $($name:ident($($arg:expr),* $(,)?);)*) => {
@@ -38,6 +40,7 @@
         1 => entry.prop_map(Event::Restart),
         1 => (1..31u8).prop_map(Event::Partition),
         1 => Just(Event::Heal),
+        1 => (0..5usize, 0..5usize).prop_map(|(e, o)| Event::Forget(e, o)),
     ]
 }
 
@@ -435,11 +438,115 @@
             (40, 3_500, 350),
             (370, 3_500, 35),
             (370, 3_500, 350),
+            (370, 3_500, 3_500),
         ],
     };
     for &(members, accounts, backlogged) in sizes {
         let cost = control_cost(members, accounts, backlogged, 17, 40);
+        let lag = if backlogged > 350 { 20.0 } else { 2.0 };
+        assert!(cost.lag_rounds < lag, "{cost:?}");
         println!("{members} members, {accounts} accounts, {backlogged} backlogged: {cost:?}");
         assert!(cost.max_bytes <= 3_000.0, "{cost:?}");
     }
 }
+
+#[test]
+fn datagrams_fit_whatever_they_carry() {
+    let members = addresses(2);
+    let names = Names::of(&measure::table(3_500, 17));
+    let mut nodes = members
+        .clone()
+        .into_iter()
+        .map(|m| Node::new(m, names.clone()));
+    let (mut root, mut leaf) = (nodes.next().expect("two"), nodes.next().expect("two"));
+    root.set_members(Micros::ZERO, &members);
+    leaf.set_members(Micros::ZERO, &members);
+    let reports = |service: usize| -> Vec<Report> {
+        let charged = |a: usize| i64::MAX >> (a % 50 + 13);
+        let report = |a| Report {
+            account: AccountKey::from(a),
+            charged: charged(a),
+            demand: Demand::Steady,
+        };
+        (0..3_500)
+            .filter(|a| a % 17 == service)
+            .map(report)
+            .collect()
+    };
+    let all = || {
+        (0..17)
+            .map(|s| (ServiceKey::from(s), reports(s)))
+            .collect::<Vec<_>>()
+    };
+    let mut payloads = 0;
+    let decode = |p: &[u8]| gossip::decode(p).expect("members send valid payloads");
+    for _ in 0..40 {
+        let now = root.wake();
+        let down = root.tick(now, all);
+        for out in &down {
+            leaf.receive(now, members[0], BootId(1), decode(&out.payload));
+        }
+        let up = leaf.tick(now, all);
+        for out in &up {
+            root.receive(now, members[1], BootId(2), decode(&out.payload));
+        }
+        let largest = up.iter().chain(&down).map(|o| o.payload.len()).max();
+        assert!(
+            largest.is_none_or(|l| l <= MAX_PAYLOAD_BYTES),
+            "{largest:?}"
+        );
+        payloads += up.len() + down.len();
+    }
+    assert!(payloads > 100, "{payloads}");
+}
+
+/// Two members that were apart; account 1 got `lead` seconds more than account 0 at the second.
+fn merges(lead: u64, moved: u64) {
+    let members = addresses(2);
+    let names = Names::of(&measure::table(2, 1));
+    let mut nodes = [
+        Node::new(members[0], names.clone()),
+        Node::new(members[1], names),
+    ];
+    let charges = [[0, 0], [5, 5 + lead]];
+    let mut left = [1, 1];
+    let mut now = Micros::ZERO;
+    for round in 0..60 {
+        if round == 20 {
+            nodes.iter_mut().for_each(|n| n.set_members(now, &members));
+        }
+        for i in [0, 1] {
+            let seconds = if round == 10 {
+                std::mem::take(&mut left[i])
+            } else {
+                0
+            };
+            let report = |a: usize| Report {
+                account: AccountKey::from(a),
+                charged: (charges[i][a] * seconds * 1_000_000) as i64,
+                demand: Demand::Steady,
+            };
+            let sent = nodes[i].tick(now, || vec![(ServiceKey(0), [report(0), report(1)])]);
+            for out in sent {
+                let known = gossip::decode(&out.payload).expect("members send valid payloads");
+                nodes[1 - i].receive(now, members[i], BootId(i as u64), known);
+            }
+        }
+        now += Micros::from_ms(200);
+    }
+    let level = |n: &Node, a: usize| {
+        n.level(Pair {
+            account: AccountKey::from(a),
+            ..Pair::default()
+        })
+    };
+    for node in &nodes {
+        let seen = level(node, 1) - level(node, 0);
+        assert_eq!(seen.as_ms().div_ceil(1_000), moved, "{seen}");
+    }
+}
+
+cases! { merges:
+    a_merge_carries_what_was_charged_apart(30, 30);
+    a_merge_is_capped(90, 60);
+}
--- a/src/rules/history.rs
+++ b/src/rules/history.rs
@@ -4,6 +4,8 @@
 //! starts after earlier records expired keeps what it reads until a renewal tells which version
 //! was current at an offset that it has read from; then it decides what it kept.
 
+use serde::Serialize;
+
 use super::chain::{Chain, Past, Verdict};
 use super::parse::MAX_FILE_BYTES;
 use super::record::{Accepted, EditId, Record, Renewal};
@@ -30,7 +32,7 @@
 }
 
 /// Records counted since the reader started.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct Counts {
     /// Edits accepted.
     pub accepted: u64,
@@ -77,7 +79,7 @@
     pub fn new(timing: Timing) -> Self {
         Follower {
             next: 0,
-            state: State::Exact(Chain::default()),
+            state: State::from_offset(0),
             force: None,
             tail: false,
             schedule: Schedule::new(timing),
@@ -151,11 +153,11 @@
     pub fn expired(&mut self, first: u64) {
         self.counts.gaps += 1;
         self.tail = false;
+        if first < self.next {
+            self.schedule.begun_anew();
+        }
         self.next = first;
-        self.state = State::Seeking(Kept {
-            start: first,
-            ..Kept::default()
-        });
+        self.state = State::from_offset(first);
     }
 
     /// The log could not be read.
@@ -177,7 +179,8 @@
 
     /// The renewal to append now, if one is due.
     pub fn renewal(&mut self, now: Micros) -> Option<Record> {
-        let due = self.schedule.due(now)?;
+        let bytes = self.force.as_ref().map_or(0, |force| force.text.len());
+        let due = self.schedule.due(now, bytes)?;
         let (accepted, restart) = match (due, &self.state) {
             (Due::Renew, State::Exact(chain)) => (chain.current().clone(), false),
             (Due::Renew, State::Seeking(_)) => return None,
@@ -307,6 +310,19 @@
     }
 }
 
+impl State {
+    /// The state before the record at `start`; nothing comes before offset 0.
+    fn from_offset(start: u64) -> Self {
+        if start == 0 {
+            return State::Exact(Chain::default());
+        }
+        State::Seeking(Kept {
+            start,
+            ..Kept::default()
+        })
+    }
+}
+
 impl Kept {
     fn push(&mut self, offset: u64, record: Record, bytes: usize) {
         self.bytes += bytes;
