Take rules from peers while the log is out

Ruled out: the exchange's datagrams (467 KB are 400 of them), agents as carriers (they would have to hold the text), standing connections between all entries, asking all peers at once. Protocol version 2.

--- a/src/agent/dial.rs
+++ b/src/agent/dial.rs
@@ -11,7 +11,7 @@
 use crate::agent::core::{Core, EntryDown, EntryUp, FromEntry, Link};
 use crate::auth::Secret;
 use crate::conn::{self, ConnError, HANDSHAKE_TIMEOUT, Inbox};
-use crate::wire::{AgentInfo, ToAgent};
+use crate::wire::{AgentInfo, Opener, ToAgent};
 
 const FIRST_PAUSE: Duration = Duration::from_millis(20);
 const LONGEST_PAUSE: Duration = Duration::from_secs(1);
@@ -46,7 +46,8 @@
         let stream = timeout(HANDSHAKE_TIMEOUT, TcpStream::connect(address))
             .await
             .map_err(|_| ConnError::Silent)??;
-        let (boot, outbox, mut inbox) = conn::dial(stream, &self.secret, self.info.clone()).await?;
+        let opener = Opener::Agent(self.info.clone());
+        let (boot, outbox, mut inbox) = conn::dial(stream, &self.secret, opener).await?;
         let up = EntryUp {
             address,
             boot,
--- a/src/auth.rs
+++ b/src/auth.rs
@@ -1,7 +1,7 @@
 //! The shared key between the system's processes: handshakes and message tags.
 //!
-//! An agent opens with [`Hello`], the entry answers with [`Challenge`], the agent closes with
-//! [`Proof`]. Each side proves that it holds the key over both nonces, so a recorded handshake is
+//! An agent, or another entry, opens with [`Hello`], the entry answers with [`Challenge`], the opener
+//! closes with [`Proof`]. Each side proves that it holds the key over both nonces, so a recorded handshake is
 //! of no use on another connection.
 
 use std::fmt;
@@ -11,7 +11,7 @@
 use sha2::Sha256;
 
 use crate::ids::BootId;
-use crate::wire::{AgentInfo, PROTOCOL_VERSION};
+use crate::wire::{Opener, PROTOCOL_VERSION};
 
 /// Bytes of a nonce.
 pub const NONCE_BYTES: usize = 16;
@@ -19,7 +19,7 @@
 pub const TAG_BYTES: usize = 32;
 
 const ENTRY_ROLE: &[u8] = b"entry";
-const AGENT_ROLE: &[u8] = b"agent";
+const OPENER_ROLE: &[u8] = b"opener";
 
 /// A random number used once.
 pub type Nonce = [u8; NONCE_BYTES];
@@ -63,15 +63,15 @@
     }
 }
 
-/// First message of a connection, from the agent.
+/// First message of a connection, from the side that opened it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Hello {
     /// [`PROTOCOL_VERSION`].
     pub version: u8,
-    /// The agent's nonce.
+    /// The opener's nonce.
     pub nonce: Nonce,
-    /// Who the agent is.
-    pub agent: AgentInfo,
+    /// Who the opener is.
+    pub opener: Opener,
 }
 
 /// The entry's answer to [`Hello`].
@@ -87,10 +87,10 @@
     pub tag: Tag,
 }
 
-/// The agent's proof.
+/// The opener's proof.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Proof {
-    /// The agent's tag over hello and challenge.
+    /// The opener's tag over hello and challenge.
     pub tag: Tag,
 }
 
@@ -107,11 +107,11 @@
 
 impl Hello {
     /// A hello with a fresh nonce.
-    pub fn new(agent: AgentInfo) -> Self {
+    pub fn new(opener: Opener) -> Self {
         Hello {
             version: PROTOCOL_VERSION,
             nonce: rand::random(),
-            agent,
+            opener,
         }
     }
 }
@@ -144,14 +144,14 @@
 }
 
 impl Proof {
-    /// The agent's proof over the encoded hello and the challenge.
+    /// The opener's proof over the encoded hello and the challenge.
     pub fn new(secret: &Secret, hello: &[u8], challenge: &Challenge) -> Self {
         Proof {
-            tag: secret.tag(&[AGENT_ROLE, hello, &challenge.nonce, &challenge.tag]),
+            tag: secret.tag(&[OPENER_ROLE, hello, &challenge.nonce, &challenge.tag]),
         }
     }
 
-    /// Checks the agent's proof.
+    /// Checks the opener's proof.
     ///
     /// # Errors
     /// [`AuthError::Tag`] when the tag is wrong.
@@ -161,7 +161,7 @@
         hello: &[u8],
         challenge: &Challenge,
     ) -> Result<(), AuthError> {
-        let parts: [&[u8]; 4] = [AGENT_ROLE, hello, &challenge.nonce, &challenge.tag];
+        let parts: [&[u8]; 4] = [OPENER_ROLE, hello, &challenge.nonce, &challenge.tag];
         secret
             .verify(&parts, &self.tag)
             .then_some(())
--- a/src/conn.rs
+++ b/src/conn.rs
@@ -1,4 +1,4 @@
-//! A framed, authenticated connection between an entry and an agent.
+//! A framed, authenticated connection to an entry, from an agent or another entry.
 
 use std::io;
 use std::time::Duration;
@@ -15,7 +15,7 @@
 
 use crate::auth::{AuthError, Challenge, Hello, Proof, Secret, check_version};
 use crate::ids::BootId;
-use crate::wire::{self, AgentInfo, MAX_FRAME_BYTES, WireError};
+use crate::wire::{self, MAX_FRAME_BYTES, Opener, WireError};
 
 /// Time between heartbeats.
 pub const HEARTBEAT_PERIOD: Duration = Duration::from_millis(500);
@@ -100,20 +100,20 @@
     }
 }
 
-/// The agent's side of the handshake on a fresh connection. Gives the entry's boot id.
+/// The opener's side of the handshake on a fresh connection. Gives the entry's boot id.
 ///
 /// # Errors
 /// [`ConnError`] when the handshake fails or takes longer than [`HANDSHAKE_TIMEOUT`].
 pub async fn dial(
     stream: TcpStream,
     secret: &Secret,
-    agent: AgentInfo,
+    opener: Opener,
 ) -> Result<(BootId, Outbox, Inbox), ConnError> {
     stream.set_nodelay(true)?;
     let (read, mut write) = stream.into_split();
     let mut read = BufReader::with_capacity(READ_BUFFER_BYTES, read);
     let handshake = async {
-        let hello = wire::encode(&Hello::new(agent))?;
+        let hello = wire::encode(&Hello::new(opener))?;
         write.write_all(&hello).await?;
         let challenge: Challenge = wire::decode(&read_frame(&mut read).await?)?;
         challenge.check(secret, &hello[4..])?;
@@ -136,25 +136,26 @@
     stream: TcpStream,
     secret: &Secret,
     boot: BootId,
-) -> Result<(AgentInfo, Outbox, Inbox), ConnError> {
+) -> Result<(Opener, Outbox, Inbox), ConnError> {
     stream.set_nodelay(true)?;
     let (read, mut write) = stream.into_split();
     let mut read = BufReader::with_capacity(READ_BUFFER_BYTES, read);
     let handshake = async {
         let frame = read_frame(&mut read).await?;
+        // Other versions may lay the rest out differently.
+        check_version(frame.first().copied().unwrap_or_default())?;
         let hello: Hello = wire::decode(&frame)?;
-        check_version(hello.version)?;
         let challenge = Challenge::new(secret, &frame, boot);
         write.write_all(&wire::encode(&challenge)?).await?;
         let proof: Proof = wire::decode(&read_frame(&mut read).await?)?;
         proof.check(secret, &frame, &challenge)?;
-        Ok::<_, ConnError>(hello.agent)
+        Ok::<_, ConnError>(hello.opener)
     };
-    let agent = timeout(HANDSHAKE_TIMEOUT, handshake)
+    let opener = timeout(HANDSHAKE_TIMEOUT, handshake)
         .await
         .map_err(|_| ConnError::Silent)??;
     let (outbox, inbox) = start(read, write);
-    Ok((agent, outbox, inbox))
+    Ok((opener, outbox, inbox))
 }
 
 fn start(read: BufReader<OwnedReadHalf>, write: OwnedWriteHalf) -> (Outbox, Inbox) {
--- a/src/entry/agents.rs
+++ b/src/entry/agents.rs
@@ -1,17 +1,18 @@
-//! The entry's listener for agents, and the reader of each connection.
+//! The entry's listener for agents and other entries, and the reader of each agent's connection.
 
 use tokio::net::{TcpListener, TcpStream};
 use xtra::Address;
 
 use crate::auth::Secret;
-use crate::conn::{self, Inbox};
+use crate::conn::{self, Inbox, Outbox};
 use crate::entry::desk::Desk;
 use crate::entry::messages::{AgentDown, AgentLeaving, AgentUp, Link, Offered, Progressed, Voided};
+use crate::entry::peers::Answerer;
 use crate::entry::routes::{Event, Routes};
 use crate::ids::{BootId, DispatchId};
-use crate::wire::ToEntry;
+use crate::wire::{AgentInfo, Opener, ToEntry};
 
-/// What every agent connection needs.
+/// What every accepted connection needs.
 #[derive(Clone)]
 pub struct Agents {
     /// The desk.
@@ -22,10 +23,12 @@
     pub secret: Secret,
     /// This run of the entry.
     pub boot: BootId,
+    /// Answers other entries.
+    pub peers: Answerer,
 }
 
 impl Agents {
-    /// Accepts agents until the process ends.
+    /// Accepts agents and other entries until the process ends.
     pub async fn listen(self, listener: TcpListener) {
         loop {
             match listener.accept().await {
@@ -38,10 +41,17 @@
     }
 
     async fn serve(self, stream: TcpStream) {
-        let Ok((info, outbox, mut inbox)) = conn::accept(stream, &self.secret, self.boot).await
-        else {
+        let accepted = conn::accept(stream, &self.secret, self.boot).await;
+        let Ok((opener, outbox, inbox)) = accepted else {
             return;
         };
+        match opener {
+            Opener::Agent(info) => self.serve_agent(info, outbox, inbox).await,
+            Opener::Entry { .. } => self.peers.answer(outbox, inbox).await,
+        }
+    }
+
+    async fn serve_agent(self, info: AgentInfo, outbox: Outbox, mut inbox: Inbox) {
         let Ok(link) = self
             .desk
             .send(AgentUp {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -11,6 +11,7 @@
 pub mod join;
 pub mod keyed;
 pub mod messages;
+pub mod peers;
 pub mod pool;
 pub mod request;
 pub mod routes;
@@ -37,6 +38,7 @@
 use crate::entry::join::Joiner;
 use crate::entry::keyed::Keyed;
 use crate::entry::messages::{Beat, DESK};
+use crate::entry::peers::{Answerer, Fetcher};
 use crate::entry::pool::{Bridge, Pool};
 use crate::entry::routes::Routes;
 use crate::entry::status::EntryView;
@@ -112,11 +114,19 @@
     kernel.register(EXCHANGE, exchange.status());
 
     let secret = Secret::new(&settings.secret);
+    let fetcher = Fetcher {
+        rules: rules.clone(),
+        me: settings.peer,
+        entries: settings.entries,
+        secret: secret.clone(),
+        boot,
+    };
     let agents = Agents {
         desk: desk.clone(),
         routes: routes.clone(),
         secret,
         boot,
+        peers: Answerer::new(rules.view()),
     };
     let (ready_in, ready) = watch::channel(false);
     let view = EntryView {
@@ -128,6 +138,7 @@
     let services = [
         tokio::spawn(agents.listen(peers)),
         tokio::spawn(beat(desk.clone())),
+        tokio::spawn(fetcher.run()),
         tokio::spawn(keyed.clone().follow()),
         tokio::spawn(hosts::follow(log, desk.clone())),
         tokio::spawn(async move {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -1,4 +1,4 @@
-//! Frames between entries and agents, as `postcard` writes them on TCP.
+//! Frames between entries and agents, and the openers of connections, as `postcard` writes them on TCP.
 //!
 //! Every frame is a 4-byte big-endian length, then the encoded message. The first message of each
 //! side is a handshake message (see [`crate::auth`]); its first field is the protocol version.
@@ -12,7 +12,7 @@
 use crate::units::Micros;
 
 /// Version of the protocol between the system's own processes.
-pub const PROTOCOL_VERSION: u8 = 1;
+pub const PROTOCOL_VERSION: u8 = 2;
 /// Largest encoded frame, in bytes.
 pub const MAX_FRAME_BYTES: usize = 256 * 1024;
 /// Largest piece of a body in one frame, in bytes.
@@ -44,6 +44,18 @@
     pub slots: u16,
 }
 
+/// Who opens a connection to an entry.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Opener {
+    /// An agent, which stays connected.
+    Agent(AgentInfo),
+    /// An entry, which asks one thing (see [`crate::entry::peers`]).
+    Entry {
+        /// This run of the entry.
+        boot: BootId,
+    },
+}
+
 /// What waits at an entry for the agent's service.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Backlog {
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -18,7 +18,7 @@
 const ENTRY: &str = env!("CARGO_BIN_EXE_balsampitch-entry");
 const AGENT: &str = env!("CARGO_BIN_EXE_balsampitch-agent");
 const SECRET: &str = "a key for tests only";
-const RULES: &str = include_str!("../../examples/local.rules");
+pub const RULES: &str = include_str!("../../examples/local.rules");
 
 /// Targets of one service.
 #[derive(Clone, Copy, Debug)]
