--- a/src/agent/core.rs
+++ b/src/agent/core.rs
@@ -71,6 +71,10 @@
 pub struct CoreStatus {
     /// Slots that run a request.
     pub busy: u16,
+    /// Requests that may run at a time.
+    pub slots: u16,
+    /// Version of the rules that limits them; 0 before the first.
+    pub rules: u64,
     /// Answers held, running ones included.
     pub runs: usize,
     /// Connected entries.
@@ -103,6 +107,10 @@
     clock: Clock,
     target: Target,
     pull: Pull,
+    /// Slots of the settings: the most that the rules may allow.
+    slots: u16,
+    /// Version of the rules that the limit is from.
+    rules: u64,
     ledger: Ledger,
     entries: Vec<EntryState>,
     partial: HashMap<DispatchId, Partial>,
@@ -118,6 +126,8 @@
             clock,
             target,
             pull: Pull::new(slots),
+            slots,
+            rules: 0,
             ledger: Ledger::new(),
             entries: Vec::new(),
             partial: HashMap::new(),
@@ -225,6 +235,16 @@
         tokio::spawn(run.run(partial.dispatch, partial.body.freeze()));
     }
 
+    /// Takes over the limit of the rules, unless it is from an older version.
+    fn limit(&mut self, version: u64, slots: u16) {
+        if version <= self.rules {
+            return;
+        }
+        self.rules = version;
+        let steps = self.pull.set_slots(slots.min(self.slots));
+        self.act(steps);
+    }
+
     fn free_slot(&mut self) {
         let steps = self.pull.finished();
         self.act(steps);
@@ -367,6 +387,7 @@
             ToAgent::Heartbeat { backlog } => {
                 self.pull.heard(now, link.entry, backlog);
             }
+            ToAgent::Limits { version, slots } => self.limit(version, slots),
             ToAgent::Leaving => {
                 let steps = self.pull.lost(link.entry);
                 self.act(steps);
@@ -431,6 +452,8 @@
         let up = self.entries.iter().filter(|e| e.outbox.is_some());
         CoreStatus {
             busy: self.pull.busy(),
+            slots: self.pull.slots(),
+            rules: self.rules,
             runs: self.runs.len() + self.partial.len(),
             entries: up.map(|e| e.address).collect(),
             draining: self.draining,
--- a/src/entry/desk.rs
+++ b/src/entry/desk.rs
@@ -1,5 +1,7 @@
 //! The entry's central service: agents, waiting requests, and who gets which slot.
 
+mod limits;
+
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -60,6 +62,8 @@
     clock: Clock,
     dispatches: Dispatches,
     rules: watch::Receiver<Arc<Table>>,
+    /// Version of the rules that the agents were told.
+    told: u64,
     routes: Routes,
     agents: Slab<AgentState>,
     hosts: HashMap<SocketAddr, AgentKey>,
@@ -83,6 +87,7 @@
             clock,
             dispatches: Dispatches::new(boot),
             rules,
+            told: 0,
             routes,
             agents: Slab::new(),
             hosts: HashMap::new(),
@@ -382,6 +387,7 @@
             // A task that is gone says so with `Over`, which follows.
             let _ = self.jobs[key.index()].events.try_send(event);
         }
+        self.tell_limits(agent);
         link
     }
 }
@@ -523,6 +529,7 @@
     type Return = ();
 
     async fn handle(&mut self, _message: Beat, _ctx: &mut Context<Self>) {
+        self.follow_rules();
         self.unhold();
         for at in 0..self.agents.capacity() {
             let Some(state) = self.agents.get(at) else {
--- a/src/pull.rs
+++ b/src/pull.rs
@@ -142,15 +142,19 @@
             return (Verdict::Decline, steps);
         }
         self.busy += 1;
-        while self.offers.len() > self.free() {
-            let (id, held) = self.offers.pop_last().expect("more offers than free slots");
-            let holders = held.parked.into_iter().chain(held.asked);
-            steps.extend(holders.map(|e| Step::Void(e, id)));
-        }
+        steps.extend(self.trim());
         steps.extend(self.steps());
         (Verdict::Accept, steps)
     }
 
+    /// Changes the number of slots. Those that run a request beyond it do so to its end.
+    pub fn set_slots(&mut self, slots: u16) -> Steps {
+        self.slots = slots;
+        let mut steps = self.trim();
+        steps.extend(self.steps());
+        steps
+    }
+
     /// A slot is free again.
     pub fn finished(&mut self) -> Steps {
         self.busy = self.busy.saturating_sub(1);
@@ -173,10 +177,26 @@
         self.busy
     }
 
+    /// Requests that may run at a time.
+    pub fn slots(&self) -> u16 {
+        self.slots
+    }
+
     fn free(&self) -> usize {
         (self.slots - self.busy.min(self.slots)) as usize
     }
 
+    /// Withdraws the offers that no slot is free for.
+    fn trim(&mut self) -> Steps {
+        let mut steps = Steps::new();
+        while self.offers.len() > self.free() {
+            let (id, held) = self.offers.pop_last().expect("more offers than free slots");
+            let holders = held.parked.into_iter().chain(held.asked);
+            steps.extend(holders.map(|e| Step::Void(e, id)));
+        }
+        steps
+    }
+
     /// Makes the offers that are missing and asks one entry at a time for each.
     fn steps(&mut self) -> Steps {
         let mut steps = Steps::new();
@@ -204,3 +224,6 @@
         steps
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -190,6 +190,9 @@
     Settled { dispatch: DispatchId, floor: u64 },
     /// Sent when nothing else was for a while.
     Heartbeat { backlog: Backlog },
+    /// Requests that the rules let each target of the service run at a time; 0 when the service is
+    /// not in them. Of two versions the higher counts.
+    Limits { version: u64, slots: u16 },
     /// The entry sends no new work.
     Leaving,
 }
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -87,3 +87,86 @@
     assert_eq!(version(&fleet, 1).await, Some(2));
     serves(&fleet, 1, "after the outage").await;
 }
+
+/// A line of the agent's status.
+async fn agent(fleet: &Fleet, index: usize) -> Value {
+    let call = Call::get("/status");
+    match fleet.caller.call(fleet.targets[index].admin, call).await {
+        Ok(reply) => reply.json()["core"].clone(),
+        Err(_) => Value::Null,
+    }
+}
+
+async fn await_slots(fleet: &Fleet, wanted: u64) {
+    await_until("the slots", || async {
+        agent(fleet, 0).await["slots"] == wanted
+    })
+    .await;
+}
+
+/// Starts a call that runs for a while, and gives its answer when it ends.
+fn begin(fleet: &Fleet, entry: usize, body: &str) -> tokio::task::JoinHandle<u16> {
+    let call = Call::post("/model/run?ms=500", body.to_owned()).key("school-key");
+    let (caller, to) = (fleet.caller.clone(), fleet.entries[entry].callers);
+    tokio::spawn(async move {
+        let reply = caller.call(to, call).await;
+        reply.expect("the entry answers").status
+    })
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn slots_follow_the_rules_up_to_those_of_the_settings() {
+    let fleet = Plan::entries(2).targets("model", 1, 6).start().await;
+    await_slots(&fleet, 4).await;
+    let one = RULES.replace("service model slots=4", "service model slots=1");
+    apply(&fleet, 1, RULES, &one).await;
+    await_slots(&fleet, 1).await;
+
+    let calls: Vec<_> = (0..4)
+        .map(|n| begin(&fleet, n % 2, &format!("limited {n}")))
+        .collect();
+    while !calls.iter().all(|call| call.is_finished()) {
+        let busy = agent(&fleet, 0).await["busy"].clone();
+        assert!(busy.as_u64().is_some_and(|busy| busy <= 1), "{busy}");
+        tokio::time::sleep(common::LOOK_PAUSE).await;
+    }
+    for call in calls {
+        assert_eq!(call.await.expect("the caller is done"), 200);
+    }
+
+    let many = RULES.replace("service model slots=4", "service model slots=40");
+    apply(&fleet, 2, &one, &many).await;
+    await_slots(&fleet, 6).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_service_out_of_the_rules_gets_no_work_until_it_is_back() {
+    let fleet = Plan::entries(1).targets("model", 1, 1).start().await;
+    let running = begin(&fleet, 0, "running");
+    await_until("it to run", || async { fleet.count("running").await == 1 }).await;
+    let waiting = begin(&fleet, 0, "waiting");
+    await_until("it to wait", || async {
+        admin(&fleet, 0, "/status").await["desk"]["services"][0]["waiting"] == 1
+    })
+    .await;
+    let without: String = RULES
+        .lines()
+        .filter(|line| !line.starts_with("service model"))
+        .map(|line| format!("{line}\n"))
+        .collect();
+    apply(&fleet, 1, RULES, &without).await;
+    await_slots(&fleet, 0).await;
+
+    assert_eq!(running.await.expect("the caller is done"), 200);
+    let refused = Call::post("/model/run", "refused").key("school-key");
+    let refused = fleet.call(0, refused).await.expect("the entry answers");
+    assert_eq!(
+        (refused.status, &refused.json()["execution"]),
+        (404, &"not_run".into())
+    );
+    assert_eq!(fleet.count("waiting").await, 0);
+
+    apply(&fleet, 2, &without, RULES).await;
+    assert_eq!(waiting.await.expect("the caller is done"), 200);
+    assert_eq!(fleet.count("waiting").await, 1);
+}
