Hedge late calls on slowed targets, and hold retries to a budget

Ruled out: a second attempt beside the first in the flight (two sets of truth rules); hedging from the flight's own timer (it knows neither the agent's pace nor the parked offers). Change: the desk asks the scheduler at each report of a running request; the flight carries a second copy until one of the two begins to answer, then cancels the other; a second run after a failure takes from the service's retry budget, a run that surely did not begin does not; prompts' beginnings are hashed so that parked offers of the same target are preferred.

--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -65,6 +65,25 @@
         }
     }
 
+    /// Whether an earlier dispatch may have been run.
+    pub fn begun(&self) -> bool {
+        self.begun
+    }
+
+    /// The dispatch in flight is given up for a second copy that is already on its way. Only for
+    /// idempotent requests, and before anything of an answer came.
+    pub fn switch(&mut self, agent: AgentKey, boot: BootId, dispatch: DispatchId) {
+        self.begun = true;
+        self.phase = Phase::Sent(Try {
+            agent,
+            boot,
+            dispatch,
+            next: 0,
+            bytes: 0,
+            lost: None,
+        });
+    }
+
     /// Whether the request waits for a slot.
     pub fn waiting(&self) -> bool {
         matches!(self.phase, Phase::Waiting)
--- a/src/entry/desk.rs
+++ b/src/entry/desk.rs
@@ -3,6 +3,7 @@
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use slab::Slab;
 use tokio::sync::{mpsc, watch};
@@ -10,11 +11,12 @@
 
 use crate::conn::Outbox;
 use crate::dispatches::Dispatches;
+use crate::entry::budgets::{BudgetTable, Budgets};
 use crate::entry::figures::{AgentStatus, DeskStatus, LevelStatus, ServiceStatus};
 use crate::entry::keyed::Keyed;
 use crate::entry::messages::{
     AgentDown, AgentLeaving, AgentUp, Arrive, Beat, HostsLeaving, Inspect, Link, Offered, Over,
-    Progressed, Returned, Voided,
+    Progressed, Promoted, Returned, Unhedged, Voided,
 };
 use crate::entry::pool::Pool;
 use crate::entry::request::Request;
@@ -49,6 +51,16 @@
     events: mpsc::Sender<Event>,
     deadline: Micros,
     sent: Option<(DispatchId, AgentKey)>,
+    /// The second copy.
+    hedge: Option<(DispatchId, AgentKey)>,
+    answering: Arc<AtomicBool>,
+}
+
+/// Which copy of a request is sent.
+#[derive(Clone, std::marker::Copy, Debug, PartialEq, Eq)]
+enum Copy {
+    First,
+    Second,
 }
 
 /// A request's claim is too old to be dispatched.
@@ -67,6 +79,7 @@
     jobs: Slab<JobState>,
     pool: Pool,
     keyed: Keyed,
+    budgets: BudgetTable,
 }
 
 impl Desk {
@@ -90,6 +103,7 @@
             jobs: Slab::new(),
             pool,
             keyed,
+            budgets: BudgetTable::default(),
         }
     }
 
@@ -115,7 +129,11 @@
         while let Some(assigned) = next.take() {
             let request = self.jobs[assigned.job.index()].request.clone();
             match self.fence(&request) {
-                Ok(fence) => self.dispatch(service, assigned, &request, fence),
+                Ok(fence) => {
+                    self.budgets(service).retry.first();
+                    self.budgets(service).hedge.first();
+                    self.dispatch(service, assigned, &request, fence, Copy::First);
+                }
                 Err(ClaimExpired) => {
                     // A task that is gone says so with `Over`, which follows.
                     let _ = self.jobs[assigned.job.index()]
@@ -134,22 +152,32 @@
         assigned: Assignment,
         request: &Request,
         fence: Option<u64>,
+        copy: Copy,
     ) {
         let backlog = self.with(service, |s| s.backlog());
         let id = self.dispatches.open();
         let left = self.jobs[assigned.job.index()].deadline - self.clock.now();
-        let (boot, outbox) = self.pair(assigned, id);
+        let (boot, outbox) = self.pair(assigned, id, copy);
         let job = &self.jobs[assigned.job.index()];
         let route = Route {
             job: assigned.job,
             events: job.events.clone(),
         };
         self.routes.insert(id, route);
-        let event = Event::Sent {
-            dispatch: id,
-            agent: assigned.agent,
-            boot,
-            outbox: outbox.clone(),
+        let (agent, to) = (assigned.agent, outbox.clone());
+        let event = match copy {
+            Copy::First => Event::Sent {
+                dispatch: id,
+                agent,
+                boot,
+                outbox: to,
+            },
+            Copy::Second => Event::Hedged {
+                dispatch: id,
+                agent,
+                boot,
+                outbox: to,
+            },
         };
         // A task that is gone says so with `Over`, which follows.
         let _ = job.events.try_send(event);
@@ -243,9 +271,12 @@
     }
 
     /// Pairs a request with its agent.
-    fn pair(&mut self, assigned: Assignment, id: DispatchId) -> (BootId, Outbox) {
+    fn pair(&mut self, assigned: Assignment, id: DispatchId, copy: Copy) -> (BootId, Outbox) {
         let job = &mut self.jobs[assigned.job.index()];
-        job.sent = Some((id, assigned.agent));
+        match copy {
+            Copy::First => job.sent = Some((id, assigned.agent)),
+            Copy::Second => job.hedge = Some((id, assigned.agent)),
+        }
         let agent = &mut self.agents[assigned.agent.index()];
         agent.jobs.push(assigned.job);
         agent.parked.retain(|&o| o != assigned.offer);
@@ -272,14 +303,19 @@
         }
     }
 
-    /// Ends the pairing of a request with its agent.
+    /// Ends the pairing of a request with its agents.
     fn unsend(&mut self, key: JobKey) {
         let Some(job) = self.jobs.get_mut(key.index()) else {
             return;
         };
-        let Some((id, agent)) = job.sent.take() else {
-            return;
-        };
+        let pairs = [job.sent.take(), job.hedge.take()];
+        pairs
+            .into_iter()
+            .flatten()
+            .for_each(|(id, agent)| self.unpair(key, id, agent));
+    }
+
+    fn unpair(&mut self, key: JobKey, id: DispatchId, agent: AgentKey) {
         self.routes.remove(id);
         self.dispatches.close(id);
         self.routes.raise(self.dispatches.floor());
@@ -288,6 +324,26 @@
         }
     }
 
+    fn budgets(&mut self, service: ServiceKey) -> &mut Budgets {
+        self.budgets
+            .of(service, self.rules.borrow().service_at(service))
+    }
+
+    /// Sends a second copy of a request that is late, if the scheduler finds it worth while.
+    fn hedge(&mut self, key: JobKey) {
+        let job = &self.jobs[key.index()];
+        let request = job.request.clone();
+        if !request.idempotent || job.hedge.is_some() || job.answering.load(Ordering::Relaxed) {
+            return;
+        }
+        let (now, service) = (self.clock.now(), request.service);
+        let pool = self.pool.clone();
+        let budget = &mut self.budgets(service).hedge;
+        if let Some(second) = pool.with(service, |s| s.hedge(now, key, budget)) {
+            self.dispatch(service, second, &request, None, Copy::Second);
+        }
+    }
+
     /// Tells the agents of a service that work waits here.
     fn announce(&mut self, service: ServiceKey) {
         let backlog = self.with(service, |s| s.backlog());
@@ -313,7 +369,7 @@
             account,
             cost: request.hint.unwrap_or(DEFAULT_COST),
             limit: self.rules.borrow().account_at(account).queue_limit,
-            prefix: None,
+            prefix: request.prefix(),
             deadline: Some(message.deadline),
         };
         let state = JobState {
@@ -321,6 +377,8 @@
             events: message.events,
             deadline: message.deadline,
             sent: None,
+            hedge: None,
+            answering: message.answering,
         };
         let key = JobKey::from(self.jobs.insert(state));
         match self.with(service, |s| s.arrive(now, key, job)) {
@@ -468,19 +526,59 @@
 }
 
 impl Handler<Returned> for Desk {
-    type Return = ();
+    type Return = bool;
 
-    async fn handle(&mut self, message: Returned, _ctx: &mut Context<Self>) {
-        let key = message.0;
+    async fn handle(&mut self, message: Returned, _ctx: &mut Context<Self>) -> bool {
+        let Returned { job: key, retry } = message;
         let now = self.clock.now();
-        self.unsend(key);
         let Some(job) = self.jobs.get(key.index()) else {
-            return;
+            return false;
         };
         let service = job.request.service;
+        if retry && !self.budgets(service).retry.take() {
+            return false;
+        }
+        self.unsend(key);
         if let Some(assigned) = self.with(service, |s| s.returned(now, key)) {
             self.send(service, assigned);
         }
+        true
+    }
+}
+
+impl Handler<Promoted> for Desk {
+    type Return = ();
+
+    async fn handle(&mut self, message: Promoted, _ctx: &mut Context<Self>) {
+        let key = message.0;
+        let Some(job) = self.jobs.get_mut(key.index()) else {
+            return;
+        };
+        let Some((id, agent)) = job.hedge.take() else {
+            return;
+        };
+        let first = job.sent.replace((id, agent));
+        let service = job.request.service;
+        if let Some((id, agent)) = first {
+            self.unpair(key, id, agent);
+        }
+        self.with(service, |s| s.promoted(key, agent));
+    }
+}
+
+impl Handler<Unhedged> for Desk {
+    type Return = ();
+
+    async fn handle(&mut self, message: Unhedged, _ctx: &mut Context<Self>) {
+        let key = message.0;
+        let Some(job) = self.jobs.get_mut(key.index()) else {
+            return;
+        };
+        let service = job.request.service;
+        if let Some((id, agent)) = job.hedge.take() {
+            self.unpair(key, id, agent);
+        }
+        self.with(service, |s| s.unhedged(key));
     }
 }
 
@@ -499,6 +597,7 @@
         if job.sent.is_some_and(|(id, _)| id == dispatch) {
             let service = job.request.service;
             self.with(service, |s| s.progress(key, spent));
+            self.hedge(key);
         }
     }
 }
--- a/src/entry/flight.rs
+++ b/src/entry/flight.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -15,10 +16,10 @@
 use crate::entry::desk::Desk;
 use crate::entry::guard::{Guard, Trial};
 use crate::entry::keyed::Keyed;
-use crate::entry::messages::{Arrive, Over, Returned};
+use crate::entry::messages::{Arrive, Over, Promoted, Returned, Unhedged};
 use crate::entry::request::Request;
 use crate::entry::routes::{Event, Routes};
-use crate::ids::{AgentKey, JobKey};
+use crate::ids::{AgentKey, BootId, DispatchId, JobKey};
 use crate::problem::{Execution, Problem, Reason};
 use crate::telemetry::{self, Metrics, Span, Telemetry};
 use crate::units::{Clock, Micros};
@@ -93,6 +94,14 @@
     outbox: Outbox,
 }
 
+/// A second copy on its way to another agent.
+#[derive(Clone, Debug)]
+struct Second {
+    dispatch: DispatchId,
+    boot: BootId,
+    link: Link,
+}
+
 /// What has been passed on since the agent was last told.
 #[derive(Clone, Copy, Debug, Default)]
 struct Unacked {
@@ -118,6 +127,8 @@
     queue_span: Option<Span>,
     status: u16,
     trial: Option<Trial>,
+    second: Option<Second>,
+    answering: Arc<AtomicBool>,
 }
 
 impl Flight {
@@ -146,6 +157,8 @@
             queue_span: None,
             status: 0,
             trial: None,
+            second: None,
+            answering: Arc::default(),
         }
     }
 
@@ -157,6 +170,7 @@
 
     /// Brings the request to the desk and follows it to its end.
     pub async fn run(mut self, arrive: Arrive, mut span: Span) -> Outcome {
+        self.answering = arrive.answering.clone();
         let plan = Plan::new(self.request.idempotent).deadline(Some(arrive.deadline));
         self.attempt = Attempt::new(plan);
         self.queue_span = Some(self.tools.telemetry.span("queue", Some(&span.context())));
@@ -227,6 +241,9 @@
     }
 
     async fn event(&mut self, event: Event) {
+        let Some(event) = self.about_second(event).await else {
+            return;
+        };
         let (happening, passed) = match event {
             Event::Sent {
                 dispatch,
@@ -250,6 +267,8 @@
                 )
             }
             Event::Expired => (Happening::GiveUp(Reason::LogUnavailable), None),
+            // Taken by `about_second`.
+            Event::Hedged { .. } => return,
             Event::Lost { agent } => (Happening::Lost(agent), None),
             Event::Back {
                 agent,
@@ -306,6 +325,91 @@
         self.decide(happening, passed).await;
     }
 
+    /// Takes an event in that concerns the second copy; gives back what concerns the first.
+    async fn about_second(&mut self, event: Event) -> Option<Event> {
+        match &event {
+            Event::Hedged {
+                dispatch,
+                agent,
+                boot,
+                outbox,
+            } => {
+                let link = Link {
+                    agent: *agent,
+                    outbox: outbox.clone(),
+                };
+                self.second = Some(Second {
+                    dispatch: *dispatch,
+                    boot: *boot,
+                    link,
+                });
+                self.tools
+                    .telemetry
+                    .metrics()
+                    .event(telemetry::Event::Hedge);
+                if self.attempt.dispatch().is_none() || self.attempt.next() > 0 {
+                    self.drop_second().await;
+                }
+                None
+            }
+            Event::Head { dispatch, .. } if self.is_second(*dispatch) => {
+                self.promote().await;
+                Some(event)
+            }
+            Event::Declined { dispatch }
+            | Event::End { dispatch, .. }
+            | Event::State { dispatch, .. }
+                if self.is_second(*dispatch) =>
+            {
+                self.drop_second().await;
+                None
+            }
+            Event::Lost { agent } | Event::Back { agent, .. }
+                if self.second.as_ref().is_some_and(|s| s.link.agent == *agent) =>
+            {
+                self.drop_second().await;
+                None
+            }
+            Event::Head { .. } => {
+                self.drop_second().await;
+                Some(event)
+            }
+            _ => Some(event),
+        }
+    }
+
+    fn is_second(&self, dispatch: DispatchId) -> bool {
+        self.second.as_ref().is_some_and(|s| s.dispatch == dispatch)
+    }
+
+    /// The second copy stands in for the first, which is cancelled.
+    async fn promote(&mut self) {
+        let Some(second) = self.second.take() else {
+            return;
+        };
+        if let Some(dispatch) = self.attempt.dispatch() {
+            self.send(&ToAgent::Cancel { dispatch });
+        }
+        self.attempt
+            .switch(second.link.agent, second.boot, second.dispatch);
+        self.link = Some(second.link);
+        self.spent = None;
+        // The desk outlives every request.
+        let _ = self.tools.desk.send(Promoted(self.job)).await;
+    }
+
+    /// The second copy is not wanted any more.
+    async fn drop_second(&mut self) {
+        let Some(second) = self.second.take() else {
+            return;
+        };
+        second.link.outbox.send(&ToAgent::Cancel {
+            dispatch: second.dispatch,
+        });
+        // The desk outlives every request.
+        let _ = self.tools.desk.send(Unhedged(self.job)).await;
+    }
+
     /// Lets the attempt decide and carries its actions out.
     async fn decide(&mut self, happening: Happening, mut passed: Option<Passed>) {
         let actions = self.attempt.on(self.tools.clock.now(), happening);
@@ -352,6 +456,9 @@
     }
 
     async fn requeue(&mut self) {
+        if self.second.is_some() {
+            return self.promote().await;
+        }
         self.link = None;
         self.spent = None;
         if self.trial.is_none() {
@@ -360,12 +467,18 @@
                 Err(problem) => return self.give_up(problem.reason),
             }
         }
+        let retry = self.attempt.begun();
         self.tools
             .telemetry
             .metrics()
             .event(telemetry::Event::Retry);
-        // The desk outlives every request.
-        let _ = self.tools.desk.send(Returned(self.job)).await;
+        let returned = Returned {
+            job: self.job,
+            retry,
+        };
+        if !self.tools.desk.send(returned).await.unwrap_or(false) {
+            self.give_up(Reason::NoCapacity);
+        }
     }
 
     /// Takes the waiting request no further.
@@ -386,6 +499,7 @@
                     .metrics()
                     .wait(self.tools.clock.now() - self.arrived);
                 self.status = head.status;
+                self.answering.store(true, Ordering::Relaxed);
                 if let Some(to) = self.caller.head.take() {
                     // A caller that is gone shows when the body is passed on.
                     let _ = to.send(Ok(head));
@@ -435,6 +549,7 @@
             // A caller that is gone needs no word.
             let _ = self.caller.body.send(Piece::End).await;
         }
+        self.drop_second().await;
         // The desk outlives every request.
         let _ = self
             .tools
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -252,6 +252,7 @@
             request: request.clone(),
             events: events_in,
             deadline: self.tools.clock.now() + allowed,
+            answering: Arc::default(),
         };
         let caller = Caller::new(head_in, body_in);
         let flight = Flight::new(self.tools, request, events, caller).trial(trial);
--- a/src/entry/messages.rs
+++ b/src/entry/messages.rs
@@ -3,6 +3,7 @@
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 
 use tokio::sync::mpsc;
 
@@ -25,6 +26,8 @@
     pub events: mpsc::Sender<Event>,
     /// The moment after which no answer is wanted.
     pub deadline: Micros,
+    /// Set once an answer has begun.
+    pub answering: Arc<AtomicBool>,
 }
 
 /// An agent has connected.
@@ -56,8 +59,20 @@
 /// An agent takes no new work.
 pub struct AgentLeaving(pub Link);
 
-/// A dispatched request was not begun and waits again.
-pub struct Returned(pub JobKey);
+/// A dispatched request waits again. Returns whether it may: a second run needs the service's
+/// retry budget.
+pub struct Returned {
+    /// The request.
+    pub job: JobKey,
+    /// Whether it may have been run before.
+    pub retry: bool,
+}
+
+/// The second copy of a request stands in for the first.
+pub struct Promoted(pub JobKey);
+
+/// The second copy of a request came to nothing.
+pub struct Unhedged(pub JobKey);
 
 /// A running request has used this much slot time.
 pub struct Progressed {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod agents;
 pub mod answers;
+pub mod budgets;
 pub mod desk;
 pub mod figures;
 pub mod flight;
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use hyper::header::{AUTHORIZATION, HeaderMap, HeaderName};
 use hyper::{Method, Uri};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::claim::{ClaimId, Digest};
 use crate::entry::join::JOIN_HEADER;
@@ -81,7 +82,16 @@
     pub trace: Option<TraceContext>,
 }
 
+/// Bytes of a body's beginning by which prompts are told apart.
+const PREFIX_BYTES: usize = 1024;
+
 impl Request {
+    /// Hash of the body's beginning, by which a target's prompt cache may serve it; `None` for
+    /// short bodies, which gain nothing.
+    pub fn prefix(&self) -> Option<u64> {
+        self.body.get(..PREFIX_BYTES).map(xxh3_64)
+    }
+
     /// Digest of service, method, path and body: what makes two requests the same.
     pub fn digest(&self) -> Digest {
         Digest::of(&[
--- a/src/entry/routes.rs
+++ b/src/entry/routes.rs
@@ -25,6 +25,13 @@
         boot: BootId,
         outbox: Outbox,
     },
+    /// A second copy was sent to another agent.
+    Hedged {
+        dispatch: DispatchId,
+        agent: AgentKey,
+        boot: BootId,
+        outbox: Outbox,
+    },
     /// Its claim is too old to be dispatched.
     Expired,
     /// The connection to the agent of its dispatch was lost.
