--- a/tests/hedging.rs
+++ b/tests/hedging.rs
@@ -17,8 +17,14 @@
 
 async fn hedges(fleet: &fleet::Fleet) -> u64 {
     let status = Call::get("/status");
-    let reply = fleet.caller.call(fleet.entries[0].admin, status).await.expect("status answers");
-    reply.json()["metrics"]["events"]["hedges"].as_u64().expect("hedges are counted")
+    let reply = fleet
+        .caller
+        .call(fleet.entries[0].admin, status)
+        .await
+        .expect("status answers");
+    reply.json()["metrics"]["events"]["hedges"]
+        .as_u64()
+        .expect("hedges are counted")
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -31,11 +37,17 @@
     let slow = Call::post("/fault/target", r#"{"mode":"slow","factor":200}"#);
     fleet.order(fleet.targets[0].address, slow).await;
     for number in 0..SENT {
-        let reply = fleet.call(0, run(WARM + number)).await.expect("the entry answers");
+        let reply = fleet
+            .call(0, run(WARM + number))
+            .await
+            .expect("the entry answers");
         assert_eq!(reply.text(), format!("request {}", WARM + number));
     }
     let hedged = hedges(&fleet).await;
     assert!(hedged >= 1, "a slowed target was never hedged");
     // The budget is 5 % of first copies, and one to begin with.
-    assert!(hedged <= 1 + (WARM + SENT) as u64 * 5 / 100, "{hedged} hedges");
+    assert!(
+        hedged <= 1 + (WARM + SENT) as u64 * 5 / 100,
+        "{hedged} hedges"
+    );
 }
