Measure the path through an entry and an agent

Cause: nothing measured what the path adds to a call, or what a core carries. Ruled out: several processes started by a script, as a thread's account in /proc attributes processor time as well within one. Change: an experiment path, over loopback in real time; the local fleet's settings can be had without starting its processes.

--- a/src/cmd/bench.rs
+++ b/src/cmd/bench.rs
@@ -5,14 +5,15 @@
 
 use lexopt::{Arg, Parser, ValueExt};
 
-use crate::bench::{self, Experiment, Variant};
+use crate::bench::{self, Experiment, Report, Variant, path};
 
 const USAGE: &str = "\
 Usage: balsampitch-bench EXPERIMENT [--seed N] [--naive]
 
-Runs an experiment in virtual time and prints its figures, one JSON object a line.
+Runs an experiment and prints its figures, one JSON object a line. All but `path`, which measures
+an entry and an agent over loopback, run in virtual time.
 
-EXPERIMENT: fairness, utilisation, crest, blocking, slowed, control, once, failover, all
+EXPERIMENT: fairness, utilisation, crest, blocking, slowed, control, once, failover, path, all
 
   --seed N    seed of the demand (default 1)
   --naive     measure round robin, first come first served, instead
@@ -24,11 +25,18 @@
 
 #[derive(Debug)]
 struct Options {
-    experiments: Vec<Experiment>,
+    chosen: Chosen,
     seed: u64,
     variant: Variant,
 }
 
+/// What is to be measured.
+#[derive(Debug)]
+struct Chosen {
+    experiments: Vec<Experiment>,
+    path: bool,
+}
+
 #[derive(Debug)]
 enum Command {
     Run(Options),
@@ -51,23 +59,35 @@
 }
 
 fn run(options: &Options) -> ExitCode {
-    for &experiment in &options.experiments {
-        for report in bench::run(experiment, options.seed, options.variant) {
-            match serde_json::to_string(&report) {
-                Ok(line) => println!("{line}"),
-                Err(error) => {
-                    eprintln!("balsampitch-bench: {error}");
-                    return ExitCode::FAILURE;
-                }
-            }
+    match measure(options) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("balsampitch-bench: {error:#}");
+            ExitCode::FAILURE
         }
     }
-    ExitCode::SUCCESS
+}
+
+fn measure(options: &Options) -> anyhow::Result<()> {
+    for &experiment in &options.chosen.experiments {
+        print(bench::run(experiment, options.seed, options.variant))?;
+    }
+    if options.chosen.path {
+        print(path::run(options.seed)?)?;
+    }
+    Ok(())
+}
+
+fn print(reports: Vec<Report>) -> anyhow::Result<()> {
+    for report in reports {
+        println!("{}", serde_json::to_string(&report)?);
+    }
+    Ok(())
 }
 
 fn parse(args: impl IntoIterator<Item = OsString>) -> Result<Command, lexopt::Error> {
     let mut parser = Parser::from_args(args);
-    let mut experiments = None;
+    let mut picked = None;
     let (mut seed, mut variant) = (1, Variant::Fleet);
     while let Some(arg) = parser.next()? {
         match arg {
@@ -75,28 +95,33 @@
             Arg::Long("version") | Arg::Short('V') => return Ok(Command::Print(version())),
             Arg::Long("seed") => seed = parser.value()?.parse()?,
             Arg::Long("naive") => variant = Variant::Naive,
-            Arg::Value(name) if experiments.is_none() => {
-                experiments = Some(chosen(&name.string()?)?);
+            Arg::Value(name) if picked.is_none() => {
+                picked = Some(chosen(&name.string()?)?);
             }
             other => return Err(other.unexpected()),
         }
     }
-    let experiments = experiments.ok_or("no EXPERIMENT given")?;
+    let mut chosen = picked.ok_or("no EXPERIMENT given")?;
+    if variant == Variant::Naive && chosen.experiments.is_empty() {
+        return Err("path has no naive variant".into());
+    }
+    chosen.path &= variant == Variant::Fleet;
     Ok(Command::Run(Options {
-        experiments,
+        chosen,
         seed,
         variant,
     }))
 }
 
-fn chosen(name: &str) -> Result<Vec<Experiment>, lexopt::Error> {
-    if name == "all" {
-        return Ok(Experiment::ALL.to_vec());
-    }
-    match Experiment::ALL.iter().find(|e| e.name() == name) {
-        Some(&experiment) => Ok(vec![experiment]),
-        None => Err(format!("no experiment is named {name:?}").into()),
+fn chosen(name: &str) -> Result<Chosen, lexopt::Error> {
+    let all = name == "all";
+    let path = all || name == path::PATH;
+    let named = |e: &Experiment| all || e.name() == name;
+    let experiments: Vec<Experiment> = Experiment::ALL.into_iter().filter(named).collect();
+    if experiments.is_empty() && !path {
+        return Err(format!("no experiment is named {name:?}").into());
     }
+    Ok(Chosen { experiments, path })
 }
 
 fn version() -> String {
--- a/src/local.rs
+++ b/src/local.rs
@@ -61,26 +61,53 @@
 /// # Errors
 /// When a port is taken, the sample rules are not accepted, or a process fails.
 pub async fn run(options: LocalOptions, drain: CancellationToken) -> anyhow::Result<()> {
-    let platform = start_platform(&options).await?;
-    publish(&Client::new(platform.address), &sample_rules(&options)).await?;
-    let mut fleet = JoinSet::new();
-    let peers = reserve(options.entries).await?;
-    for (at, &peer) in peers.iter().enumerate() {
-        let settings = entry_settings(&options, at as u16, peer, &peers, platform.address);
-        fleet.spawn(crate::entry::serve(settings, drain.clone()));
+    let Fleet { entries, agents } = Fleet::prepare(options).await?;
+    let mut running = JoinSet::new();
+    for entry in entries {
+        running.spawn(crate::entry::serve(entry, drain.clone()));
     }
-    for (at, &(target, service)) in platform.targets.iter().enumerate() {
-        let settings =
-            agent_settings(&options, at, target, service, &peers, platform.address).await?;
-        fleet.spawn(crate::agent::serve(settings, drain.clone()));
+    for agent in agents {
+        running.spawn(crate::agent::serve(agent, drain.clone()));
     }
     announce(&options);
-    while let Some(ended) = fleet.join_next().await {
+    while let Some(ended) = running.join_next().await {
         ended.context("could not keep a process of the fleet running")??;
     }
     Ok(())
 }
 
+/// Settings of a fleet whose stand-ins run and whose rules are published.
+#[derive(Debug)]
+pub struct Fleet {
+    /// Settings of each entry.
+    pub entries: Vec<EntrySettings>,
+    /// Settings of each agent; those of the first service come first.
+    pub agents: Vec<AgentSettings>,
+}
+
+impl Fleet {
+    /// Starts the stand-ins and publishes the sample rules. Port 0 stands for any free port.
+    ///
+    /// # Errors
+    /// When no port is free or the sample rules are not accepted.
+    pub async fn prepare(options: LocalOptions) -> anyhow::Result<Self> {
+        let platform = start_platform(&options).await?;
+        publish(&Client::new(platform.address), &sample_rules(&options)).await?;
+        let peers = reserve(options.entries).await?;
+        let mut entries = Vec::new();
+        for (at, &peer) in peers.iter().enumerate() {
+            let at = at as u16;
+            entries.push(entry_settings(&options, at, peer, &peers, platform.address).await?);
+        }
+        let mut agents = Vec::new();
+        for (at, &(target, service)) in platform.targets.iter().enumerate() {
+            let agent = agent_settings(&options, at, target, service, &peers, platform.address);
+            agents.push(agent.await?);
+        }
+        Ok(Fleet { entries, agents })
+    }
+}
+
 /// The stand-ins' addresses.
 struct Standins {
     address: SocketAddr,
@@ -146,22 +173,30 @@
     )
 }
 
-fn entry_settings(
+async fn entry_settings(
     options: &LocalOptions,
     at: u16,
     peer: SocketAddr,
     peers: &[SocketAddr],
     platform: SocketAddr,
-) -> EntrySettings {
-    EntrySettings {
-        listen: loopback(options.port + at),
+) -> anyhow::Result<EntrySettings> {
+    Ok(EntrySettings {
+        listen: port(options.port, at).await?,
         peer,
-        admin: loopback(options.admin + at),
+        admin: port(options.admin, at).await?,
         zone: zone(at.into()),
         entries: peers.to_vec(),
         platform,
         secret: LOCAL_SECRET.to_owned(),
         telemetry: TelemetrySettings::default(),
+    })
+}
+
+/// The address of a numbered process; any free one when the first has port 0.
+async fn port(first: u16, at: u16) -> anyhow::Result<SocketAddr> {
+    match first {
+        0 => Ok(listen(0).await?.local_addr()?),
+        first => Ok(loopback(first + at)),
     }
 }
 
