--- a/src/entry/desk.rs
+++ b/src/entry/desk.rs
@@ -3,6 +3,7 @@
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use slab::Slab;
 use tokio::sync::{mpsc, watch};
@@ -10,16 +11,17 @@
 
 use crate::conn::Outbox;
 use crate::dispatches::Dispatches;
+use crate::entry::budgets::{BudgetTable, Budgets};
 use crate::entry::figures::{AgentStatus, DeskStatus, LevelStatus, ServiceStatus};
 use crate::entry::keyed::Keyed;
 use crate::entry::messages::{
     AgentDown, AgentLeaving, AgentUp, Arrive, Beat, HostsLeaving, Inspect, Link, Offered, Over,
-    Progressed, Returned, Voided,
+    Progressed, Promoted, Returned, Unhedged, Voided,
 };
 use crate::entry::pool::Pool;
 use crate::entry::request::Request;
 use crate::entry::routes::{Event, Route, Routes};
-use crate::ids::{AgentKey, BootId, DispatchId, JobKey, ServiceKey};
+use crate::ids::{AgentKey, BootId, DispatchId, JobKey, OfferId, ServiceKey};
 use crate::problem::{Problem, Reason};
 use crate::rules::Table;
 use crate::scheduler::{Arrival, Assignment, Job, Scheduler};
@@ -37,6 +39,10 @@
     leaving: bool,
     /// The host list says so.
     listed: bool,
+    /// Offers that the scheduler has.
+    parked: Vec<OfferId>,
+    /// Offers that wait until the rules know the service, or the host list says live again.
+    held: Vec<OfferId>,
     jobs: Vec<JobKey>,
 }
 
@@ -45,6 +51,16 @@
     events: mpsc::Sender<Event>,
     deadline: Micros,
     sent: Option<(DispatchId, AgentKey)>,
+    /// The second copy.
+    hedge: Option<(DispatchId, AgentKey)>,
+    answering: Arc<AtomicBool>,
+}
+
+/// Which copy of a request is sent.
+#[derive(Clone, std::marker::Copy, Debug, PartialEq, Eq)]
+enum Copy {
+    First,
+    Second,
 }
 
 /// A request's claim is too old to be dispatched.
@@ -63,6 +79,7 @@
     jobs: Slab<JobState>,
     pool: Pool,
     keyed: Keyed,
+    budgets: BudgetTable,
 }
 
 impl Desk {
@@ -86,6 +103,7 @@
             jobs: Slab::new(),
             pool,
             keyed,
+            budgets: BudgetTable::default(),
         }
     }
 
@@ -111,7 +129,11 @@
         while let Some(assigned) = next.take() {
             let request = self.jobs[assigned.job.index()].request.clone();
             match self.fence(&request) {
-                Ok(fence) => self.dispatch(service, assigned, &request, fence),
+                Ok(fence) => {
+                    self.budgets(service).retry.first();
+                    self.budgets(service).hedge.first();
+                    self.dispatch(service, assigned, &request, fence, Copy::First);
+                }
                 Err(ClaimExpired) => {
                     // A task that is gone says so with `Over`, which follows.
                     let _ = self.jobs[assigned.job.index()]
@@ -130,22 +152,32 @@
         assigned: Assignment,
         request: &Request,
         fence: Option<u64>,
+        copy: Copy,
     ) {
         let backlog = self.with(service, |s| s.backlog());
         let id = self.dispatches.open();
         let left = self.jobs[assigned.job.index()].deadline - self.clock.now();
-        let (boot, outbox) = self.pair(assigned, id);
+        let (boot, outbox) = self.pair(assigned, id, copy);
         let job = &self.jobs[assigned.job.index()];
         let route = Route {
             job: assigned.job,
             events: job.events.clone(),
         };
         self.routes.insert(id, route);
-        let event = Event::Sent {
-            dispatch: id,
-            agent: assigned.agent,
-            boot,
-            outbox: outbox.clone(),
+        let (agent, to) = (assigned.agent, outbox.clone());
+        let event = match copy {
+            Copy::First => Event::Sent {
+                dispatch: id,
+                agent,
+                boot,
+                outbox: to,
+            },
+            Copy::Second => Event::Hedged {
+                dispatch: id,
+                agent,
+                boot,
+                outbox: to,
+            },
         };
         // A task that is gone says so with `Over`, which follows.
         let _ = job.events.try_send(event);
@@ -176,12 +208,78 @@
         }
     }
 
+    /// An offer stands: it goes to the service's scheduler, or is held until it may.
+    fn offered(&mut self, agent: AgentKey, offer: OfferId) {
+        let now = self.clock.now();
+        let service = self
+            .service_of(agent)
+            .filter(|_| !self.agents[agent.index()].listed);
+        let Some(service) = service else {
+            self.agents[agent.index()].held.push(offer);
+            self.park(agent, offer, Backlog::default());
+            return;
+        };
+        self.agents[agent.index()].parked.push(offer);
+        match self.with(service, |s| s.offer(now, agent, offer)) {
+            Some(assigned) => self.send(service, assigned),
+            None => {
+                let backlog = self.with(service, |s| s.backlog());
+                self.park(agent, offer, backlog);
+            }
+        }
+    }
+
+    fn park(&self, agent: AgentKey, offer: OfferId, backlog: Backlog) {
+        if let Some(outbox) = &self.agents[agent.index()].outbox {
+            outbox.send(&ToAgent::Parked { offer, backlog });
+        }
+    }
+
+    /// Takes an agent's offers from the scheduler; they stand, and are held.
+    fn hold(&mut self, agent: AgentKey) {
+        if let Some(service) = self.service_of(agent) {
+            self.with(service, |s| s.lost(agent));
+        }
+        let state = &mut self.agents[agent.index()];
+        state.held.append(&mut state.parked);
+    }
+
+    /// Gives held offers to the schedulers that may use them now.
+    fn unhold(&mut self) {
+        let waiting = self
+            .agents
+            .iter()
+            .filter(|(_, a)| !a.held.is_empty() && !a.listed);
+        let agents: Vec<AgentKey> = waiting.map(|(at, _)| AgentKey::from(at)).collect();
+        for agent in agents {
+            if self.service_of(agent).is_some() {
+                let held = std::mem::take(&mut self.agents[agent.index()].held);
+                held.into_iter()
+                    .for_each(|offer| self.offered(agent, offer));
+            }
+        }
+    }
+
+    /// None of the agent's offers stands any more.
+    fn withdraw(&mut self, agent: AgentKey) {
+        if let Some(service) = self.service_of(agent) {
+            self.with(service, |s| s.lost(agent));
+        }
+        let state = &mut self.agents[agent.index()];
+        state.parked.clear();
+        state.held.clear();
+    }
+
     /// Pairs a request with its agent.
-    fn pair(&mut self, assigned: Assignment, id: DispatchId) -> (BootId, Outbox) {
+    fn pair(&mut self, assigned: Assignment, id: DispatchId, copy: Copy) -> (BootId, Outbox) {
         let job = &mut self.jobs[assigned.job.index()];
-        job.sent = Some((id, assigned.agent));
+        match copy {
+            Copy::First => job.sent = Some((id, assigned.agent)),
+            Copy::Second => job.hedge = Some((id, assigned.agent)),
+        }
         let agent = &mut self.agents[assigned.agent.index()];
         agent.jobs.push(assigned.job);
+        agent.parked.retain(|&o| o != assigned.offer);
         let outbox = agent
             .outbox
             .clone()
@@ -205,14 +303,19 @@
         }
     }
 
-    /// Ends the pairing of a request with its agent.
+    /// Ends the pairing of a request with its agents.
     fn unsend(&mut self, key: JobKey) {
         let Some(job) = self.jobs.get_mut(key.index()) else {
             return;
         };
-        let Some((id, agent)) = job.sent.take() else {
-            return;
-        };
+        let pairs = [job.sent.take(), job.hedge.take()];
+        pairs
+            .into_iter()
+            .flatten()
+            .for_each(|(id, agent)| self.unpair(key, id, agent));
+    }
+
+    fn unpair(&mut self, key: JobKey, id: DispatchId, agent: AgentKey) {
         self.routes.remove(id);
         self.dispatches.close(id);
         self.routes.raise(self.dispatches.floor());
@@ -221,6 +324,26 @@
         }
     }
 
+    fn budgets(&mut self, service: ServiceKey) -> &mut Budgets {
+        self.budgets
+            .of(service, self.rules.borrow().service_at(service))
+    }
+
+    /// Sends a second copy of a request that is late, if the scheduler finds it worth while.
+    fn hedge(&mut self, key: JobKey) {
+        let job = &self.jobs[key.index()];
+        let request = job.request.clone();
+        if !request.idempotent || job.hedge.is_some() || job.answering.load(Ordering::Relaxed) {
+            return;
+        }
+        let (now, service) = (self.clock.now(), request.service);
+        let pool = self.pool.clone();
+        let budget = &mut self.budgets(service).hedge;
+        if let Some(second) = pool.with(service, |s| s.hedge(now, key, budget)) {
+            self.dispatch(service, second, &request, None, Copy::Second);
+        }
+    }
+
     /// Tells the agents of a service that work waits here.
     fn announce(&mut self, service: ServiceKey) {
         let backlog = self.with(service, |s| s.backlog());
@@ -246,7 +369,7 @@
             account,
             cost: request.hint.unwrap_or(DEFAULT_COST),
             limit: self.rules.borrow().account_at(account).queue_limit,
-            prefix: None,
+            prefix: request.prefix(),
             deadline: Some(message.deadline),
         };
         let state = JobState {
@@ -254,6 +377,8 @@
             events: message.events,
             deadline: message.deadline,
             sent: None,
+            hedge: None,
+            answering: message.answering,
         };
         let key = JobKey::from(self.jobs.insert(state));
         match self.with(service, |s| s.arrive(now, key, job)) {
@@ -284,6 +409,8 @@
                     outbox: None,
                     leaving: false,
                     listed: self.departing.contains(&info.host),
+                    parked: Vec::new(),
+                    held: Vec::new(),
                     jobs: Vec::new(),
                 };
                 let agent = AgentKey::from(self.agents.insert(state));
@@ -291,9 +418,7 @@
                 agent
             }
         };
-        if let Some(service) = self.service_of(agent) {
-            self.with(service, |s| s.lost(agent));
-        }
+        self.withdraw(agent);
         let state = &mut self.agents[agent.index()];
         if let Some(old) = state.outbox.replace(outbox.clone()) {
             old.close();
@@ -329,9 +454,7 @@
         };
         state.outbox = None;
         let jobs = state.jobs.clone();
-        if let Some(service) = self.service_of(link.agent) {
-            self.with(service, |s| s.lost(link.agent));
-        }
+        self.withdraw(link.agent);
         for key in jobs {
             // A task that is gone says so with `Over`, which follows.
             let _ = self.jobs[key.index()]
@@ -346,31 +469,11 @@
 
     async fn handle(&mut self, message: Offered, _ctx: &mut Context<Self>) {
         let Offered(link, offer) = message;
-        let now = self.clock.now();
         let Some(state) = self.current(link) else {
             return;
         };
-        if state.leaving || state.listed {
-            return;
-        }
-        let outbox = state.outbox.clone();
-        let Some(service) = self.service_of(link.agent) else {
-            if let Some(outbox) = outbox {
-                outbox.send(&ToAgent::Parked {
-                    offer,
-                    backlog: Backlog::default(),
-                });
-            }
-            return;
-        };
-        match self.with(service, |s| s.offer(now, link.agent, offer)) {
-            Some(assigned) => self.send(service, assigned),
-            None => {
-                let backlog = self.with(service, |s| s.backlog());
-                if let Some(outbox) = outbox {
-                    outbox.send(&ToAgent::Parked { offer, backlog });
-                }
-            }
+        if !state.leaving {
+            self.offered(link.agent, offer);
         }
     }
 }
@@ -380,9 +483,12 @@
 
     async fn handle(&mut self, message: Voided, _ctx: &mut Context<Self>) {
         let Voided(link, offer) = message;
-        if self.current(link).is_some()
-            && let Some(service) = self.service_of(link.agent)
-        {
+        let Some(state) = self.current(link) else {
+            return;
+        };
+        state.parked.retain(|&o| o != offer);
+        state.held.retain(|&o| o != offer);
+        if let Some(service) = self.service_of(link.agent) {
             self.with(service, |s| s.void(link.agent, offer));
         }
     }
@@ -397,9 +503,7 @@
             return;
         };
         state.leaving = true;
-        if let Some(service) = self.service_of(link.agent) {
-            self.with(service, |s| s.lost(link.agent));
-        }
+        self.withdraw(link.agent);
     }
 }
 
@@ -416,28 +520,65 @@
             }
             agent.listed = listed;
         }
-        for agent in gone {
-            if let Some(service) = self.service_of(agent) {
-                self.with(service, |s| s.lost(agent));
-            }
-        }
+        gone.into_iter().for_each(|agent| self.hold(agent));
+        self.unhold();
     }
 }
 
 impl Handler<Returned> for Desk {
-    type Return = ();
+    type Return = bool;
 
-    async fn handle(&mut self, message: Returned, _ctx: &mut Context<Self>) {
-        let key = message.0;
+    async fn handle(&mut self, message: Returned, _ctx: &mut Context<Self>) -> bool {
+        let Returned { job: key, retry } = message;
         let now = self.clock.now();
-        self.unsend(key);
         let Some(job) = self.jobs.get(key.index()) else {
-            return;
+            return false;
         };
         let service = job.request.service;
+        if retry && !self.budgets(service).retry.take() {
+            return false;
+        }
+        self.unsend(key);
         if let Some(assigned) = self.with(service, |s| s.returned(now, key)) {
             self.send(service, assigned);
         }
+        true
+    }
+}
+
+impl Handler<Promoted> for Desk {
+    type Return = ();
+
+    async fn handle(&mut self, message: Promoted, _ctx: &mut Context<Self>) {
+        let key = message.0;
+        let Some(job) = self.jobs.get_mut(key.index()) else {
+            return;
+        };
+        let Some((id, agent)) = job.hedge.take() else {
+            return;
+        };
+        let first = job.sent.replace((id, agent));
+        let service = job.request.service;
+        if let Some((id, agent)) = first {
+            self.unpair(key, id, agent);
+        }
+        self.with(service, |s| s.promoted(key, agent));
+    }
+}
+
+impl Handler<Unhedged> for Desk {
+    type Return = ();
+
+    async fn handle(&mut self, message: Unhedged, _ctx: &mut Context<Self>) {
+        let key = message.0;
+        let Some(job) = self.jobs.get_mut(key.index()) else {
+            return;
+        };
+        let service = job.request.service;
+        if let Some((id, agent)) = job.hedge.take() {
+            self.unpair(key, id, agent);
+        }
+        self.with(service, |s| s.unhedged(key));
     }
 }
 
@@ -456,6 +597,7 @@
         if job.sent.is_some_and(|(id, _)| id == dispatch) {
             let service = job.request.service;
             self.with(service, |s| s.progress(key, spent));
+            self.hedge(key);
         }
     }
 }
@@ -480,6 +622,7 @@
     type Return = ();
 
     async fn handle(&mut self, _message: Beat, _ctx: &mut Context<Self>) {
+        self.unhold();
         for at in 0..self.agents.capacity() {
             let Some(state) = self.agents.get(at) else {
                 continue;
