Report running requests as rarely in the harness as agents do

Cause: agents report slot times every 500 ms, the harness had them every 50 ms. Change: one constant for both.

--- a/src/bench/ours.rs
+++ b/src/bench/ours.rs
@@ -10,13 +10,11 @@
 use crate::wire::{Backlog, Known};
 
 use super::member::Member;
-use super::policy::{Action, Actions, Arriving, Live, Message, Node, Policy, Refusal};
+use super::policy::{Action, Actions, Arriving, HEARTBEAT, Live, Message, Node, Policy, Refusal};
 use super::world::Layout;
 
 /// Requests that an account may have waiting at one entry.
 const QUEUE_LIMIT: u32 = 400;
-/// Time between heartbeats.
-const HEARTBEAT: Micros = Micros::from_ms(500);
 /// Longest time for which an entry waits to learn what became of a dispatch.
 const ASK_TIMEOUT: Micros = Micros::from_secs(5);
 
--- a/src/bench/policy.rs
+++ b/src/bench/policy.rs
@@ -1,5 +1,6 @@
 //! What a routing policy does in the harness: messages between nodes and work that starts.
 
+use crate::conn::HEARTBEAT_PERIOD;
 use crate::exchange::envelope::ENVELOPE_BYTES;
 use crate::ids::{AccountKey, AgentKey, BootId, DispatchId, EntryKey, JobKey, OfferId};
 use crate::units::Micros;
@@ -133,7 +134,7 @@
         out: &mut Actions,
     );
 
-    /// Slot times so far of what runs on an agent's target.
+    /// Slot times so far of what runs on an agent's target; called every [`HEARTBEAT`].
     fn running(&mut self, agent: AgentKey, jobs: &[(JobKey, Micros)], out: &mut Actions);
 
     /// A connection between two processes was made or found lost; both are told.
@@ -149,6 +150,9 @@
 /// Time between calls of [`Policy::tick`].
 pub const TICK: Micros = Micros::from_ms(50);
 
+/// Time between heartbeats, and between reports of what running requests have used.
+pub const HEARTBEAT: Micros = Micros(HEARTBEAT_PERIOD.as_micros() as u64);
+
 /// Which processes run.
 #[derive(Clone, Debug, Default)]
 pub struct Live {
--- a/src/bench/world.rs
+++ b/src/bench/world.rs
@@ -7,7 +7,9 @@
 use super::events::Events;
 use super::links::{Links, Site};
 use super::meter::Meter;
-use super::policy::{Action, Actions, Arriving, Live, Message, Node, Policy, Refusal, TICK};
+use super::policy::{
+    Action, Actions, Arriving, HEARTBEAT, Live, Message, Node, Policy, Refusal, TICK,
+};
 use super::target::Target;
 
 /// Time from the loss of a connection until both ends know.
@@ -280,14 +282,20 @@
     }
 
     fn tick(&mut self, out: &mut Actions) {
+        if self.now.0.is_multiple_of(HEARTBEAT.0) {
+            self.report(out);
+        }
+        self.policy.tick(self.now, &self.live, out);
+        self.events.push(self.now + TICK, Event::Tick);
+    }
+
+    fn report(&mut self, out: &mut Actions) {
         for (i, target) in self.targets.iter().enumerate() {
             if self.live.agents[i] {
                 let jobs = target.running(self.now);
                 self.policy.running(AgentKey::from(i), &jobs, out);
             }
         }
-        self.policy.tick(self.now, &self.live, out);
-        self.events.push(self.now + TICK, Event::Tick);
     }
 
     fn strike(&mut self, fault: Fault) {
