Count unconfirmed charges as often as the fleet makes them

Cause: between two rounds every entry tops up the same least account, so a gap is corrected once for each entry. Ruled out: the metric's grain (most of the shortfall is gone with one entry). Change: a charge counts as often as the fleet was seen to charge for each charge here, at first once for each member, until the exchange confirms it.

--- a/src/bench/member.rs
+++ b/src/bench/member.rs
@@ -44,11 +44,12 @@
 
     /// Does what is due.
     pub fn tick(&mut self, now: Micros, scheduler: &mut Scheduler) -> Vec<Datagram> {
+        scheduler.set_members(self.node.members());
         let out = self.node.tick(now, || vec![(SERVICE, scheduler.collect())]);
         if self.node.changed() {
             for update in self.node.updates() {
                 let Pair { account, .. } = update.pair;
-                scheduler.apply(account, update.level, update.demand);
+                scheduler.apply(account, update.news);
             }
         }
         let datagram = |o: crate::exchange::node::Outgoing| Datagram {
--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -47,6 +47,7 @@
     pool: Pool,
     rules: watch::Receiver<Arc<Table>>,
     members: Option<Vec<SocketAddr>>,
+    count: usize,
 }
 
 impl Bridge {
@@ -60,6 +61,7 @@
         Bridge {
             pool,
             rules,
+            count: entries.len(),
             members: Some(entries),
         }
     }
@@ -74,10 +76,12 @@
     }
 
     fn apply(&mut self, updates: &[Update]) {
+        let count = self.count;
         for update in updates {
             let pair = update.pair;
             self.pool.with(pair.service, |s| {
-                s.apply(pair.account, update.level, update.demand)
+                s.set_members(count);
+                s.apply(pair.account, update.news);
             });
         }
     }
--- a/src/exchange/node.rs
+++ b/src/exchange/node.rs
@@ -9,7 +9,7 @@
 use super::gossip::{Down, Gossip, Up};
 use super::names::{Names, Recent};
 use crate::ids::{BootId, ServiceKey};
-use crate::share::{Demand, Report};
+use crate::share::{Demand, News, Report};
 use crate::units::Micros;
 
 mod cells;
@@ -56,10 +56,8 @@
 pub struct Update {
     /// Whose level it is.
     pub pair: Pair,
-    /// All that is known to be charged.
-    pub level: Micros,
-    /// Demand in the fleet.
-    pub demand: Demand,
+    /// What is known of it.
+    pub news: News,
 }
 
 /// Datagrams and rows that were not used.
@@ -159,6 +157,11 @@
         self.period
     }
 
+    /// Members in force, this one included.
+    pub fn members(&self) -> usize {
+        self.members.len()
+    }
+
     /// Changes of parent, or of the parent's run, so far.
     pub fn epoch(&self) -> u32 {
         self.uplink.epoch
--- a/src/exchange/node/cells.rs
+++ b/src/exchange/node/cells.rs
@@ -4,8 +4,9 @@
 
 use super::Update;
 use crate::exchange::Pair;
+use crate::exchange::gossip::QUANTUM_US;
 use crate::ids::ServiceKey;
-use crate::share::{Demand, Report};
+use crate::share::{Demand, News, Report};
 use crate::units::Micros;
 
 /// Most that a merge after a partition moves an account against another one, in microseconds.
@@ -47,6 +48,12 @@
         self.base.saturating_add(own).max(0)
     }
 
+    /// Charges that the base does not include, but for what is too little to be sent.
+    fn unconfirmed(&self) -> i64 {
+        let due = self.pending / QUANTUM_US * QUANTUM_US;
+        self.unacked.saturating_add(due)
+    }
+
     /// Demand wherever it is known.
     pub fn demand(&self) -> Demand {
         self.subtree.max(self.fleet).max(self.own)
@@ -215,8 +222,11 @@
     pub fn updates(&self) -> impl Iterator<Item = Update> {
         self.cells.iter().map(|(&pair, cell)| Update {
             pair,
-            level: Micros(cell.level() as u64),
-            demand: cell.fleet.max(cell.subtree),
+            news: News {
+                total: Micros(cell.level() as u64),
+                unconfirmed: cell.unconfirmed(),
+                demand: cell.fleet.max(cell.subtree),
+            },
         })
     }
 
--- a/src/exchange/tests/oracle.rs
+++ b/src/exchange/tests/oracle.rs
@@ -460,10 +460,9 @@
             return;
         }
         let updates: Vec<_> = entry.node.updates().collect();
+        entry.share.set_members(entry.node.members());
         for update in updates {
-            entry
-                .share
-                .apply(update.pair.account, update.level, update.demand);
+            entry.share.apply(update.pair.account, update.news);
         }
         if self.fault == Fault::NoExchange {
             return;
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -10,7 +10,7 @@
 use crate::learn::Learn;
 use crate::pace::Pace;
 use crate::queue::Queue;
-use crate::share::{Demand, Report, Share};
+use crate::share::{News, Report, Share};
 use crate::units::Micros;
 use crate::wire::Backlog;
 
@@ -305,8 +305,13 @@
     }
 
     /// Takes over the fleet's level of an account from the exchange.
-    pub fn apply(&mut self, account: AccountKey, total: Micros, demand: Demand) {
-        self.share.apply(account, total, demand);
+    pub fn apply(&mut self, account: AccountKey, news: News) {
+        self.share.apply(account, news);
+    }
+
+    /// Entries of the fleet, this one included (see [`Share::set_members`]).
+    pub fn set_members(&mut self, members: usize) {
+        self.share.set_members(members);
     }
 
     /// Whether the request would wait past its deadline. One at the head of its queue is tried.
--- a/src/share/mod.rs
+++ b/src/share/mod.rs
@@ -8,9 +8,12 @@
 use crate::ids::AccountKey;
 use crate::units::Micros;
 
+mod ratio;
 #[cfg(test)]
 mod tests;
 
+use ratio::Ratio;
+
 /// Rounds without any backlog after which an idle account is forgotten.
 const QUIET_ROUNDS: u32 = 300;
 /// Rounds for which an account counts as backlogged elsewhere after it was last heard to be.
@@ -46,6 +49,18 @@
     pub demand: Demand,
 }
 
+/// What the exchange tells of a client account.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct News {
+    /// All slot time that is known to be charged, here and elsewhere, and was collected.
+    pub total: Micros,
+    /// The part of it, in microseconds, that was charged here and that the fleet has not confirmed;
+    /// negative when taken back.
+    pub unconfirmed: i64,
+    /// The account's demand in the fleet.
+    pub demand: Demand,
+}
+
 /// Service levels of the client accounts of one service, as one entry knows them.
 #[derive(Debug, Default)]
 pub struct Share {
@@ -53,12 +68,14 @@
     turns: BTreeSet<(Micros, AccountKey)>,
     fleet: BTreeSet<(Micros, AccountKey)>,
     floor: Micros,
+    members: u32,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Level {
     total: Micros,
     fresh: i64,
+    ratio: Ratio,
     here: bool,
     elsewhere: u8,
     steady: bool,
@@ -71,6 +88,12 @@
         Self::default()
     }
 
+    /// Entries of the fleet, this one included. A charge is reckoned to go with as many like it
+    /// until the exchange tells more.
+    pub fn set_members(&mut self, members: usize) {
+        self.members = u32::try_from(members).unwrap_or(u32::MAX);
+    }
+
     /// The account has work waiting here. One that comes back from idle is lifted to the least
     /// level among the backlogged of the fleet, so that idling earns no credit.
     pub fn backlogged(&mut self, account: AccountKey) {
@@ -100,20 +123,22 @@
     /// Charges slot time to the account.
     pub fn debit(&mut self, account: AccountKey, amount: Micros) {
         let floor = self.floor();
+        let members = self.members;
         self.update(account, |level| {
             if !level.waits() {
                 level.total = level.total.max(floor);
             }
-            level.total += amount;
+            level.total += level.ratio.of(amount, members);
             level.fresh = level.fresh.saturating_add(signed(amount));
         });
     }
 
     /// Takes back slot time that was charged and not used.
     pub fn credit(&mut self, account: AccountKey, amount: Micros) {
+        let members = self.members;
         if self.levels.contains_key(&account) {
             self.update(account, |level| {
-                level.total = level.total - amount;
+                level.total = level.total - level.ratio.of(amount, members);
                 level.fresh = level.fresh.saturating_sub(signed(amount));
             });
         }
@@ -153,6 +178,7 @@
         let floor = self.floor();
         let mut reports = Vec::new();
         for (&account, level) in &mut self.levels {
+            level.ratio.collect(level.fresh);
             reports.push(Report {
                 account,
                 charged: std::mem::take(&mut level.fresh),
@@ -171,15 +197,25 @@
         reports
     }
 
-    /// Takes over the fleet's level of an account: all that was reported by any entry, this one
-    /// included. What was charged here since the last report is added to it.
-    pub fn apply(&mut self, account: AccountKey, total: Micros, demand: Demand) {
-        if !demand.waits() && !self.levels.contains_key(&account) && total <= self.floor {
+    /// Takes over the fleet's level of an account. What was charged here and is not confirmed counts
+    /// as many times as the fleet has charged for each charge here: the other entries do likewise
+    /// meanwhile.
+    pub fn apply(&mut self, account: AccountKey, news: News) {
+        let known = self.levels.contains_key(&account);
+        if !news.demand.waits() && !known && news.total <= self.floor {
             return;
         }
+        let members = self.members;
         self.update(account, |level| {
-            level.total = Micros(total.0.saturating_add_signed(level.fresh));
-            level.elsewhere = match demand {
+            let confirmed = Micros(news.total.0.saturating_add_signed(-news.unconfirmed));
+            level.ratio.confirm(confirmed);
+            let own = news.unconfirmed.saturating_add(level.fresh);
+            let all = level.ratio.of(Micros(own.unsigned_abs()), members);
+            level.total = match own >= 0 {
+                true => confirmed + all,
+                false => confirmed - all,
+            };
+            level.elsewhere = match news.demand {
                 Demand::Steady => HEARD_ROUNDS,
                 _ => 0,
             };
