--- a/src/exchange/node/cells.rs
+++ b/src/exchange/node/cells.rs
@@ -272,6 +272,14 @@
             let known = least.entry(pair.service).or_insert(cell.level());
             *known = cell.level().min(*known);
         }
+        // Short waits must not hold the floor down.
+        let mut lasting: BTreeMap<ServiceKey, i64> = BTreeMap::new();
+        let steady = |c: &Cell| c.demand() == Demand::Steady;
+        for (pair, cell) in self.cells.iter().filter(|(_, c)| steady(c)) {
+            let known = lasting.entry(pair.service).or_insert(cell.level());
+            *known = cell.level().min(*known);
+        }
+        least.extend(lasting);
         for (service, level) in least {
             let floor = self.floors.entry(service).or_default();
             *floor = level.max(*floor);
--- a/src/share/mod.rs
+++ b/src/share/mod.rs
@@ -67,6 +67,7 @@
     levels: BTreeMap<AccountKey, Level>,
     turns: BTreeSet<(Micros, AccountKey)>,
     fleet: BTreeSet<(Micros, AccountKey)>,
+    lasting: BTreeSet<(Micros, AccountKey)>,
     floor: Micros,
     members: u32,
 }
@@ -79,6 +80,8 @@
     here: bool,
     elsewhere: u8,
     steady: bool,
+    /// Backlogged here for the whole of the last round.
+    lasting: bool,
     quiet: u32,
 }
 
@@ -95,7 +98,8 @@
     }
 
     /// The account has work waiting here. One that comes back from idle is lifted to the least
-    /// level among the backlogged of the fleet, so that idling earns no credit.
+    /// level among those of the fleet that have been backlogged for a round, if there are any, else
+    /// among all backlogged. So neither idling nor short waits earn credit.
     pub fn backlogged(&mut self, account: AccountKey) {
         let floor = self.floor();
         self.update(account, |level| {
@@ -104,6 +108,7 @@
             }
             level.here = true;
             level.steady = false;
+            level.lasting = false;
             if level.elsewhere == 0 {
                 level.total = level.total.max(floor);
             }
@@ -116,20 +121,26 @@
             self.update(account, |level| {
                 level.here = false;
                 level.steady = false;
+                level.lasting = false;
             });
         }
     }
 
-    /// Charges slot time to the account.
+    /// Charges slot time to the account. While nobody waits there is nobody to be fair to: the
+    /// charge is reported, and the level stays.
     pub fn debit(&mut self, account: AccountKey, amount: Micros) {
         let floor = self.floor();
+        let quiet = self.fleet.is_empty();
         let members = self.members;
         self.update(account, |level| {
+            level.fresh = level.fresh.saturating_add(signed(amount));
             if !level.waits() {
                 level.total = level.total.max(floor);
             }
+            if quiet {
+                return;
+            }
             level.total += level.ratio.of(amount, members);
-            level.fresh = level.fresh.saturating_add(signed(amount));
         });
     }
 
@@ -184,8 +195,11 @@
                 charged: std::mem::take(&mut level.fresh),
                 demand: level.demand(),
             });
+            let before = *level;
+            level.lasting = level.here && level.steady;
             level.steady = level.here;
             level.elsewhere = level.elsewhere.saturating_sub(1);
+            reorder(&mut self.lasting, account, before, *level, Level::lasts);
             if !level.waits() {
                 self.fleet.remove(&(level.total, account));
             }
@@ -223,7 +237,9 @@
     }
 
     fn floor(&self) -> Micros {
-        self.fleet.first().map_or(self.floor, |&(level, _)| level)
+        let lasting = self.lasting.first();
+        let least = lasting.or_else(|| self.fleet.first());
+        least.map_or(self.floor, |&(level, _)| level)
     }
 
     fn update(&mut self, account: AccountKey, change: impl FnOnce(&mut Level)) {
@@ -233,9 +249,8 @@
         let after = *level;
         reorder(&mut self.turns, account, before, after, |l| l.here);
         reorder(&mut self.fleet, account, before, after, Level::waits);
-        if let Some(&(least, _)) = self.fleet.first() {
-            self.floor = self.floor.max(least);
-        }
+        reorder(&mut self.lasting, account, before, after, Level::lasts);
+        self.floor = self.floor.max(self.floor());
     }
 }
 
@@ -244,6 +259,10 @@
         self.here || self.elsewhere > 0
     }
 
+    fn lasts(&self) -> bool {
+        self.lasting || self.elsewhere > 0
+    }
+
     fn demand(&self) -> Demand {
         match (self.here, self.steady) {
             (true, true) => Demand::Steady,
