Let short work go ahead of its account's own long work

Cause: long requests are charged as they run, so their account's level runs ahead and its short requests wait until the others catch up; the order within the account does not matter.

--- a/src/queue.rs
+++ b/src/queue.rs
@@ -62,16 +62,30 @@
         self.head.push_front(job);
     }
 
+    /// Whether a request of the shortest class waits.
+    pub fn has_short(&self) -> bool {
+        !self.classes[0].jobs.is_empty()
+    }
+
+    /// Takes the oldest request of the shortest class.
+    pub fn pop_short(&mut self) -> Option<JobKey> {
+        self.pop_from(0)
+    }
+
     /// Takes the request whose turn it is.
     pub fn pop(&mut self) -> Option<JobKey> {
         if let Some(job) = self.head.pop_front() {
             return Some(job);
         }
-        let class = self
-            .classes
-            .iter_mut()
-            .filter(|c| !c.jobs.is_empty())
-            .min_by_key(|c| c.served)?;
+        let classes = self.classes.iter().enumerate();
+        let (at, _) = classes
+            .filter(|(_, c)| !c.jobs.is_empty())
+            .min_by_key(|(_, c)| c.served)?;
+        self.pop_from(at)
+    }
+
+    fn pop_from(&mut self, at: usize) -> Option<JobKey> {
+        let class = &mut self.classes[at];
         let job = class.jobs.pop_front()?;
         let (_, expected) = self.waiting.remove(&job)?;
         class.served += expected;
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -10,7 +10,7 @@
 use crate::learn::Learn;
 use crate::pace::Pace;
 use crate::queue::Queue;
-use crate::share::{News, Report, Share};
+use crate::share::{News, Report, Share, Turn};
 use crate::units::Micros;
 use crate::wire::Backlog;
 
@@ -58,6 +58,8 @@
 
 /// Most slot time that is charged before it is used; what runs longer is charged as it runs.
 const UPFRONT: Micros = Micros::from_ms(500);
+/// Expected slot time above which a request is long.
+const LONG: Micros = Micros::from_secs(4);
 /// Parked offers that are looked through for the best one.
 const PARKED_SCAN: usize = 64;
 /// Weight of the latest turn in an account's time between turns.
@@ -90,6 +92,8 @@
     queues: BTreeMap<AccountKey, Queue>,
     turns: BTreeMap<AccountKey, Turns>,
     jobs: HashMap<JobKey, Held>,
+    /// Long requests of each account that wait or run.
+    longs: BTreeMap<AccountKey, u32>,
     parked: VecDeque<(AgentKey, OfferId)>,
     waiting: u32,
     learn: Learn,
@@ -131,7 +135,11 @@
         }
         queue.push(key, expected);
         self.waiting += 1;
+        if expected > LONG {
+            *self.longs.entry(job.account).or_default() += 1;
+        }
         self.share.backlogged(job.account);
+        self.show(job.account);
         match self.match_parked(now) {
             Some(assignment) => Arrival::Assigned(assignment),
             None => Arrival::Queued,
@@ -208,6 +216,9 @@
             return;
         };
         let account = held.job.account;
+        if held.expected > LONG {
+            self.forget_long(account);
+        }
         if held.waiting {
             self.unqueue(account, key);
             return;
@@ -327,17 +338,18 @@
         if self.parked.is_empty() {
             return None;
         }
-        let (account, _) = self.share.first()?;
+        let turn = self.share.turn()?;
+        let (Turn::Any(account) | Turn::Short(account)) = turn;
         let queue = self
             .queues
             .get_mut(&account)
             .expect("a backlogged account has a queue");
-        let job = queue
-            .pop()
-            .expect("a backlogged account has a waiting request");
-        if queue.is_empty() {
-            self.share.idle(account);
-        }
+        let job = match turn {
+            Turn::Any(_) => queue.pop(),
+            Turn::Short(_) => queue.pop_short(),
+        };
+        let job = job.expect("an account whose turn it is has a waiting request");
+        self.show(account);
         self.waiting -= 1;
         self.turns.entry(account).or_default().pass(now);
         let (agent, offer) = self.choose(now, job);
@@ -376,6 +388,25 @@
         if queue.remove(key) {
             self.waiting -= 1;
         }
+        self.show(account);
+    }
+
+    fn forget_long(&mut self, account: AccountKey) {
+        if let Some(count) = self.longs.get_mut(&account) {
+            *count -= 1;
+            if *count == 0 {
+                self.longs.remove(&account);
+                self.show(account);
+            }
+        }
+    }
+
+    /// Tells the share what waits in the account's queue after a change. Short work leads only where
+    /// the account's own long work stands before it.
+    fn show(&mut self, account: AccountKey) {
+        let queue = &self.queues[&account];
+        let behind = self.longs.contains_key(&account);
+        self.share.set_short(account, queue.has_short() && behind);
         if queue.is_empty() {
             self.share.idle(account);
         }
--- a/src/share/mod.rs
+++ b/src/share/mod.rs
@@ -19,6 +19,9 @@
 /// Rounds for which an account counts as backlogged elsewhere after it was last heard to be.
 const HEARD_ROUNDS: u8 = 2;
 
+/// Slot time by which an account's level may exceed the least one while its short work goes first.
+pub const SHORT_LEAD: Micros = Micros::from_secs(60);
+
 /// Whether a client account has work waiting.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Demand {
@@ -38,6 +41,15 @@
     }
 }
 
+/// A client account's turn.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Turn {
+    /// Its turn by its level: any of its work goes.
+    Any(AccountKey),
+    /// Its turn ahead of its level: only its short work goes.
+    Short(AccountKey),
+}
+
 /// What one entry has to tell of a client account after a round.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Report {
@@ -68,6 +80,7 @@
     turns: BTreeSet<(Micros, AccountKey)>,
     fleet: BTreeSet<(Micros, AccountKey)>,
     lasting: BTreeSet<(Micros, AccountKey)>,
+    short: BTreeSet<(Micros, AccountKey)>,
     floor: Micros,
     members: u32,
 }
@@ -83,6 +96,8 @@
     /// Backlogged here for the whole of the last round.
     lasting: bool,
     quiet: u32,
+    /// Whether short work is among what waits here.
+    short: bool,
 }
 
 impl Share {
@@ -167,6 +182,27 @@
         self.turns.first().map(|&(level, account)| (account, level))
     }
 
+    /// Whether the account has short work waiting here.
+    pub fn set_short(&mut self, account: AccountKey, short: bool) {
+        if self.levels.get(&account).is_some_and(|l| l.short != short) {
+            self.update(account, |level| level.short = short);
+        }
+    }
+
+    /// Whose turn it is. Short work goes before the work of others whose level is less by at most
+    /// [`SHORT_LEAD`].
+    pub fn turn(&self) -> Option<Turn> {
+        let &(least, account) = self.turns.first()?;
+        let lead = |&&(level, other): &&(Micros, AccountKey)| {
+            other != account && level <= least + SHORT_LEAD
+        };
+        let turn = match self.short.first().filter(lead) {
+            Some(&(_, account)) => Turn::Short(account),
+            None => Turn::Any(account),
+        };
+        Some(turn)
+    }
+
     /// The least level among the accounts backlogged here.
     pub fn least(&self) -> Option<Micros> {
         self.turns.first().map(|&(level, _)| level)
@@ -250,6 +286,9 @@
         reorder(&mut self.turns, account, before, after, |l| l.here);
         reorder(&mut self.fleet, account, before, after, Level::waits);
         reorder(&mut self.lasting, account, before, after, Level::lasts);
+        reorder(&mut self.short, account, before, after, |l| {
+            l.here && l.short
+        });
         self.floor = self.floor.max(self.floor());
     }
 }
--- a/src/share/tests.rs
+++ b/src/share/tests.rs
@@ -1,7 +1,7 @@
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, RngSeed};
 
-use super::{Demand, News, Report, Share};
+use super::{Demand, News, Report, SHORT_LEAD, Share, Turn};
 use crate::ids::AccountKey;
 use crate::units::Micros;
 
@@ -45,6 +45,25 @@
         s.backlogged(A); }, Some((A, 200)));
 }
 
+fn turns_to(steps: Steps, turn: Option<Turn>) {
+    let mut share = Share::new();
+    steps(&mut share);
+    assert_eq!(share.turn(), turn);
+}
+
+cases! { turns_to:
+    no_turn_without_work(|_| {}, None);
+    least_level_has_any_turn(|s| { both(s); s.debit(A, Micros(5)); }, Some(Turn::Any(B)));
+    short_work_leads(|s| { both(s); s.debit(A, SHORT_LEAD); s.set_short(A, true); },
+        Some(Turn::Short(A)));
+    the_lead_is_bounded(|s| { both(s); s.debit(A, SHORT_LEAD + Micros(1)); s.set_short(A, true); },
+        Some(Turn::Any(B)));
+    least_with_short_work_has_any_turn(|s| { both(s); s.debit(A, Micros(5)); s.set_short(A, true);
+        s.set_short(B, true); }, Some(Turn::Any(B)));
+    idle_accounts_do_not_lead(|s| { both(s); s.debit(A, Micros(5)); s.set_short(A, true);
+        s.idle(A); }, Some(Turn::Any(B)));
+}
+
 fn news(total: Micros, demand: Demand) -> News {
     News {
         total,
