--- a/src/entry/desk.rs
+++ b/src/entry/desk.rs
@@ -619,7 +619,10 @@
         };
         self.with(job.request.service, |s| {
             let spent = message.spent.unwrap_or_else(|| s.charged(message.job));
-            s.ended(now, message.job, spent);
+            match message.whole {
+                true => s.ended(now, message.job, spent),
+                false => s.aborted(message.job, spent),
+            }
         });
     }
 }
--- a/src/entry/flight.rs
+++ b/src/entry/flight.rs
@@ -557,6 +557,7 @@
             .send(Over {
                 job: self.job,
                 spent: self.spent,
+                whole: outcome == Outcome::Whole,
             })
             .await;
         outcome
--- a/src/entry/messages.rs
+++ b/src/entry/messages.rs
@@ -90,6 +90,8 @@
     pub job: JobKey,
     /// Slot time to charge; `None` keeps the charge so far.
     pub spent: Option<Micros>,
+    /// Whether the answer came whole, so that its slot time tells something of the next.
+    pub whole: bool,
 }
 
 /// The host list was read: these hosts are leaving.
