--- a/src/scheduler/tests.rs
+++ b/src/scheduler/tests.rs
@@ -7,6 +7,7 @@
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
 
 use super::{Arrival, Assignment, Job, Scheduler};
+use crate::hedge::Budget;
 use crate::ids::{AccountKey, AgentKey, EntryKey, JobKey, OfferId};
 use crate::pull::{Pull, Step as PullStep, Steps, Verdict};
 use crate::units::Micros;
@@ -385,3 +386,89 @@
     a_dropped_parked_is_caught: DROP_PARKED, "a slot is free while work waits";
     a_slot_freed_twice_is_caught: END_TWICE, "the busy count is wrong";
 }
+
+macro_rules! cases {
+    ($check:ident: $($name:ident($($arg:expr),* $(,)?);)*) => {
+        $(#[test] fn $name() { $check($($arg),*) })*
+    };
+}
+
+const HINT: Micros = Micros::from_ms(100);
+
+fn wanted(prefix: Option<u64>) -> Job {
+    Job {
+        account: AccountKey(0),
+        cost: HINT,
+        limit: 10,
+        prefix,
+        deadline: None,
+    }
+}
+
+/// A request runs on agent 0, ten times as long as was expected, and agent 1 holds an offer.
+fn late() -> Scheduler {
+    let mut scheduler = Scheduler::new();
+    scheduler.arrive(Micros::ZERO, JobKey(0), wanted(None));
+    scheduler.offer(Micros::ZERO, AgentKey(0), OfferId(0));
+    scheduler.progress(JobKey(0), Micros(10 * HINT.0));
+    scheduler.offer(Micros::ZERO, AgentKey(1), OfferId(1));
+    scheduler
+}
+
+fn hedges(after: fn(&mut Scheduler), agent: Option<AgentKey>) {
+    let mut scheduler = late();
+    after(&mut scheduler);
+    let hedge = scheduler.hedge(Micros::ZERO, JobKey(0), &mut Budget::new(100));
+    assert_eq!(hedge.map(|h| h.agent), agent);
+}
+
+fn hedged(scheduler: &mut Scheduler) {
+    let hedge = scheduler.hedge(Micros::ZERO, JobKey(0), &mut Budget::new(100));
+    assert!(hedge.is_some());
+    scheduler.offer(Micros::ZERO, AgentKey(2), OfferId(2));
+}
+
+cases! { hedges:
+    a_late_request_is_hedged(|_| {}, Some(AgentKey(1)));
+    one_hedge_at_a_time(hedged, None);
+    an_unhedged_request_is_hedged_again(|s| { hedged(s); s.unhedged(JobKey(0)); },
+        Some(AgentKey(2)));
+    a_promoted_copy_is_judged_by_its_own_target(|s| { hedged(s);
+        s.promoted(JobKey(0), AgentKey(1)); }, None);
+    waiting_work_goes_before_a_hedge(|s| { s.void(AgentKey(1), OfferId(1));
+        s.arrive(Micros::ZERO, JobKey(1), wanted(None)); }, None);
+    a_finished_request_is_not_hedged(|s| s.aborted(JobKey(0), HINT), None);
+}
+
+/// Slot time charged for the account's next request.
+fn next_is_charged(over: fn(&mut Scheduler), charged: Micros) {
+    let mut scheduler = Scheduler::new();
+    scheduler.arrive(Micros::ZERO, JobKey(0), wanted(None));
+    scheduler.offer(Micros::ZERO, AgentKey(0), OfferId(0));
+    over(&mut scheduler);
+    scheduler.arrive(Micros::ZERO, JobKey(1), wanted(None));
+    scheduler.offer(Micros::ZERO, AgentKey(0), OfferId(1));
+    assert_eq!(scheduler.charged(JobKey(1)), charged);
+}
+
+cases! { next_is_charged:
+    an_aborted_request_teaches_nothing(|s| s.aborted(JobKey(0), Micros(9 * HINT.0)), HINT);
+    a_whole_one_teaches(|s| s.ended(Micros::ZERO, JobKey(0), Micros(9 * HINT.0)), Micros(2 * HINT.0));
+}
+
+/// The agent that takes the account's next request when agents 1 and 0 hold offers, in that order.
+fn goes_to(prefix: Option<u64>, agent: AgentKey) {
+    let mut scheduler = Scheduler::new();
+    scheduler.arrive(Micros::ZERO, JobKey(0), wanted(Some(7)));
+    scheduler.offer(Micros::ZERO, AgentKey(0), OfferId(0));
+    scheduler.offer(Micros::ZERO, AgentKey(1), OfferId(1));
+    scheduler.offer(Micros::ZERO, AgentKey(0), OfferId(2));
+    let arrival = scheduler.arrive(Micros::ZERO, JobKey(1), wanted(prefix));
+    assert!(matches!(arrival, Arrival::Assigned(a) if a.agent == agent));
+}
+
+cases! { goes_to:
+    the_same_prefix_goes_to_its_target(Some(7), AgentKey(0));
+    another_prefix_goes_to_the_oldest_offer(Some(8), AgentKey(1));
+    no_prefix_goes_to_the_oldest_offer(None, AgentKey(1));
+}
