Tell all entries of requests that crash targets

Cause: an entry kept its sightings of crashes to itself, so each entry let a request crash two targets of its own. Ruled out: flooding along the exchange's tree (stops at a parent that has just died); comparing sums alone (10 s is too late for a caller who sends again at once). Change: Schedulers get extra_out, extra_in and extra_wait, all with defaults; new sightings go to all entries at once as Gossip::Extra and twice more; sums are compared with 3 entries at the start and with one every 10 s, so one that restarted or was cut off catches up. The exchange's envelope authenticates them and drops replays. The tests ask for one or two. Conclusion: at most two targets crash, whichever entries the request is sent through.

--- a/src/entry/guard.rs
+++ b/src/entry/guard.rs
@@ -3,24 +3,27 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
+use tokio::sync::Notify;
+
 use crate::claim::Digest;
 use crate::entry::request::Request;
 use crate::problem::{Problem, Reason};
-use crate::quarantine::{Admit, Quarantine, Sighting};
-use crate::units::Clock;
+use crate::quarantine::{Admit, Kind, Quarantine, Sighting};
+use crate::units::{Clock, Micros};
 
 /// The quarantine as this entry knows it. Clones share it.
 #[derive(Clone, Debug)]
 pub struct Guard {
     state: Arc<Mutex<State>>,
+    changed: Arc<Notify>,
     clock: Clock,
 }
 
 #[derive(Debug, Default)]
 struct State {
     quarantine: Quarantine,
-    /// Whether something was seen that peers have not been told.
-    news: bool,
+    /// Sightings that peers have not been told.
+    news: Vec<Sighting>,
 }
 
 /// The one further try of a request that crashed a target.
@@ -35,6 +38,7 @@
     pub fn new(clock: Clock) -> Self {
         Guard {
             state: Arc::default(),
+            changed: Arc::default(),
             clock,
         }
     }
@@ -52,7 +56,7 @@
         match state.quarantine.admit(self.clock.now(), digest, id) {
             Admit::Free => Ok(None),
             Admit::Trial => {
-                state.news = true;
+                self.tell(&mut state, digest, id, Kind::Trial);
                 Ok(Some(Trial { digest, id }))
             }
             Admit::Refused(wait) => {
@@ -64,11 +68,21 @@
 
     /// The request crashed a target.
     pub fn crashed(&self, request: &Request) {
+        let (digest, id) = (request.digest(), rand::random());
         let mut state = self.lock();
-        state
-            .quarantine
-            .crashed(self.clock.now(), request.digest(), rand::random());
-        state.news = true;
+        state.quarantine.crashed(self.clock.now(), digest, id);
+        self.tell(&mut state, digest, id, Kind::Crash);
+    }
+
+    /// Has peers told of what was seen just now.
+    fn tell(&self, state: &mut State, digest: Digest, id: u64, kind: Kind) {
+        state.news.push(Sighting {
+            digest,
+            id,
+            kind,
+            age: Micros::ZERO,
+        });
+        self.changed.notify_one();
     }
 
     /// A trial is over.
@@ -87,11 +101,14 @@
             .for_each(|s| state.quarantine.merge(now, s));
     }
 
-    /// The sightings for peers, when there are new ones.
-    pub fn news(&self) -> Option<Vec<Sighting>> {
-        let now = self.clock.now();
-        let mut state = self.lock();
-        std::mem::take(&mut state.news).then(|| state.quarantine.sightings(now).collect())
+    /// Waits until there may be news.
+    pub async fn changed(&self) {
+        self.changed.notified().await;
+    }
+
+    /// What was seen here since the last call.
+    pub fn news(&self) -> Vec<Sighting> {
+        std::mem::take(&mut self.lock().news)
     }
 
     /// All sightings that still count, for peers that may have missed some.
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -16,6 +16,7 @@
 pub mod pool;
 pub mod request;
 pub mod routes;
+pub mod sightings;
 pub mod status;
 
 use std::net::SocketAddr;
@@ -42,6 +43,7 @@
 use crate::entry::peers::{Answerer, Fetcher};
 use crate::entry::pool::{Bridge, Pool};
 use crate::entry::routes::Routes;
+use crate::entry::sightings::Sightings;
 use crate::entry::status::EntryView;
 use crate::exchange::service::Exchange;
 use crate::ids::BootId;
@@ -109,7 +111,9 @@
     let socket = UdpSocket::bind(settings.peer)
         .await
         .with_context(|| format!("could not listen for entries on {}", settings.peer))?;
-    let bridge = Bridge::new(pool, rules.table(), settings.entries.clone());
+    let guard = Guard::new(clock);
+    let sightings = Sightings::new(guard.clone(), clock, settings.peer, &settings.entries);
+    let bridge = Bridge::new(pool, rules.table(), settings.entries.clone(), sightings);
     let key = settings.secret.as_bytes();
     let exchange = Exchange::new(socket, settings.peer, key, bridge).with_boot(key, boot);
     kernel.register(EXCHANGE, exchange.status());
@@ -135,6 +139,7 @@
         rules: rules.clone(),
         telemetry: telemetry.clone(),
         boot,
+        guard: guard.clone(),
     };
     let services = [
         tokio::spawn(agents.listen(peers)),
@@ -149,7 +154,6 @@
         tokio::spawn(readiness(rules.clone(), ready_in, drain.clone())),
     ];
 
-    let guard = Guard::new(clock);
     let tools = Tools {
         desk,
         routes,
--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -5,6 +5,8 @@
 
 use tokio::sync::watch;
 
+use crate::entry::sightings::Sightings;
+use crate::exchange::gossip::GossipError;
 use crate::exchange::names::Names;
 use crate::exchange::node::Update;
 use crate::exchange::service::Schedulers;
@@ -41,12 +43,13 @@
     }
 }
 
-/// Connects the schedulers to the exchange between entries.
+/// Connects the schedulers and the quarantine to the exchange between entries.
 #[derive(Debug)]
 pub struct Bridge {
     pool: Pool,
     rules: watch::Receiver<Arc<Table>>,
     members: Option<Vec<SocketAddr>>,
+    sightings: Sightings,
 }
 
 impl Bridge {
@@ -55,12 +58,14 @@
         pool: Pool,
         mut rules: watch::Receiver<Arc<Table>>,
         entries: Vec<SocketAddr>,
+        sightings: Sightings,
     ) -> Self {
         rules.mark_changed();
         Bridge {
             pool,
             rules,
             members: Some(entries),
+            sightings,
         }
     }
 }
@@ -92,4 +97,16 @@
         }
         Some(Names::of(&self.rules.borrow_and_update()))
     }
+
+    fn extra_out(&mut self) -> Vec<(SocketAddr, Vec<u8>)> {
+        self.sightings.due()
+    }
+
+    fn extra_in(&mut self, from: SocketAddr, payload: &[u8]) -> Result<(), GossipError> {
+        self.sightings.receive(from, payload)
+    }
+
+    async fn extra_wait(&mut self) {
+        self.sightings.wait().await;
+    }
 }
--- a/src/entry/status.rs
+++ b/src/entry/status.rs
@@ -7,6 +7,7 @@
 use crate::admin::Status;
 use crate::entry::desk::Desk;
 use crate::entry::figures::DeskStatus;
+use crate::entry::guard::Guard;
 use crate::entry::messages::Inspect;
 use crate::ids::BootId;
 use crate::rules::service::Handle;
@@ -24,6 +25,8 @@
     pub telemetry: Telemetry,
     /// This run of the entry.
     pub boot: BootId,
+    /// Requests that crashed targets.
+    pub guard: Guard,
 }
 
 /// The answer to `/status`.
@@ -32,6 +35,7 @@
     role: &'static str,
     boot: String,
     rules: RulesStatus,
+    sightings: usize,
     desk: Option<DeskStatus>,
     metrics: Snapshot,
 }
@@ -61,6 +65,7 @@
             role: "entry",
             boot: self.boot.to_string(),
             rules: self.rules(),
+            sightings: self.guard.all().len(),
             desk: self.desk.send(Inspect).await.ok(),
             metrics: self.telemetry.metrics().snapshot(),
         };
--- a/src/exchange/service.rs
+++ b/src/exchange/service.rs
@@ -9,7 +9,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::envelope::{MAX_DATAGRAM_BYTES, Newest, Sealer};
-use super::gossip;
+use super::gossip::{self, Gossip, GossipError};
 use super::names::Names;
 use super::node::{Dropped, Node, Outgoing, Update};
 use crate::ids::{BootId, ServiceKey};
@@ -30,6 +30,25 @@
 
     /// The numbering, when the rules changed since the last call.
     fn names(&mut self) -> Option<Names>;
+
+    /// Payloads of other modules that are to be sent now, each with its receiver.
+    fn extra_out(&mut self) -> Vec<(SocketAddr, Vec<u8>)> {
+        Vec::new()
+    }
+
+    /// Takes another module's payload in.
+    ///
+    /// # Errors
+    /// When it is malformed.
+    fn extra_in(&mut self, from: SocketAddr, payload: &[u8]) -> Result<(), GossipError> {
+        let _ = (from, payload);
+        Ok(())
+    }
+
+    /// Waits until [`Schedulers::extra_out`] may give something. May be cancelled.
+    fn extra_wait(&mut self) -> impl Future<Output = ()> + Send {
+        std::future::pending()
+    }
 }
 
 /// Counts of the exchange since the process started.
@@ -112,11 +131,13 @@
         loop {
             self.refresh();
             self.tick().await;
+            self.send_extras().await;
             let wait = self.node.wake() - self.clock.now();
             let due = tokio::time::Instant::now() + wait.into();
             tokio::select! {
                 _ = cancel.cancelled() => return self.counts,
                 _ = tokio::time::sleep_until(due) => {}
+                () = self.schedulers.extra_wait() => {}
                 received = self.socket.recv_from(&mut buffer) => {
                     if let Ok((len, from)) = received {
                         self.take(from, &buffer[..len]);
@@ -160,6 +181,13 @@
         });
     }
 
+    async fn send_extras(&mut self) {
+        for (to, payload) in self.schedulers.extra_out() {
+            let payload = gossip::encode(&Gossip::Extra(payload));
+            self.send(Outgoing { to, payload }).await;
+        }
+    }
+
     async fn send(&mut self, outgoing: Outgoing) {
         let Ok(datagram) = self.sealer.seal(&outgoing.payload) else {
             self.counts.unsent += 1;
@@ -192,6 +220,12 @@
             self.counts.malformed += 1;
             return;
         };
+        if let Gossip::Extra(payload) = &gossip
+            && self.schedulers.extra_in(from, payload).is_err()
+        {
+            self.counts.malformed += 1;
+            return;
+        }
         self.counts.received += 1;
         self.node
             .receive(self.clock.now(), from, opened.boot, gossip);
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -170,3 +170,75 @@
     assert_eq!(waiting.await.expect("the caller is done"), 200);
     assert_eq!(fleet.count("waiting").await, 1);
 }
+
+/// How many targets a request has crashed: those that are away, or were.
+async fn crashes(fleet: &Fleet, body: &str) -> u64 {
+    let mut sum = 0;
+    for host in &fleet.targets {
+        let call = Call::get(format!("/count?id={body}"));
+        await_until("the target to be back", || async {
+            fleet.caller.call(host.address, call.clone()).await.is_ok()
+        })
+        .await;
+        let reply = fleet.caller.call(host.address, call).await;
+        let text = reply.expect("the target is back").text();
+        sum += text.parse::<u64>().expect("a count is a number");
+    }
+    sum
+}
+
+async fn await_sightings(fleet: &Fleet, entry: usize, wanted: u64) {
+    await_until("the entry to know", || async {
+        admin(fleet, entry, "/status").await["sightings"].as_u64() >= Some(wanted)
+    })
+    .await;
+}
+
+/// Sends a request that crashes its target, and gives status and reason of the refusal.
+async fn poison(fleet: &Fleet, entry: usize, service: &str) -> (u16, Value) {
+    let call = Call::post(format!("/{service}/crash"), "poison").key("club-key");
+    let reply = fleet.call(entry, call).await.expect("the entry answers");
+    (reply.status, reply.json()["reason"].clone())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_crashes_targets_is_refused_by_all_entries() {
+    let mut fleet = Plan::entries(3).targets("model", 5, 2).start().await;
+    poison(&fleet, 0, "model").await;
+    assert_eq!(
+        poison(&fleet, 0, "model").await,
+        (503, "quarantined".into())
+    );
+    for entry in [1, 2] {
+        await_sightings(&fleet, entry, 2).await;
+        assert_eq!(
+            poison(&fleet, entry, "model").await,
+            (503, "quarantined".into())
+        );
+    }
+    assert!((1..=2).contains(&crashes(&fleet, "poison").await));
+
+    fleet.restart_entry(1).await;
+    await_sightings(&fleet, 1, 2).await;
+    assert_eq!(
+        poison(&fleet, 1, "model").await,
+        (503, "quarantined".into())
+    );
+    assert!((1..=2).contains(&crashes(&fleet, "poison").await));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_crash_by_one_entry_and_a_trial_by_another_are_all() {
+    let fleet = Plan::entries(2).targets("orders", 4, 2).start().await;
+    assert_eq!(poison(&fleet, 0, "orders").await.0, 502);
+    await_sightings(&fleet, 1, 1).await;
+    poison(&fleet, 1, "orders").await;
+    for entry in [1, 0] {
+        await_sightings(&fleet, entry, 2).await;
+        assert_eq!(
+            poison(&fleet, entry, "orders").await,
+            (503, "quarantined".into())
+        );
+    }
+    assert!((1..=2).contains(&crashes(&fleet, "poison").await));
+}
