Explain what became of a request

Ruled out: building it from traces (kept only where an OTLP endpoint is set); a log line a request (lines are for changes of state). Change: `entry::trail` keeps typed steps of the latest requests: queued with the account's level and the least, each sending with its host, what became of it, resumes, charge and end. Before, explain failed for every request. Conclusion: an operator sees why a request waited and where it ran. Nothing secret is kept.

--- a/src/cmd/ctl/explain.rs
+++ b/src/cmd/ctl/explain.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use anyhow::{Context, anyhow};
+use serde_json::Value;
 
 use super::args::{Args, usage};
 use super::{Failure, Run, admin, view};
@@ -41,6 +42,16 @@
                 "no entry knows of request {request}"
             )));
         }
-        view::all(replies)
+        view::all_as(replies, request_text)
     }
 }
+
+/// What is known of the request, then its steps in order.
+fn request_text(value: &Value) -> String {
+    let mut head = value.clone();
+    let steps = head.as_object_mut().and_then(|head| head.remove("steps"));
+    let steps = steps.as_ref().and_then(Value::as_array);
+    let steps = steps.map(Vec::as_slice).unwrap_or_default();
+    let table = view::columns(steps, &["at_ms", "step", "host", "detail"]);
+    view::value_text(&head, "") + &view::indented(&table.to_string())
+}
--- a/src/cmd/ctl/view.rs
+++ b/src/cmd/ctl/view.rs
@@ -48,11 +48,16 @@
 
 /// The answers of all entries; the failure names those that did not answer, after the rest.
 pub fn all(replies: Vec<Reply>) -> Result<String, Failure> {
+    all_as(replies, |value| value_text(value, ""))
+}
+
+/// As [`all`], each answer as `show` has it.
+pub fn all_as(replies: Vec<Reply>, show: impl Fn(&Value) -> String) -> Result<String, Failure> {
     let mut text = String::new();
     let mut silent = Vec::new();
     for reply in replies {
         match reply.answer {
-            Ok(value) => text += &format!("{}\n{}", reply.addr, value_text(&value, "")),
+            Ok(value) => text += &format!("{}\n{}", reply.addr, show(&value)),
             Err(cause) => silent.push(format!("could not ask {}: {cause}", reply.addr)),
         }
     }
@@ -63,6 +68,19 @@
     Err(Failure::Failed(anyhow!(silent.join("\n"))))
 }
 
+/// Fields of JSON objects under titles of their own names, in the given order.
+pub fn columns(items: &[Value], names: &[&str]) -> Table {
+    let mut table = Table::new(names.iter().copied());
+    for object in items.iter().filter_map(Value::as_object) {
+        table.row(
+            names
+                .iter()
+                .map(|&n| object.get(n).map_or("-".to_owned(), cell)),
+        );
+    }
+    table
+}
+
 /// A JSON value as text: lists of objects as tables, objects as lines of name and value.
 pub fn value_text(value: &Value, title: &str) -> String {
     match value {
@@ -107,15 +125,9 @@
             names.push(name);
         }
     }
-    let mut table = Table::new(names.iter().map(|name| printable(name)));
-    for object in objects() {
-        table.row(
-            names
-                .iter()
-                .map(|&n| object.get(n).map_or("-".to_owned(), cell)),
-        );
-    }
-    table
+    let names: Vec<String> = names.into_iter().map(|name| printable(name)).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    columns(items, &names)
 }
 
 fn cell(value: &Value) -> String {
@@ -136,6 +148,7 @@
     text.chars().map(escape).collect()
 }
 
-fn indented(text: &str) -> String {
+/// Text with each line moved in.
+pub fn indented(text: &str) -> String {
     text.lines().map(|line| format!("  {line}\n")).collect()
 }
--- a/src/entry/desk.rs
+++ b/src/entry/desk.rs
@@ -23,6 +23,7 @@
 use crate::entry::pool::Pool;
 use crate::entry::request::Request;
 use crate::entry::routes::{Event, Route, Routes};
+use crate::entry::trail::{Step, Trail};
 use crate::ids::{AgentKey, BootId, DispatchId, JobKey, OfferId, ServiceKey};
 use crate::problem::{Problem, Reason};
 use crate::rules::Table;
@@ -84,6 +85,7 @@
     pool: Pool,
     keyed: Keyed,
     budgets: BudgetTable,
+    trail: Trail,
 }
 
 impl Desk {
@@ -109,9 +111,16 @@
             pool,
             keyed,
             budgets: BudgetTable::default(),
+            trail: Trail::new(clock),
         }
     }
 
+    /// Notes what happens to requests.
+    pub fn recording(mut self, trail: Trail) -> Self {
+        self.trail = trail;
+        self
+    }
+
     fn with<T>(&self, service: ServiceKey, act: impl FnOnce(&mut Scheduler) -> T) -> T {
         self.pool.with(service, act)
     }
@@ -169,6 +178,12 @@
             events: job.events.clone(),
         };
         self.routes.insert(id, route);
+        let host = self.agents[assigned.agent.index()].info.host;
+        let step = match copy {
+            Copy::First => Step::Sent { host },
+            Copy::Second => Step::Hedged { host },
+        };
+        self.trail.note(request.id, step);
         let (agent, to) = (assigned.agent, outbox.clone());
         let event = match copy {
             Copy::First => Event::Sent {
@@ -275,6 +290,18 @@
         state.held.clear();
     }
 
+    fn note_queued(&self, key: JobKey) {
+        let request = &self.jobs[key.index()].request;
+        let (level, backlog) =
+            self.with(request.service, |s| (s.level(request.account), s.backlog()));
+        let step = Step::Queued {
+            waiting: backlog.waiting,
+            level,
+            least: backlog.least,
+        };
+        self.trail.note(request.id, step);
+    }
+
     /// Pairs a request with its agent.
     fn pair(&mut self, assigned: Assignment, id: DispatchId, copy: Copy) -> (BootId, Outbox) {
         let job = &mut self.jobs[assigned.job.index()];
@@ -389,6 +416,7 @@
         match self.with(service, |s| s.arrive(now, key, job)) {
             Arrival::Assigned(assigned) => self.send(service, assigned),
             Arrival::Queued => {
+                self.note_queued(key);
                 if self.with(service, |s| s.backlog()).waiting == 1 {
                     self.announce(service);
                 }
@@ -617,10 +645,12 @@
         let Some(job) = self.jobs.try_remove(message.job.index()) else {
             return;
         };
-        self.with(job.request.service, |s| {
+        let spent = self.with(job.request.service, |s| {
             let spent = message.spent.unwrap_or_else(|| s.charged(message.job));
             s.ended(now, message.job, spent);
+            spent
         });
+        self.trail.note(job.request.id, Step::Charged { spent });
     }
 }
 
--- a/src/entry/flight.rs
+++ b/src/entry/flight.rs
@@ -19,6 +19,7 @@
 use crate::entry::messages::{Arrive, Over, Promoted, Returned, Unhedged};
 use crate::entry::request::Request;
 use crate::entry::routes::{Event, Routes};
+use crate::entry::trail::{Step, Trail};
 use crate::ids::{AgentKey, BootId, DispatchId, JobKey};
 use crate::problem::{Execution, Problem, Reason};
 use crate::telemetry::{self, Metrics, Span, Telemetry};
@@ -85,6 +86,8 @@
     pub keyed: Keyed,
     /// Requests that crash their targets.
     pub guard: Guard,
+    /// What becomes of requests.
+    pub trail: Trail,
 }
 
 /// The agent of the dispatch in flight, and its connection.
@@ -240,7 +243,14 @@
         self.decide(Happening::Tick, None).await;
     }
 
+    fn note(&self, step: Step) {
+        self.tools.trail.note(self.request.id, step);
+    }
+
     async fn event(&mut self, event: Event) {
+        if let Ok(step) = Step::try_from(&event) {
+            self.note(step);
+        }
         let Some(event) = self.about_second(event).await else {
             return;
         };
@@ -417,6 +427,7 @@
         for action in actions {
             match action {
                 Action::Ask { dispatch, next } => {
+                    self.note(Step::Asked { next });
                     self.tools
                         .telemetry
                         .metrics()
@@ -429,7 +440,10 @@
                     });
                 }
                 Action::Requeue => requeue = true,
-                Action::Crash => self.tools.guard.crashed(&self.request),
+                Action::Crash => {
+                    self.note(Step::Crashed);
+                    self.tools.guard.crashed(&self.request);
+                }
                 Action::Refuse(problem) => {
                     self.refuse(problem);
                 }
@@ -467,6 +481,7 @@
                 Err(problem) => return self.give_up(problem.reason),
             }
         }
+        self.note(Step::Returned);
         let retry = self.attempt.begun();
         self.tools
             .telemetry
@@ -580,6 +595,7 @@
     }
 
     fn count(&self, outcome: Outcome) {
+        self.note(Step::Over(outcome));
         let metrics: &Metrics = self.tools.telemetry.metrics();
         metrics.request(outcome.into());
         metrics.total(self.tools.clock.now() - self.arrived);
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -20,6 +20,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio_util::sync::CancellationToken;
 
+use crate::attempt::Outcome;
 use crate::claim::{Digest, Fate};
 use crate::entry::answers::{Answer, Answers, Copy};
 use crate::entry::flight::{Caller, Flight, Head, Piece, QUEUE_RETRY, Tools};
@@ -28,6 +29,7 @@
 use crate::entry::messages::Arrive;
 use crate::entry::request::{self, Request};
 use crate::entry::routes::FLIGHT_EVENTS;
+use crate::entry::trail::Step;
 use crate::ids::{AccountKey, RequestId, ServiceKey};
 use crate::problem::{Problem, Reason};
 use crate::rules::Table;
@@ -242,7 +244,11 @@
 
     /// Hands the request to the desk. Its answer comes through the returned channels.
     fn fly(self, request: Request, table: &Table, span: Span) -> Result<Flown, Problem> {
-        let trial = self.tools.guard.admit(&request)?;
+        let trail = &self.tools.trail;
+        trail.begin(&request);
+        let trial = self.tools.guard.admit(&request).inspect_err(|&problem| {
+            trail.note(request.id, Step::Over(Outcome::Refused(problem)));
+        })?;
         let allowed = table.service_at(request.service).deadline;
         let (events_in, events) = mpsc::channel(FLIGHT_EVENTS);
         let (body_in, body) = mpsc::channel(BODY_PIECES);
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -18,6 +18,7 @@
 pub mod routes;
 pub mod sightings;
 pub mod status;
+pub mod trail;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -45,6 +46,7 @@
 use crate::entry::routes::Routes;
 use crate::entry::sightings::Sightings;
 use crate::entry::status::EntryView;
+use crate::entry::trail::Trail;
 use crate::exchange::service::Exchange;
 use crate::ids::BootId;
 use crate::kernel::{Kernel, ServiceName};
@@ -97,6 +99,7 @@
     let log = Client::new(settings.platform);
     let keyed = Keyed::new(log.clone(), clock, settings.listen, boot);
     let pool = Pool::new();
+    let trail = Trail::new(clock);
     let desk = Desk::new(
         clock,
         boot,
@@ -104,7 +107,8 @@
         routes.clone(),
         pool.clone(),
         keyed.clone(),
-    );
+    )
+    .recording(trail.clone());
     let desk = xtra::spawn_tokio(desk, Mailbox::bounded(DESK_MAILBOX));
     kernel.register(DESK, desk.clone());
 
@@ -140,6 +144,7 @@
         telemetry: telemetry.clone(),
         boot,
         guard: guard.clone(),
+        trail: trail.clone(),
     };
     let services = [
         tokio::spawn(agents.listen(peers)),
@@ -161,6 +166,7 @@
         telemetry,
         keyed,
         guard,
+        trail,
     };
     let answers = Answers::new();
     let joiner = Joiner::new(answers.clone(), boot);
--- a/src/entry/status.rs
+++ b/src/entry/status.rs
@@ -9,11 +9,16 @@
 use crate::entry::figures::DeskStatus;
 use crate::entry::guard::Guard;
 use crate::entry::messages::Inspect;
+use crate::entry::trail::Trail;
+use crate::entry::trail::page::Page;
 use crate::ids::BootId;
 use crate::rules::service::Handle;
 use crate::telemetry::Telemetry;
 use crate::telemetry::metrics::Snapshot;
 
+/// Path of what became of a request, without its id.
+const EXPLAIN_PATH: &str = "/explain/";
+
 /// Answers for an entry.
 #[derive(Clone)]
 pub struct EntryView {
@@ -27,6 +32,8 @@
     pub boot: BootId,
     /// Requests that crashed targets.
     pub guard: Guard,
+    /// What became of requests.
+    pub trail: Trail,
 }
 
 /// The answer to `/status`.
@@ -59,6 +66,17 @@
     }
 }
 
+impl EntryView {
+    /// What became of the request that a path names.
+    fn explain(&self, path: &str) -> Option<Value> {
+        let id = path.strip_prefix(EXPLAIN_PATH)?;
+        let record = self.trail.find(id.parse().ok()?)?;
+        let rules = self.rules.table().borrow().clone();
+        let page = Page::new(&record, &rules, self.trail.now());
+        serde_json::to_value(page).ok()
+    }
+}
+
 impl Status for EntryView {
     async fn status(&self) -> Value {
         let status = EntryStatus {
@@ -78,7 +96,7 @@
                 let desk = self.desk.send(Inspect).await.ok()?;
                 serde_json::to_value(desk.services).ok()
             }
-            _ => None,
+            path => self.explain(path),
         }
     }
 }
--- /dev/null
+++ b/src/entry/trail/page.rs
@@ -0,0 +1,167 @@
+//! A request's record as `/explain` shows it.
+
+use std::net::SocketAddr;
+
+use serde::Serialize;
+
+use super::{Record, Step};
+use crate::attempt::Outcome;
+use crate::problem::{Execution, Reason};
+use crate::rules::Table;
+use crate::telemetry;
+use crate::units::Micros;
+use crate::wire::{Finish, Known};
+
+/// The answer to `/explain/REQUEST-ID`.
+#[derive(Debug, Serialize)]
+pub struct Page {
+    request: String,
+    account: String,
+    service: String,
+    idempotent: bool,
+    /// Time since it arrived.
+    age_ms: u64,
+    /// Time from its arrival until it was first sent to an agent; until now while it was not.
+    waited_ms: u64,
+    charged_ms: Option<u64>,
+    outcome: &'static str,
+    execution: Option<Execution>,
+    reason: Option<Reason>,
+    steps: Vec<Line>,
+}
+
+/// A step of [`Page`].
+#[derive(Debug, Serialize)]
+struct Line {
+    /// Time since the request arrived.
+    at_ms: u64,
+    step: &'static str,
+    host: Option<SocketAddr>,
+    detail: String,
+}
+
+impl Page {
+    /// The page of a record at the given time; names are looked up in the rules.
+    pub fn new(record: &Record, rules: &Table, now: Micros) -> Self {
+        let over = record.steps.iter().find_map(|(_, step)| match step {
+            Step::Over(outcome) => Some(*outcome),
+            _ => None,
+        });
+        let problem = match over {
+            Some(Outcome::Refused(problem)) => Some(problem),
+            _ => None,
+        };
+        Page {
+            request: record.id.to_string(),
+            account: rules.account_at(record.account).name.clone(),
+            service: rules.service_at(record.service).name.clone(),
+            idempotent: record.idempotent,
+            age_ms: (now - record.arrived).as_ms(),
+            waited_ms: waited(record, now).as_ms(),
+            charged_ms: charged(record).map(Micros::as_ms),
+            outcome: over.map_or("under way", |o| telemetry::Outcome::from(o).label()),
+            execution: problem.map(|p| p.execution),
+            reason: problem.map(|p| p.reason),
+            steps: record.steps.iter().map(|s| line(record, s)).collect(),
+        }
+    }
+}
+
+fn waited(record: &Record, now: Micros) -> Micros {
+    let ended = record
+        .steps
+        .iter()
+        .find(|(_, step)| matches!(step, Step::Sent { .. } | Step::Over(_)));
+    ended.map_or(now, |(at, _)| *at) - record.arrived
+}
+
+fn charged(record: &Record) -> Option<Micros> {
+    record.steps.iter().find_map(|(_, step)| match step {
+        Step::Charged { spent } => Some(*spent),
+        _ => None,
+    })
+}
+
+fn line(record: &Record, (at, step): &(Micros, Step)) -> Line {
+    let host = match step {
+        Step::Sent { host } | Step::Hedged { host } => Some(*host),
+        _ => None,
+    };
+    Line {
+        at_ms: (*at - record.arrived).as_ms(),
+        step: name(step),
+        host,
+        detail: detail(step),
+    }
+}
+
+fn name(step: &Step) -> &'static str {
+    match step {
+        Step::Queued { .. } => "queued",
+        Step::Sent { .. } => "sent",
+        Step::Hedged { .. } => "hedged",
+        Step::Declined => "declined",
+        Step::Lost => "connection lost",
+        Step::Back => "agent back",
+        Step::Asked { .. } => "asked",
+        Step::Told(_) => "told",
+        Step::Answered { .. } => "answered",
+        Step::Finished { .. } => "finished",
+        Step::Crashed => "crashed target",
+        Step::Returned => "returned",
+        Step::Charged { .. } => "charged",
+        Step::Over(_) => "over",
+    }
+}
+
+fn detail(step: &Step) -> String {
+    match step {
+        Step::Queued {
+            waiting,
+            level,
+            least,
+        } => queued(*waiting, *level, *least),
+        Step::Asked { next } => format!("from chunk {next}"),
+        Step::Told(known) => known_word(*known).to_owned(),
+        Step::Answered { status } => format!("status {status}"),
+        Step::Finished { finish, spent } => {
+            format!(
+                "{}, {} ms of slot time",
+                finish_word(*finish),
+                spent.as_ms()
+            )
+        }
+        Step::Charged { spent } => format!("{} ms of slot time", spent.as_ms()),
+        Step::Over(outcome) => telemetry::Outcome::from(*outcome).label().to_owned(),
+        _ => String::new(),
+    }
+}
+
+fn queued(waiting: u32, level: Micros, least: Micros) -> String {
+    let why = if level > least {
+        "accounts with less service go first"
+    } else {
+        "no free slot"
+    };
+    let (level, least) = (level.as_ms(), least.as_ms());
+    format!("{why}: {waiting} waiting, level {level} ms, least {least} ms")
+}
+
+fn known_word(known: Known) -> &'static str {
+    match known {
+        Known::Running => "running",
+        Known::Done => "done",
+        Known::NeverSeen => "never seen",
+        Known::Forgotten => "forgotten",
+    }
+}
+
+fn finish_word(finish: Finish) -> &'static str {
+    match finish {
+        Finish::Whole => "whole",
+        Finish::Cut => "cut",
+        Finish::Unreached => "target not reached",
+        Finish::Crashed => "connection broke before an answer",
+        Finish::Cancelled => "cancelled",
+    }
+}
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code)]
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 use balsampitch::rules::change::Change;
 use balsampitch::rules::record::TextDigest;
@@ -312,6 +313,13 @@
             .await;
     }
 
+    /// Writes a file into the fleet's directory.
+    pub fn write(&self, name: &str, text: &str) -> PathBuf {
+        let path = self.place.path(name);
+        std::fs::write(&path, text).expect("the directory is writable");
+        path
+    }
+
     /// Gives a stand-in an order.
     pub async fn order(&self, to: SocketAddr, call: Call) {
         let reply = self
