--- a/src/agent/core.rs
+++ b/src/agent/core.rs
@@ -8,6 +8,7 @@
 use tokio::sync::mpsc;
 use xtra::prelude::*;
 
+use crate::agent::probe;
 use crate::agent::run::{Command, Run, Target};
 use crate::conn::Outbox;
 use crate::ids::{BootId, DispatchId, EntryKey};
@@ -16,7 +17,7 @@
 use crate::pull::{Pull, Step, Steps, Verdict};
 use crate::telemetry::{Event, Telemetry};
 use crate::units::Clock;
-use crate::wire::{Backlog, Dispatch, Known, ToAgent, ToEntry};
+use crate::wire::{Backlog, Dispatch, Finish, Known, ToAgent, ToEntry};
 
 /// Name under which the core's address is registered.
 pub const CORE: ServiceName = ServiceName("core");
@@ -52,7 +53,15 @@
 pub struct FromEntry(pub Link, pub ToAgent);
 
 /// A run has ended at the target: its slot is free.
-pub struct Freed(pub DispatchId);
+pub struct Freed {
+    /// The run.
+    pub dispatch: DispatchId,
+    /// How it ended.
+    pub finish: Finish,
+}
+
+/// The target serves again after it failed.
+pub struct TargetServes;
 
 /// A run's answer is no longer held.
 pub struct Released(pub DispatchId);
@@ -109,6 +118,10 @@
     pull: Pull,
     /// Slots of the settings: the most that the rules may allow.
     slots: u16,
+    /// Slots that the rules allow.
+    limit: u16,
+    /// Whether the target failed and does not serve yet.
+    failed: bool,
     /// Version of the rules that the limit is from.
     rules: u64,
     ledger: Ledger,
@@ -127,6 +140,8 @@
             target,
             pull: Pull::new(slots),
             slots,
+            limit: slots,
+            failed: false,
             rules: 0,
             ledger: Ledger::new(),
             entries: Vec::new(),
@@ -241,10 +256,36 @@
             return;
         }
         self.rules = version;
-        let steps = self.pull.set_slots(slots.min(self.slots));
+        self.limit = slots;
+        self.fit_slots();
+    }
+
+    /// Offers as many slots as the settings and the rules allow, and none while the target fails.
+    fn fit_slots(&mut self) {
+        let slots = if self.failed {
+            0
+        } else {
+            self.limit.min(self.slots)
+        };
+        let steps = self.pull.set_slots(slots);
         self.act(steps);
     }
 
+    /// A target that fails fast would draw all work to itself: nothing is offered until it serves.
+    fn target_failed(&mut self, context: &Context<Self>) {
+        if self.failed {
+            return;
+        }
+        self.failed = true;
+        self.fit_slots();
+        let (core, target) = (context.mailbox().address(), self.target.address());
+        tokio::spawn(async move {
+            probe::serves(target).await;
+            // A core that is gone needs no word.
+            let _ = core.send(TargetServes).await;
+        });
+    }
+
     fn free_slot(&mut self) {
         let steps = self.pull.finished();
         self.act(steps);
@@ -399,12 +440,24 @@
 impl Handler<Freed> for Core {
     type Return = ();
 
-    async fn handle(&mut self, message: Freed, _ctx: &mut Context<Self>) {
-        self.ledger.done(message.0);
+    async fn handle(&mut self, message: Freed, context: &mut Context<Self>) {
+        self.ledger.done(message.dispatch);
+        if matches!(message.finish, Finish::Unreached | Finish::Crashed) {
+            self.target_failed(context);
+        }
         self.free_slot();
     }
 }
 
+impl Handler<TargetServes> for Core {
+    type Return = ();
+
+    async fn handle(&mut self, _message: TargetServes, _ctx: &mut Context<Self>) {
+        self.failed = false;
+        self.fit_slots();
+    }
+}
+
 impl Handler<Released> for Core {
     type Return = ();
 
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod core;
 pub mod dial;
+pub mod probe;
 pub mod run;
 pub mod status;
 
--- a/src/agent/run.rs
+++ b/src/agent/run.rs
@@ -51,6 +51,11 @@
         }
     }
 
+    /// Its address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Sends a request. One that must not run twice gets a connection of its own, so that a stale
     /// one cannot leave its fate in doubt.
     async fn send(
@@ -58,33 +63,15 @@
         dispatch: &Dispatch,
         body: Bytes,
         trace: TraceContext,
-    ) -> Result<Response<Incoming>, Finish> {
-        if !dispatch.idempotent {
-            return self.try_send(&self.fresh, dispatch, body, trace).await;
-        }
-        match self
-            .try_send(&self.pooled, dispatch, body.clone(), trace)
-            .await
-        {
-            // The connection may have been stale; what follows shows whether the target crashed.
-            Err(Finish::Crashed) => self
-                .try_send(&self.fresh, dispatch, body, trace)
-                .await
-                .map_err(|_| Finish::Crashed),
-            other => other,
-        }
-    }
-
-    async fn try_send(
-        &self,
-        client: &Client<HttpConnector, Full<Bytes>>,
-        dispatch: &Dispatch,
-        body: Bytes,
-        trace: TraceContext,
     ) -> Result<Response<Incoming>, Finish> {
         let request = self
             .request(dispatch, body, trace)
             .ok_or(Finish::Unreached)?;
+        let client = if dispatch.idempotent {
+            &self.pooled
+        } else {
+            &self.fresh
+        };
         let answer = client.request(request).await;
         answer.map_err(|e| {
             if e.is_connect() {
@@ -119,6 +106,8 @@
     }
 }
 
+/// A client that keeps `idle` connections. A request that finds a kept one closed before any of it
+/// was written is sent on a new one.
 fn client(idle: usize) -> Client<HttpConnector, Full<Bytes>> {
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
@@ -127,7 +116,7 @@
         .pool_max_idle_per_host(idle)
         .pool_idle_timeout(IDLE_TIMEOUT)
         .pool_timer(TokioTimer::new())
-        .retry_canceled_requests(false)
+        .retry_canceled_requests(true)
         .build(connector)
 }
 
@@ -199,7 +188,13 @@
         drop(span);
         let spent = Micros::from(start.elapsed());
         // The core outlives its runs.
-        let _ = self.core.send(Freed(id)).await;
+        let _ = self
+            .core
+            .send(Freed {
+                dispatch: id,
+                finish,
+            })
+            .await;
         let (chunks, bytes) = (self.kept.pieces.next().saturating_sub(1), self.kept.total);
         let end = ToEntry::End {
             dispatch: id,
--- a/src/entry/budgets.rs
+++ b/src/entry/budgets.rs
@@ -26,7 +26,7 @@
     pub fn of(&mut self, key: ServiceKey, rule: &Service) -> &mut Budgets {
         let fresh = Budgets {
             hedge: Budget::new(rule.hedge_percent),
-            retry: Budget::new(rule.retry_percent),
+            retry: Budget::saved(rule.retry_percent),
         };
         let budgets = self.services.entry(key).or_insert(fresh);
         budgets.hedge.set_percent(rule.hedge_percent);
--- a/src/entry/flight.rs
+++ b/src/entry/flight.rs
@@ -468,16 +468,21 @@
             }
         }
         let retry = self.attempt.begun();
-        self.tools
-            .telemetry
-            .metrics()
-            .event(telemetry::Event::Retry);
         let returned = Returned {
             job: self.job,
             retry,
         };
-        if !self.tools.desk.send(returned).await.unwrap_or(false) {
-            self.give_up(Reason::NoCapacity);
+        if self.tools.desk.send(returned).await.unwrap_or(false) {
+            self.tools
+                .telemetry
+                .metrics()
+                .event(telemetry::Event::Retry);
+        } else {
+            self.give_up(if retry {
+                Reason::TargetFailed
+            } else {
+                Reason::NoCapacity
+            });
         }
     }
 
--- a/src/hedge.rs
+++ b/src/hedge.rs
@@ -23,6 +23,16 @@
         Budget { percent, credits }
     }
 
+    /// As [`Budget::new`], with as many copies saved up as can be.
+    pub const fn saved(percent: u8) -> Self {
+        let credits = if percent == 0 {
+            0
+        } else {
+            COPY_COST * MAX_SAVED
+        };
+        Budget { percent, credits }
+    }
+
     /// The rules changed the share.
     pub fn set_percent(&mut self, percent: u8) {
         self.percent = percent;
--- a/src/local.rs
+++ b/src/local.rs
@@ -115,17 +115,19 @@
 }
 
 async fn start_platform(options: &LocalOptions) -> anyhow::Result<Standins> {
+    let target_options = TargetOptions {
+        slots: Some(options.slots),
+        ..Default::default()
+    };
     let mut targets = Vec::new();
     let mut hosts = Vec::new();
     for service in SERVICES {
+        let counted = Target::new(target_options);
         for at in 0..options.targets {
             let listener = listen(0).await?;
             let address = listener.local_addr()?;
-            let target = Target::new(TargetOptions {
-                slots: options.slots.into(),
-                ..Default::default()
-            });
-            tokio::spawn(target.serve(listener));
+            // Any of them tells how often the service ran a request.
+            tokio::spawn(counted.sibling(target_options).serve(listener));
             hosts.push(Host {
                 host: address.to_string(),
                 zone: zone(at.into()),
--- a/src/standin/target.rs
+++ b/src/standin/target.rs
@@ -33,7 +33,7 @@
 struct Shared {
     fenced: bool,
     slots: Option<Arc<Semaphore>>,
-    runs: Mutex<Runs>,
+    runs: Arc<Mutex<Runs>>,
     fault: Mutex<TargetFault>,
     running: AtomicU64,
     peak: AtomicU64,
@@ -77,7 +77,7 @@
             shared: Arc::new(Shared {
                 fenced: options.fenced,
                 slots,
-                runs: Mutex::default(),
+                runs: Arc::default(),
                 fault: Mutex::default(),
                 running: AtomicU64::new(0),
                 peak: AtomicU64::new(0),
@@ -87,6 +87,16 @@
         }
     }
 
+    /// Another target that counts its runs together with this one.
+    pub fn sibling(&self, options: TargetOptions) -> Self {
+        let sibling = Target::new(options);
+        let mut shared = Arc::into_inner(sibling.shared).expect("a new target has no clones");
+        shared.runs = self.shared.runs.clone();
+        Target {
+            shared: Arc::new(shared),
+        }
+    }
+
     /// Serves until dropped.
     pub async fn serve(self, listener: TcpListener) {
         http::serve(listener, self).await;
--- /dev/null
+++ b/tests/target_down.rs
@@ -0,0 +1,35 @@
+//! A target that fails at once, between separate processes.
+
+mod common;
+mod fleet;
+
+use common::http::Call;
+use fleet::Plan;
+
+/// Requests sent while one target is away.
+const SENT: usize = 60;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_that_fails_fast_draws_no_work() {
+    let fleet = Plan::entries(2).targets("model", 3, 4).start().await;
+    let away = Call::post("/fault/target", r#"{"mode":"away","ms":4000}"#);
+    fleet.order(fleet.targets[0].address, away).await;
+    let mut failed = Vec::new();
+    for number in 0..SENT {
+        let body = format!("request {number}");
+        let call = Call::post("/model/run?ms=5", body).key("school-key");
+        let reply = fleet
+            .call(number % 2, call)
+            .await
+            .expect("the entry answers");
+        if reply.status != 200 {
+            failed.push((number, reply.text()));
+        }
+    }
+    assert!(
+        failed.is_empty(),
+        "{} of {SENT}: {:?}",
+        failed.len(),
+        failed[0]
+    );
+}
