End a trial with its crash

Cause: a request that crashed two targets was sent to a third: the flight kept its trial through the second crash and so did not ask the quarantine again before its next try. Ruled out: a lower number of tries for every request (others may still be tried three times). Change: a crash ends the trial; the next try asks the quarantine, which refuses. Conclusion: at most two targets for a request at one entry; across entries with the sightings that they exchange.

--- a/src/entry/flight.rs
+++ b/src/entry/flight.rs
@@ -429,7 +429,7 @@
                     });
                 }
                 Action::Requeue => requeue = true,
-                Action::Crash => self.tools.guard.crashed(&self.request),
+                Action::Crash => self.crashed(),
                 Action::Refuse(problem) => {
                     self.refuse(problem);
                 }
@@ -486,6 +486,14 @@
         }
     }
 
+    /// The request crashed its target; a trial that it was is over.
+    fn crashed(&mut self) {
+        self.tools.guard.crashed(&self.request);
+        if let Some(trial) = self.trial.take() {
+            self.tools.guard.over(trial);
+        }
+    }
+
     /// Takes the waiting request no further.
     fn give_up(&mut self, reason: Reason) {
         let now = self.tools.clock.now();
--- a/tests/target_down.rs
+++ b/tests/target_down.rs
@@ -33,3 +33,28 @@
         failed[0]
     );
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_crashing_request_is_tried_on_two_targets_at_most() {
+    let fleet = Plan::entries(1).targets("model", 4, 2).start().await;
+    for _ in 0..3 {
+        let poison = Call::post("/model/crash", "poison").key("school-key");
+        let reply = fleet.call(0, poison).await.expect("the entry answers");
+        assert!(reply.status >= 500, "{}", reply.text());
+    }
+    common::await_until("the targets to return", || all_serve(&fleet)).await;
+    assert_eq!(fleet.count("poison").await, 2);
+    let other = Call::post("/model/run?ms=5", "other").key("school-key");
+    let reply = fleet.call(0, other).await.expect("the entry answers");
+    assert_eq!(reply.status, 200, "{}", reply.text());
+}
+
+async fn all_serve(fleet: &fleet::Fleet) -> bool {
+    for host in &fleet.targets {
+        let state = Call::get("/state");
+        if fleet.caller.call(host.address, state).await.is_err() {
+            return false;
+        }
+    }
+    true
+}
