--- a/src/entry/flight.rs
+++ b/src/entry/flight.rs
@@ -440,10 +440,7 @@
                     });
                 }
                 Action::Requeue => requeue = true,
-                Action::Crash => {
-                    self.note(Step::Crashed);
-                    self.tools.guard.crashed(&self.request);
-                }
+                Action::Crash => self.crashed(),
                 Action::Refuse(problem) => {
                     self.refuse(problem);
                 }
@@ -483,16 +480,30 @@
         }
         self.note(Step::Returned);
         let retry = self.attempt.begun();
-        self.tools
-            .telemetry
-            .metrics()
-            .event(telemetry::Event::Retry);
         let returned = Returned {
             job: self.job,
             retry,
         };
-        if !self.tools.desk.send(returned).await.unwrap_or(false) {
-            self.give_up(Reason::NoCapacity);
+        if self.tools.desk.send(returned).await.unwrap_or(false) {
+            self.tools
+                .telemetry
+                .metrics()
+                .event(telemetry::Event::Retry);
+        } else {
+            self.give_up(if retry {
+                Reason::TargetFailed
+            } else {
+                Reason::NoCapacity
+            });
+        }
+    }
+
+    /// The request crashed its target; a trial that it was is over.
+    fn crashed(&mut self) {
+        self.note(Step::Crashed);
+        self.tools.guard.crashed(&self.request);
+        if let Some(trial) = self.trial.take() {
+            self.tools.guard.over(trial);
         }
     }
 
