Count intruders, show the exchange, log changes of state

Ruled out: lines for each connection that fails (an intruder could fill the log). Change: connection errors are counted at both ends by kind; `/status` shows the exchange and `rules.records`; lines for rules in force, log out and back, agent and entry up and down, draining. balsampitch-local and balsampitch-bench log to standard error, so that their output stays as it was. The collector of tests/telemetry.rs moves to tests/common, its test is unchanged.

--- a/src/agent/dial.rs
+++ b/src/agent/dial.rs
@@ -11,6 +11,7 @@
 use crate::agent::core::{Core, EntryDown, EntryUp, FromEntry, Link};
 use crate::auth::Secret;
 use crate::conn::{self, ConnError, HANDSHAKE_TIMEOUT, Inbox};
+use crate::telemetry::{Event, Gauge, Telemetry};
 use crate::wire::{AgentInfo, Opener, ToAgent};
 
 const FIRST_PAUSE: Duration = Duration::from_millis(20);
@@ -25,6 +26,8 @@
     pub info: AgentInfo,
     /// The shared key.
     pub secret: Secret,
+    /// Metrics.
+    pub telemetry: Telemetry,
 }
 
 impl Dial {
@@ -32,8 +35,9 @@
     pub async fn run(self, address: SocketAddr) {
         let mut pause = FIRST_PAUSE;
         while self.core.is_connected() {
-            if self.connect(address).await.is_ok() {
-                pause = FIRST_PAUSE;
+            match self.connect(address).await {
+                Ok(()) => pause = FIRST_PAUSE,
+                Err(error) => error.count(self.telemetry.metrics()),
             }
             let jitter = rand::rng().random_range(0.5..1.0);
             tokio::time::sleep(pause.mul_f64(jitter)).await;
@@ -48,6 +52,10 @@
             .map_err(|_| ConnError::Silent)??;
         let opener = Opener::Agent(self.info.clone());
         let (boot, outbox, mut inbox) = conn::dial(stream, &self.secret, opener).await?;
+        let metrics = self.telemetry.metrics();
+        metrics.event(Event::Connect);
+        metrics.change(Gauge::Peers, 1);
+        spdlog::info!("entry up", kv: { address: });
         let up = EntryUp {
             address,
             boot,
@@ -56,17 +64,22 @@
         let Ok(link) = self.core.send(up).await else {
             return Ok(());
         };
-        self.read(link, &mut inbox).await;
+        if let Err(error) = self.read(link, &mut inbox).await {
+            error.count(metrics);
+        }
         outbox.close();
+        metrics.change(Gauge::Peers, -1);
+        spdlog::info!("entry down", kv: { address: });
         // The core outlives its connections.
         let _ = self.core.send(EntryDown(link)).await;
         Ok(())
     }
 
-    async fn read(&self, link: Link, inbox: &mut Inbox) {
-        while let Ok(frame) = inbox.receive::<ToAgent>().await {
+    async fn read(&self, link: Link, inbox: &mut Inbox) -> Result<(), ConnError> {
+        loop {
+            let frame = inbox.receive::<ToAgent>().await?;
             if self.core.send(FromEntry(link, frame)).await.is_err() {
-                return;
+                return Ok(());
             }
         }
     }
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -70,7 +70,7 @@
     };
     let view = AgentView {
         core: core.clone(),
-        telemetry,
+        telemetry: telemetry.clone(),
         info: info.clone(),
     };
     let (ready_in, ready) = watch::channel(true);
@@ -78,6 +78,7 @@
         core: core.clone(),
         info,
         secret: Secret::new(&settings.secret),
+        telemetry,
     };
     let mut services = vec![
         tokio::spawn(admin::serve(admin, Arc::new(view), ready)),
@@ -91,6 +92,7 @@
     );
 
     drain.cancelled().await;
+    spdlog::info!("draining");
     ready_in.send_replace(false);
     finish(&core).await;
     services.iter().for_each(|s| s.abort());
--- a/src/cmd/bench.rs
+++ b/src/cmd/bench.rs
@@ -6,6 +6,8 @@
 use lexopt::{Arg, Parser, ValueExt};
 
 use crate::bench::{self, Experiment, Report, Variant, path};
+use crate::settings::LogForm;
+use crate::telemetry::logs;
 
 const USAGE: &str = "\
 Usage: balsampitch-bench EXPERIMENT [--seed N] [--naive]
@@ -69,6 +71,8 @@
 }
 
 fn measure(options: &Options) -> anyhow::Result<()> {
+    // Standard output is for figures.
+    logs::init(LogForm::Text, "balsampitch-bench")?;
     for &experiment in &options.chosen.experiments {
         print(bench::run(experiment, options.seed, options.variant))?;
     }
--- a/src/cmd/local.rs
+++ b/src/cmd/local.rs
@@ -6,6 +6,8 @@
 
 use crate::cmd::{Failure, Program, shutdown};
 use crate::local::{self, LocalOptions};
+use crate::settings::LogForm;
+use crate::telemetry::logs;
 
 const PROGRAM: Program = Program {
     name: "balsampitch-local",
@@ -36,6 +38,7 @@
     let Some(options) = options()? else {
         return Ok(());
     };
+    logs::init(LogForm::Text, PROGRAM.name)?;
     shutdown::block_on(|drain| local::run(options, drain)).map_err(Into::into)
 }
 
--- a/src/conn.rs
+++ b/src/conn.rs
@@ -15,6 +15,7 @@
 
 use crate::auth::{AuthError, Challenge, Hello, Proof, Secret, check_version};
 use crate::ids::BootId;
+use crate::telemetry::{Event, Metrics};
 use crate::wire::{self, MAX_FRAME_BYTES, Opener, WireError};
 
 /// Time between heartbeats.
@@ -45,6 +46,18 @@
     Silent,
 }
 
+impl ConnError {
+    /// Counts what an operator should know of; connections that just end are not counted.
+    pub fn count(&self, metrics: &Metrics) {
+        match self {
+            ConnError::Io(_) => {}
+            ConnError::Wire(_) => metrics.event(Event::MalformedFrame),
+            ConnError::Auth(_) => metrics.event(Event::FailedHandshake),
+            ConnError::Silent => metrics.event(Event::Silence),
+        }
+    }
+}
+
 /// The sending half: frames queue here and are written in batches.
 #[derive(Clone, Debug)]
 pub struct Outbox {
--- a/src/entry/agents.rs
+++ b/src/entry/agents.rs
@@ -4,12 +4,13 @@
 use xtra::Address;
 
 use crate::auth::Secret;
-use crate::conn::{self, Inbox, Outbox};
+use crate::conn::{self, ConnError, Inbox, Outbox};
 use crate::entry::desk::Desk;
 use crate::entry::messages::{AgentDown, AgentLeaving, AgentUp, Link, Offered, Progressed, Voided};
 use crate::entry::peers::Answerer;
 use crate::entry::routes::{Event, Routes};
 use crate::ids::{BootId, DispatchId};
+use crate::telemetry::{Event as Count, Gauge, Telemetry};
 use crate::wire::{AgentInfo, Opener, ToEntry};
 
 /// What every accepted connection needs.
@@ -25,6 +26,8 @@
     pub boot: BootId,
     /// Answers other entries.
     pub peers: Answerer,
+    /// Metrics.
+    pub telemetry: Telemetry,
 }
 
 impl Agents {
@@ -42,8 +45,9 @@
 
     async fn serve(self, stream: TcpStream) {
         let accepted = conn::accept(stream, &self.secret, self.boot).await;
-        let Ok((opener, outbox, inbox)) = accepted else {
-            return;
+        let (opener, outbox, inbox) = match accepted {
+            Ok(accepted) => accepted,
+            Err(error) => return error.count(self.telemetry.metrics()),
         };
         match opener {
             Opener::Agent(info) => self.serve_agent(info, outbox, inbox).await,
@@ -52,6 +56,17 @@
     }
 
     async fn serve_agent(self, info: AgentInfo, outbox: Outbox, mut inbox: Inbox) {
+        let metrics = self.telemetry.metrics();
+        let host = info.host;
+        metrics.event(Count::Connect);
+        metrics.change(Gauge::Peers, 1);
+        spdlog::info!("agent up", kv: { host:, service: = info.service, zone: = info.zone });
+        self.follow(info, outbox, &mut inbox).await;
+        metrics.change(Gauge::Peers, -1);
+        spdlog::info!("agent down", kv: { host: });
+    }
+
+    async fn follow(&self, info: AgentInfo, outbox: Outbox, inbox: &mut Inbox) {
         let Ok(link) = self
             .desk
             .send(AgentUp {
@@ -62,17 +77,20 @@
         else {
             return;
         };
-        self.read(link, &mut inbox).await;
+        if let Err(error) = self.read(link, inbox).await {
+            error.count(self.telemetry.metrics());
+        }
         outbox.close();
         // The desk outlives its agents' connections.
         let _ = self.desk.send(AgentDown(link)).await;
     }
 
     /// Passes frames on until the connection ends or a request's task cannot take more.
-    async fn read(&self, link: Link, inbox: &mut Inbox) {
-        while let Ok(frame) = inbox.receive::<ToEntry>().await {
+    async fn read(&self, link: Link, inbox: &mut Inbox) -> Result<(), ConnError> {
+        loop {
+            let frame = inbox.receive::<ToEntry>().await?;
             if !self.frame(link, frame).await {
-                return;
+                return Ok(());
             }
         }
     }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -3,6 +3,7 @@
 pub mod agents;
 pub mod answers;
 pub mod budgets;
+pub mod changes;
 pub mod desk;
 pub mod figures;
 pub mod flight;
@@ -136,6 +137,7 @@
         secret,
         boot,
         peers: Answerer::new(rules.view()),
+        telemetry: telemetry.clone(),
     };
     let (ready_in, ready) = watch::channel(false);
     let view = EntryView {
@@ -145,11 +147,13 @@
         boot,
         guard: guard.clone(),
         trail: trail.clone(),
+        exchange: exchange.status(),
     };
     let services = [
         tokio::spawn(agents.listen(peers)),
         tokio::spawn(beat(desk.clone())),
         tokio::spawn(fetcher.run()),
+        tokio::spawn(changes::log_rules(rules.clone())),
         tokio::spawn(keyed.clone().follow()),
         tokio::spawn(hosts::follow(log, desk.clone())),
         tokio::spawn(async move {
@@ -206,5 +210,6 @@
     let _ = table.wait_for(|t| t.version() > 0).await;
     ready.send_replace(true);
     drain.cancelled().await;
+    spdlog::info!("draining");
     ready.send_replace(false);
 }
--- a/src/entry/status.rs
+++ b/src/entry/status.rs
@@ -2,6 +2,7 @@
 
 use serde::Serialize;
 use serde_json::Value;
+use tokio::sync::watch;
 use xtra::Address;
 
 use crate::admin::Status;
@@ -11,7 +12,9 @@
 use crate::entry::messages::Inspect;
 use crate::entry::trail::Trail;
 use crate::entry::trail::page::Page;
+use crate::exchange::service as exchange;
 use crate::ids::BootId;
+use crate::rules::history::Counts;
 use crate::rules::service::Handle;
 use crate::telemetry::Telemetry;
 use crate::telemetry::metrics::Snapshot;
@@ -34,6 +37,8 @@
     pub guard: Guard,
     /// What became of requests.
     pub trail: Trail,
+    /// The exchange between entries.
+    pub exchange: watch::Receiver<exchange::Status>,
 }
 
 /// The answer to `/status`.
@@ -42,6 +47,7 @@
     role: &'static str,
     boot: String,
     rules: RulesStatus,
+    exchange: exchange::Status,
     sightings: usize,
     desk: Option<DeskStatus>,
     metrics: Snapshot,
@@ -53,6 +59,7 @@
     version: u64,
     confirmed: bool,
     reachable: bool,
+    records: Counts,
 }
 
 impl EntryView {
@@ -62,6 +69,7 @@
             version: view.table.version(),
             confirmed: view.confirmed,
             reachable: view.reachable,
+            records: view.counts,
         }
     }
 }
@@ -79,10 +87,12 @@
 
 impl Status for EntryView {
     async fn status(&self) -> Value {
+        let exchange = *self.exchange.borrow();
         let status = EntryStatus {
             role: "entry",
             boot: self.boot.to_string(),
             rules: self.rules(),
+            exchange,
             sightings: self.guard.all().len(),
             desk: self.desk.send(Inspect).await.ok(),
             metrics: self.telemetry.metrics().snapshot(),
--- a/src/exchange/node.rs
+++ b/src/exchange/node.rs
@@ -5,6 +5,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
+use serde::Serialize;
+
 use super::Pair;
 use super::gossip::{Down, Gossip, Up};
 use super::names::{Names, Recent};
@@ -63,7 +65,7 @@
 }
 
 /// Datagrams and rows that were not used.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct Dropped {
     /// From senders that are not members.
     pub strangers: u64,
--- a/src/exchange/service.rs
+++ b/src/exchange/service.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
+use serde::Serialize;
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -52,7 +53,7 @@
 }
 
 /// Counts of the exchange since the process started.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct Counts {
     /// Datagrams sent.
     pub sent: u64,
@@ -69,11 +70,11 @@
 }
 
 /// What an operator may ask of the exchange.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct Status {
     /// The parent in the tree; `None` at a root.
     pub parent: Option<SocketAddr>,
-    /// Time between rounds.
+    /// Time between rounds, in microseconds.
     pub period: Micros,
     /// Changes of parent, or of the parent's run, so far.
     pub epoch: u32,
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -67,6 +67,8 @@
         Resume => "resumes",
         /// A connection to another process was opened.
         Connect => "connects",
+        /// A connection to or from another process was not authenticated.
+        FailedHandshake => "failed_handshakes",
         /// A connection went silent.
         Silence => "silences",
         /// A frame from another process was malformed.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -3,6 +3,7 @@
 // Each test binary uses a part of it.
 #![allow(dead_code)]
 
+pub mod collector;
 pub mod http;
 pub mod process;
 
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -18,7 +18,7 @@
 const STANDIN: &str = env!("CARGO_BIN_EXE_balsampitch-standin");
 const ENTRY: &str = env!("CARGO_BIN_EXE_balsampitch-entry");
 const AGENT: &str = env!("CARGO_BIN_EXE_balsampitch-agent");
-const SECRET: &str = "a key for tests only";
+pub const SECRET: &str = "a key for tests only";
 pub const RULES: &str = include_str!("../../examples/local.rules");
 
 /// Targets of one service.
@@ -37,6 +37,7 @@
     links: bool,
     fenced: bool,
     unruled: bool,
+    telemetry: Value,
 }
 
 impl Plan {
@@ -48,6 +49,7 @@
             links: false,
             fenced: false,
             unruled: false,
+            telemetry: json!({}),
         }
     }
 
@@ -73,6 +75,12 @@
         self
     }
 
+    /// Exports telemetry to a collector.
+    pub fn collector(mut self, address: SocketAddr) -> Self {
+        self.telemetry = json!({ "otlp": format!("http://{address}") });
+        self
+    }
+
     /// Starts without rules; [`Fleet::apply_rules`] brings them.
     pub fn unruled(mut self) -> Self {
         self.unruled = true;
@@ -90,6 +98,7 @@
     pub process: Process,
     pub callers: SocketAddr,
     pub admin: SocketAddr,
+    pub peer: SocketAddr,
     pub link: Option<LinkHost>,
     settings: Value,
     name: String,
@@ -120,6 +129,7 @@
     pub caller: Caller,
     pub log: Process,
     place: Place,
+    telemetry: Value,
 }
 
 /// Addresses of an entry, as the others must know them before it starts.
@@ -170,6 +180,7 @@
             caller,
             log,
             place,
+            telemetry: plan.telemetry,
         };
         for own in &addresses {
             fleet.start_entry(own, &addresses);
@@ -200,6 +211,7 @@
             "entries": peers,
             "platform": self.platform,
             "secret": SECRET,
+            "telemetry": self.telemetry,
         });
         let link = (own.front != own.peer).then(|| self.start_link(&name, own));
         let process = start_with_settings(&self.place, &name, ENTRY, &settings);
@@ -207,6 +219,7 @@
             process,
             callers: own.callers,
             admin: own.admin,
+            peer: own.peer,
             link,
             settings,
             name,
@@ -244,6 +257,7 @@
             "entries": entries,
             "platform": self.platform,
             "secret": SECRET,
+            "telemetry": self.telemetry,
         });
         let agent = start_with_settings(&self.place, &name, AGENT, &settings);
         self.targets.push(TargetHost {
--- a/tests/telemetry.rs
+++ b/tests/telemetry.rs
@@ -1,65 +1,22 @@
 //! Export of telemetry to a collector over HTTP.
 
-use std::convert::Infallible;
+mod common;
+
 use std::time::Duration;
 
 use balsampitch::settings::{LogForm, TelemetrySettings};
 use balsampitch::telemetry::{self, Outcome};
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper::{Request, Response};
-use hyper_util::rt::TokioIo;
-use tokio::net::TcpListener;
-use tokio::sync::mpsc;
+use common::collector::Collector;
 
 /// Longest wait for an export that must come.
 const PATIENCE: Duration = Duration::from_secs(30);
 
-struct Export {
-    path: String,
-    body: Bytes,
-}
-
-async fn collect(listener: TcpListener, exports: mpsc::UnboundedSender<Export>) {
-    loop {
-        let (socket, _) = listener.accept().await.expect("the listener accepts");
-        let exports = exports.clone();
-        let service = service_fn(move |request: Request<Incoming>| {
-            let exports = exports.clone();
-            async move {
-                let path = request.uri().path().to_owned();
-                let body = request.into_body().collect().await;
-                let body = body.expect("an export arrives whole").to_bytes();
-                let _ = exports.send(Export { path, body });
-                Ok::<_, Infallible>(Response::new(Full::<Bytes>::default()))
-            }
-        });
-        tokio::spawn(http1::Builder::new().serve_connection(TokioIo::new(socket), service));
-    }
-}
-
-fn holds(export: &Export, text: &str) -> bool {
-    let mut windows = export.body.windows(text.len());
-    windows.any(|window| window == text.as_bytes())
-}
-
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn traces_and_metrics_reach_the_collector() {
-    let listener = TcpListener::bind("127.0.0.1:0")
-        .await
-        .expect("loopback binds");
-    let address = listener
-        .local_addr()
-        .expect("a bound socket has an address");
-    let (sender, mut exports) = mpsc::unbounded_channel();
-    let collector = tokio::spawn(collect(listener, sender));
-
+    let mut collector = Collector::start().await;
     let settings = TelemetrySettings {
         logs: LogForm::Json,
-        otlp: Some(format!("http://{address}")),
+        otlp: Some(format!("http://{}", collector.address)),
     };
     let telemetry = telemetry::init(&settings, "balsampitch-test").expect("the settings are good");
     drop(telemetry.span("entry", None));
@@ -71,18 +28,17 @@
 
     let (mut traces, mut metrics) = (false, false);
     while !(traces && metrics) {
-        let export = tokio::time::timeout(PATIENCE, exports.recv())
+        let export = tokio::time::timeout(PATIENCE, collector.exports.recv())
             .await
             .expect("traces and metrics are exported in time")
             .expect("the collector runs");
-        assert!(holds(&export, "balsampitch-test"));
+        assert!(export.holds("balsampitch-test"));
         match export.path.as_str() {
-            "/v1/traces" => traces |= holds(&export, "entry"),
-            "/v1/metrics" => metrics |= holds(&export, "balsampitch.requests"),
+            "/v1/traces" => traces |= export.holds("entry"),
+            "/v1/metrics" => metrics |= export.holds("balsampitch.requests"),
             path => panic!("an export came to {path}"),
         }
     }
-    collector.abort();
 }
 
 macro_rules! bad_endpoints {
