Show one trace with a span for each hop

Cause: spans of entry, queue, agent and target were made, and no test followed one request through all four. The path tests took ports that outgoing connections may take between the look and the bind; runs_an_order found its entry not ready once in four runs. That the bind failed is the likely cause, not a shown one: it did not come again in eight runs that would have printed it. Ruled out: a longer wait (a fleet is ready in 0.1 s or not at all). Change: the local fleet can share telemetry, a test with an in-memory exporter finds four spans under the caller's trace; path tests give out each port once, below the ephemeral range, and print why a fleet does not run.

--- a/src/local.rs
+++ b/src/local.rs
@@ -13,10 +13,12 @@
 use crate::platform::{Client, Log, RULES};
 use crate::rules::change::Change;
 use crate::rules::record::TextDigest;
-use crate::rules::{Edit, EditId, KeyDigest, Record};
+use crate::rules::renew::Timing;
+use crate::rules::{self, Edit, EditId, KeyDigest, Record};
 use crate::settings::{AgentSettings, EntrySettings, TelemetrySettings};
 use crate::standin::hosts::HostState;
 use crate::standin::{Host, Platform, Target, TargetOptions};
+use crate::telemetry::{self, Telemetry};
 
 /// Records that the stand-in log keeps in a stream.
 const LOG_RECORDS: usize = 100_000;
@@ -61,13 +63,32 @@
 /// # Errors
 /// When a port is taken, the sample rules are not accepted, or a process fails.
 pub async fn run(options: LocalOptions, drain: CancellationToken) -> anyhow::Result<()> {
+    let telemetry = telemetry::init(&TelemetrySettings::default(), "balsampitch-local")?;
+    run_with(options, telemetry, drain).await
+}
+
+/// As [`run`], with telemetry that all processes of the fleet share.
+///
+/// # Errors
+/// As [`run`].
+pub async fn run_with(
+    options: LocalOptions,
+    telemetry: Telemetry,
+    drain: CancellationToken,
+) -> anyhow::Result<()> {
     let Fleet { entries, agents } = Fleet::prepare(options).await?;
     let mut running = JoinSet::new();
     for entry in entries {
-        running.spawn(crate::entry::serve(entry, drain.clone()));
+        let rules = rules::service::spawn(Client::new(entry.platform), Timing::random());
+        running.spawn(crate::entry::run(
+            entry,
+            rules,
+            telemetry.clone(),
+            drain.clone(),
+        ));
     }
     for agent in agents {
-        running.spawn(crate::agent::serve(agent, drain.clone()));
+        running.spawn(crate::agent::run(agent, telemetry.clone(), drain.clone()));
     }
     announce(&options);
     while let Some(ended) = running.join_next().await {
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -1,28 +1,37 @@
 //! One request from end to end, within one process.
 
 use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 
 use balsampitch::local::{self, LocalOptions};
+use balsampitch::telemetry::{Telemetry, TraceContext};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::Request;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use opentelemetry_sdk::trace::{InMemorySpanExporter, SdkTracerProvider};
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
+/// Trace flag of a trace that is recorded.
+const SAMPLED: u8 = 1;
+
 type Http = Client<HttpConnector, Full<Bytes>>;
 
+/// Ports below the range that outgoing connections take theirs from, each given out once.
+static NEXT_PORT: AtomicU16 = AtomicU16::new(21_000);
+
 async fn free_port() -> u16 {
-    let listener = TcpListener::bind("127.0.0.1:0")
-        .await
-        .expect("a port is free");
-    listener
-        .local_addr()
-        .expect("a bound listener has an address")
-        .port()
+    loop {
+        let port = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+        if TcpListener::bind((Ipv4Addr::LOCALHOST, port)).await.is_ok() {
+            return port;
+        }
+    }
 }
 
 struct Fleet {
@@ -33,6 +42,10 @@
 
 impl Fleet {
     async fn start() -> Fleet {
+        Fleet::traced(Telemetry::disabled()).await
+    }
+
+    async fn traced(telemetry: Telemetry) -> Fleet {
         let options = LocalOptions {
             port: free_port().await,
             admin: free_port().await,
@@ -41,7 +54,8 @@
             slots: 2,
         };
         let drain = CancellationToken::new();
-        tokio::spawn(local::run(options, drain.clone()));
+        let running = local::run_with(options, telemetry, drain.clone());
+        tokio::spawn(async move { running.await.expect("the fleet runs") });
         let callers = (Ipv4Addr::LOCALHOST, options.port).into();
         let fleet = Fleet {
             callers,
@@ -126,3 +140,54 @@
     refuses_an_unknown_service: "school-key", "/nothing/run", "" => 404, "not_run";
     refuses_a_large_body: "school-key", "/model/run", &"x".repeat(2_000_000) => 413, "not_run";
 }
+
+#[tokio::test]
+async fn one_trace_holds_a_span_for_each_hop() {
+    let spans = InMemorySpanExporter::default();
+    let tracer = SdkTracerProvider::builder()
+        .with_simple_exporter(spans.clone())
+        .build();
+    let meters = SdkMeterProvider::builder().build();
+    let fleet = Fleet::traced(Telemetry::exporting(tracer, meters)).await;
+    let caller = TraceContext {
+        flags: SAMPLED,
+        ..TraceContext::random()
+    };
+    let request = Request::post(format!("http://{}/model/headers", fleet.callers))
+        .header("authorization", "Bearer school-key")
+        .header("traceparent", caller.to_string())
+        .body(Full::default())
+        .expect("the request is well formed");
+    let response = fleet
+        .http
+        .request(request)
+        .await
+        .expect("the entry answers");
+    let seen = response
+        .into_body()
+        .collect()
+        .await
+        .expect("the answer is whole")
+        .to_bytes();
+    let seen = String::from_utf8(seen.to_vec()).expect("the answer is text");
+    let trace = format!("{:032x}", caller.trace);
+    assert!(
+        seen.contains(&format!("traceparent: 00-{trace}-")),
+        "{seen}"
+    );
+
+    let mut names: Vec<String> = Vec::new();
+    for _ in 0..100 {
+        let ended = spans.get_finished_spans().expect("spans are kept");
+        let own = ended
+            .iter()
+            .filter(|s| s.span_context.trace_id().to_string() == trace);
+        names = own.map(|s| s.name.to_string()).collect();
+        if names.len() >= 4 {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    names.sort();
+    assert_eq!(names, ["agent", "entry", "queue", "target"]);
+}
