Bound and count what comes in at an entry's doors

Cause, each shown by a test of tests/doors that failed before: - a head larger than a frame could not be encoded towards the agent, which closed the agent's connection under every other request on it; - headers that Connection lists went on to the target and back to the caller; - an answer's length was dropped, so that HEAD lost it; - the server never reads the content of an answer to HEAD, or with 204 or 304: its request counted as abandoned and its slot time was not settled; - a peer that has not proved the key could have 256 KiB allocated for its hello, and neither refused handshakes nor malformed frames were counted. Ruled out: a larger frame, as any head may be larger still; settings of the HTTP library alone, which do not know what fits in a frame. Change: 48 KiB for a head (431, not_run), 1 KiB for a frame of a handshake; connection options are dropped, a reliable length passes; an answer without content is awaited at the entry; refused_connections, malformed_frames and silences are counted. A target's answer with too large a head is a failure of the target (502). Conclusion: bad input ends its own connection or request only.

--- a/src/agent/run.rs
+++ b/src/agent/run.rs
@@ -5,8 +5,10 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
-use hyper::{Request, Response, Uri};
+use hyper::body::{Body, Incoming};
+use hyper::header::CONTENT_LENGTH;
+use hyper::http::response::Parts;
+use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
@@ -17,13 +19,13 @@
 use crate::agent::core::{Core, Freed, Released};
 use crate::conn::Outbox;
 use crate::entry::request::{
-    ACCOUNT_HEADER, FENCE_HEADER, REQUEST_ID_HEADER, TRACE_HEADER, answer_headers,
+    ACCOUNT_HEADER, FENCE_HEADER, REQUEST_ID_HEADER, TRACE_HEADER, answer_headers, head_bytes,
 };
 use crate::ids::DispatchId;
 use crate::resume::Resume;
 use crate::telemetry::{Telemetry, TraceContext};
 use crate::units::Micros;
-use crate::wire::{Dispatch, Finish, Header, Known, MAX_CHUNK_BYTES, ToEntry};
+use crate::wire::{Dispatch, Finish, Header, Known, MAX_CHUNK_BYTES, MAX_HEAD_BYTES, ToEntry};
 
 /// How long a whole answer is kept for an entry that does not ask.
 pub const KEEP_TIMEOUT: Duration = Duration::from_secs(60);
@@ -131,6 +133,18 @@
         .build(connector)
 }
 
+/// The length that the target gave, where it can be relied on.
+fn content_length(parts: &Parts, body: &Incoming, method: &str) -> Option<Header> {
+    let value = parts.headers.get(CONTENT_LENGTH)?;
+    let given: u64 = value.to_str().ok()?.trim().parse().ok()?;
+    let bodiless = method == Method::HEAD.as_str() || parts.status == StatusCode::NOT_MODIFIED;
+    let exact = body.size_hint().exact() == Some(given);
+    (bodiless || exact).then(|| Header {
+        name: CONTENT_LENGTH.as_str().to_owned(),
+        value: Bytes::from(given.to_string()),
+    })
+}
+
 /// What the core tells a run.
 #[derive(Debug)]
 pub enum Command {
@@ -244,7 +258,17 @@
             Err(finish) => return finish,
         };
         let (parts, mut body) = response.into_parts();
-        self.head(id, parts.status.as_u16(), answer_headers(&parts.headers));
+        let length = content_length(&parts, &body, &dispatch.method);
+        let headers: Vec<Header> = answer_headers(&parts.headers)
+            .into_iter()
+            .chain(length)
+            .collect();
+        if head_bytes(&headers) > MAX_HEAD_BYTES {
+            // The entry takes an answer without a head for a failure of the target, which a
+            // repeat would meet again.
+            return Finish::Whole;
+        }
+        self.head(id, parts.status.as_u16(), headers);
         loop {
             tokio::select! {
                 frame = body.frame(), if !self.kept.pieces.full() => match frame {
--- a/src/conn.rs
+++ b/src/conn.rs
@@ -24,6 +24,9 @@
 /// Longest handshake.
 pub const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Largest frame of a handshake, in bytes.
+pub const MAX_HANDSHAKE_BYTES: usize = 1024;
+
 const OUTBOX_FRAMES: usize = 8192;
 const READ_BUFFER_BYTES: usize = 64 * 1024;
 const WRITE_BATCH_BYTES: usize = 64 * 1024;
@@ -92,7 +95,7 @@
         let stop = self.stop.clone();
         tokio::select! {
             () = stop.cancelled() => Err(io::Error::from(io::ErrorKind::ConnectionAborted).into()),
-            frame = timeout(SILENCE_TIMEOUT, read_frame(&mut self.read)) => {
+            frame = timeout(SILENCE_TIMEOUT, read_frame(&mut self.read, MAX_FRAME_BYTES)) => {
                 let frame = frame.map_err(|_| ConnError::Silent)??;
                 Ok(wire::decode(&frame)?)
             }
@@ -115,7 +118,8 @@
     let handshake = async {
         let hello = wire::encode(&Hello::new(opener))?;
         write.write_all(&hello).await?;
-        let challenge: Challenge = wire::decode(&read_frame(&mut read).await?)?;
+        let challenge: Challenge =
+            wire::decode(&read_frame(&mut read, MAX_HANDSHAKE_BYTES).await?)?;
         challenge.check(secret, &hello[4..])?;
         let proof = Proof::new(secret, &hello[4..], &challenge);
         write.write_all(&wire::encode(&proof)?).await?;
@@ -141,13 +145,13 @@
     let (read, mut write) = stream.into_split();
     let mut read = BufReader::with_capacity(READ_BUFFER_BYTES, read);
     let handshake = async {
-        let frame = read_frame(&mut read).await?;
+        let frame = read_frame(&mut read, MAX_HANDSHAKE_BYTES).await?;
         // Other versions may lay the rest out differently.
         check_version(frame.first().copied().unwrap_or_default())?;
         let hello: Hello = wire::decode(&frame)?;
         let challenge = Challenge::new(secret, &frame, boot);
         write.write_all(&wire::encode(&challenge)?).await?;
-        let proof: Proof = wire::decode(&read_frame(&mut read).await?)?;
+        let proof: Proof = wire::decode(&read_frame(&mut read, MAX_HANDSHAKE_BYTES).await?)?;
         proof.check(secret, &frame, &challenge)?;
         Ok::<_, ConnError>(hello.opener)
     };
@@ -172,9 +176,12 @@
 }
 
 /// Reads one frame; its length is checked before anything is allocated.
-async fn read_frame(read: &mut BufReader<OwnedReadHalf>) -> Result<Vec<u8>, ConnError> {
+async fn read_frame(
+    read: &mut BufReader<OwnedReadHalf>,
+    limit: usize,
+) -> Result<Vec<u8>, ConnError> {
     let len = read.read_u32().await? as usize;
-    if len > MAX_FRAME_BYTES {
+    if len > limit {
         return Err(WireError::TooLong(len).into());
     }
     let mut frame = vec![0; len];
--- a/src/entry/agents.rs
+++ b/src/entry/agents.rs
@@ -4,12 +4,13 @@
 use xtra::Address;
 
 use crate::auth::Secret;
-use crate::conn::{self, Inbox, Outbox};
+use crate::conn::{self, ConnError, Inbox, Outbox};
 use crate::entry::desk::Desk;
 use crate::entry::messages::{AgentDown, AgentLeaving, AgentUp, Link, Offered, Progressed, Voided};
 use crate::entry::peers::Answerer;
 use crate::entry::routes::{Event, Routes};
 use crate::ids::{BootId, DispatchId};
+use crate::telemetry::{self, Telemetry};
 use crate::wire::{AgentInfo, Opener, ToEntry};
 
 /// What every accepted connection needs.
@@ -25,6 +26,8 @@
     pub boot: BootId,
     /// Answers other entries.
     pub peers: Answerer,
+    /// Metrics.
+    pub telemetry: Telemetry,
 }
 
 impl Agents {
@@ -43,6 +46,9 @@
     async fn serve(self, stream: TcpStream) {
         let accepted = conn::accept(stream, &self.secret, self.boot).await;
         let Ok((opener, outbox, inbox)) = accepted else {
+            self.telemetry
+                .metrics()
+                .event(telemetry::Event::RefusedConnection);
             return;
         };
         match opener {
@@ -70,13 +76,26 @@
 
     /// Passes frames on until the connection ends or a request's task cannot take more.
     async fn read(&self, link: Link, inbox: &mut Inbox) {
-        while let Ok(frame) = inbox.receive::<ToEntry>().await {
+        loop {
+            let frame = match inbox.receive::<ToEntry>().await {
+                Ok(frame) => frame,
+                Err(error) => return self.count(&error),
+            };
             if !self.frame(link, frame).await {
                 return;
             }
         }
     }
 
+    fn count(&self, error: &ConnError) {
+        let event = match error {
+            ConnError::Wire(_) => telemetry::Event::MalformedFrame,
+            ConnError::Silent => telemetry::Event::Silence,
+            ConnError::Io(_) | ConnError::Auth(_) => return,
+        };
+        self.telemetry.metrics().event(event);
+    }
+
     async fn frame(&self, link: Link, frame: ToEntry) -> bool {
         match frame {
             ToEntry::Offer { offer } => self.desk.send(Offered(link, offer)).await.is_ok(),
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -12,7 +12,7 @@
 use hyper::header::{CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER};
 use hyper::http::request::Parts;
 use hyper::service::service_fn;
-use hyper::{Request as HttpRequest, Response, StatusCode};
+use hyper::{Method, Request as HttpRequest, Response, StatusCode};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
 use hyper_util::server::graceful::GracefulShutdown;
@@ -184,7 +184,7 @@
         let head = head
             .await
             .map_err(|_| Problem::unknown(502, Reason::OutcomeUnknown))??;
-        Ok(head_response(head, Pieces { pieces }))
+        Ok(respond(head, Pieces { pieces }, &parts.method).await)
     }
 
     /// Runs a request under its idempotency key, or gets the answer of the one that holds it.
@@ -224,7 +224,7 @@
                 let head = head
                     .await
                     .map_err(|_| Problem::unknown(502, Reason::OutcomeUnknown))??;
-                Ok(head_response(head, Pieces { pieces }))
+                Ok(respond(head, Pieces { pieces }, &parts.method).await)
             }
             Turn::Theirs(holder, boot, _) => {
                 let path = parts.uri.path_and_query().map_or("/", |p| p.as_str());
@@ -295,7 +295,7 @@
         trace,
     } = arrived;
     let limit = usize::try_from(table.account_at(account).body_limit).unwrap_or(usize::MAX);
-    let headers = request::passed_headers(&parts.headers)?;
+    let headers = request::passed_headers(parts)?;
     let key = request::idempotency_key(&parts.headers)?;
     let body = read_body(body, limit).await?;
     let rule = table.service_at(service);
@@ -331,8 +331,19 @@
     }
 }
 
-fn head_response(head: Head, pieces: Pieces) -> Response<AnswerBody> {
-    let mut response = Response::new(Either::Right(pieces));
+/// The answer to the caller. One that can have no content is awaited to its end here: the server
+/// would not read it, and the request would seem abandoned.
+async fn respond(head: Head, mut pieces: Pieces, method: &Method) -> Response<AnswerBody> {
+    let bodiless = method == Method::HEAD || matches!(head.status, 204 | 304);
+    if !bodiless {
+        return head_response(head, Either::Right(pieces));
+    }
+    while let Some(Piece::Data(_)) = pieces.pieces.recv().await {}
+    head_response(head, Either::Left(Full::default()))
+}
+
+fn head_response(head: Head, body: AnswerBody) -> Response<AnswerBody> {
+    let mut response = Response::new(body);
     *response.status_mut() = StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY);
     put_headers(&mut response, head.headers);
     response
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -128,6 +128,7 @@
         secret,
         boot,
         peers: Answerer::new(rules.view()),
+        telemetry: telemetry.clone(),
     };
     let (ready_in, ready) = watch::channel(false);
     let view = EntryView {
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -1,8 +1,10 @@
 //! A caller's request, read and checked.
 
 use bytes::Bytes;
-use hyper::header::{AUTHORIZATION, HeaderMap, HeaderName};
+use hyper::header::{AUTHORIZATION, CONNECTION, HeaderMap, HeaderName};
+use hyper::http::request::Parts;
 use hyper::{Method, Uri};
+use smallvec::SmallVec;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::claim::{ClaimId, Digest};
@@ -12,7 +14,7 @@
 use crate::rules::Table;
 use crate::telemetry::TraceContext;
 use crate::units::Micros;
-use crate::wire::{Header, MAX_HEADERS};
+use crate::wire::{Header, MAX_HEAD_BYTES, MAX_HEADERS};
 
 /// Header with the caller's rough cost hint, in milliseconds of target time.
 pub const COST_HEADER: &str = "x-balsampitch-cost";
@@ -144,14 +146,23 @@
 /// The headers to pass on, without credentials and those of one connection.
 ///
 /// # Errors
-/// A problem when there are more than [`MAX_HEADERS`].
-pub fn passed_headers(headers: &HeaderMap) -> Result<Vec<Header>, Problem> {
-    if headers.len() > MAX_HEADERS {
-        return Err(Problem::not_run(400, Reason::BadRequest));
-    }
-    Ok(kept(headers, |name| {
+/// A problem when there are more than [`MAX_HEADERS`], or the head exceeds [`MAX_HEAD_BYTES`]:
+/// it would not fit in a frame.
+pub fn passed_headers(parts: &Parts) -> Result<Vec<Header>, Problem> {
+    let kept = kept(&parts.headers, |name| {
         name != AUTHORIZATION && name != COST_HEADER
-    }))
+    });
+    let path = parts.uri.path_and_query().map_or(0, |p| p.as_str().len());
+    let size = parts.method.as_str().len() + path + head_bytes(&kept);
+    if parts.headers.len() > MAX_HEADERS || size > MAX_HEAD_BYTES {
+        return Err(Problem::not_run(431, Reason::BadRequest));
+    }
+    Ok(kept)
+}
+
+/// Length of headers, in bytes.
+pub fn head_bytes(headers: &[Header]) -> usize {
+    headers.iter().map(Header::size).sum()
 }
 
 /// The headers of an answer to pass back, without those of one connection.
@@ -189,12 +200,26 @@
 }
 
 fn kept(headers: &HeaderMap, wanted: impl Fn(&HeaderName) -> bool) -> Vec<Header> {
+    let own = connection_options(headers);
     headers
         .iter()
         .filter(|(name, _)| !DROPPED_HEADERS.contains(&name.as_str()) && wanted(name))
+        .filter(|(name, _)| !own.iter().any(|o| o.eq_ignore_ascii_case(name.as_str())))
         .map(|(name, value)| Header {
             name: name.as_str().to_owned(),
             value: Bytes::copy_from_slice(value.as_bytes()),
         })
         .collect()
 }
+
+/// Names of headers that concern this connection only, as its `Connection` header lists them
+/// (RFC 9110, 7.6.1).
+fn connection_options(headers: &HeaderMap) -> SmallVec<[&str; 4]> {
+    headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(str::trim)
+        .collect()
+}
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -69,6 +69,8 @@
         Connect => "connects",
         /// A connection went silent.
         Silence => "silences",
+        /// A connection to this process did not get past its handshake.
+        RefusedConnection => "refused_connections",
         /// A frame from another process was malformed.
         MalformedFrame => "malformed_frames",
         /// A datagram from another process was malformed.
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -17,6 +17,8 @@
 pub const MAX_FRAME_BYTES: usize = 256 * 1024;
 /// Largest piece of a body in one frame, in bytes.
 pub const MAX_CHUNK_BYTES: usize = 64 * 1024;
+/// Most bytes of a request's or an answer's head: method, path, names and values of headers.
+pub const MAX_HEAD_BYTES: usize = 48 * 1024;
 /// Most headers in a request or an answer.
 pub const MAX_HEADERS: usize = 128;
 
@@ -29,6 +31,13 @@
     pub value: Bytes,
 }
 
+impl Header {
+    /// Length of name and value, in bytes.
+    pub fn size(&self) -> usize {
+        self.name.len() + self.value.len()
+    }
+}
+
 /// Who an agent is.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AgentInfo {
@@ -197,7 +206,7 @@
 /// Why a frame could not be read or written.
 #[derive(Debug, thiserror::Error)]
 pub enum WireError {
-    /// The length prefix exceeds [`MAX_FRAME_BYTES`].
+    /// The length prefix exceeds [`MAX_FRAME_BYTES`], or what the moment allows.
     #[error("frame of {0} bytes exceeds the limit")]
     TooLong(usize),
     /// The bytes are no message.
