Take the local fleet's ports below the ephemeral range

Cause: the local fleet looked for free ports among those that outgoing connections take, and bound them later: a connection made in between can hold one, and an entry then fails to start. Ruled out: keeping the listeners from the look to the bind (settings carry addresses, not sockets). Change: free ports come from 12000 to 30000, each given out once in a process. Conclusion: what is left is another program that takes the port between look and bind.

--- a/src/local.rs
+++ b/src/local.rs
@@ -3,6 +3,8 @@
 //! Entries, agents, and stand-ins for the platform and the targets, on loopback.
 
 use std::net::{Ipv4Addr, SocketAddr};
+use std::ops::Range;
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 
 use anyhow::Context;
@@ -20,6 +22,8 @@
 use crate::standin::{Host, Platform, Target, TargetOptions};
 use crate::telemetry::{self, Telemetry};
 
+/// Ports for the fleet's own connections, below those that outgoing connections take.
+const FREE_PORTS: Range<u16> = 12_000..30_000;
 /// Records that the stand-in log keeps in a stream.
 const LOG_RECORDS: usize = 100_000;
 /// The key that the local processes share.
@@ -218,11 +222,30 @@
 /// The address of a numbered process; any free one when the first has port 0.
 async fn port(first: u16, at: u16) -> anyhow::Result<SocketAddr> {
     match first {
-        0 => Ok(listen(0).await?.local_addr()?),
+        0 => free().await,
         first => Ok(loopback(first + at)),
     }
 }
 
+/// A free address whose port no outgoing connection takes before it is listened on. No port is
+/// given out twice.
+async fn free() -> anyhow::Result<SocketAddr> {
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let start: u16 = rand::random_range(FREE_PORTS);
+    // Zero until a process gives out its first port.
+    let _ = NEXT.compare_exchange(0, start, Ordering::Relaxed, Ordering::Relaxed);
+    for _ in FREE_PORTS {
+        let port = NEXT.fetch_add(1, Ordering::Relaxed);
+        if FREE_PORTS.contains(&port) && listen(port).await.is_ok() {
+            return Ok(loopback(port));
+        }
+        if !FREE_PORTS.contains(&port) {
+            NEXT.store(FREE_PORTS.start, Ordering::Relaxed);
+        }
+    }
+    anyhow::bail!("could not find a free port")
+}
+
 async fn agent_settings(
     options: &LocalOptions,
     at: usize,
@@ -236,7 +259,7 @@
         service: service.to_owned(),
         slots: options.slots,
         zone: zone(at),
-        admin: listen(0).await?.local_addr()?,
+        admin: free().await?,
         entries: peers.to_vec(),
         platform,
         secret: LOCAL_SECRET.to_owned(),
@@ -244,13 +267,13 @@
     })
 }
 
-/// Free ports for the entries' peer addresses.
+/// Free addresses for the entries' peers.
 async fn reserve(count: u16) -> anyhow::Result<Vec<SocketAddr>> {
-    let mut held = Vec::new();
+    let mut peers = Vec::new();
     for _ in 0..count {
-        held.push(listen(0).await?);
+        peers.push(free().await?);
     }
-    held.iter().map(|l| Ok(l.local_addr()?)).collect()
+    Ok(peers)
 }
 
 async fn listen(port: u16) -> anyhow::Result<TcpListener> {
