--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -67,10 +67,10 @@
         Resume => "resumes",
         /// A connection to another process was opened.
         Connect => "connects",
-        /// A connection to or from another process was not authenticated.
-        FailedHandshake => "failed_handshakes",
         /// A connection went silent.
         Silence => "silences",
+        /// A connection from or to another process did not get past its handshake.
+        RefusedConnection => "refused_connections",
         /// A frame from another process was malformed.
         MalformedFrame => "malformed_frames",
         /// A datagram from another process was malformed.
--- a/tests/observed.rs
+++ b/tests/observed.rs
@@ -44,7 +44,7 @@
 intruders! {
     a_frame_above_the_limit_is_counted: &[255, 255, 255, 255, 1] => "malformed_frames";
     a_frame_of_noise_is_counted: &[0, 0, 0, 3, 2, 9, 9] => "malformed_frames";
-    another_version_is_counted: &[0, 0, 0, 3, 1, 9, 9] => "failed_handshakes";
+    another_version_is_counted: &[0, 0, 0, 3, 1, 9, 9] => "refused_connections";
     a_silent_connection_is_counted: &[0, 0] => "silences";
 }
 
