Finish orders whose callers are gone before an entry ends

Cause: a draining entry waited for its callers' connections only: an order whose caller had gone was dropped with the process, and reports of claims still on their way to the log were lost, so the key stayed held without a word on what became of it. Ruled out: cancelling such orders (they must not be half done). Change: a drain also waits for the desk to be empty and for the reports.

--- a/src/entry/keyed.rs
+++ b/src/entry/keyed.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use tokio::sync::watch;
 use tokio::time::{Instant, timeout_at};
+use tokio_util::task::TaskTracker;
 
 use crate::claim::{Claim, ClaimId, Claims, Digest, Fate, Record, Report, Verdict, View};
 use crate::ids::BootId;
@@ -39,6 +40,7 @@
     clock: Clock,
     address: SocketAddr,
     boot: BootId,
+    reports: TaskTracker,
 }
 
 #[derive(Debug, Default)]
@@ -68,6 +70,7 @@
             clock,
             address,
             boot,
+            reports: TaskTracker::new(),
         }
     }
 
@@ -167,6 +170,12 @@
         }
     }
 
+    /// Waits until every report is in the log or given up. No claim may be made any more.
+    pub async fn reported(&self) {
+        self.reports.close();
+        self.reports.wait().await;
+    }
+
     fn look(&self, key: Digest, request: Digest) -> Result<Option<Turn>, Problem> {
         let state = self.lock();
         match state.claims.view(key, request) {
@@ -222,7 +231,7 @@
             return;
         };
         let (log, record) = (self.log.clone(), Bytes::from(record));
-        tokio::spawn(async move {
+        self.reports.spawn(async move {
             for _ in 0..REPORT_TRIES {
                 if log.append(CLAIMS, record.clone()).await.is_ok() {
                     return;
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -22,6 +22,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use anyhow::Context;
 use tokio::net::{TcpListener, UdpSocket};
@@ -40,7 +41,7 @@
 use crate::entry::http::Http;
 use crate::entry::join::Joiner;
 use crate::entry::keyed::Keyed;
-use crate::entry::messages::{Beat, DESK};
+use crate::entry::messages::{Beat, DESK, Inspect};
 use crate::entry::peers::{Answerer, Fetcher};
 use crate::entry::pool::{Bridge, Pool};
 use crate::entry::routes::Routes;
@@ -63,6 +64,8 @@
 /// Name under which the exchange's status is registered.
 pub const EXCHANGE: ServiceName = ServiceName("exchange");
 
+/// How often a draining entry looks whether it is done.
+const DRAIN_POLL: Duration = Duration::from_millis(50);
 /// Messages that wait for the desk before senders wait too.
 const DESK_MAILBOX: usize = 4096;
 
@@ -161,11 +164,11 @@
     ];
 
     let tools = Tools {
-        desk,
+        desk: desk.clone(),
         routes,
         clock,
         telemetry,
-        keyed,
+        keyed: keyed.clone(),
         guard,
         trail,
     };
@@ -180,10 +183,23 @@
     }
     .listen(callers)
     .await;
+    finish(&desk, &keyed).await;
     services.iter().for_each(|s| s.abort());
     Ok(())
 }
 
+/// Waits for requests whose callers are gone, and for what the log is still to be told.
+async fn finish(desk: &Address<Desk>, keyed: &Keyed) {
+    while let Ok(status) = desk.send(Inspect).await
+        && status.jobs > 0
+    {
+        tokio::time::sleep(DRAIN_POLL).await;
+    }
+    keyed.reported().await;
+    // The agents' connections write what is queued for them.
+    tokio::time::sleep(DRAIN_POLL).await;
+}
+
 async fn listen(address: SocketAddr, whom: &str) -> anyhow::Result<TcpListener> {
     TcpListener::bind(address)
         .await
