--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -3,6 +3,7 @@
 pub mod agents;
 pub mod answers;
 pub mod budgets;
+pub mod changes;
 pub mod desk;
 pub mod figures;
 pub mod flight;
@@ -149,11 +150,13 @@
         boot,
         guard: guard.clone(),
         trail: trail.clone(),
+        exchange: exchange.status(),
     };
     let services = [
         tokio::spawn(agents.listen(peers)),
         tokio::spawn(beat(desk.clone())),
         tokio::spawn(fetcher.run()),
+        tokio::spawn(changes::log_rules(rules.clone())),
         tokio::spawn(keyed.clone().follow()),
         tokio::spawn(hosts::follow(log, desk.clone())),
         tokio::spawn(async move {
@@ -223,5 +226,6 @@
     let _ = table.wait_for(|t| t.version() > 0).await;
     ready.send_replace(true);
     drain.cancelled().await;
+    spdlog::info!("draining");
     ready.send_replace(false);
 }
