Test failures of agents, connections, targets and pauses with real processes

Cause: what must hold under failures was tested on the pure parts alone. Change: tests/failures starts whole fleets and kills, pauses, silences and cuts; the targets' own counts tell what was run. A fleet's count waits for a target that is away.

--- /dev/null
+++ b/tests/failures/main.rs
@@ -0,0 +1,13 @@
+//! Failures of a fleet of separate processes. The targets' own counts tell what was run.
+
+#[path = "../common/mod.rs"]
+mod common;
+#[path = "../fleet/mod.rs"]
+mod fleet;
+
+mod cut;
+mod freeze;
+mod killed;
+mod leaving;
+mod outcome;
+mod silence;
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -12,13 +12,14 @@
 
 use crate::common::http::{Call, CallError, Caller, Reply};
 use crate::common::process::Process;
-use crate::common::{Place, arg, await_until};
+use crate::common::{LOOK_PAUSE, PATIENCE, Place, arg, await_until};
 
 const STANDIN: &str = env!("CARGO_BIN_EXE_balsampitch-standin");
 const ENTRY: &str = env!("CARGO_BIN_EXE_balsampitch-entry");
 const AGENT: &str = env!("CARGO_BIN_EXE_balsampitch-agent");
 const SECRET: &str = "a key for tests only";
-const RULES: &str = include_str!("../../examples/local.rules");
+/// The rules that a fleet starts with.
+pub const RULES: &str = include_str!("../../examples/local.rules");
 
 /// Targets of one service.
 #[derive(Clone, Copy, Debug)]
@@ -331,16 +332,26 @@
     pub async fn count(&self, id: &str) -> u64 {
         let mut sum = 0;
         for host in &self.targets {
-            let reply = self
-                .caller
-                .call(host.address, Call::get(format!("/count?id={id}")))
-                .await;
-            let text = reply.expect("a target tells its counts").text();
-            sum += text.parse::<u64>().expect("a count is a number");
+            let reply = self.ask(host.address, &format!("/count?id={id}")).await;
+            sum += reply.text().parse::<u64>().expect("a count is a number");
         }
         sum
     }
 
+    /// Gets a path from a stand-in, once it is there.
+    pub async fn ask(&self, from: SocketAddr, path: &str) -> Reply {
+        let asking = async {
+            loop {
+                match self.caller.call(from, Call::get(path)).await {
+                    Ok(reply) => return reply,
+                    Err(_) => tokio::time::sleep(LOOK_PAUSE).await,
+                }
+            }
+        };
+        let asked = tokio::time::timeout(PATIENCE, asking).await;
+        asked.expect("a stand-in comes back")
+    }
+
     /// Waits until all entries and agents that run are ready.
     pub async fn ready(&self) {
         let entries = self.entries.iter().map(|entry| entry.admin);
