--- a/src/settings.rs
+++ b/src/settings.rs
@@ -279,11 +279,12 @@
     Ok(settings)
 }
 
-/// Adds the field to an error about a field's value, found from the error's place in the text.
+/// Adds the field to an error about a field's value, found from the error's place in the text. A
+/// value that fits no kind is reported as an error of syntax.
 fn name_field(text: &str, error: serde_json::Error) -> anyhow::Error {
     let message = error.to_string();
     let names_it = ["unknown field", "missing field", "duplicate field"];
-    if !error.is_data() || names_it.iter().any(|start| message.starts_with(start)) {
+    if error.is_eof() || names_it.iter().any(|start| message.starts_with(start)) {
         return anyhow::Error::new(error);
     }
     let lines = text.split_inclusive('\n').take(error.line() - 1);
