Check the README's refusals against what callers get

Cause: the table lacked 431, 504 deadline_passed, and 502 with the reason of the last of several tries; nothing compared it with the code. Ruled out: other statuses in the code: each of them says truly whether a try may have run. Conclusion: table and code agree, but for 408, 409, 422 and draining, which the test does not cause.

--- a/tests/doors/main.rs
+++ b/tests/doors/main.rs
@@ -5,4 +5,5 @@
 mod common;
 mod passing;
 mod peers;
+mod refusals;
 mod world;
