--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -16,7 +16,9 @@
 pub mod pool;
 pub mod request;
 pub mod routes;
+pub mod sightings;
 pub mod status;
+pub mod trail;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -42,7 +44,9 @@
 use crate::entry::peers::{Answerer, Fetcher};
 use crate::entry::pool::{Bridge, Pool};
 use crate::entry::routes::Routes;
+use crate::entry::sightings::Sightings;
 use crate::entry::status::EntryView;
+use crate::entry::trail::Trail;
 use crate::exchange::service::Exchange;
 use crate::ids::BootId;
 use crate::kernel::{Kernel, ServiceName};
@@ -95,6 +99,7 @@
     let log = Client::new(settings.platform);
     let keyed = Keyed::new(log.clone(), clock, settings.listen, boot);
     let pool = Pool::new();
+    let trail = Trail::new(clock);
     let desk = Desk::new(
         clock,
         boot,
@@ -102,14 +107,17 @@
         routes.clone(),
         pool.clone(),
         keyed.clone(),
-    );
+    )
+    .recording(trail.clone());
     let desk = xtra::spawn_tokio(desk, Mailbox::bounded(DESK_MAILBOX));
     kernel.register(DESK, desk.clone());
 
     let socket = UdpSocket::bind(settings.peer)
         .await
         .with_context(|| format!("could not listen for entries on {}", settings.peer))?;
-    let bridge = Bridge::new(pool, rules.table(), settings.entries.clone());
+    let guard = Guard::new(clock);
+    let sightings = Sightings::new(guard.clone(), clock, settings.peer, &settings.entries);
+    let bridge = Bridge::new(pool, rules.table(), settings.entries.clone(), sightings);
     let key = settings.secret.as_bytes();
     let exchange = Exchange::new(socket, settings.peer, key, bridge).with_boot(key, boot);
     kernel.register(EXCHANGE, exchange.status());
@@ -136,6 +144,8 @@
         rules: rules.clone(),
         telemetry: telemetry.clone(),
         boot,
+        guard: guard.clone(),
+        trail: trail.clone(),
     };
     let services = [
         tokio::spawn(agents.listen(peers)),
@@ -150,7 +160,6 @@
         tokio::spawn(readiness(rules.clone(), ready_in, drain.clone())),
     ];
 
-    let guard = Guard::new(clock);
     let tools = Tools {
         desk,
         routes,
@@ -158,6 +167,7 @@
         telemetry,
         keyed,
         guard,
+        trail,
     };
     let answers = Answers::new();
     let joiner = Joiner::new(answers.clone(), boot);
