Settle answers of known length that the caller has in full

Cause: since answers carry content-length, the server drops a body once that many bytes are written, without asking for its end. The flight took that for a caller who went away: the request counted as abandoned, and its account was charged the estimate (100 ms) in place of what it used. Ruled out: waiting for the end before the last piece (delays every answer by the agent's end frame). Change: the flight counts down the length that the head told; a body that closes at 0 is complete. Conclusion: whole answers are charged what they used.

--- a/src/entry/flight.rs
+++ b/src/entry/flight.rs
@@ -45,6 +45,14 @@
     pub headers: Vec<Header>,
 }
 
+impl Head {
+    /// Length of the body, in bytes, when the headers tell it.
+    fn length(&self) -> Option<u64> {
+        let header = self.headers.iter().find(|h| h.name == "content-length")?;
+        std::str::from_utf8(&header.value).ok()?.parse().ok()
+    }
+}
+
 /// A piece of an answer's body.
 #[derive(Debug)]
 pub enum Piece {
@@ -124,6 +132,8 @@
     pending: VecDeque<Bytes>,
     unacked: Unacked,
     passed: u64,
+    /// Bytes of the body that the caller still expects, when the head told its length.
+    left: Option<u64>,
     spent: Option<Micros>,
     gone: bool,
     arrived: Micros,
@@ -154,6 +164,7 @@
             pending: VecDeque::new(),
             unacked: Unacked::default(),
             passed: 0,
+            left: None,
             spent: None,
             gone: false,
             arrived,
@@ -216,12 +227,15 @@
                 Ok(permit) => {
                     let data = self.pending.pop_front().expect("a piece waits");
                     let size = data.len();
+                    self.left = self.left.map(|left| left.saturating_sub(size as u64));
                     permit.send(Piece::Data(data));
                     self.passed_on(size);
                 }
                 Err(_) => self.caller_gone().await,
             },
-            () = body.closed(), if !waits && !self.gone => self.caller_gone().await,
+            () = body.closed(), if !waits && !self.gone && !self.has_all() => {
+                self.caller_gone().await;
+            }
             () = tokio::time::sleep_until(wake) => self.woken(waits).await,
         }
     }
@@ -525,6 +539,7 @@
                     .metrics()
                     .wait(self.tools.clock.now() - self.arrived);
                 self.status = head.status;
+                self.left = head.length();
                 self.answering.store(true, Ordering::Relaxed);
                 if let Some(to) = self.caller.head.take() {
                     // A caller that is gone shows when the body is passed on.
@@ -554,6 +569,12 @@
         }
     }
 
+    /// Whether the caller has a body of known length in full. Its connection then takes no more,
+    /// not even the end.
+    fn has_all(&self) -> bool {
+        self.left == Some(0)
+    }
+
     async fn caller_gone(&mut self) {
         self.gone = true;
         while let Some(data) = self.pending.pop_front() {
--- a/tests/observed.rs
+++ b/tests/observed.rs
@@ -69,12 +69,19 @@
         fleet.entries[0].process.log().contains("log out")
     })
     .await;
+    assert!(counted(&fleet, "log_failures").await > 0);
     let up = Call::post("/fault/log", r#"{"mode":"ok"}"#);
     fleet.order(fleet.platform, up).await;
     await_until("a line", || async {
         fleet.entries[0].process.log().contains("log back")
     })
     .await;
+    let down = Call::post("/fault/hosts", r#"{"mode":"down"}"#);
+    fleet.order(fleet.platform, down).await;
+    await_until("a failed read of the host list", || async {
+        counted(&fleet, "hosts_failures").await > 0
+    })
+    .await;
     fleet.targets[0].agent.signal(Signal::Term);
     fleet.targets[0].agent.end().await;
     await_until("a line", || async {
@@ -147,3 +154,31 @@
     }
     assert!(traces >= 2, "{traces}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn whole_answers_of_known_length_count_as_whole() {
+    const CALLS: u64 = 200;
+    let fleet = Plan::entries(1).targets("model", 1, 4).start().await;
+    for _ in 0..CALLS {
+        let call = Call::post("/model/run", "of known length").key("school-key");
+        let reply = fleet.call(0, call).await.expect("the entry answers");
+        assert_eq!(
+            (reply.status, reply.text()),
+            (200, "of known length".to_owned())
+        );
+        assert!(reply.headers.contains_key("content-length"));
+    }
+    let ended = async || {
+        let text = page(&fleet, fleet.entries[0].admin, "/status").await;
+        let status: Value = serde_json::from_str(&text).expect("the status is JSON");
+        let requests = &status["metrics"]["requests"];
+        let count = |outcome: &str| requests[outcome].as_u64().expect("it is counted");
+        (count("whole"), count("abandoned"))
+    };
+    await_until("all to end", || async {
+        let (whole, abandoned) = ended().await;
+        whole + abandoned == CALLS
+    })
+    .await;
+    assert_eq!(ended().await, (CALLS, 0));
+}
