Count failed reads of the log and the host list; fuzz the frames between entries

Cause: log_failures and hosts_failures were listed and counted by nobody. The properties of tests/decoders.rs cover Ask, Answer, Piece and Limits. Conclusion: an outage of the platform shows in the counters. Reads of the claims stream are not among them yet.

--- a/src/entry/changes.rs
+++ b/src/entry/changes.rs
@@ -1,6 +1,7 @@
-//! Log lines for what changes about the rules and the platform's log.
+//! Log lines for what changes about the rules and the platform's log, and a count of its failures.
 
 use crate::rules::service::{Handle, View};
+use crate::telemetry::{Event, Telemetry};
 
 /// What lines tell of.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -20,12 +21,20 @@
     }
 }
 
-/// Logs changes until the rules service ends.
-pub async fn log_rules(rules: Handle) {
+/// Logs and counts until the rules service ends.
+pub async fn follow(rules: Handle, telemetry: Telemetry) {
     let mut view = rules.view();
     let mut last = Seen::default();
+    let mut counted = 0;
     loop {
-        let seen = Seen::from(&*view.borrow_and_update());
+        let (seen, failures) = {
+            let view = view.borrow_and_update();
+            (Seen::from(&*view), view.failures)
+        };
+        for _ in counted..failures {
+            telemetry.metrics().event(Event::LogFailure);
+        }
+        counted = failures;
         log(last, seen);
         last = seen;
         if view.changed().await.is_err() {
--- a/src/entry/hosts.rs
+++ b/src/entry/hosts.rs
@@ -8,17 +8,19 @@
 use crate::entry::desk::Desk;
 use crate::entry::messages::HostsLeaving;
 use crate::platform::{HostState, Hosts};
+use crate::telemetry::{Event, Telemetry};
 
 /// Time between two readings of the host list.
 pub const HOSTS_PERIOD: Duration = Duration::from_secs(1);
 
 /// Reads the list until the desk is gone. A reading that fails changes nothing: hosts that were
 /// leaving still are, and all others still serve.
-pub async fn follow<H: Hosts>(platform: H, desk: Address<Desk>) {
+pub async fn follow<H: Hosts>(platform: H, desk: Address<Desk>, telemetry: Telemetry) {
     let mut ticks = tokio::time::interval(HOSTS_PERIOD);
     while desk.is_connected() {
         ticks.tick().await;
         let Ok(hosts) = platform.hosts().await else {
+            telemetry.metrics().event(Event::HostsFailure);
             continue;
         };
         let leaving = hosts.iter().filter(|h| h.state == HostState::Leaving);
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -156,9 +156,9 @@
         tokio::spawn(agents.listen(peers)),
         tokio::spawn(beat(desk.clone())),
         tokio::spawn(fetcher.run()),
-        tokio::spawn(changes::log_rules(rules.clone())),
+        tokio::spawn(changes::follow(rules.clone(), telemetry.clone())),
         tokio::spawn(keyed.clone().follow()),
-        tokio::spawn(hosts::follow(log, desk.clone())),
+        tokio::spawn(hosts::follow(log, desk.clone(), telemetry.clone())),
         tokio::spawn(async move {
             exchange.run(CancellationToken::new()).await;
         }),
--- a/src/rules/service.rs
+++ b/src/rules/service.rs
@@ -39,6 +39,8 @@
     pub confirmed: bool,
     /// Whether the last read of the log succeeded.
     pub reachable: bool,
+    /// Reads of the log that failed.
+    pub failures: u64,
     /// Records counted.
     pub counts: Counts,
 }
@@ -92,6 +94,7 @@
         offers,
         backoff: MIN_BACKOFF,
         reachable: false,
+        failures: 0,
     };
     tokio::spawn(service.run());
     Handle {
@@ -110,6 +113,7 @@
     offers: mpsc::Receiver<Offer>,
     backoff: Duration,
     reachable: bool,
+    failures: u64,
 }
 
 impl<L: Log> Service<L> {
@@ -165,6 +169,7 @@
                 if idle { Step::Idle } else { Step::Went }
             }
             Err(ReadError::Failed(_)) => {
+                self.failures += 1;
                 self.follower.unavailable(now);
                 Step::Failed
             }
@@ -218,6 +223,7 @@
             accepted: accepted.cloned(),
             confirmed: self.follower.confirmed(),
             reachable: self.reachable,
+            failures: self.failures,
             counts: self.follower.counts(),
         };
         if !Arc::ptr_eq(&next.table, &before.table) {
--- a/tests/decoders.rs
+++ b/tests/decoders.rs
@@ -2,7 +2,9 @@
 
 use balsampitch::auth::{Challenge, Hello, Proof, Secret};
 use balsampitch::claim;
+use balsampitch::entry::peers::frames::{Answer, Ask, Head, Piece};
 use balsampitch::ids::{BootId, DispatchId, OfferId, RequestId};
+use balsampitch::rules::record::Accepted;
 use balsampitch::settings::{self, AgentSettings, EntrySettings};
 use balsampitch::telemetry::TraceContext;
 use balsampitch::units::Micros;
@@ -111,6 +113,10 @@
             floor: 3,
         },
         ToAgent::Heartbeat { backlog },
+        ToAgent::Limits {
+            version: 300,
+            slots: 4,
+        },
     ]
 }
 
@@ -207,6 +213,9 @@
         sound::<Hello>(&bytes)?;
         sound::<Challenge>(&bytes)?;
         sound::<Proof>(&bytes)?;
+        sound::<Ask>(&bytes)?;
+        sound::<Answer>(&bytes)?;
+        sound::<Piece>(&bytes)?;
         let _ = claim::Record::try_from(&bytes[..]);
     }
 
@@ -218,6 +227,9 @@
         for message in to_entry() {
             sound::<ToEntry>(&damaged(encoded(&message), &damage))?;
         }
+        let head = Head::from(&Accepted::new(300, "tests", "service a slots=1  # x"));
+        sound::<Answer>(&damaged(encoded(&Answer::Rules(head)), &damage))?;
+        sound::<Ask>(&damaged(encoded(&Ask::RulesAbove { version: 300 }), &damage))?;
     }
 
     #[test]
