Measure what one more request, account or connection costs

Ruled out: deltas of the resident size, which move in pages and see other parts of the process; a counter handed through the command line, which every experiment would have to pass on. The counting allocator stands in the bench binary alone and counts nothing until the experiment asks.

Change: `balsampitch-bench capacity`, left out of `all`; heap growth and least time of several runs at three or more sizes for the scheduler, pull, ledger, frames, claims, host list, rules, connections, whole waiting requests, streams and the exchange.

--- /dev/null
+++ b/src/bench/capacity/claims.rs
@@ -0,0 +1,59 @@
+//! Slopes of idempotency keys: records in the log, claims in memory.
+
+use std::net::SocketAddr;
+
+use super::slope::{held, line, once};
+use crate::bench::report::Report;
+use crate::claim::{Claim, ClaimId, Claims, Digest, Fate, Record, Report as Outcome};
+use crate::ids::BootId;
+
+/// All slopes of claims.
+pub fn lines(seed: u64) -> Vec<Report> {
+    [1_000, 16_000, 128_000].map(|n| table(seed, n)).to_vec()
+}
+
+/// A claim and its report for each key.
+fn table(seed: u64, keys: usize) -> Report {
+    let claims: Vec<Claim> = (0..keys).map(claim).collect();
+    let mut table = Claims::new();
+    let mut step = 0.0;
+    let (_, bytes) = held(|| {
+        step = once(keys, |at| {
+            let (claim, offset) = (&claims[at], 2 * at as u64);
+            table.apply(offset, &Record::Claim(claim.clone()));
+            table.apply(offset + 1, &Record::Report(outcome(claim)));
+        });
+    });
+    let claimed = Record::Claim(claims[0].clone());
+    let reported = Record::Report(outcome(&claims[0]));
+    line(seed, "log", "claims: keyed request", keys)
+        .figure("bytes_each", bytes / keys as f64)
+        .figure("claim_record_bytes", encoded(&claimed))
+        .figure("report_record_bytes", encoded(&reported))
+        .figure("apply_both_ns", step)
+}
+
+fn claim(at: usize) -> Claim {
+    let name = format!("order-{at}");
+    Claim {
+        id: ClaimId(u128::MAX / 3 + at as u128),
+        account: "account-01234".to_owned(),
+        key: Digest::of_key("account-01234", name.as_bytes()),
+        request: Digest::of(&[name.as_bytes()]),
+        entry: SocketAddr::from(([10, 0, 1, 1], 8_080)),
+        boot: BootId(u64::MAX / 3),
+    }
+}
+
+fn outcome(claim: &Claim) -> Outcome {
+    Outcome {
+        id: claim.id,
+        key: claim.key,
+        boot: claim.boot,
+        fate: Fate::Done { status: 200 },
+    }
+}
+
+fn encoded(record: &Record) -> f64 {
+    record.encode().expect("the record fits").len() as f64
+}
--- /dev/null
+++ b/src/bench/capacity/desk.rs
@@ -0,0 +1,207 @@
+//! Slopes of a whole entry: connections of agents, heartbeats, requests that wait.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::Instant;
+use xtra::{Address, Mailbox};
+
+use super::slope::{line, runtime};
+use crate::auth::Secret;
+use crate::bench::heap;
+use crate::bench::report::Report;
+use crate::conn::{self, Inbox, Outbox};
+use crate::entry::agents::Agents;
+use crate::entry::desk::Desk;
+use crate::entry::flight::{Caller, Flight, Head, Piece, Tools};
+use crate::entry::guard::Guard;
+use crate::entry::keyed::Keyed;
+use crate::entry::messages::{Arrive, Beat, Inspect};
+use crate::entry::pool::Pool;
+use crate::entry::request::Request;
+use crate::entry::routes::Routes;
+use crate::ids::{AccountKey, BootId, RequestId, ServiceKey};
+use crate::platform::Client;
+use crate::problem::Problem;
+use crate::rules::{Table, parse};
+use crate::telemetry::Telemetry;
+use crate::units::{Clock, Micros};
+use crate::wire::{AgentInfo, ToAgent};
+
+const ROLE: &str = "entry";
+const BODY_BYTES: usize = 1_024;
+const BEATS: usize = 10;
+const FLIGHT_EVENTS: usize = crate::entry::routes::FLIGHT_EVENTS;
+const BODY_PIECES: usize = 16;
+const RULES: &str = "account school key-sha256=\
+    8ce6e72ad2f01961456e1a40773deed9bdc7c2546fa0d10a1a882cd849623ec1 queue=100000  # a test\n\
+    service model repeatable=yes  # a test\n";
+
+/// All slopes of a whole entry.
+pub fn lines(seed: u64) -> Vec<Report> {
+    let mut lines = Vec::new();
+    lines.extend([16, 64, 256].map(|n| runtime().block_on(connections(seed, n))));
+    lines.extend([500, 2_000, 8_000].map(|n| runtime().block_on(requests(seed, n))));
+    lines
+}
+
+/// An entry's desk with what it needs.
+struct Entry {
+    desk: Address<Desk>,
+    tools: Tools,
+}
+
+impl Entry {
+    fn start() -> Self {
+        let (clock, boot) = (Clock::start(), BootId(1));
+        let rules = parse(RULES).expect("the rules are well formed");
+        let table = Arc::new(rules.table(&Table::default(), 1));
+        let (_, rules) = watch::channel(table);
+        let routes = Routes::default();
+        let nowhere = SocketAddr::from(([127, 0, 0, 1], 9));
+        let keyed = Keyed::new(Client::new(nowhere), clock, nowhere, boot);
+        let pool = Pool::new();
+        let desk = Desk::new(clock, boot, rules, routes.clone(), pool, keyed.clone());
+        let desk = xtra::spawn_tokio(desk, Mailbox::unbounded());
+        let tools = Tools {
+            desk: desk.clone(),
+            routes,
+            clock,
+            telemetry: Telemetry::disabled(),
+            keyed,
+            guard: Guard::new(clock),
+        };
+        Entry { desk, tools }
+    }
+
+    async fn listen(&self) -> SocketAddr {
+        let listener = TcpListener::bind("127.0.0.1:0")
+            .await
+            .expect("a port is free");
+        let address = listener.local_addr().expect("it is bound");
+        let agents = Agents {
+            desk: self.desk.clone(),
+            routes: self.tools.routes.clone(),
+            secret: secret(),
+            boot: BootId(1),
+        };
+        tokio::spawn(agents.listen(listener));
+        address
+    }
+
+    async fn connected(&self) -> usize {
+        let status = self.desk.send(Inspect).await.expect("the desk runs");
+        status.agents.len()
+    }
+}
+
+fn secret() -> Secret {
+    Secret::new("a secret to measure with")
+}
+
+async fn dial(entry: SocketAddr, at: usize) -> (Outbox, Inbox) {
+    let host = SocketAddr::from(([10, 0, (at / 200) as u8, (at % 200) as u8], 7_100));
+    let info = AgentInfo {
+        host,
+        boot: BootId(at as u64),
+        zone: "a".to_owned(),
+        service: "model".to_owned(),
+        slots: 8,
+    };
+    let stream = TcpStream::connect(entry).await.expect("the entry listens");
+    let (_, outbox, inbox) = conn::dial(stream, &secret(), info)
+        .await
+        .expect("the secret is the same");
+    (outbox, inbox)
+}
+
+/// Connected agents, both ends in this process, and the desk's heartbeats to them.
+async fn connections(seed: u64, agents: usize) -> Report {
+    let entry = Entry::start();
+    let address = entry.listen().await;
+    let before = heap::live();
+    let mut ends = Vec::with_capacity(agents);
+    for at in 0..agents {
+        ends.push(dial(address, at).await);
+    }
+    while entry.connected().await < agents {}
+    let bytes = (heap::live() - before) as f64;
+    let start = Instant::now();
+    for _ in 0..BEATS {
+        entry.desk.send(Beat).await.expect("the desk runs");
+        for (_, inbox) in &mut ends {
+            inbox.receive::<ToAgent>().await.expect("a heartbeat comes");
+        }
+    }
+    let beat = start.elapsed().as_nanos() as f64 / (BEATS * agents) as f64;
+    line(seed, ROLE, "connection, both ends", agents)
+        .figure("bytes_each", bytes / agents as f64)
+        .figure("heartbeat_sent_and_received_ns", beat)
+}
+
+/// What a caller's connection keeps of its request.
+type Answer = (
+    oneshot::Receiver<Result<Head, Problem>>,
+    mpsc::Receiver<Piece>,
+);
+
+/// Requests that wait: task, channels, desk and scheduler. Their bodies are not counted.
+async fn requests(seed: u64, count: usize) -> Report {
+    let entry = Entry::start();
+    let before = heap::live();
+    let mut answers = Vec::with_capacity(count);
+    let start = Instant::now();
+    for at in 0..count {
+        answers.push(fly(&entry.tools, at));
+    }
+    while entry.desk.send(Inspect).await.expect("the desk runs").jobs < count {
+        tokio::task::yield_now().await;
+    }
+    let time = start.elapsed().as_nanos() as f64 / count as f64;
+    let bytes = (heap::live() - before) as f64 / count as f64;
+    line(
+        seed,
+        ROLE,
+        "waiting request, whole, without its body",
+        count,
+    )
+    .figure("bytes_each", bytes - BODY_BYTES as f64)
+    .figure("arrive_ns", time)
+}
+
+fn fly(tools: &Tools, at: usize) -> Answer {
+    let (events_in, events) = mpsc::channel(FLIGHT_EVENTS);
+    let (body_in, body) = mpsc::channel(BODY_PIECES);
+    let (head_in, head) = oneshot::channel();
+    let request = Arc::new(request(at));
+    let arrive = Arrive {
+        request: request.clone(),
+        events: events_in,
+        deadline: Micros::from_secs(3_600),
+    };
+    let span = tools.telemetry.span("entry", None);
+    let caller = Caller::new(head_in, body_in);
+    let flight = Flight::new(tools.clone(), request, events, caller);
+    tokio::spawn(flight.run(arrive, span));
+    (head, body)
+}
+
+fn request(at: usize) -> Request {
+    Request {
+        id: RequestId(at as u128),
+        account: AccountKey(0),
+        service: ServiceKey(0),
+        name: "model".to_owned(),
+        method: "POST".to_owned(),
+        path: "/v1/chat/completions".to_owned(),
+        headers: Vec::new(),
+        body: vec![0; BODY_BYTES].into(),
+        idempotent: true,
+        key: None,
+        claim: None,
+        hint: None,
+        trace: None,
+    }
+}
--- a/src/bench/experiments.rs
+++ b/src/bench/experiments.rs
@@ -5,6 +5,7 @@
 use crate::ids::{AccountKey, AgentKey, EntryKey};
 use crate::units::Micros;
 
+use super::capacity;
 use super::demand::{Crest, Demand, Flow, Mix, Via};
 use super::meter::percentile;
 use super::naive::Naive;
@@ -32,10 +33,12 @@
     Once,
     /// Time until work flows again after a loss.
     Failover,
+    /// What one more request, account, connection or record costs.
+    Capacity,
 }
 
 impl Experiment {
-    /// All experiments, in order.
+    /// The experiments of `all`, in order.
     pub const ALL: [Experiment; 8] = [
         Experiment::Fairness,
         Experiment::Utilisation,
@@ -47,6 +50,9 @@
         Experiment::Failover,
     ];
 
+    /// Experiments that `all` leaves out, as they take long.
+    pub const EXTRA: [Experiment; 1] = [Experiment::Capacity];
+
     /// Its name on the command line.
     pub const fn name(self) -> &'static str {
         match self {
@@ -58,6 +64,7 @@
             Experiment::Control => "control",
             Experiment::Once => "once",
             Experiment::Failover => "failover",
+            Experiment::Capacity => "capacity",
         }
     }
 }
@@ -100,6 +107,7 @@
             .iter()
             .map(|&loss| failover(seed, loss, &make))
             .collect(),
+        Experiment::Capacity => capacity::run(seed),
     }
 }
 
--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -3,9 +3,11 @@
 //! A small discrete-event harness drives the real decisions in virtual time: the world moves
 //! messages and runs targets, a policy decides. Every run is fixed by its seed.
 
+mod capacity;
 mod demand;
 mod events;
 mod experiments;
+pub mod heap;
 mod links;
 mod member;
 mod meter;
--- a/src/cmd/bench.rs
+++ b/src/cmd/bench.rs
@@ -12,7 +12,8 @@
 
 Runs an experiment in virtual time and prints its figures, one JSON object a line.
 
-EXPERIMENT: fairness, utilisation, crest, blocking, slowed, control, once, failover, all
+EXPERIMENT: fairness, utilisation, crest, blocking, slowed, control, once, failover, all,
+            capacity
 
   --seed N    seed of the demand (default 1)
   --naive     measure round robin, first come first served, instead
@@ -93,7 +94,8 @@
     if name == "all" {
         return Ok(Experiment::ALL.to_vec());
     }
-    match Experiment::ALL.iter().find(|e| e.name() == name) {
+    let mut known = Experiment::ALL.iter().chain(&Experiment::EXTRA);
+    match known.find(|e| e.name() == name) {
         Some(&experiment) => Ok(vec![experiment]),
         None => Err(format!("no experiment is named {name:?}").into()),
     }
