--- a/src/bench/capacity/desk.rs
+++ b/src/bench/capacity/desk.rs
@@ -19,16 +19,19 @@
 use crate::entry::guard::Guard;
 use crate::entry::keyed::Keyed;
 use crate::entry::messages::{Arrive, Beat, Inspect};
+use crate::entry::peers::Answerer;
 use crate::entry::pool::Pool;
 use crate::entry::request::Request;
 use crate::entry::routes::Routes;
+use crate::entry::trail::Trail;
 use crate::ids::{AccountKey, BootId, RequestId, ServiceKey};
 use crate::platform::Client;
 use crate::problem::Problem;
+use crate::rules::service::View;
 use crate::rules::{Table, parse};
 use crate::telemetry::Telemetry;
 use crate::units::{Clock, Micros};
-use crate::wire::{AgentInfo, ToAgent};
+use crate::wire::{AgentInfo, Opener, ToAgent};
 
 const ROLE: &str = "entry";
 const BODY_BYTES: usize = 1_024;
@@ -72,6 +75,7 @@
             telemetry: Telemetry::disabled(),
             keyed,
             guard: Guard::new(clock),
+            trail: Trail::new(clock),
         };
         Entry { desk, tools }
     }
@@ -86,6 +90,8 @@
             routes: self.tools.routes.clone(),
             secret: secret(),
             boot: BootId(1),
+            peers: Answerer::new(watch::channel(View::default()).1),
+            telemetry: self.tools.telemetry.clone(),
         };
         tokio::spawn(agents.listen(listener));
         address
@@ -111,7 +117,7 @@
         slots: 8,
     };
     let stream = TcpStream::connect(entry).await.expect("the entry listens");
-    let (_, outbox, inbox) = conn::dial(stream, &secret(), info)
+    let (_, outbox, inbox) = conn::dial(stream, &secret(), Opener::Agent(info))
         .await
         .expect("the secret is the same");
     (outbox, inbox)
@@ -180,6 +186,7 @@
         request: request.clone(),
         events: events_in,
         deadline: Micros::from_secs(3_600),
+        answering: Arc::default(),
     };
     let span = tools.telemetry.span("entry", None);
     let caller = Caller::new(head_in, body_in);
--- a/src/bench/capacity/stream.rs
+++ b/src/bench/capacity/stream.rs
@@ -10,7 +10,7 @@
 use crate::bench::report::Report;
 use crate::conn::{self, Inbox, Outbox};
 use crate::ids::{BootId, DispatchId};
-use crate::wire::{AgentInfo, ToEntry};
+use crate::wire::{AgentInfo, Opener, ToEntry};
 
 /// Frames sent in a measurement.
 const FRAMES: usize = 16_384;
@@ -88,7 +88,7 @@
     let dialled = TcpStream::connect(address).await.expect("it listens");
     let (accepted, _) = listener.accept().await.expect("a connection comes");
     let (dialled, accepted) = tokio::join!(
-        conn::dial(dialled, &secret, info),
+        conn::dial(dialled, &secret, Opener::Agent(info)),
         conn::accept(accepted, &secret, BootId(2)),
     );
     let (_, outbox, inbox) = dialled.expect("the secret is the same");
--- a/src/cmd/bench.rs
+++ b/src/cmd/bench.rs
@@ -121,7 +121,9 @@
 fn chosen(name: &str) -> Result<Chosen, lexopt::Error> {
     let all = name == "all";
     let path = all || name == path::PATH;
-    let of_all = Experiment::ALL.into_iter().filter(|e| all || e.name() == name);
+    let of_all = Experiment::ALL
+        .into_iter()
+        .filter(|e| all || e.name() == name);
     let extra = Experiment::EXTRA.into_iter().filter(|e| e.name() == name);
     let experiments: Vec<Experiment> = of_all.chain(extra).collect();
     if experiments.is_empty() && !path {
