--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -4,9 +4,11 @@
 //! messages and runs targets, a policy decides. Every run is fixed by its seed. [`path`] alone
 //! measures real processes' code in real time.
 
+mod capacity;
 mod demand;
 mod events;
 mod experiments;
+pub mod heap;
 mod links;
 mod member;
 mod meter;
