Claim keys again as soon as the log is back, and test its faults

Cause: after an outage the log counted as out until a read of the claims returned, and that read waited up to 10 s for a record. Keyed orders were refused though the log was up. Ruled out: a shorter wait of all reads (polls for ever); trying the append anyway (a claim that cannot be read back is refused after 5 s). Change: while the log counts as out, it is read without a wait. tests/failures/log.rs covers orders and rules under outages, slow answers and lost answers.

--- a/src/entry/keyed.rs
+++ b/src/entry/keyed.rs
@@ -48,6 +48,18 @@
     reachable: bool,
 }
 
+impl State {
+    /// The offset to read from, and how long to wait for a record. After an outage the log is read
+    /// at once, so that keys can be claimed again.
+    fn next_read(&self) -> (u64, Duration) {
+        let wait = match self.claims.ready() && self.reachable {
+            true => READ_WAIT,
+            false => Duration::ZERO,
+        };
+        (self.claims.next(), wait)
+    }
+}
+
 /// Whose turn it is to run a keyed request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Turn {
@@ -74,12 +86,7 @@
     /// Follows the log until the process ends.
     pub async fn follow(self) {
         loop {
-            let from = self.lock().claims.next();
-            let wait = if self.lock().claims.ready() {
-                READ_WAIT
-            } else {
-                Duration::ZERO
-            };
+            let (from, wait) = self.lock().next_read();
             match self.log.read(CLAIMS, from, wait).await {
                 Ok(page) => {
                     let mut releases = Vec::new();
--- a/tests/failures/main.rs
+++ b/tests/failures/main.rs
@@ -9,5 +9,6 @@
 mod freeze;
 mod killed;
 mod leaving;
+mod log;
 mod outcome;
 mod silence;
