Let a repeat wait for the answer of a request that is about to start

Cause: a repeat can read the winning claim before the winner has put its answer's place into the table; it found nothing there and was told 409 unknown in place of the answer. Ruled out: making the place before the claim is decided (losers would have to take it back, and several requests of one entry share a key); retrying in the joining entry (polls). Change: a repeat waits up to 2 s until the place is there. One whose answer is no longer kept is told 409 that much later.

--- a/src/entry/answers.rs
+++ b/src/entry/answers.rs
@@ -2,9 +2,11 @@
 
 use std::collections::{HashMap, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::timeout;
 
 use crate::claim::Digest;
 use crate::entry::flight::{Head, Piece};
@@ -15,6 +17,8 @@
 pub const MAX_ANSWERS: usize = 4_096;
 /// Largest body of an answer that is kept, in bytes.
 pub const MAX_ANSWER_BYTES: usize = 64 * 1024;
+/// Longest time between the log's record of a claim and the start of its request.
+const START_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// A whole answer.
 #[derive(Debug)]
@@ -44,6 +48,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Answers {
     table: Arc<Mutex<Table>>,
+    news: watch::Sender<u64>,
 }
 
 #[derive(Debug, Default)]
@@ -69,11 +74,23 @@
 
     /// Waits for the answer to the request that holds the key here. `None`: it is not known here.
     pub async fn wait(&self, key: Digest) -> Option<Kept> {
-        let mut kept = self.lock().kept.get(&key).cloned()?;
+        // A repeat can learn from the log of a claim whose request is about to start.
+        let mut kept = timeout(START_TIMEOUT, self.started(key)).await.ok()?;
         let settled = kept.wait_for(|k| !matches!(k, Kept::Pending)).await;
         settled.map(|k| k.clone()).ok()
     }
 
+    async fn started(&self, key: Digest) -> watch::Receiver<Kept> {
+        let mut news = self.news.subscribe();
+        loop {
+            if let Some(kept) = self.lock().kept.get(&key) {
+                return kept.clone();
+            }
+            // The sender lives as long as `self`.
+            let _ = news.changed().await;
+        }
+    }
+
     /// Keeps the answer that comes through `head` and `body`, and passes it on to the caller. The
     /// answer is taken in full even when that caller goes away.
     pub async fn keep(
@@ -85,6 +102,7 @@
     ) {
         let (state, kept) = watch::channel(Kept::Pending);
         self.lock().put(key, kept);
+        self.news.send_modify(|count| *count += 1);
         let result = match head.await {
             Ok(Ok(head)) => record(head, body, copy).await,
             Ok(Err(problem)) => {
--- a/tests/failures/main.rs
+++ b/tests/failures/main.rs
@@ -11,4 +11,5 @@
 mod leaving;
 mod log;
 mod outcome;
+mod repeat;
 mod silence;
