--- a/src/entry/agents.rs
+++ b/src/entry/agents.rs
@@ -1,17 +1,19 @@
-//! The entry's listener for agents, and the reader of each connection.
+//! The entry's listener for agents and other entries, and the reader of each agent's connection.
 
 use tokio::net::{TcpListener, TcpStream};
 use xtra::Address;
 
 use crate::auth::Secret;
-use crate::conn::{self, Inbox};
+use crate::conn::{self, ConnError, Inbox, Outbox};
 use crate::entry::desk::Desk;
 use crate::entry::messages::{AgentDown, AgentLeaving, AgentUp, Link, Offered, Progressed, Voided};
+use crate::entry::peers::Answerer;
 use crate::entry::routes::{Event, Routes};
 use crate::ids::{BootId, DispatchId};
-use crate::wire::ToEntry;
+use crate::telemetry::{Event as Count, Gauge, Telemetry};
+use crate::wire::{AgentInfo, Opener, ToEntry};
 
-/// What every agent connection needs.
+/// What every accepted connection needs.
 #[derive(Clone)]
 pub struct Agents {
     /// The desk.
@@ -22,10 +24,14 @@
     pub secret: Secret,
     /// This run of the entry.
     pub boot: BootId,
+    /// Answers other entries.
+    pub peers: Answerer,
+    /// Metrics.
+    pub telemetry: Telemetry,
 }
 
 impl Agents {
-    /// Accepts agents until the process ends.
+    /// Accepts agents and other entries until the process ends.
     pub async fn listen(self, listener: TcpListener) {
         loop {
             match listener.accept().await {
@@ -38,10 +44,33 @@
     }
 
     async fn serve(self, stream: TcpStream) {
-        let Ok((info, outbox, mut inbox)) = conn::accept(stream, &self.secret, self.boot).await
-        else {
-            return;
+        let accepted = conn::accept(stream, &self.secret, self.boot).await;
+        let (opener, outbox, inbox) = match accepted {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                let metrics = self.telemetry.metrics();
+                metrics.event(Count::RefusedConnection);
+                return error.count(metrics);
+            }
         };
+        match opener {
+            Opener::Agent(info) => self.serve_agent(info, outbox, inbox).await,
+            Opener::Entry { .. } => self.peers.answer(outbox, inbox).await,
+        }
+    }
+
+    async fn serve_agent(self, info: AgentInfo, outbox: Outbox, mut inbox: Inbox) {
+        let metrics = self.telemetry.metrics();
+        let host = info.host;
+        metrics.event(Count::Connect);
+        metrics.change(Gauge::Peers, 1);
+        spdlog::info!("agent up", kv: { host:, service: = info.service, zone: = info.zone });
+        self.follow(info, outbox, &mut inbox).await;
+        metrics.change(Gauge::Peers, -1);
+        spdlog::info!("agent down", kv: { host: });
+    }
+
+    async fn follow(&self, info: AgentInfo, outbox: Outbox, inbox: &mut Inbox) {
         let Ok(link) = self
             .desk
             .send(AgentUp {
@@ -52,17 +81,20 @@
         else {
             return;
         };
-        self.read(link, &mut inbox).await;
+        if let Err(error) = self.read(link, inbox).await {
+            error.count(self.telemetry.metrics());
+        }
         outbox.close();
         // The desk outlives its agents' connections.
         let _ = self.desk.send(AgentDown(link)).await;
     }
 
     /// Passes frames on until the connection ends or a request's task cannot take more.
-    async fn read(&self, link: Link, inbox: &mut Inbox) {
-        while let Ok(frame) = inbox.receive::<ToEntry>().await {
+    async fn read(&self, link: Link, inbox: &mut Inbox) -> Result<(), ConnError> {
+        loop {
+            let frame = inbox.receive::<ToEntry>().await?;
             if !self.frame(link, frame).await {
-                return;
+                return Ok(());
             }
         }
     }
--- a/src/entry/desk.rs
+++ b/src/entry/desk.rs
@@ -1,5 +1,7 @@
 //! The entry's central service: agents, waiting requests, and who gets which slot.
 
+mod limits;
+
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -21,6 +23,7 @@
 use crate::entry::pool::Pool;
 use crate::entry::request::Request;
 use crate::entry::routes::{Event, Route, Routes};
+use crate::entry::trail::{Step, Trail};
 use crate::ids::{AgentKey, BootId, DispatchId, JobKey, OfferId, ServiceKey};
 use crate::problem::{Problem, Reason};
 use crate::rules::Table;
@@ -72,6 +75,8 @@
     clock: Clock,
     dispatches: Dispatches,
     rules: watch::Receiver<Arc<Table>>,
+    /// Version of the rules that the agents were told.
+    told: u64,
     routes: Routes,
     agents: Slab<AgentState>,
     hosts: HashMap<SocketAddr, AgentKey>,
@@ -80,6 +85,7 @@
     pool: Pool,
     keyed: Keyed,
     budgets: BudgetTable,
+    trail: Trail,
 }
 
 impl Desk {
@@ -96,6 +102,7 @@
             clock,
             dispatches: Dispatches::new(boot),
             rules,
+            told: 0,
             routes,
             agents: Slab::new(),
             hosts: HashMap::new(),
@@ -104,9 +111,16 @@
             pool,
             keyed,
             budgets: BudgetTable::default(),
+            trail: Trail::new(clock),
         }
     }
 
+    /// Notes what happens to requests.
+    pub fn recording(mut self, trail: Trail) -> Self {
+        self.trail = trail;
+        self
+    }
+
     fn with<T>(&self, service: ServiceKey, act: impl FnOnce(&mut Scheduler) -> T) -> T {
         self.pool.with(service, act)
     }
@@ -164,6 +178,12 @@
             events: job.events.clone(),
         };
         self.routes.insert(id, route);
+        let host = self.agents[assigned.agent.index()].info.host;
+        let step = match copy {
+            Copy::First => Step::Sent { host },
+            Copy::Second => Step::Hedged { host },
+        };
+        self.trail.note(request.id, step);
         let (agent, to) = (assigned.agent, outbox.clone());
         let event = match copy {
             Copy::First => Event::Sent {
@@ -270,6 +290,18 @@
         state.held.clear();
     }
 
+    fn note_queued(&self, key: JobKey) {
+        let request = &self.jobs[key.index()].request;
+        let (level, backlog) =
+            self.with(request.service, |s| (s.level(request.account), s.backlog()));
+        let step = Step::Queued {
+            waiting: backlog.waiting,
+            level,
+            least: backlog.least,
+        };
+        self.trail.note(request.id, step);
+    }
+
     /// Pairs a request with its agent.
     fn pair(&mut self, assigned: Assignment, id: DispatchId, copy: Copy) -> (BootId, Outbox) {
         let job = &mut self.jobs[assigned.job.index()];
@@ -384,6 +416,7 @@
         match self.with(service, |s| s.arrive(now, key, job)) {
             Arrival::Assigned(assigned) => self.send(service, assigned),
             Arrival::Queued => {
+                self.note_queued(key);
                 if self.with(service, |s| s.backlog()).waiting == 1 {
                     self.announce(service);
                 }
@@ -440,6 +473,7 @@
             // A task that is gone says so with `Over`, which follows.
             let _ = self.jobs[key.index()].events.try_send(event);
         }
+        self.tell_limits(agent);
         link
     }
 }
@@ -611,10 +645,12 @@
         let Some(job) = self.jobs.try_remove(message.job.index()) else {
             return;
         };
-        self.with(job.request.service, |s| {
+        let spent = self.with(job.request.service, |s| {
             let spent = message.spent.unwrap_or_else(|| s.charged(message.job));
             s.ended(now, message.job, spent);
+            spent
         });
+        self.trail.note(job.request.id, Step::Charged { spent });
     }
 }
 
@@ -622,6 +658,7 @@
     type Return = ();
 
     async fn handle(&mut self, _message: Beat, _ctx: &mut Context<Self>) {
+        self.follow_rules();
         self.unhold();
         for at in 0..self.agents.capacity() {
             let Some(state) = self.agents.get(at) else {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -1,4 +1,4 @@
-//! Frames between entries and agents, as `postcard` writes them on TCP.
+//! Frames between entries and agents, and the openers of connections, as `postcard` writes them on TCP.
 //!
 //! Every frame is a 4-byte big-endian length, then the encoded message. The first message of each
 //! side is a handshake message (see [`crate::auth`]); its first field is the protocol version.
@@ -12,11 +12,13 @@
 use crate::units::Micros;
 
 /// Version of the protocol between the system's own processes.
-pub const PROTOCOL_VERSION: u8 = 1;
+pub const PROTOCOL_VERSION: u8 = 2;
 /// Largest encoded frame, in bytes.
 pub const MAX_FRAME_BYTES: usize = 256 * 1024;
 /// Largest piece of a body in one frame, in bytes.
 pub const MAX_CHUNK_BYTES: usize = 64 * 1024;
+/// Most bytes of a request's or an answer's head: method, path, names and values of headers.
+pub const MAX_HEAD_BYTES: usize = 48 * 1024;
 /// Most headers in a request or an answer.
 pub const MAX_HEADERS: usize = 128;
 
@@ -29,6 +31,13 @@
     pub value: Bytes,
 }
 
+impl Header {
+    /// Length of name and value, in bytes.
+    pub fn size(&self) -> usize {
+        self.name.len() + self.value.len()
+    }
+}
+
 /// Who an agent is.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AgentInfo {
@@ -44,6 +53,18 @@
     pub slots: u16,
 }
 
+/// Who opens a connection to an entry.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Opener {
+    /// An agent, which stays connected.
+    Agent(AgentInfo),
+    /// An entry, which asks one thing (see [`crate::entry::peers`]).
+    Entry {
+        /// This run of the entry.
+        boot: BootId,
+    },
+}
+
 /// What waits at an entry for the agent's service.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Backlog {
@@ -178,6 +199,9 @@
     Settled { dispatch: DispatchId, floor: u64 },
     /// Sent when nothing else was for a while.
     Heartbeat { backlog: Backlog },
+    /// Requests that the rules let each target of the service run at a time; 0 when the service is
+    /// not in them. Of two versions the higher counts.
+    Limits { version: u64, slots: u16 },
     /// The entry sends no new work.
     Leaving,
 }
@@ -185,7 +209,7 @@
 /// Why a frame could not be read or written.
 #[derive(Debug, thiserror::Error)]
 pub enum WireError {
-    /// The length prefix exceeds [`MAX_FRAME_BYTES`].
+    /// The length prefix exceeds [`MAX_FRAME_BYTES`], or what the moment allows.
     #[error("frame of {0} bytes exceeds the limit")]
     TooLong(usize),
     /// The bytes are no message.
