Let connections take their buffers as they need them

Cause: each end of a connection held 128 KiB of buffers whether used or not: 134 KB measured, so 2,600 agents are 349 MB at an entry and 370 entries 50 MB at an agent, against 32 MB.

Ruled out: smaller batches, which cost writes under load. Only what idles is let go of; a batch still grows to 64 KiB, and pieces larger than the read buffer are read past it.

Change: a read buffer of 4 KiB in place of 64, a write batch that grows and keeps 1 KiB.

--- a/src/conn.rs
+++ b/src/conn.rs
@@ -25,8 +25,10 @@
 pub const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
 
 const OUTBOX_FRAMES: usize = 8192;
-const READ_BUFFER_BYTES: usize = 64 * 1024;
+const READ_BUFFER_BYTES: usize = 4 * 1024;
 const WRITE_BATCH_BYTES: usize = 64 * 1024;
+/// Bytes of a batch that are kept for the next one.
+const WRITE_KEPT_BYTES: usize = 1024;
 
 /// Why a connection ended or was not made.
 #[derive(Debug, thiserror::Error)]
@@ -187,7 +189,7 @@
     mut queue: mpsc::Receiver<Bytes>,
     stop: CancellationToken,
 ) {
-    let mut batch = Vec::with_capacity(WRITE_BATCH_BYTES);
+    let mut batch = Vec::new();
     loop {
         let first = tokio::select! {
             () = stop.cancelled() => break,
@@ -196,7 +198,6 @@
                 None => break,
             },
         };
-        batch.clear();
         batch.extend_from_slice(&first);
         while batch.len() < WRITE_BATCH_BYTES {
             let Ok(frame) = queue.try_recv() else { break };
@@ -209,6 +210,8 @@
         if written.is_err() {
             break;
         }
+        batch.clear();
+        batch.shrink_to(WRITE_KEPT_BYTES);
     }
     stop.cancel();
 }
