--- a/src/conn.rs
+++ b/src/conn.rs
@@ -1,4 +1,4 @@
-//! A framed, authenticated connection between an entry and an agent.
+//! A framed, authenticated connection to an entry, from an agent or another entry.
 
 use std::io;
 use std::time::Duration;
@@ -15,7 +15,8 @@
 
 use crate::auth::{AuthError, Challenge, Hello, Proof, Secret, check_version};
 use crate::ids::BootId;
-use crate::wire::{self, AgentInfo, MAX_FRAME_BYTES, WireError};
+use crate::telemetry::{Event, Metrics};
+use crate::wire::{self, MAX_FRAME_BYTES, Opener, WireError};
 
 /// Time between heartbeats.
 pub const HEARTBEAT_PERIOD: Duration = Duration::from_millis(500);
@@ -24,6 +25,9 @@
 /// Longest handshake.
 pub const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Largest frame of a handshake, in bytes.
+pub const MAX_HANDSHAKE_BYTES: usize = 1024;
+
 const OUTBOX_FRAMES: usize = 8192;
 const READ_BUFFER_BYTES: usize = 4 * 1024;
 const WRITE_BATCH_BYTES: usize = 64 * 1024;
@@ -47,6 +51,18 @@
     Silent,
 }
 
+impl ConnError {
+    /// Counts what an operator should know of; connections that just end are not counted.
+    pub fn count(&self, metrics: &Metrics) {
+        match self {
+            ConnError::Io(_) => {}
+            ConnError::Wire(_) => metrics.event(Event::MalformedFrame),
+            ConnError::Auth(_) => metrics.event(Event::FailedHandshake),
+            ConnError::Silent => metrics.event(Event::Silence),
+        }
+    }
+}
+
 /// The sending half: frames queue here and are written in batches.
 #[derive(Clone, Debug)]
 pub struct Outbox {
@@ -94,7 +110,7 @@
         let stop = self.stop.clone();
         tokio::select! {
             () = stop.cancelled() => Err(io::Error::from(io::ErrorKind::ConnectionAborted).into()),
-            frame = timeout(SILENCE_TIMEOUT, read_frame(&mut self.read)) => {
+            frame = timeout(SILENCE_TIMEOUT, read_frame(&mut self.read, MAX_FRAME_BYTES)) => {
                 let frame = frame.map_err(|_| ConnError::Silent)??;
                 Ok(wire::decode(&frame)?)
             }
@@ -102,22 +118,23 @@
     }
 }
 
-/// The agent's side of the handshake on a fresh connection. Gives the entry's boot id.
+/// The opener's side of the handshake on a fresh connection. Gives the entry's boot id.
 ///
 /// # Errors
 /// [`ConnError`] when the handshake fails or takes longer than [`HANDSHAKE_TIMEOUT`].
 pub async fn dial(
     stream: TcpStream,
     secret: &Secret,
-    agent: AgentInfo,
+    opener: Opener,
 ) -> Result<(BootId, Outbox, Inbox), ConnError> {
     stream.set_nodelay(true)?;
     let (read, mut write) = stream.into_split();
     let mut read = BufReader::with_capacity(READ_BUFFER_BYTES, read);
     let handshake = async {
-        let hello = wire::encode(&Hello::new(agent))?;
+        let hello = wire::encode(&Hello::new(opener))?;
         write.write_all(&hello).await?;
-        let challenge: Challenge = wire::decode(&read_frame(&mut read).await?)?;
+        let challenge: Challenge =
+            wire::decode(&read_frame(&mut read, MAX_HANDSHAKE_BYTES).await?)?;
         challenge.check(secret, &hello[4..])?;
         let proof = Proof::new(secret, &hello[4..], &challenge);
         write.write_all(&wire::encode(&proof)?).await?;
@@ -138,25 +155,26 @@
     stream: TcpStream,
     secret: &Secret,
     boot: BootId,
-) -> Result<(AgentInfo, Outbox, Inbox), ConnError> {
+) -> Result<(Opener, Outbox, Inbox), ConnError> {
     stream.set_nodelay(true)?;
     let (read, mut write) = stream.into_split();
     let mut read = BufReader::with_capacity(READ_BUFFER_BYTES, read);
     let handshake = async {
-        let frame = read_frame(&mut read).await?;
+        let frame = read_frame(&mut read, MAX_HANDSHAKE_BYTES).await?;
+        // Other versions may lay the rest out differently.
+        check_version(frame.first().copied().unwrap_or_default())?;
         let hello: Hello = wire::decode(&frame)?;
-        check_version(hello.version)?;
         let challenge = Challenge::new(secret, &frame, boot);
         write.write_all(&wire::encode(&challenge)?).await?;
-        let proof: Proof = wire::decode(&read_frame(&mut read).await?)?;
+        let proof: Proof = wire::decode(&read_frame(&mut read, MAX_HANDSHAKE_BYTES).await?)?;
         proof.check(secret, &frame, &challenge)?;
-        Ok::<_, ConnError>(hello.agent)
+        Ok::<_, ConnError>(hello.opener)
     };
-    let agent = timeout(HANDSHAKE_TIMEOUT, handshake)
+    let opener = timeout(HANDSHAKE_TIMEOUT, handshake)
         .await
         .map_err(|_| ConnError::Silent)??;
     let (outbox, inbox) = start(read, write);
-    Ok((agent, outbox, inbox))
+    Ok((opener, outbox, inbox))
 }
 
 fn start(read: BufReader<OwnedReadHalf>, write: OwnedWriteHalf) -> (Outbox, Inbox) {
@@ -173,9 +191,12 @@
 }
 
 /// Reads one frame; its length is checked before anything is allocated.
-async fn read_frame(read: &mut BufReader<OwnedReadHalf>) -> Result<Vec<u8>, ConnError> {
+async fn read_frame(
+    read: &mut BufReader<OwnedReadHalf>,
+    limit: usize,
+) -> Result<Vec<u8>, ConnError> {
     let len = read.read_u32().await? as usize;
-    if len > MAX_FRAME_BYTES {
+    if len > limit {
         return Err(WireError::TooLong(len).into());
     }
     let mut frame = vec![0; len];
--- a/src/entry/status.rs
+++ b/src/entry/status.rs
@@ -2,17 +2,26 @@
 
 use serde::Serialize;
 use serde_json::Value;
+use tokio::sync::watch;
 use xtra::Address;
 
 use crate::admin::Status;
 use crate::entry::desk::Desk;
 use crate::entry::figures::DeskStatus;
+use crate::entry::guard::Guard;
 use crate::entry::messages::Inspect;
+use crate::entry::trail::Trail;
+use crate::entry::trail::page::Page;
+use crate::exchange::service as exchange;
 use crate::ids::BootId;
+use crate::rules::history::Counts;
 use crate::rules::service::Handle;
 use crate::telemetry::Telemetry;
 use crate::telemetry::metrics::Snapshot;
 
+/// Path of what became of a request, without its id.
+const EXPLAIN_PATH: &str = "/explain/";
+
 /// Answers for an entry.
 #[derive(Clone)]
 pub struct EntryView {
@@ -24,6 +33,12 @@
     pub telemetry: Telemetry,
     /// This run of the entry.
     pub boot: BootId,
+    /// Requests that crashed targets.
+    pub guard: Guard,
+    /// What became of requests.
+    pub trail: Trail,
+    /// The exchange between entries.
+    pub exchange: watch::Receiver<exchange::Status>,
 }
 
 /// The answer to `/status`.
@@ -32,6 +47,8 @@
     role: &'static str,
     boot: String,
     rules: RulesStatus,
+    exchange: exchange::Status,
+    sightings: usize,
     desk: Option<DeskStatus>,
     metrics: Snapshot,
 }
@@ -42,6 +59,7 @@
     version: u64,
     confirmed: bool,
     reachable: bool,
+    records: Counts,
 }
 
 impl EntryView {
@@ -51,16 +69,31 @@
             version: view.table.version(),
             confirmed: view.confirmed,
             reachable: view.reachable,
+            records: view.counts,
         }
     }
 }
 
+impl EntryView {
+    /// What became of the request that a path names.
+    fn explain(&self, path: &str) -> Option<Value> {
+        let id = path.strip_prefix(EXPLAIN_PATH)?;
+        let record = self.trail.find(id.parse().ok()?)?;
+        let rules = self.rules.table().borrow().clone();
+        let page = Page::new(&record, &rules, self.trail.now());
+        serde_json::to_value(page).ok()
+    }
+}
+
 impl Status for EntryView {
     async fn status(&self) -> Value {
+        let exchange = *self.exchange.borrow();
         let status = EntryStatus {
             role: "entry",
             boot: self.boot.to_string(),
             rules: self.rules(),
+            exchange,
+            sightings: self.guard.all().len(),
             desk: self.desk.send(Inspect).await.ok(),
             metrics: self.telemetry.metrics().snapshot(),
         };
@@ -73,7 +106,7 @@
                 let desk = self.desk.send(Inspect).await.ok()?;
                 serde_json::to_value(desk.services).ok()
             }
-            _ => None,
+            path => self.explain(path),
         }
     }
 }
--- a/src/local.rs
+++ b/src/local.rs
@@ -3,6 +3,8 @@
 //! Entries, agents, and stand-ins for the platform and the targets, on loopback.
 
 use std::net::{Ipv4Addr, SocketAddr};
+use std::ops::Range;
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 
 use anyhow::Context;
@@ -13,11 +15,15 @@
 use crate::platform::{Client, Log, RULES};
 use crate::rules::change::Change;
 use crate::rules::record::TextDigest;
-use crate::rules::{Edit, EditId, KeyDigest, Record};
+use crate::rules::renew::Timing;
+use crate::rules::{self, Edit, EditId, KeyDigest, Record};
 use crate::settings::{AgentSettings, EntrySettings, TelemetrySettings};
 use crate::standin::hosts::HostState;
 use crate::standin::{Host, Platform, Target, TargetOptions};
+use crate::telemetry::{self, Telemetry};
 
+/// Ports for the fleet's own connections, below those that outgoing connections take.
+const FREE_PORTS: Range<u16> = 12_000..30_000;
 /// Records that the stand-in log keeps in a stream.
 const LOG_RECORDS: usize = 100_000;
 /// The key that the local processes share.
@@ -61,26 +67,72 @@
 /// # Errors
 /// When a port is taken, the sample rules are not accepted, or a process fails.
 pub async fn run(options: LocalOptions, drain: CancellationToken) -> anyhow::Result<()> {
-    let platform = start_platform(&options).await?;
-    publish(&Client::new(platform.address), &sample_rules(&options)).await?;
-    let mut fleet = JoinSet::new();
-    let peers = reserve(options.entries).await?;
-    for (at, &peer) in peers.iter().enumerate() {
-        let settings = entry_settings(&options, at as u16, peer, &peers, platform.address);
-        fleet.spawn(crate::entry::serve(settings, drain.clone()));
+    let telemetry = telemetry::init(&TelemetrySettings::default(), "balsampitch-local")?;
+    run_with(options, telemetry, drain).await
+}
+
+/// As [`run`], with telemetry that all processes of the fleet share.
+///
+/// # Errors
+/// As [`run`].
+pub async fn run_with(
+    options: LocalOptions,
+    telemetry: Telemetry,
+    drain: CancellationToken,
+) -> anyhow::Result<()> {
+    let Fleet { entries, agents } = Fleet::prepare(options).await?;
+    let mut running = JoinSet::new();
+    for entry in entries {
+        let rules = rules::service::spawn(Client::new(entry.platform), Timing::random());
+        running.spawn(crate::entry::run(
+            entry,
+            rules,
+            telemetry.clone(),
+            drain.clone(),
+        ));
     }
-    for (at, &(target, service)) in platform.targets.iter().enumerate() {
-        let settings =
-            agent_settings(&options, at, target, service, &peers, platform.address).await?;
-        fleet.spawn(crate::agent::serve(settings, drain.clone()));
+    for agent in agents {
+        running.spawn(crate::agent::run(agent, telemetry.clone(), drain.clone()));
     }
     announce(&options);
-    while let Some(ended) = fleet.join_next().await {
+    while let Some(ended) = running.join_next().await {
         ended.context("could not keep a process of the fleet running")??;
     }
     Ok(())
 }
 
+/// Settings of a fleet whose stand-ins run and whose rules are published.
+#[derive(Debug)]
+pub struct Fleet {
+    /// Settings of each entry.
+    pub entries: Vec<EntrySettings>,
+    /// Settings of each agent; those of the first service come first.
+    pub agents: Vec<AgentSettings>,
+}
+
+impl Fleet {
+    /// Starts the stand-ins and publishes the sample rules. Port 0 stands for any free port.
+    ///
+    /// # Errors
+    /// When no port is free or the sample rules are not accepted.
+    pub async fn prepare(options: LocalOptions) -> anyhow::Result<Self> {
+        let platform = start_platform(&options).await?;
+        publish(&Client::new(platform.address), &sample_rules(&options)).await?;
+        let peers = reserve(options.entries).await?;
+        let mut entries = Vec::new();
+        for (at, &peer) in peers.iter().enumerate() {
+            let at = at as u16;
+            entries.push(entry_settings(&options, at, peer, &peers, platform.address).await?);
+        }
+        let mut agents = Vec::new();
+        for (at, &(target, service)) in platform.targets.iter().enumerate() {
+            let agent = agent_settings(&options, at, target, service, &peers, platform.address);
+            agents.push(agent.await?);
+        }
+        Ok(Fleet { entries, agents })
+    }
+}
+
 /// The stand-ins' addresses.
 struct Standins {
     address: SocketAddr,
@@ -88,17 +140,19 @@
 }
 
 async fn start_platform(options: &LocalOptions) -> anyhow::Result<Standins> {
+    let target_options = TargetOptions {
+        slots: Some(options.slots),
+        ..Default::default()
+    };
     let mut targets = Vec::new();
     let mut hosts = Vec::new();
     for service in SERVICES {
+        let counted = Target::new(target_options);
         for at in 0..options.targets {
             let listener = listen(0).await?;
             let address = listener.local_addr()?;
-            let target = Target::new(TargetOptions {
-                slots: options.slots.into(),
-                ..Default::default()
-            });
-            tokio::spawn(target.serve(listener));
+            // Any of them tells how often the service ran a request.
+            tokio::spawn(counted.sibling(target_options).serve(listener));
             hosts.push(Host {
                 host: address.to_string(),
                 zone: zone(at.into()),
@@ -146,23 +200,50 @@
     )
 }
 
-fn entry_settings(
+async fn entry_settings(
     options: &LocalOptions,
     at: u16,
     peer: SocketAddr,
     peers: &[SocketAddr],
     platform: SocketAddr,
-) -> EntrySettings {
-    EntrySettings {
-        listen: loopback(options.port + at),
+) -> anyhow::Result<EntrySettings> {
+    Ok(EntrySettings {
+        listen: port(options.port, at).await?,
         peer,
-        admin: loopback(options.admin + at),
+        admin: port(options.admin, at).await?,
         zone: zone(at.into()),
         entries: peers.to_vec(),
         platform,
         secret: LOCAL_SECRET.to_owned(),
         telemetry: TelemetrySettings::default(),
+    })
+}
+
+/// The address of a numbered process; any free one when the first has port 0.
+async fn port(first: u16, at: u16) -> anyhow::Result<SocketAddr> {
+    match first {
+        0 => free().await,
+        first => Ok(loopback(first + at)),
+    }
+}
+
+/// A free address whose port no outgoing connection takes before it is listened on. No port is
+/// given out twice.
+async fn free() -> anyhow::Result<SocketAddr> {
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let start: u16 = rand::random_range(FREE_PORTS);
+    // Zero until a process gives out its first port.
+    let _ = NEXT.compare_exchange(0, start, Ordering::Relaxed, Ordering::Relaxed);
+    for _ in FREE_PORTS {
+        let port = NEXT.fetch_add(1, Ordering::Relaxed);
+        if FREE_PORTS.contains(&port) && listen(port).await.is_ok() {
+            return Ok(loopback(port));
+        }
+        if !FREE_PORTS.contains(&port) {
+            NEXT.store(FREE_PORTS.start, Ordering::Relaxed);
+        }
     }
+    anyhow::bail!("could not find a free port")
 }
 
 async fn agent_settings(
@@ -178,7 +259,7 @@
         service: service.to_owned(),
         slots: options.slots,
         zone: zone(at),
-        admin: listen(0).await?.local_addr()?,
+        admin: free().await?,
         entries: peers.to_vec(),
         platform,
         secret: LOCAL_SECRET.to_owned(),
@@ -186,13 +267,13 @@
     })
 }
 
-/// Free ports for the entries' peer addresses.
+/// Free addresses for the entries' peers.
 async fn reserve(count: u16) -> anyhow::Result<Vec<SocketAddr>> {
-    let mut held = Vec::new();
+    let mut peers = Vec::new();
     for _ in 0..count {
-        held.push(listen(0).await?);
+        peers.push(free().await?);
     }
-    held.iter().map(|l| Ok(l.local_addr()?)).collect()
+    Ok(peers)
 }
 
 async fn listen(port: u16) -> anyhow::Result<TcpListener> {
