Wait for the targets before a fleet's test begins

Cause: a fleet counted as ready when its entries and agents were; on a busy machine a target's process may not listen yet: a_stream_cut_at_its_end_is_cut failed once, its order refused. Ruled out: repeating orders that fail (hides a target that has gone). Change: the harness waits until each target answers. Conclusion: a race of the harness, not of the fleet.

--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -192,6 +192,9 @@
                 fleet.start_target(targets, &fronts, plan.fenced);
             }
         }
+        for host in &fleet.targets {
+            await_until("a target", || is_ok(&fleet.caller, host.address, "/state")).await;
+        }
         fleet.set_hosts(|_| "live").await;
         if plan.unruled {
             fleet.running().await;
