Keep a leaving agent until no entry can send it any more

Cause: an idle agent that drained sent its withdrawals and ended at once. A request that an entry had sent meanwhile to the withdrawn slot met a closed connection: nobody could say what became of it, and after 10 s an order was told 504 unknown though nothing had failed. Ruled out: waiting a fixed time (messages may take longer); a new message (the entry's own Leaving says what is needed: it comes after all that the entry sent before). Change: an entry answers an agent's Leaving with its own; a draining agent declines what still comes and ends once every connected entry has answered, and 50 ms later, so that queued frames go out. An entry that is silent is found by its heartbeat and not waited for. Conclusion: a drain of either side loses nothing that was sent to it.

--- a/src/agent/core.rs
+++ b/src/agent/core.rs
@@ -88,6 +88,8 @@
     pub runs: usize,
     /// Connected entries.
     pub entries: Vec<SocketAddr>,
+    /// Connected entries that have not said that they send no new work.
+    pub senders: usize,
     /// Whether no new work is taken.
     pub draining: bool,
 }
@@ -97,6 +99,8 @@
     boot: BootId,
     link: u64,
     outbox: Option<Outbox>,
+    /// The entry said that it sends no new work on this connection.
+    quit: bool,
 }
 
 /// A dispatch whose body has not come in full.
@@ -345,6 +349,7 @@
                     boot,
                     link: 0,
                     outbox: None,
+                    quit: false,
                 });
                 self.entries.len() - 1
             }
@@ -353,6 +358,7 @@
         state.boot = boot;
         state.link += 1;
         state.outbox = Some(outbox);
+        state.quit = false;
         let link = Link {
             entry: EntryKey::from(at),
             number: state.link,
@@ -430,6 +436,7 @@
             }
             ToAgent::Limits { version, slots } => self.limit(version, slots),
             ToAgent::Leaving => {
+                self.entries[link.entry.index()].quit = true;
                 let steps = self.pull.lost(link.entry);
                 self.act(steps);
             }
@@ -504,6 +511,7 @@
     async fn handle(&mut self, _message: Inspect, _ctx: &mut Context<Self>) -> CoreStatus {
         let up = self.entries.iter().filter(|e| e.outbox.is_some());
         CoreStatus {
+            senders: up.clone().filter(|e| !e.quit).count(),
             busy: self.pull.busy(),
             slots: self.pull.slots(),
             rules: self.rules,
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -99,13 +99,15 @@
     Ok(())
 }
 
-/// Withdraws all offers and waits until every answer is with its entry.
+/// Withdraws all offers and waits until no entry sends any more and every answer is with its entry.
 async fn finish(core: &Address<Core>) {
     if core.send(Drain).await.is_err() {
         return;
     }
     while let Ok(status) = core.send(Inspect).await {
-        if status.runs == 0 {
+        if status.runs == 0 && status.senders == 0 {
+            // What is queued for the entries goes out first.
+            tokio::time::sleep(DRAIN_POLL).await;
             return;
         }
         tokio::time::sleep(DRAIN_POLL).await;
--- a/src/entry/desk.rs
+++ b/src/entry/desk.rs
@@ -537,6 +537,10 @@
             return;
         };
         state.leaving = true;
+        if let Some(outbox) = &state.outbox {
+            // What was sent before it reached the agent before it.
+            outbox.send(&ToAgent::Leaving);
+        }
         self.withdraw(link.agent);
     }
 }
--- a/tests/failures/main.rs
+++ b/tests/failures/main.rs
@@ -6,6 +6,7 @@
 mod fleet;
 
 mod cut;
+mod drain;
 mod freeze;
 mod killed;
 mod leaving;
