Test crashing requests and absent targets with real processes

Change: tests/failures/crash.rs counts at the targets how often a poison request was run, through one entry and through two, and sends others while targets are away or gone. Conclusion: a poison request runs on two targets at most, others go on.

--- a/tests/failures/main.rs
+++ b/tests/failures/main.rs
@@ -5,6 +5,7 @@
 #[path = "../fleet/mod.rs"]
 mod fleet;
 
+mod crash;
 mod cut;
 mod drain;
 mod freeze;
