--- a/src/conn.rs
+++ b/src/conn.rs
@@ -29,8 +29,10 @@
 pub const MAX_HANDSHAKE_BYTES: usize = 1024;
 
 const OUTBOX_FRAMES: usize = 8192;
-const READ_BUFFER_BYTES: usize = 64 * 1024;
+const READ_BUFFER_BYTES: usize = 4 * 1024;
 const WRITE_BATCH_BYTES: usize = 64 * 1024;
+/// Bytes of a batch that are kept for the next one.
+const WRITE_KEPT_BYTES: usize = 1024;
 
 /// Why a connection ended or was not made.
 #[derive(Debug, thiserror::Error)]
@@ -50,13 +52,12 @@
 }
 
 impl ConnError {
-    /// Counts what an operator should know of; connections that just end are not counted.
+    /// Counts malformed frames and silence. Whoever makes a handshake counts its failure.
     pub fn count(&self, metrics: &Metrics) {
         match self {
-            ConnError::Io(_) => {}
             ConnError::Wire(_) => metrics.event(Event::MalformedFrame),
-            ConnError::Auth(_) => metrics.event(Event::FailedHandshake),
             ConnError::Silent => metrics.event(Event::Silence),
+            ConnError::Io(_) | ConnError::Auth(_) => {}
         }
     }
 }
@@ -208,7 +209,7 @@
     mut queue: mpsc::Receiver<Bytes>,
     stop: CancellationToken,
 ) {
-    let mut batch = Vec::with_capacity(WRITE_BATCH_BYTES);
+    let mut batch = Vec::new();
     loop {
         let first = tokio::select! {
             () = stop.cancelled() => break,
@@ -217,7 +218,6 @@
                 None => break,
             },
         };
-        batch.clear();
         batch.extend_from_slice(&first);
         while batch.len() < WRITE_BATCH_BYTES {
             let Ok(frame) = queue.try_recv() else { break };
@@ -230,6 +230,8 @@
         if written.is_err() {
             break;
         }
+        batch.clear();
+        batch.shrink_to(WRITE_KEPT_BYTES);
     }
     stop.cancel();
 }
