Silence a link one way, and test it around orders and streams

Cause: the link stand-in fell silent both ways only, while a connection can also be lost track of in one direction. Change: /silence/up and /silence/down; 7 more silence tests, during an answer, towards a run that has ended, and before a dispatch. Conclusion: heartbeats of either side find a silence of either direction; no order runs twice.

--- a/src/standin/link.rs
+++ b/src/standin/link.rs
@@ -31,11 +31,22 @@
 /// Number of a connection, in order of acceptance.
 type Number = u64;
 
+/// A direction of a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Way {
+    /// From the side that connected.
+    Up,
+    /// To the side that connected.
+    Down,
+}
+
 /// How a link behaves.
 #[derive(Clone, Copy, Debug, Default)]
 struct Condition {
-    /// Connections with lower numbers pass nothing any more and stay open.
-    silent: Number,
+    /// Connections with lower numbers pass nothing up any more and stay open.
+    up: Number,
+    /// The same for what passes down.
+    down: Number,
     /// Connections with lower numbers are closed.
     cut: Number,
     /// Nothing passes on any connection until healed.
@@ -44,8 +55,12 @@
 }
 
 impl Condition {
-    fn passes(&self, number: Number) -> bool {
-        !self.blocked && number >= self.silent
+    fn passes(&self, number: Number, way: Way) -> bool {
+        let first = match way {
+            Way::Up => self.up,
+            Way::Down => self.down,
+        };
+        !self.blocked && number >= first
     }
 }
 
@@ -115,8 +130,17 @@
 
     /// Stops passing bytes on the connections that are open, for good and without closing them.
     pub fn silence(&self) {
+        self.silence_way(Way::Up);
+        self.silence_way(Way::Down);
+    }
+
+    /// Stops passing bytes one way on the connections that are open, for good.
+    pub fn silence_way(&self, way: Way) {
         let next = *self.shared.next.borrow();
-        self.change(|condition| condition.silent = next);
+        self.change(|condition| match way {
+            Way::Up => condition.up = next,
+            Way::Down => condition.down = next,
+        });
     }
 
     /// Closes the connections that are open.
@@ -175,6 +199,8 @@
         let path = request.uri().path().to_owned();
         match path.as_str() {
             "/silence" => self.silence(),
+            "/silence/up" => self.silence_way(Way::Up),
+            "/silence/down" => self.silence_way(Way::Down),
             "/cut" => self.cut(),
             "/block" => self.block(),
             "/heal" => self.heal(),
@@ -222,11 +248,11 @@
 
 impl Gate {
     /// Waits until bytes may pass, and gives their delay.
-    async fn open(&mut self) -> Duration {
+    async fn open(&mut self, way: Way) -> Duration {
         let number = self.number;
         let waited = self
             .condition
-            .wait_for(|condition| condition.passes(number))
+            .wait_for(|condition| condition.passes(number, way))
             .await
             .map(|condition| condition.delay);
         match waited {
@@ -257,7 +283,7 @@
 }
 
 async fn pass_both(near: TcpStream, to: SocketAddr, mut gate: Gate) {
-    gate.open().await;
+    gate.open(Way::Up).await;
     let Ok(far) = TcpStream::connect(to).await else {
         return;
     };
@@ -267,27 +293,32 @@
     let (near_read, near_write) = near.into_split();
     let (far_read, far_write) = far.into_split();
     tokio::join!(
-        pass_one(near_read, far_write, gate.clone()),
-        pass_one(far_read, near_write, gate),
+        pass_one(near_read, far_write, gate.clone(), Way::Up),
+        pass_one(far_read, near_write, gate, Way::Down),
     );
 }
 
-async fn pass_one(from: OwnedReadHalf, to: OwnedWriteHalf, gate: Gate) {
+async fn pass_one(from: OwnedReadHalf, to: OwnedWriteHalf, gate: Gate, way: Way) {
     let (sender, receiver) = mpsc::channel(PIECE_QUEUE);
     tokio::join!(
-        read_pieces(from, sender, gate.clone()),
-        write_pieces(to, receiver, gate),
+        read_pieces(from, sender, gate.clone(), way),
+        write_pieces(to, receiver, gate, way),
     );
 }
 
-async fn read_pieces(mut from: OwnedReadHalf, pieces: mpsc::Sender<Piece>, mut gate: Gate) {
+async fn read_pieces(
+    mut from: OwnedReadHalf,
+    pieces: mpsc::Sender<Piece>,
+    mut gate: Gate,
+    way: Way,
+) {
     let mut buf = vec![0; PIECE_BYTES];
     loop {
         let len = match from.read(&mut buf).await {
             Ok(len) if len > 0 => len,
             _ => return,
         };
-        let delay = gate.open().await;
+        let delay = gate.open(way).await;
         let piece = Piece {
             due: Instant::now() + delay,
             data: Bytes::copy_from_slice(&buf[..len]),
@@ -298,15 +329,20 @@
     }
 }
 
-async fn write_pieces(mut to: OwnedWriteHalf, mut pieces: mpsc::Receiver<Piece>, mut gate: Gate) {
+async fn write_pieces(
+    mut to: OwnedWriteHalf,
+    mut pieces: mpsc::Receiver<Piece>,
+    mut gate: Gate,
+    way: Way,
+) {
     while let Some(piece) = pieces.recv().await {
         tokio::time::sleep_until(piece.due).await;
-        gate.open().await;
+        gate.open(way).await;
         if to.write_all(&piece.data).await.is_err() {
             return;
         }
     }
     // An end of stream is passed on like bytes.
-    gate.open().await;
+    gate.open(way).await;
     let _ = to.shutdown().await;
 }
--- a/tests/failures/silence.rs
+++ b/tests/failures/silence.rs
@@ -47,6 +47,16 @@
 during_an_answer! {
     a_stream_outlasts_a_silent_connection:
         "/silence", stream("id", 40, 50) => streamed("id", 40);
+    a_stream_outlasts_silence_towards_its_entry:
+        "/silence/up", stream("id", 40, 50) => streamed("id", 40);
+    a_stream_outlasts_silence_towards_its_agent:
+        "/silence/down", stream("id", 40, 50) => streamed("id", 40);
+    an_order_outlasts_silence_towards_its_entry:
+        "/silence/up", order("id", 1_000) => echoed("id");
+    an_order_outlasts_silence_towards_its_agent:
+        "/silence/down", order("id", 1_000) => echoed("id");
+    an_order_outlasts_silence_after_its_run:
+        "/silence/down", order("id", 550) => echoed("id");
     a_stream_outlasts_a_closed_connection:
         "/cut", stream("id", 40, 50) => streamed("id", 40);
     a_stream_outlasts_a_blocked_link:
@@ -63,8 +73,23 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn orders_sent_into_a_silent_connection_run_once() {
+    sent_into("/silence").await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn orders_sent_while_no_answer_comes_run_once() {
+    sent_into("/silence/up").await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn orders_sent_while_they_reach_no_agent_run_once() {
+    sent_into("/silence/down").await;
+}
+
+/// Sends orders right after a fault of the link.
+async fn sent_into(fault: &'static str) {
     let fleet = fleet().await;
-    order_link(&fleet, "/silence").await;
+    order_link(&fleet, fault).await;
     let ids: Vec<String> = (0..6).map(|number| format!("lost-{number}")).collect();
     let calls: Vec<_> = ids
         .iter()
