--- a/tests/failures/main.rs
+++ b/tests/failures/main.rs
@@ -5,7 +5,9 @@
 #[path = "../fleet/mod.rs"]
 mod fleet;
 
+mod crash;
 mod cut;
+mod drain;
 mod freeze;
 mod killed;
 mod leaving;
