Pass answers whose headers are large but fit in a frame

Cause: the limit on an answer's headers was that of a request, 48 KiB, so that a target's answer with 48 to 256 KiB of headers, which passed before there was a limit, was refused with 502. Ruled out: no limit. Above about 256 KiB the HTTP library refuses the head, close to what a frame takes, but nothing ties the two; that an answer ever broke an agent's connection this way was not shown. Conclusion: the limit follows from the frame alone.

--- a/src/agent/run.rs
+++ b/src/agent/run.rs
@@ -25,7 +25,9 @@
 use crate::resume::Resume;
 use crate::telemetry::{Telemetry, TraceContext};
 use crate::units::Micros;
-use crate::wire::{Dispatch, Finish, Header, Known, MAX_CHUNK_BYTES, MAX_HEAD_BYTES, ToEntry};
+use crate::wire::{
+    Dispatch, Finish, Header, Known, MAX_ANSWER_HEAD_BYTES, MAX_CHUNK_BYTES, ToEntry,
+};
 
 /// How long a whole answer is kept for an entry that does not ask.
 pub const KEEP_TIMEOUT: Duration = Duration::from_secs(60);
@@ -258,7 +260,7 @@
             .into_iter()
             .chain(length)
             .collect();
-        if head_bytes(&headers) > MAX_HEAD_BYTES {
+        if head_bytes(&headers) > MAX_ANSWER_HEAD_BYTES {
             // The entry takes an answer without a head for a failure of the target, which a
             // repeat would meet again.
             return Finish::Whole;
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -17,8 +17,10 @@
 pub const MAX_FRAME_BYTES: usize = 256 * 1024;
 /// Largest piece of a body in one frame, in bytes.
 pub const MAX_CHUNK_BYTES: usize = 64 * 1024;
-/// Most bytes of a request's or an answer's head: method, path, names and values of headers.
+/// Most bytes of a request's head: method, path, names and values of headers.
 pub const MAX_HEAD_BYTES: usize = 48 * 1024;
+/// Most bytes of an answer's headers, names and values, so that they fit in a frame.
+pub const MAX_ANSWER_HEAD_BYTES: usize = 240 * 1024;
 /// Most headers in a request or an answer.
 pub const MAX_HEADERS: usize = 128;
 
