--- a/src/conn.rs
+++ b/src/conn.rs
@@ -15,6 +15,7 @@
 
 use crate::auth::{AuthError, Challenge, Hello, Proof, Secret, check_version};
 use crate::ids::BootId;
+use crate::telemetry::{Event, Metrics};
 use crate::wire::{self, MAX_FRAME_BYTES, Opener, WireError};
 
 /// Time between heartbeats.
@@ -48,6 +49,17 @@
     Silent,
 }
 
+impl ConnError {
+    /// Counts malformed frames and silence. Whoever makes a handshake counts its failure.
+    pub fn count(&self, metrics: &Metrics) {
+        match self {
+            ConnError::Wire(_) => metrics.event(Event::MalformedFrame),
+            ConnError::Silent => metrics.event(Event::Silence),
+            ConnError::Io(_) | ConnError::Auth(_) => {}
+        }
+    }
+}
+
 /// The sending half: frames queue here and are written in batches.
 #[derive(Clone, Debug)]
 pub struct Outbox {
--- a/src/entry/agents.rs
+++ b/src/entry/agents.rs
@@ -10,7 +10,7 @@
 use crate::entry::peers::Answerer;
 use crate::entry::routes::{Event, Routes};
 use crate::ids::{BootId, DispatchId};
-use crate::telemetry::{self, Telemetry};
+use crate::telemetry::{Event as Count, Gauge, Telemetry};
 use crate::wire::{AgentInfo, Opener, ToEntry};
 
 /// What every accepted connection needs.
@@ -45,11 +45,9 @@
 
     async fn serve(self, stream: TcpStream) {
         let accepted = conn::accept(stream, &self.secret, self.boot).await;
-        let Ok((opener, outbox, inbox)) = accepted else {
-            self.telemetry
-                .metrics()
-                .event(telemetry::Event::RefusedConnection);
-            return;
+        let (opener, outbox, inbox) = match accepted {
+            Ok(accepted) => accepted,
+            Err(error) => return self.refused(&error),
         };
         match opener {
             Opener::Agent(info) => self.serve_agent(info, outbox, inbox).await,
@@ -57,7 +55,24 @@
         }
     }
 
+    fn refused(&self, error: &ConnError) {
+        let metrics = self.telemetry.metrics();
+        metrics.event(Count::RefusedConnection);
+        error.count(metrics);
+    }
+
     async fn serve_agent(self, info: AgentInfo, outbox: Outbox, mut inbox: Inbox) {
+        let metrics = self.telemetry.metrics();
+        let host = info.host;
+        metrics.event(Count::Connect);
+        metrics.change(Gauge::Peers, 1);
+        spdlog::info!("agent up", kv: { host:, service: = info.service, zone: = info.zone });
+        self.follow(info, outbox, &mut inbox).await;
+        metrics.change(Gauge::Peers, -1);
+        spdlog::info!("agent down", kv: { host: });
+    }
+
+    async fn follow(&self, info: AgentInfo, outbox: Outbox, inbox: &mut Inbox) {
         let Ok(link) = self
             .desk
             .send(AgentUp {
@@ -68,34 +83,24 @@
         else {
             return;
         };
-        self.read(link, &mut inbox).await;
+        if let Err(error) = self.read(link, inbox).await {
+            error.count(self.telemetry.metrics());
+        }
         outbox.close();
         // The desk outlives its agents' connections.
         let _ = self.desk.send(AgentDown(link)).await;
     }
 
     /// Passes frames on until the connection ends or a request's task cannot take more.
-    async fn read(&self, link: Link, inbox: &mut Inbox) {
+    async fn read(&self, link: Link, inbox: &mut Inbox) -> Result<(), ConnError> {
         loop {
-            let frame = match inbox.receive::<ToEntry>().await {
-                Ok(frame) => frame,
-                Err(error) => return self.count(&error),
-            };
+            let frame = inbox.receive::<ToEntry>().await?;
             if !self.frame(link, frame).await {
-                return;
+                return Ok(());
             }
         }
     }
 
-    fn count(&self, error: &ConnError) {
-        let event = match error {
-            ConnError::Wire(_) => telemetry::Event::MalformedFrame,
-            ConnError::Silent => telemetry::Event::Silence,
-            ConnError::Io(_) | ConnError::Auth(_) => return,
-        };
-        self.telemetry.metrics().event(event);
-    }
-
     async fn frame(&self, link: Link, frame: ToEntry) -> bool {
         match frame {
             ToEntry::Offer { offer } => self.desk.send(Offered(link, offer)).await.is_ok(),
--- a/src/entry/keyed.rs
+++ b/src/entry/keyed.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use tokio::sync::watch;
 use tokio::time::{Instant, timeout_at};
+use tokio_util::task::TaskTracker;
 
 use crate::claim::{Claim, ClaimId, Claims, Digest, Fate, Record, Report, Verdict, View};
 use crate::ids::BootId;
@@ -39,6 +40,7 @@
     clock: Clock,
     address: SocketAddr,
     boot: BootId,
+    reports: TaskTracker,
 }
 
 #[derive(Debug, Default)]
@@ -48,6 +50,18 @@
     reachable: bool,
 }
 
+impl State {
+    /// The offset to read from, and how long to wait for a record. After an outage the log is read
+    /// at once, so that keys can be claimed again.
+    fn next_read(&self) -> (u64, Duration) {
+        let wait = match self.claims.ready() && self.reachable {
+            true => READ_WAIT,
+            false => Duration::ZERO,
+        };
+        (self.claims.next(), wait)
+    }
+}
+
 /// Whose turn it is to run a keyed request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Turn {
@@ -68,18 +82,14 @@
             clock,
             address,
             boot,
+            reports: TaskTracker::new(),
         }
     }
 
     /// Follows the log until the process ends.
     pub async fn follow(self) {
         loop {
-            let from = self.lock().claims.next();
-            let wait = if self.lock().claims.ready() {
-                READ_WAIT
-            } else {
-                Duration::ZERO
-            };
+            let (from, wait) = self.lock().next_read();
             match self.log.read(CLAIMS, from, wait).await {
                 Ok(page) => {
                     let mut releases = Vec::new();
@@ -167,6 +177,12 @@
         }
     }
 
+    /// Waits until every report is in the log or given up. No claim may be made any more.
+    pub async fn reported(&self) {
+        self.reports.close();
+        self.reports.wait().await;
+    }
+
     fn look(&self, key: Digest, request: Digest) -> Result<Option<Turn>, Problem> {
         let state = self.lock();
         match state.claims.view(key, request) {
@@ -222,7 +238,7 @@
             return;
         };
         let (log, record) = (self.log.clone(), Bytes::from(record));
-        tokio::spawn(async move {
+        self.reports.spawn(async move {
             for _ in 0..REPORT_TRIES {
                 if log.append(CLAIMS, record.clone()).await.is_ok() {
                     return;
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -69,7 +69,7 @@
         Connect => "connects",
         /// A connection went silent.
         Silence => "silences",
-        /// A connection to this process did not get past its handshake.
+        /// A connection from or to another process did not get past its handshake.
         RefusedConnection => "refused_connections",
         /// A frame from another process was malformed.
         MalformedFrame => "malformed_frames",
