Measure handshakes, and edits until readers have them in force

Cause: the page on capacity had no figure for either.

Ruled out: rules of 3,500 accounts in this measurement: their text of 473 KB is refused (413) by the stand-in's log, whose records end at 256 KiB. 1,500 accounts are measured instead.

Change: 1, 8 and 32 readers of one log with its HTTP on one thread; time of a handshake.

--- a/src/bench/capacity.rs
+++ b/src/bench/capacity.rs
@@ -8,6 +8,7 @@
 mod desk;
 mod frames;
 mod hosts;
+mod readers;
 mod rules;
 mod scheduler;
 mod slope;
@@ -39,6 +40,7 @@
     lines.extend(claims::lines(seed));
     lines.extend(hosts::lines(seed));
     lines.extend(rules::lines(seed));
+    lines.extend(readers::lines(seed));
     lines.extend(desk::lines(seed));
     lines.extend(stream::lines(seed));
     lines.extend(EXCHANGES.iter().map(|&size| exchange(seed, size)));
--- a/src/bench/capacity/desk.rs
+++ b/src/bench/capacity/desk.rs
@@ -128,11 +128,13 @@
     let entry = Entry::start();
     let address = entry.listen().await;
     let before = heap::live();
+    let start = Instant::now();
     let mut ends = Vec::with_capacity(agents);
     for at in 0..agents {
         ends.push(dial(address, at).await);
     }
     while entry.connected().await < agents {}
+    let handshake = start.elapsed().as_nanos() as f64 / agents as f64;
     let bytes = (heap::live() - before) as f64;
     let start = Instant::now();
     for _ in 0..BEATS {
@@ -144,6 +146,7 @@
     let beat = start.elapsed().as_nanos() as f64 / (BEATS * agents) as f64;
     line(seed, ROLE, "connection, both ends", agents)
         .figure("bytes_each", bytes / agents as f64)
+        .figure("handshake_us", handshake / 1e3)
         .figure("heartbeat_sent_and_received_ns", beat)
 }
 
--- a/src/bench/capacity/rules.rs
+++ b/src/bench/capacity/rules.rs
@@ -2,6 +2,8 @@
 
 use std::fmt::Write;
 
+use bytes::Bytes;
+
 use super::slope::{held, line, nanos};
 use crate::bench::report::Report;
 use crate::platform::{Page, Record as Appended};
@@ -68,27 +70,32 @@
 }
 
 fn page(texts: &[String], n: usize) -> Page {
-    let base = if n == 0 { "" } else { &texts[n] };
-    let edit = Edit {
-        id: EditId(n as u64 + 1),
-        base: n as u64,
-        author: "operator".into(),
-        change: Change::between(base, &texts[n + 1]),
-        digest: TextDigest::of(&texts[n + 1]),
-    };
+    let before = if n == 0 { "" } else { &texts[n] };
     let offset = n as u64;
     Page {
         first: 0,
         next: offset + 1,
         records: vec![Appended {
             offset,
-            data: Record::Edit(edit).encode(),
+            data: edit(before, &texts[n + 1], offset),
         }],
     }
 }
 
+/// The record of an edit of the version `base`.
+pub(super) fn edit(before: &str, after: &str, base: u64) -> Bytes {
+    let edit = Edit {
+        id: EditId(base + 1),
+        base,
+        author: "operator".into(),
+        change: Change::between(before, after),
+        digest: TextDigest::of(after),
+    };
+    Record::Edit(edit).encode()
+}
+
 /// A file whose middle account has this queue limit.
-fn text(accounts: usize, queue: usize) -> String {
+pub(super) fn text(accounts: usize, queue: usize) -> String {
     let mut text = String::new();
     for at in 0..accounts {
         let limit = if at == accounts / 2 { queue } else { 200 };
