--- a/src/agent/dial.rs
+++ b/src/agent/dial.rs
@@ -37,7 +37,7 @@
         while self.core.is_connected() {
             match self.connect(address).await {
                 Ok(()) => pause = FIRST_PAUSE,
-                Err(error) => error.count(self.telemetry.metrics()),
+                Err(error) => self.refused(&error),
             }
             let jitter = rand::rng().random_range(0.5..1.0);
             tokio::time::sleep(pause.mul_f64(jitter)).await;
@@ -45,6 +45,14 @@
         }
     }
 
+    fn refused(&self, error: &ConnError) {
+        let metrics = self.telemetry.metrics();
+        if matches!(error, ConnError::Auth(_)) {
+            metrics.event(Event::RefusedConnection);
+        }
+        error.count(metrics);
+    }
+
     /// One connection from handshake to end. `Ok` once the handshake has succeeded.
     async fn connect(&self, address: SocketAddr) -> Result<(), ConnError> {
         let stream = timeout(HANDSHAKE_TIMEOUT, TcpStream::connect(address))
--- a/src/conn.rs
+++ b/src/conn.rs
@@ -52,13 +52,12 @@
 }
 
 impl ConnError {
-    /// Counts what an operator should know of; connections that just end are not counted.
+    /// Counts malformed frames and silence. Whoever makes a handshake counts its failure.
     pub fn count(&self, metrics: &Metrics) {
         match self {
-            ConnError::Io(_) => {}
             ConnError::Wire(_) => metrics.event(Event::MalformedFrame),
-            ConnError::Auth(_) => metrics.event(Event::FailedHandshake),
             ConnError::Silent => metrics.event(Event::Silence),
+            ConnError::Io(_) | ConnError::Auth(_) => {}
         }
     }
 }
--- a/src/entry/agents.rs
+++ b/src/entry/agents.rs
@@ -47,11 +47,7 @@
         let accepted = conn::accept(stream, &self.secret, self.boot).await;
         let (opener, outbox, inbox) = match accepted {
             Ok(accepted) => accepted,
-            Err(error) => {
-                let metrics = self.telemetry.metrics();
-                metrics.event(Count::RefusedConnection);
-                return error.count(metrics);
-            }
+            Err(error) => return self.refused(&error),
         };
         match opener {
             Opener::Agent(info) => self.serve_agent(info, outbox, inbox).await,
@@ -59,6 +55,12 @@
         }
     }
 
+    fn refused(&self, error: &ConnError) {
+        let metrics = self.telemetry.metrics();
+        metrics.event(Count::RefusedConnection);
+        error.count(metrics);
+    }
+
     async fn serve_agent(self, info: AgentInfo, outbox: Outbox, mut inbox: Inbox) {
         let metrics = self.telemetry.metrics();
         let host = info.host;
