--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -50,6 +50,7 @@
     rules: watch::Receiver<Arc<Table>>,
     members: Option<Vec<SocketAddr>>,
     sightings: Sightings,
+    count: usize,
 }
 
 impl Bridge {
@@ -64,6 +65,7 @@
         Bridge {
             pool,
             rules,
+            count: entries.len(),
             members: Some(entries),
             sightings,
         }
@@ -79,10 +81,12 @@
     }
 
     fn apply(&mut self, updates: &[Update]) {
+        let count = self.count;
         for update in updates {
             let pair = update.pair;
             self.pool.with(pair.service, |s| {
-                s.apply(pair.account, update.level, update.demand)
+                s.set_members(count);
+                s.apply(pair.account, update.news);
             });
         }
     }
--- a/src/share/mod.rs
+++ b/src/share/mod.rs
@@ -8,9 +8,12 @@
 use crate::ids::AccountKey;
 use crate::units::Micros;
 
+mod ratio;
 #[cfg(test)]
 mod tests;
 
+use ratio::Ratio;
+
 /// Rounds without any backlog after which an idle account is forgotten.
 const QUIET_ROUNDS: u32 = 300;
 /// Rounds for which an account counts as backlogged elsewhere after it was last heard to be.
@@ -46,22 +49,39 @@
     pub demand: Demand,
 }
 
+/// What the exchange tells of a client account.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct News {
+    /// All slot time that is known to be charged, here and elsewhere, and was collected.
+    pub total: Micros,
+    /// The part of it, in microseconds, that was charged here and that the fleet has not confirmed;
+    /// negative when taken back.
+    pub unconfirmed: i64,
+    /// The account's demand in the fleet.
+    pub demand: Demand,
+}
+
 /// Service levels of the client accounts of one service, as one entry knows them.
 #[derive(Debug, Default)]
 pub struct Share {
     levels: BTreeMap<AccountKey, Level>,
     turns: BTreeSet<(Micros, AccountKey)>,
     fleet: BTreeSet<(Micros, AccountKey)>,
+    lasting: BTreeSet<(Micros, AccountKey)>,
     floor: Micros,
+    members: u32,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Level {
     total: Micros,
     fresh: i64,
+    ratio: Ratio,
     here: bool,
     elsewhere: u8,
     steady: bool,
+    /// Backlogged here for the whole of the last round.
+    lasting: bool,
     quiet: u32,
 }
 
@@ -71,8 +91,15 @@
         Self::default()
     }
 
+    /// Entries of the fleet, this one included. A charge is reckoned to go with as many like it
+    /// until the exchange tells more.
+    pub fn set_members(&mut self, members: usize) {
+        self.members = u32::try_from(members).unwrap_or(u32::MAX);
+    }
+
     /// The account has work waiting here. One that comes back from idle is lifted to the least
-    /// level among the backlogged of the fleet, so that idling earns no credit.
+    /// level among those of the fleet that have been backlogged for a round, if there are any, else
+    /// among all backlogged. So neither idling nor short waits earn credit.
     pub fn backlogged(&mut self, account: AccountKey) {
         let floor = self.floor();
         self.update(account, |level| {
@@ -81,6 +108,7 @@
             }
             level.here = true;
             level.steady = false;
+            level.lasting = false;
             if level.elsewhere == 0 {
                 level.total = level.total.max(floor);
             }
@@ -93,27 +121,35 @@
             self.update(account, |level| {
                 level.here = false;
                 level.steady = false;
+                level.lasting = false;
             });
         }
     }
 
-    /// Charges slot time to the account.
+    /// Charges slot time to the account. While nobody waits there is nobody to be fair to: the
+    /// charge is reported, and the level stays.
     pub fn debit(&mut self, account: AccountKey, amount: Micros) {
         let floor = self.floor();
+        let quiet = self.fleet.is_empty();
+        let members = self.members;
         self.update(account, |level| {
+            level.fresh = level.fresh.saturating_add(signed(amount));
             if !level.waits() {
                 level.total = level.total.max(floor);
             }
-            level.total += amount;
-            level.fresh = level.fresh.saturating_add(signed(amount));
+            if quiet {
+                return;
+            }
+            level.total += level.ratio.of(amount, members);
         });
     }
 
     /// Takes back slot time that was charged and not used.
     pub fn credit(&mut self, account: AccountKey, amount: Micros) {
+        let members = self.members;
         if self.levels.contains_key(&account) {
             self.update(account, |level| {
-                level.total = level.total - amount;
+                level.total = level.total - level.ratio.of(amount, members);
                 level.fresh = level.fresh.saturating_sub(signed(amount));
             });
         }
@@ -153,13 +189,17 @@
         let floor = self.floor();
         let mut reports = Vec::new();
         for (&account, level) in &mut self.levels {
+            level.ratio.collect(level.fresh);
             reports.push(Report {
                 account,
                 charged: std::mem::take(&mut level.fresh),
                 demand: level.demand(),
             });
+            let before = *level;
+            level.lasting = level.here && level.steady;
             level.steady = level.here;
             level.elsewhere = level.elsewhere.saturating_sub(1);
+            reorder(&mut self.lasting, account, before, *level, Level::lasts);
             if !level.waits() {
                 self.fleet.remove(&(level.total, account));
             }
@@ -171,15 +211,25 @@
         reports
     }
 
-    /// Takes over the fleet's level of an account: all that was reported by any entry, this one
-    /// included. What was charged here since the last report is added to it.
-    pub fn apply(&mut self, account: AccountKey, total: Micros, demand: Demand) {
-        if !demand.waits() && !self.levels.contains_key(&account) && total <= self.floor {
+    /// Takes over the fleet's level of an account. What was charged here and is not confirmed counts
+    /// as many times as the fleet has charged for each charge here: the other entries do likewise
+    /// meanwhile.
+    pub fn apply(&mut self, account: AccountKey, news: News) {
+        let known = self.levels.contains_key(&account);
+        if !news.demand.waits() && !known && news.total <= self.floor {
             return;
         }
+        let members = self.members;
         self.update(account, |level| {
-            level.total = Micros(total.0.saturating_add_signed(level.fresh));
-            level.elsewhere = match demand {
+            let confirmed = Micros(news.total.0.saturating_add_signed(-news.unconfirmed));
+            level.ratio.confirm(confirmed);
+            let own = news.unconfirmed.saturating_add(level.fresh);
+            let all = level.ratio.of(Micros(own.unsigned_abs()), members);
+            level.total = match own >= 0 {
+                true => confirmed + all,
+                false => confirmed - all,
+            };
+            level.elsewhere = match news.demand {
                 Demand::Steady => HEARD_ROUNDS,
                 _ => 0,
             };
@@ -187,7 +237,9 @@
     }
 
     fn floor(&self) -> Micros {
-        self.fleet.first().map_or(self.floor, |&(level, _)| level)
+        let lasting = self.lasting.first();
+        let least = lasting.or_else(|| self.fleet.first());
+        least.map_or(self.floor, |&(level, _)| level)
     }
 
     fn update(&mut self, account: AccountKey, change: impl FnOnce(&mut Level)) {
@@ -197,9 +249,8 @@
         let after = *level;
         reorder(&mut self.turns, account, before, after, |l| l.here);
         reorder(&mut self.fleet, account, before, after, Level::waits);
-        if let Some(&(least, _)) = self.fleet.first() {
-            self.floor = self.floor.max(least);
-        }
+        reorder(&mut self.lasting, account, before, after, Level::lasts);
+        self.floor = self.floor.max(self.floor());
     }
 }
 
@@ -208,6 +259,10 @@
         self.here || self.elsewhere > 0
     }
 
+    fn lasts(&self) -> bool {
+        self.lasting || self.elsewhere > 0
+    }
+
     fn demand(&self) -> Demand {
         match (self.here, self.steady) {
             (true, true) => Demand::Steady,
