--- a/src/bench/capacity/scheduler.rs
+++ b/src/bench/capacity/scheduler.rs
@@ -4,7 +4,7 @@
 use crate::bench::report::Report;
 use crate::ids::{AccountKey, AgentKey, JobKey, OfferId};
 use crate::scheduler::{Job, Scheduler};
-use crate::share::Demand;
+use crate::share::{Demand, News};
 use crate::units::Micros;
 
 const ROLE: &str = "entry";
@@ -101,7 +101,12 @@
 fn levels(seed: u64, accounts: usize) -> Report {
     let apply = |scheduler: &mut Scheduler, at: usize| {
         let level = Micros::from_ms(at as u64 + 1);
-        scheduler.apply(AccountKey::from(at % accounts), level, Demand::Steady);
+        let news = News {
+            total: level,
+            unconfirmed: 0,
+            demand: Demand::Steady,
+        };
+        scheduler.apply(AccountKey::from(at % accounts), news);
     };
     let (mut scheduler, bytes) = held(|| {
         let mut scheduler = Scheduler::new();
