Make sure that the order waits in a paused agent's connection

Cause: an_agent_killed_before_it_reads_an_order_never_runs_it asked for an order that a paused agent has in its connection. When the agent is paused before its offer has come, the order waits in the entry's queue, and the restarted agent rightly runs it: the test failed in two runs of the whole suite on a busy machine, with the whole answer. Ruled out: a fault of the entry (the run count was 1, the answer whole); accepting the whole answer too (the test would no longer cause the case it is for). Change: the test looks whether the entry has dispatched the order, and tries again with another order where it has not; what it then asks is as strict as before.

--- a/tests/failures/killed.rs
+++ b/tests/failures/killed.rs
@@ -53,16 +53,29 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn an_agent_killed_before_it_reads_an_order_never_runs_it() {
     let mut fleet = Plan::entries(1).targets("orders", 1, 1).start().await;
-    // The order waits in the connection of a paused agent.
-    fleet.targets[0].agent.signal(Signal::Stop);
-    let call = start(&fleet, 0, order("unread", 5));
-    tokio::time::sleep(std::time::Duration::from_millis(300)).await;
+    // The order must wait in the connection of a paused agent. It waits in the entry's queue
+    // instead when the agent was paused before its offer had come.
+    let mut tried = 0;
+    let (id, call) = loop {
+        let id = format!("unread-{tried}");
+        fleet.targets[0].agent.signal(Signal::Stop);
+        let before = fleet.event(0, "dispatches").await;
+        let call = start(&fleet, 0, order(&id, 5));
+        tokio::time::sleep(std::time::Duration::from_millis(300)).await;
+        if fleet.event(0, "dispatches").await > before {
+            break (id, call);
+        }
+        fleet.targets[0].agent.signal(Signal::Cont);
+        assert_eq!(told(call).await, echoed(&id));
+        tried += 1;
+        assert!(tried < 10, "no offer comes before the agent is paused");
+    };
     fleet.restart_agent(0).await;
     let told = told(call).await;
     assert!(
         matches!(told, Told::NotRun(..) | Told::Unknown(..)),
         "{told:?}"
     );
-    check_settled(&fleet, "unread", &told).await;
-    assert_eq!(fleet.count("unread").await, 0);
+    check_settled(&fleet, &id, &told).await;
+    assert_eq!(fleet.count(&id).await, 0);
 }
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -348,6 +348,15 @@
         assert_eq!(reply.status, 200, "{}", reply.text());
     }
 
+    /// What an entry has counted of an event.
+    pub async fn event(&self, entry: usize, name: &str) -> u64 {
+        let status = Call::get("/status");
+        let reply = self.caller.call(self.entries[entry].admin, status).await;
+        let status = reply.expect("status answers").json();
+        let count = status["metrics"]["events"][name].as_u64();
+        count.expect("the event is counted")
+    }
+
     /// Calls an entry.
     pub async fn call(&self, entry: usize, call: Call) -> Result<Reply, CallError> {
         self.caller.call(self.entries[entry].callers, call).await
--- a/tests/hedging.rs
+++ b/tests/hedging.rs
@@ -15,18 +15,6 @@
     Call::post("/model/run?ms=20", format!("request {number}")).key("school-key")
 }
 
-async fn hedges(fleet: &fleet::Fleet) -> u64 {
-    let status = Call::get("/status");
-    let reply = fleet
-        .caller
-        .call(fleet.entries[0].admin, status)
-        .await
-        .expect("status answers");
-    reply.json()["metrics"]["events"]["hedges"]
-        .as_u64()
-        .expect("hedges are counted")
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn a_slowed_target_is_hedged_within_the_budget() {
     let fleet = Plan::entries(1).targets("model", 4, 2).start().await;
@@ -43,7 +31,7 @@
             .expect("the entry answers");
         assert_eq!(reply.text(), format!("request {}", WARM + number));
     }
-    let hedged = hedges(&fleet).await;
+    let hedged = fleet.event(0, "hedges").await;
     assert!(hedged >= 1, "a slowed target was never hedged");
     // The budget is 5 % of first copies, and one to begin with.
     assert!(
