Keep the log quiet while capacity is measured

Cause: since entries log each agent that comes, the measurement of connections printed 672 lines and counted their time as that of a handshake.

Ruled out: a logger of its own for the bench, which other experiments do not need.

--- a/src/bench/capacity.rs
+++ b/src/bench/capacity.rs
@@ -32,6 +32,8 @@
 
 /// Measures every slope. One report for each slope and size.
 pub fn run(seed: u64) -> Vec<Report> {
+    // Lines of log would be measured too.
+    spdlog::default_logger().set_level_filter(spdlog::LevelFilter::Off);
     heap::start();
     let mut lines = Vec::new();
     lines.extend(scheduler::lines(seed));
