--- a/src/entry/flight.rs
+++ b/src/entry/flight.rs
@@ -604,6 +604,7 @@
             .send(Over {
                 job: self.job,
                 spent: self.spent,
+                whole: outcome == Outcome::Whole,
             })
             .await;
         outcome
