--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod core;
 pub mod dial;
+pub mod probe;
 pub mod run;
 pub mod status;
 
@@ -69,7 +70,7 @@
     };
     let view = AgentView {
         core: core.clone(),
-        telemetry,
+        telemetry: telemetry.clone(),
         info: info.clone(),
     };
     let (ready_in, ready) = watch::channel(true);
@@ -77,6 +78,7 @@
         core: core.clone(),
         info,
         secret: Secret::new(&settings.secret),
+        telemetry,
     };
     let mut services = vec![
         tokio::spawn(admin::serve(admin, Arc::new(view), ready)),
@@ -90,19 +92,22 @@
     );
 
     drain.cancelled().await;
+    spdlog::info!("draining");
     ready_in.send_replace(false);
     finish(&core).await;
     services.iter().for_each(|s| s.abort());
     Ok(())
 }
 
-/// Withdraws all offers and waits until every answer is with its entry.
+/// Withdraws all offers and waits until no entry sends any more and every answer is with its entry.
 async fn finish(core: &Address<Core>) {
     if core.send(Drain).await.is_err() {
         return;
     }
     while let Ok(status) = core.send(Inspect).await {
-        if status.runs == 0 {
+        if status.runs == 0 && status.senders == 0 {
+            // What is queued for the entries goes out first.
+            tokio::time::sleep(DRAIN_POLL).await;
             return;
         }
         tokio::time::sleep(DRAIN_POLL).await;
--- a/src/agent/run.rs
+++ b/src/agent/run.rs
@@ -5,8 +5,10 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
-use hyper::{Request, Response, Uri};
+use hyper::body::{Body, Incoming};
+use hyper::header::CONTENT_LENGTH;
+use hyper::http::response::Parts;
+use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
@@ -17,13 +19,15 @@
 use crate::agent::core::{Core, Freed, Released};
 use crate::conn::Outbox;
 use crate::entry::request::{
-    ACCOUNT_HEADER, FENCE_HEADER, REQUEST_ID_HEADER, TRACE_HEADER, answer_headers,
+    ACCOUNT_HEADER, FENCE_HEADER, REQUEST_ID_HEADER, TRACE_HEADER, answer_headers, head_bytes,
 };
 use crate::ids::DispatchId;
 use crate::resume::Resume;
 use crate::telemetry::{Telemetry, TraceContext};
 use crate::units::Micros;
-use crate::wire::{Dispatch, Finish, Header, Known, MAX_CHUNK_BYTES, ToEntry};
+use crate::wire::{
+    Dispatch, Finish, Header, Known, MAX_ANSWER_HEAD_BYTES, MAX_CHUNK_BYTES, ToEntry,
+};
 
 /// How long a whole answer is kept for an entry that does not ask.
 pub const KEEP_TIMEOUT: Duration = Duration::from_secs(60);
@@ -51,6 +55,11 @@
         }
     }
 
+    /// Its address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Sends a request. One that must not run twice gets a connection of its own, so that a stale
     /// one cannot leave its fate in doubt.
     async fn send(
@@ -58,33 +67,15 @@
         dispatch: &Dispatch,
         body: Bytes,
         trace: TraceContext,
-    ) -> Result<Response<Incoming>, Finish> {
-        if !dispatch.idempotent {
-            return self.try_send(&self.fresh, dispatch, body, trace).await;
-        }
-        match self
-            .try_send(&self.pooled, dispatch, body.clone(), trace)
-            .await
-        {
-            // The connection may have been stale; what follows shows whether the target crashed.
-            Err(Finish::Crashed) => self
-                .try_send(&self.fresh, dispatch, body, trace)
-                .await
-                .map_err(|_| Finish::Crashed),
-            other => other,
-        }
-    }
-
-    async fn try_send(
-        &self,
-        client: &Client<HttpConnector, Full<Bytes>>,
-        dispatch: &Dispatch,
-        body: Bytes,
-        trace: TraceContext,
     ) -> Result<Response<Incoming>, Finish> {
         let request = self
             .request(dispatch, body, trace)
             .ok_or(Finish::Unreached)?;
+        let client = if dispatch.idempotent {
+            &self.pooled
+        } else {
+            &self.fresh
+        };
         let answer = client.request(request).await;
         answer.map_err(|e| {
             if e.is_connect() {
@@ -119,6 +110,8 @@
     }
 }
 
+/// A client that keeps `idle` connections. A request that finds a kept one closed before any of it
+/// was written is sent on a new one.
 fn client(idle: usize) -> Client<HttpConnector, Full<Bytes>> {
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
@@ -127,10 +120,22 @@
         .pool_max_idle_per_host(idle)
         .pool_idle_timeout(IDLE_TIMEOUT)
         .pool_timer(TokioTimer::new())
-        .retry_canceled_requests(false)
+        .retry_canceled_requests(true)
         .build(connector)
 }
 
+/// The length that the target gave, where it can be relied on.
+fn content_length(parts: &Parts, body: &Incoming, method: &str) -> Option<Header> {
+    let value = parts.headers.get(CONTENT_LENGTH)?;
+    let given: u64 = value.to_str().ok()?.trim().parse().ok()?;
+    let bodiless = method == Method::HEAD.as_str() || parts.status == StatusCode::NOT_MODIFIED;
+    let exact = body.size_hint().exact() == Some(given);
+    (bodiless || exact).then(|| Header {
+        name: CONTENT_LENGTH.as_str().to_owned(),
+        value: Bytes::from(given.to_string()),
+    })
+}
+
 /// What the core tells a run.
 #[derive(Debug)]
 pub enum Command {
@@ -199,7 +204,13 @@
         drop(span);
         let spent = Micros::from(start.elapsed());
         // The core outlives its runs.
-        let _ = self.core.send(Freed(id)).await;
+        let _ = self
+            .core
+            .send(Freed {
+                dispatch: id,
+                finish,
+            })
+            .await;
         let (chunks, bytes) = (self.kept.pieces.next().saturating_sub(1), self.kept.total);
         let end = ToEntry::End {
             dispatch: id,
@@ -244,7 +255,17 @@
             Err(finish) => return finish,
         };
         let (parts, mut body) = response.into_parts();
-        self.head(id, parts.status.as_u16(), answer_headers(&parts.headers));
+        let length = content_length(&parts, &body, &dispatch.method);
+        let headers: Vec<Header> = answer_headers(&parts.headers)
+            .into_iter()
+            .chain(length)
+            .collect();
+        if head_bytes(&headers) > MAX_ANSWER_HEAD_BYTES {
+            // The entry takes an answer without a head for a failure of the target, which a
+            // repeat would meet again.
+            return Finish::Whole;
+        }
+        self.head(id, parts.status.as_u16(), headers);
         loop {
             tokio::select! {
                 frame = body.frame(), if !self.kept.pieces.full() => match frame {
--- a/src/cmd/bench.rs
+++ b/src/cmd/bench.rs
@@ -6,6 +6,8 @@
 use lexopt::{Arg, Parser, ValueExt};
 
 use crate::bench::{self, Experiment, Report, Variant, path};
+use crate::settings::LogForm;
+use crate::telemetry::logs;
 
 const USAGE: &str = "\
 Usage: balsampitch-bench EXPERIMENT [--seed N] [--naive]
@@ -13,7 +15,8 @@
 Runs an experiment and prints its figures, one JSON object a line. All but `path`, which measures
 an entry and an agent over loopback, run in virtual time.
 
-EXPERIMENT: fairness, utilisation, crest, blocking, slowed, control, once, failover, path, all
+EXPERIMENT: fairness, utilisation, crest, blocking, slowed, control, once, failover, path, all,
+            capacity
 
   --seed N    seed of the demand (default 1)
   --naive     measure round robin, first come first served, instead
@@ -69,6 +72,8 @@
 }
 
 fn measure(options: &Options) -> anyhow::Result<()> {
+    // Standard output is for figures.
+    logs::init(LogForm::Text, "balsampitch-bench")?;
     for &experiment in &options.chosen.experiments {
         print(bench::run(experiment, options.seed, options.variant))?;
     }
@@ -116,8 +121,11 @@
 fn chosen(name: &str) -> Result<Chosen, lexopt::Error> {
     let all = name == "all";
     let path = all || name == path::PATH;
-    let named = |e: &Experiment| all || e.name() == name;
-    let experiments: Vec<Experiment> = Experiment::ALL.into_iter().filter(named).collect();
+    let of_all = Experiment::ALL
+        .into_iter()
+        .filter(|e| all || e.name() == name);
+    let extra = Experiment::EXTRA.into_iter().filter(|e| e.name() == name);
+    let experiments: Vec<Experiment> = of_all.chain(extra).collect();
     if experiments.is_empty() && !path {
         return Err(format!("no experiment is named {name:?}").into());
     }
--- a/src/entry/flight.rs
+++ b/src/entry/flight.rs
@@ -19,6 +19,7 @@
 use crate::entry::messages::{Arrive, Over, Promoted, Returned, Unhedged};
 use crate::entry::request::Request;
 use crate::entry::routes::{Event, Routes};
+use crate::entry::trail::{Step, Trail};
 use crate::ids::{AgentKey, BootId, DispatchId, JobKey};
 use crate::problem::{Execution, Problem, Reason};
 use crate::telemetry::{self, Metrics, Span, Telemetry};
@@ -44,6 +45,14 @@
     pub headers: Vec<Header>,
 }
 
+impl Head {
+    /// Length of the body, in bytes, when the headers tell it.
+    fn length(&self) -> Option<u64> {
+        let header = self.headers.iter().find(|h| h.name == "content-length")?;
+        std::str::from_utf8(&header.value).ok()?.parse().ok()
+    }
+}
+
 /// A piece of an answer's body.
 #[derive(Debug)]
 pub enum Piece {
@@ -85,6 +94,8 @@
     pub keyed: Keyed,
     /// Requests that crash their targets.
     pub guard: Guard,
+    /// What becomes of requests.
+    pub trail: Trail,
 }
 
 /// The agent of the dispatch in flight, and its connection.
@@ -121,6 +132,8 @@
     pending: VecDeque<Bytes>,
     unacked: Unacked,
     passed: u64,
+    /// Bytes of the body that the caller still expects, when the head told its length.
+    left: Option<u64>,
     spent: Option<Micros>,
     gone: bool,
     arrived: Micros,
@@ -151,6 +164,7 @@
             pending: VecDeque::new(),
             unacked: Unacked::default(),
             passed: 0,
+            left: None,
             spent: None,
             gone: false,
             arrived,
@@ -213,12 +227,15 @@
                 Ok(permit) => {
                     let data = self.pending.pop_front().expect("a piece waits");
                     let size = data.len();
+                    self.left = self.left.map(|left| left.saturating_sub(size as u64));
                     permit.send(Piece::Data(data));
                     self.passed_on(size);
                 }
                 Err(_) => self.caller_gone().await,
             },
-            () = body.closed(), if !waits && !self.gone => self.caller_gone().await,
+            () = body.closed(), if !waits && !self.gone && !self.has_all() => {
+                self.caller_gone().await;
+            }
             () = tokio::time::sleep_until(wake) => self.woken(waits).await,
         }
     }
@@ -240,7 +257,14 @@
         self.decide(Happening::Tick, None).await;
     }
 
+    fn note(&self, step: Step) {
+        self.tools.trail.note(self.request.id, step);
+    }
+
     async fn event(&mut self, event: Event) {
+        if let Ok(step) = Step::try_from(&event) {
+            self.note(step);
+        }
         let Some(event) = self.about_second(event).await else {
             return;
         };
@@ -417,6 +441,7 @@
         for action in actions {
             match action {
                 Action::Ask { dispatch, next } => {
+                    self.note(Step::Asked { next });
                     self.tools
                         .telemetry
                         .metrics()
@@ -429,7 +454,7 @@
                     });
                 }
                 Action::Requeue => requeue = true,
-                Action::Crash => self.tools.guard.crashed(&self.request),
+                Action::Crash => self.crashed(),
                 Action::Refuse(problem) => {
                     self.refuse(problem);
                 }
@@ -467,17 +492,32 @@
                 Err(problem) => return self.give_up(problem.reason),
             }
         }
+        self.note(Step::Returned);
         let retry = self.attempt.begun();
-        self.tools
-            .telemetry
-            .metrics()
-            .event(telemetry::Event::Retry);
         let returned = Returned {
             job: self.job,
             retry,
         };
-        if !self.tools.desk.send(returned).await.unwrap_or(false) {
-            self.give_up(Reason::NoCapacity);
+        if self.tools.desk.send(returned).await.unwrap_or(false) {
+            self.tools
+                .telemetry
+                .metrics()
+                .event(telemetry::Event::Retry);
+        } else {
+            self.give_up(if retry {
+                Reason::TargetFailed
+            } else {
+                Reason::NoCapacity
+            });
+        }
+    }
+
+    /// The request crashed its target; a trial that it was is over.
+    fn crashed(&mut self) {
+        self.note(Step::Crashed);
+        self.tools.guard.crashed(&self.request);
+        if let Some(trial) = self.trial.take() {
+            self.tools.guard.over(trial);
         }
     }
 
@@ -499,6 +539,7 @@
                     .metrics()
                     .wait(self.tools.clock.now() - self.arrived);
                 self.status = head.status;
+                self.left = head.length();
                 self.answering.store(true, Ordering::Relaxed);
                 if let Some(to) = self.caller.head.take() {
                     // A caller that is gone shows when the body is passed on.
@@ -528,6 +569,12 @@
         }
     }
 
+    /// Whether the caller has a body of known length in full. Its connection then takes no more,
+    /// not even the end.
+    fn has_all(&self) -> bool {
+        self.left == Some(0)
+    }
+
     async fn caller_gone(&mut self) {
         self.gone = true;
         while let Some(data) = self.pending.pop_front() {
@@ -581,6 +628,7 @@
     }
 
     fn count(&self, outcome: Outcome) {
+        self.note(Step::Over(outcome));
         let metrics: &Metrics = self.tools.telemetry.metrics();
         metrics.request(outcome.into());
         metrics.total(self.tools.clock.now() - self.arrived);
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -3,6 +3,7 @@
 pub mod agents;
 pub mod answers;
 pub mod budgets;
+pub mod changes;
 pub mod desk;
 pub mod figures;
 pub mod flight;
@@ -16,10 +17,13 @@
 pub mod pool;
 pub mod request;
 pub mod routes;
+pub mod sightings;
 pub mod status;
+pub mod trail;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use anyhow::Context;
 use tokio::net::{TcpListener, UdpSocket};
@@ -38,11 +42,13 @@
 use crate::entry::http::Http;
 use crate::entry::join::Joiner;
 use crate::entry::keyed::Keyed;
-use crate::entry::messages::{Beat, DESK};
+use crate::entry::messages::{Beat, DESK, Inspect};
 use crate::entry::peers::{Answerer, Fetcher};
 use crate::entry::pool::{Bridge, Pool};
 use crate::entry::routes::Routes;
+use crate::entry::sightings::Sightings;
 use crate::entry::status::EntryView;
+use crate::entry::trail::Trail;
 use crate::exchange::service::Exchange;
 use crate::ids::BootId;
 use crate::kernel::{Kernel, ServiceName};
@@ -59,6 +65,8 @@
 /// Name under which the exchange's status is registered.
 pub const EXCHANGE: ServiceName = ServiceName("exchange");
 
+/// How often a draining entry looks whether it is done.
+const DRAIN_POLL: Duration = Duration::from_millis(50);
 /// Messages that wait for the desk before senders wait too.
 const DESK_MAILBOX: usize = 4096;
 
@@ -95,6 +103,7 @@
     let log = Client::new(settings.platform);
     let keyed = Keyed::new(log.clone(), clock, settings.listen, boot);
     let pool = Pool::new();
+    let trail = Trail::new(clock);
     let desk = Desk::new(
         clock,
         boot,
@@ -102,14 +111,17 @@
         routes.clone(),
         pool.clone(),
         keyed.clone(),
-    );
+    )
+    .recording(trail.clone());
     let desk = xtra::spawn_tokio(desk, Mailbox::bounded(DESK_MAILBOX));
     kernel.register(DESK, desk.clone());
 
     let socket = UdpSocket::bind(settings.peer)
         .await
         .with_context(|| format!("could not listen for entries on {}", settings.peer))?;
-    let bridge = Bridge::new(pool, rules.table(), settings.entries.clone());
+    let guard = Guard::new(clock);
+    let sightings = Sightings::new(guard.clone(), clock, settings.peer, &settings.entries);
+    let bridge = Bridge::new(pool, rules.table(), settings.entries.clone(), sightings);
     let key = settings.secret.as_bytes();
     let exchange = Exchange::new(socket, settings.peer, key, bridge).with_boot(key, boot);
     kernel.register(EXCHANGE, exchange.status());
@@ -128,6 +140,7 @@
         secret,
         boot,
         peers: Answerer::new(rules.view()),
+        telemetry: telemetry.clone(),
     };
     let (ready_in, ready) = watch::channel(false);
     let view = EntryView {
@@ -135,13 +148,17 @@
         rules: rules.clone(),
         telemetry: telemetry.clone(),
         boot,
+        guard: guard.clone(),
+        trail: trail.clone(),
+        exchange: exchange.status(),
     };
     let services = [
         tokio::spawn(agents.listen(peers)),
         tokio::spawn(beat(desk.clone())),
         tokio::spawn(fetcher.run()),
+        tokio::spawn(changes::follow(rules.clone(), telemetry.clone())),
         tokio::spawn(keyed.clone().follow()),
-        tokio::spawn(hosts::follow(log, desk.clone())),
+        tokio::spawn(hosts::follow(log, desk.clone(), telemetry.clone())),
         tokio::spawn(async move {
             exchange.run(CancellationToken::new()).await;
         }),
@@ -149,14 +166,14 @@
         tokio::spawn(readiness(rules.clone(), ready_in, drain.clone())),
     ];
 
-    let guard = Guard::new(clock);
     let tools = Tools {
-        desk,
+        desk: desk.clone(),
         routes,
         clock,
         telemetry,
-        keyed,
+        keyed: keyed.clone(),
         guard,
+        trail,
     };
     let answers = Answers::new();
     let joiner = Joiner::new(answers.clone(), boot);
@@ -169,10 +186,23 @@
     }
     .listen(callers)
     .await;
+    finish(&desk, &keyed).await;
     services.iter().for_each(|s| s.abort());
     Ok(())
 }
 
+/// Waits for requests whose callers are gone, and for what the log is still to be told.
+async fn finish(desk: &Address<Desk>, keyed: &Keyed) {
+    while let Ok(status) = desk.send(Inspect).await
+        && status.jobs > 0
+    {
+        tokio::time::sleep(DRAIN_POLL).await;
+    }
+    keyed.reported().await;
+    // The agents' connections write what is queued for them.
+    tokio::time::sleep(DRAIN_POLL).await;
+}
+
 async fn listen(address: SocketAddr, whom: &str) -> anyhow::Result<TcpListener> {
     TcpListener::bind(address)
         .await
@@ -196,5 +226,6 @@
     let _ = table.wait_for(|t| t.version() > 0).await;
     ready.send_replace(true);
     drain.cancelled().await;
+    spdlog::info!("draining");
     ready.send_replace(false);
 }
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code)]
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 use balsampitch::rules::change::Change;
 use balsampitch::rules::record::TextDigest;
@@ -12,12 +13,13 @@
 
 use crate::common::http::{Call, CallError, Caller, Reply};
 use crate::common::process::Process;
-use crate::common::{Place, arg, await_until};
+use crate::common::{LOOK_PAUSE, PATIENCE, Place, arg, await_until};
 
 const STANDIN: &str = env!("CARGO_BIN_EXE_balsampitch-standin");
 const ENTRY: &str = env!("CARGO_BIN_EXE_balsampitch-entry");
 const AGENT: &str = env!("CARGO_BIN_EXE_balsampitch-agent");
-const SECRET: &str = "a key for tests only";
+pub const SECRET: &str = "a key for tests only";
+/// The rules that a fleet starts with.
 pub const RULES: &str = include_str!("../../examples/local.rules");
 
 /// Targets of one service.
@@ -36,6 +38,7 @@
     links: bool,
     fenced: bool,
     unruled: bool,
+    telemetry: Value,
 }
 
 impl Plan {
@@ -47,6 +50,7 @@
             links: false,
             fenced: false,
             unruled: false,
+            telemetry: json!({}),
         }
     }
 
@@ -72,6 +76,12 @@
         self
     }
 
+    /// Exports telemetry to a collector.
+    pub fn collector(mut self, address: SocketAddr) -> Self {
+        self.telemetry = json!({ "otlp": format!("http://{address}") });
+        self
+    }
+
     /// Starts without rules; [`Fleet::apply_rules`] brings them.
     pub fn unruled(mut self) -> Self {
         self.unruled = true;
@@ -89,6 +99,7 @@
     pub process: Process,
     pub callers: SocketAddr,
     pub admin: SocketAddr,
+    pub peer: SocketAddr,
     pub link: Option<LinkHost>,
     settings: Value,
     name: String,
@@ -119,6 +130,7 @@
     pub caller: Caller,
     pub log: Process,
     place: Place,
+    telemetry: Value,
 }
 
 /// Addresses of an entry, as the others must know them before it starts.
@@ -169,6 +181,7 @@
             caller,
             log,
             place,
+            telemetry: plan.telemetry,
         };
         for own in &addresses {
             fleet.start_entry(own, &addresses);
@@ -179,6 +192,9 @@
                 fleet.start_target(targets, &fronts, plan.fenced);
             }
         }
+        for host in &fleet.targets {
+            await_until("a target", || is_ok(&fleet.caller, host.address, "/state")).await;
+        }
         fleet.set_hosts(|_| "live").await;
         if plan.unruled {
             fleet.running().await;
@@ -199,6 +215,7 @@
             "entries": peers,
             "platform": self.platform,
             "secret": SECRET,
+            "telemetry": self.telemetry,
         });
         let link = (own.front != own.peer).then(|| self.start_link(&name, own));
         let process = start_with_settings(&self.place, &name, ENTRY, &settings);
@@ -206,6 +223,7 @@
             process,
             callers: own.callers,
             admin: own.admin,
+            peer: own.peer,
             link,
             settings,
             name,
@@ -243,6 +261,7 @@
             "entries": entries,
             "platform": self.platform,
             "secret": SECRET,
+            "telemetry": self.telemetry,
         });
         let agent = start_with_settings(&self.place, &name, AGENT, &settings);
         self.targets.push(TargetHost {
@@ -312,6 +331,13 @@
             .await;
     }
 
+    /// Writes a file into the fleet's directory.
+    pub fn write(&self, name: &str, text: &str) -> PathBuf {
+        let path = self.place.path(name);
+        std::fs::write(&path, text).expect("the directory is writable");
+        path
+    }
+
     /// Gives a stand-in an order.
     pub async fn order(&self, to: SocketAddr, call: Call) {
         let reply = self
@@ -322,6 +348,15 @@
         assert_eq!(reply.status, 200, "{}", reply.text());
     }
 
+    /// What an entry has counted of an event.
+    pub async fn event(&self, entry: usize, name: &str) -> u64 {
+        let status = Call::get("/status");
+        let reply = self.caller.call(self.entries[entry].admin, status).await;
+        let status = reply.expect("status answers").json();
+        let count = status["metrics"]["events"][name].as_u64();
+        count.expect("the event is counted")
+    }
+
     /// Calls an entry.
     pub async fn call(&self, entry: usize, call: Call) -> Result<Reply, CallError> {
         self.caller.call(self.entries[entry].callers, call).await
@@ -331,16 +366,26 @@
     pub async fn count(&self, id: &str) -> u64 {
         let mut sum = 0;
         for host in &self.targets {
-            let reply = self
-                .caller
-                .call(host.address, Call::get(format!("/count?id={id}")))
-                .await;
-            let text = reply.expect("a target tells its counts").text();
-            sum += text.parse::<u64>().expect("a count is a number");
+            let reply = self.ask(host.address, &format!("/count?id={id}")).await;
+            sum += reply.text().parse::<u64>().expect("a count is a number");
         }
         sum
     }
 
+    /// Gets a path from a stand-in, once it is there.
+    pub async fn ask(&self, from: SocketAddr, path: &str) -> Reply {
+        let asking = async {
+            loop {
+                match self.caller.call(from, Call::get(path)).await {
+                    Ok(reply) => return reply,
+                    Err(_) => tokio::time::sleep(LOOK_PAUSE).await,
+                }
+            }
+        };
+        let asked = tokio::time::timeout(PATIENCE, asking).await;
+        asked.expect("a stand-in comes back")
+    }
+
     /// Waits until all entries and agents that run are ready.
     pub async fn ready(&self) {
         let entries = self.entries.iter().map(|entry| entry.admin);
