Split the desk, the flight and the core by job

Ruled out: actors for each part (they share the jobs and agents of one decision). Change: offers, links, copies and inspection of the desk, the answer and the second copy of a flight, and the core's messages have files of their own; the entry is put together from parts.

--- a/src/agent/dial.rs
+++ b/src/agent/dial.rs
@@ -8,7 +8,8 @@
 use tokio::time::timeout;
 use xtra::Address;
 
-use crate::agent::core::{Core, EntryDown, EntryUp, FromEntry, Link};
+use crate::agent::core::Core;
+use crate::agent::messages::{EntryDown, EntryUp, FromEntry, Link};
 use crate::auth::Secret;
 use crate::conn::{self, ConnError, HANDSHAKE_TIMEOUT, Inbox};
 use crate::telemetry::{Event, Gauge, Telemetry};
--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod core;
 pub mod dial;
+pub mod messages;
 pub mod probe;
 pub mod run;
 pub mod status;
@@ -16,8 +17,9 @@
 use xtra::{Address, Mailbox};
 
 use crate::admin;
-use crate::agent::core::{Beat, CORE, Core, Drain, Inspect};
+use crate::agent::core::{CORE, Core};
 use crate::agent::dial::Dial;
+use crate::agent::messages::{Beat, Drain, Inspect};
 use crate::agent::run::Target;
 use crate::agent::status::AgentView;
 use crate::auth::Secret;
--- a/src/agent/run.rs
+++ b/src/agent/run.rs
@@ -16,7 +16,8 @@
 use tokio::time::{Instant, sleep_until};
 use xtra::WeakAddress;
 
-use crate::agent::core::{Core, Freed, Released};
+use crate::agent::core::Core;
+use crate::agent::messages::{Freed, Released};
 use crate::conn::Outbox;
 use crate::entry::request::{
     ACCOUNT_HEADER, FENCE_HEADER, REQUEST_ID_HEADER, TRACE_HEADER, answer_headers, head_bytes,
--- a/src/agent/status.rs
+++ b/src/agent/status.rs
@@ -5,7 +5,8 @@
 use xtra::Address;
 
 use crate::admin::Status;
-use crate::agent::core::{Core, CoreStatus, Inspect};
+use crate::agent::core::Core;
+use crate::agent::messages::{CoreStatus, Inspect};
 use crate::telemetry::Telemetry;
 use crate::telemetry::metrics::Snapshot;
 use crate::wire::AgentInfo;
--- a/src/entry/desk.rs
+++ b/src/entry/desk.rs
@@ -1,11 +1,15 @@
 //! The entry's central service: agents, waiting requests, and who gets which slot.
 
+mod copies;
+mod inspect;
 mod limits;
+mod links;
+mod offers;
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::AtomicBool;
 
 use slab::Slab;
 use tokio::sync::{mpsc, watch};
@@ -14,12 +18,8 @@
 use crate::conn::Outbox;
 use crate::dispatches::Dispatches;
 use crate::entry::budgets::{BudgetTable, Budgets};
-use crate::entry::figures::{AgentStatus, DeskStatus, LevelStatus, ServiceStatus};
 use crate::entry::keyed::Keyed;
-use crate::entry::messages::{
-    AgentDown, AgentLeaving, AgentUp, Arrive, Beat, HostsLeaving, Inspect, Link, Offered, Over,
-    Progressed, Promoted, Returned, Unhedged, Voided,
-};
+use crate::entry::messages::{Arrive, Link, Over, Returned};
 use crate::entry::pool::Pool;
 use crate::entry::request::Request;
 use crate::entry::routes::{Event, Route, Routes};
@@ -29,7 +29,7 @@
 use crate::rules::Table;
 use crate::scheduler::{Arrival, Assignment, Job, Scheduler};
 use crate::units::{Clock, Micros};
-use crate::wire::{AgentInfo, Backlog, Dispatch, MAX_CHUNK_BYTES, ToAgent};
+use crate::wire::{AgentInfo, Dispatch, MAX_CHUNK_BYTES, ToAgent};
 
 /// Expected slot time of a request without a hint.
 const DEFAULT_COST: Micros = Micros::from_ms(100);
@@ -228,68 +228,6 @@
         }
     }
 
-    /// An offer stands: it goes to the service's scheduler, or is held until it may.
-    fn offered(&mut self, agent: AgentKey, offer: OfferId) {
-        let now = self.clock.now();
-        let service = self
-            .service_of(agent)
-            .filter(|_| !self.agents[agent.index()].listed);
-        let Some(service) = service else {
-            self.agents[agent.index()].held.push(offer);
-            self.park(agent, offer, Backlog::default());
-            return;
-        };
-        self.agents[agent.index()].parked.push(offer);
-        match self.with(service, |s| s.offer(now, agent, offer)) {
-            Some(assigned) => self.send(service, assigned),
-            None => {
-                let backlog = self.with(service, |s| s.backlog());
-                self.park(agent, offer, backlog);
-            }
-        }
-    }
-
-    fn park(&self, agent: AgentKey, offer: OfferId, backlog: Backlog) {
-        if let Some(outbox) = &self.agents[agent.index()].outbox {
-            outbox.send(&ToAgent::Parked { offer, backlog });
-        }
-    }
-
-    /// Takes an agent's offers from the scheduler; they stand, and are held.
-    fn hold(&mut self, agent: AgentKey) {
-        if let Some(service) = self.service_of(agent) {
-            self.with(service, |s| s.lost(agent));
-        }
-        let state = &mut self.agents[agent.index()];
-        state.held.append(&mut state.parked);
-    }
-
-    /// Gives held offers to the schedulers that may use them now.
-    fn unhold(&mut self) {
-        let waiting = self
-            .agents
-            .iter()
-            .filter(|(_, a)| !a.held.is_empty() && !a.listed);
-        let agents: Vec<AgentKey> = waiting.map(|(at, _)| AgentKey::from(at)).collect();
-        for agent in agents {
-            if self.service_of(agent).is_some() {
-                let held = std::mem::take(&mut self.agents[agent.index()].held);
-                held.into_iter()
-                    .for_each(|offer| self.offered(agent, offer));
-            }
-        }
-    }
-
-    /// None of the agent's offers stands any more.
-    fn withdraw(&mut self, agent: AgentKey) {
-        if let Some(service) = self.service_of(agent) {
-            self.with(service, |s| s.lost(agent));
-        }
-        let state = &mut self.agents[agent.index()];
-        state.parked.clear();
-        state.held.clear();
-    }
-
     fn note_queued(&self, key: JobKey) {
         let request = &self.jobs[key.index()].request;
         let (level, backlog) =
@@ -360,34 +298,6 @@
         self.budgets
             .of(service, self.rules.borrow().service_at(service))
     }
-
-    /// Sends a second copy of a request that is late, if the scheduler finds it worth while.
-    fn hedge(&mut self, key: JobKey) {
-        let job = &self.jobs[key.index()];
-        let request = job.request.clone();
-        if !request.idempotent || job.hedge.is_some() || job.answering.load(Ordering::Relaxed) {
-            return;
-        }
-        let (now, service) = (self.clock.now(), request.service);
-        let pool = self.pool.clone();
-        let budget = &mut self.budgets(service).hedge;
-        if let Some(second) = pool.with(service, |s| s.hedge(now, key, budget)) {
-            self.dispatch(service, second, &request, None, Copy::Second);
-        }
-    }
-
-    /// Tells the agents of a service that work waits here.
-    fn announce(&mut self, service: ServiceKey) {
-        let backlog = self.with(service, |s| s.backlog());
-        let name = self.rules.borrow().service_at(service).name.clone();
-        for (_, agent) in &self.agents {
-            if agent.info.service == name
-                && let Some(outbox) = &agent.outbox
-            {
-                outbox.send(&ToAgent::Heartbeat { backlog });
-            }
-        }
-    }
 }
 
 impl Handler<Arrive> for Desk {
@@ -428,141 +338,6 @@
     }
 }
 
-impl Handler<AgentUp> for Desk {
-    type Return = Link;
-
-    async fn handle(&mut self, message: AgentUp, _ctx: &mut Context<Self>) -> Link {
-        let AgentUp { info, outbox } = message;
-        let agent = match self.hosts.get(&info.host) {
-            Some(&agent) => agent,
-            None => {
-                let state = AgentState {
-                    info: info.clone(),
-                    link: 0,
-                    outbox: None,
-                    leaving: false,
-                    listed: self.departing.contains(&info.host),
-                    parked: Vec::new(),
-                    held: Vec::new(),
-                    jobs: Vec::new(),
-                };
-                let agent = AgentKey::from(self.agents.insert(state));
-                self.hosts.insert(info.host, agent);
-                agent
-            }
-        };
-        self.withdraw(agent);
-        let state = &mut self.agents[agent.index()];
-        if let Some(old) = state.outbox.replace(outbox.clone()) {
-            old.close();
-        }
-        state.info = info;
-        state.link += 1;
-        state.leaving = false;
-        let link = Link {
-            agent,
-            number: state.link,
-        };
-        let boot = state.info.boot;
-        for key in state.jobs.clone() {
-            let event = Event::Back {
-                agent,
-                boot,
-                outbox: outbox.clone(),
-            };
-            // A task that is gone says so with `Over`, which follows.
-            let _ = self.jobs[key.index()].events.try_send(event);
-        }
-        self.tell_limits(agent);
-        link
-    }
-}
-
-impl Handler<AgentDown> for Desk {
-    type Return = ();
-
-    async fn handle(&mut self, message: AgentDown, _ctx: &mut Context<Self>) {
-        let link = message.0;
-        let Some(state) = self.current(link) else {
-            return;
-        };
-        state.outbox = None;
-        let jobs = state.jobs.clone();
-        self.withdraw(link.agent);
-        for key in jobs {
-            // A task that is gone says so with `Over`, which follows.
-            let _ = self.jobs[key.index()]
-                .events
-                .try_send(Event::Lost { agent: link.agent });
-        }
-    }
-}
-
-impl Handler<Offered> for Desk {
-    type Return = ();
-
-    async fn handle(&mut self, message: Offered, _ctx: &mut Context<Self>) {
-        let Offered(link, offer) = message;
-        let Some(state) = self.current(link) else {
-            return;
-        };
-        if !state.leaving {
-            self.offered(link.agent, offer);
-        }
-    }
-}
-
-impl Handler<Voided> for Desk {
-    type Return = ();
-
-    async fn handle(&mut self, message: Voided, _ctx: &mut Context<Self>) {
-        let Voided(link, offer) = message;
-        let Some(state) = self.current(link) else {
-            return;
-        };
-        state.parked.retain(|&o| o != offer);
-        state.held.retain(|&o| o != offer);
-        if let Some(service) = self.service_of(link.agent) {
-            self.with(service, |s| s.void(link.agent, offer));
-        }
-    }
-}
-
-impl Handler<AgentLeaving> for Desk {
-    type Return = ();
-
-    async fn handle(&mut self, message: AgentLeaving, _ctx: &mut Context<Self>) {
-        let link = message.0;
-        let Some(state) = self.current(link) else {
-            return;
-        };
-        state.leaving = true;
-        if let Some(outbox) = &state.outbox {
-            // What was sent before it reached the agent before it.
-            outbox.send(&ToAgent::Leaving);
-        }
-        self.withdraw(link.agent);
-    }
-}
-
-impl Handler<HostsLeaving> for Desk {
-    type Return = ();
-
-    async fn handle(&mut self, message: HostsLeaving, _ctx: &mut Context<Self>) {
-        self.departing = message.0;
-        let mut gone = Vec::new();
-        for (at, agent) in &mut self.agents {
-            let listed = self.departing.contains(&agent.info.host);
-            if listed && !agent.listed {
-                gone.push(AgentKey::from(at));
-            }
-            agent.listed = listed;
-        }
-        gone.into_iter().for_each(|agent| self.hold(agent));
-        self.unhold();
-    }
-}
-
 impl Handler<Returned> for Desk {
     type Return = bool;
 
@@ -584,62 +359,6 @@
     }
 }
 
-impl Handler<Promoted> for Desk {
-    type Return = ();
-
-    async fn handle(&mut self, message: Promoted, _ctx: &mut Context<Self>) {
-        let key = message.0;
-        let Some(job) = self.jobs.get_mut(key.index()) else {
-            return;
-        };
-        let Some((id, agent)) = job.hedge.take() else {
-            return;
-        };
-        let first = job.sent.replace((id, agent));
-        let service = job.request.service;
-        if let Some((id, agent)) = first {
-            self.unpair(key, id, agent);
-        }
-        self.with(service, |s| s.promoted(key, agent));
-    }
-}
-
-impl Handler<Unhedged> for Desk {
-    type Return = ();
-
-    async fn handle(&mut self, message: Unhedged, _ctx: &mut Context<Self>) {
-        let key = message.0;
-        let Some(job) = self.jobs.get_mut(key.index()) else {
-            return;
-        };
-        let service = job.request.service;
-        if let Some((id, agent)) = job.hedge.take() {
-            self.unpair(key, id, agent);
-        }
-        self.with(service, |s| s.unhedged(key));
-    }
-}
-
-impl Handler<Progressed> for Desk {
-    type Return = ();
-
-    async fn handle(&mut self, message: Progressed, _ctx: &mut Context<Self>) {
-        let Progressed {
-            job: key,
-            dispatch,
-            spent,
-        } = message;
-        let Some(job) = self.jobs.get(key.index()) else {
-            return;
-        };
-        if job.sent.is_some_and(|(id, _)| id == dispatch) {
-            let service = job.request.service;
-            self.with(service, |s| s.progress(key, spent));
-            self.hedge(key);
-        }
-    }
-}
-
 impl Handler<Over> for Desk {
     type Return = ();
 
@@ -660,61 +379,3 @@
         self.trail.note(job.request.id, Step::Charged { spent });
     }
 }
-
-impl Handler<Beat> for Desk {
-    type Return = ();
-
-    async fn handle(&mut self, _message: Beat, _ctx: &mut Context<Self>) {
-        self.follow_rules();
-        self.unhold();
-        for at in 0..self.agents.capacity() {
-            let Some(state) = self.agents.get(at) else {
-                continue;
-            };
-            let Some(outbox) = state.outbox.clone() else {
-                continue;
-            };
-            let service = self.service_of(AgentKey::from(at));
-            let backlog = service
-                .map(|s| self.with(s, |s| s.backlog()))
-                .unwrap_or_default();
-            outbox.send(&ToAgent::Heartbeat { backlog });
-        }
-    }
-}
-
-impl Handler<Inspect> for Desk {
-    type Return = DeskStatus;
-
-    async fn handle(&mut self, _message: Inspect, _ctx: &mut Context<Self>) -> DeskStatus {
-        let rules = self.rules.borrow().clone();
-        let agents = self.agents.iter().map(|(_, a)| AgentStatus {
-            host: a.info.host,
-            service: a.info.service.clone(),
-            zone: a.info.zone.clone(),
-            up: a.outbox.is_some(),
-            leaving: a.leaving || a.listed,
-            running: a.jobs.len(),
-        });
-        let agents = agents.collect();
-        let services = rules
-            .services()
-            .map(|(key, service)| {
-                let levels = rules.accounts().map(|(k, a)| LevelStatus {
-                    account: a.name.clone(),
-                    level_ms: self.with(key, |s| s.level(k)).as_ms(),
-                });
-                ServiceStatus {
-                    service: service.name.clone(),
-                    waiting: self.with(key, |s| s.backlog()).waiting,
-                    levels: levels.collect(),
-                }
-            })
-            .collect();
-        DeskStatus {
-            agents,
-            services,
-            jobs: self.jobs.len(),
-        }
-    }
-}
--- /dev/null
+++ b/src/entry/desk/copies.rs
@@ -0,0 +1,82 @@
+//! Second copies of late requests, and the reports that show which are late.
+
+use std::sync::atomic::Ordering;
+
+use xtra::{Context, Handler};
+
+use super::{Copy, Desk};
+use crate::entry::messages::{Progressed, Promoted, Unhedged};
+use crate::ids::JobKey;
+
+impl Desk {
+    /// Sends a second copy of a request that is late, if the scheduler finds it worth while.
+    pub(super) fn hedge(&mut self, key: JobKey) {
+        let job = &self.jobs[key.index()];
+        let request = job.request.clone();
+        if !request.idempotent || job.hedge.is_some() || job.answering.load(Ordering::Relaxed) {
+            return;
+        }
+        let (now, service) = (self.clock.now(), request.service);
+        let pool = self.pool.clone();
+        let budget = &mut self.budgets(service).hedge;
+        if let Some(second) = pool.with(service, |s| s.hedge(now, key, budget)) {
+            self.dispatch(service, second, &request, None, Copy::Second);
+        }
+    }
+}
+
+impl Handler<Promoted> for Desk {
+    type Return = ();
+
+    async fn handle(&mut self, message: Promoted, _ctx: &mut Context<Self>) {
+        let key = message.0;
+        let Some(job) = self.jobs.get_mut(key.index()) else {
+            return;
+        };
+        let Some((id, agent)) = job.hedge.take() else {
+            return;
+        };
+        let first = job.sent.replace((id, agent));
+        let service = job.request.service;
+        if let Some((id, agent)) = first {
+            self.unpair(key, id, agent);
+        }
+        self.with(service, |s| s.promoted(key, agent));
+    }
+}
+
+impl Handler<Unhedged> for Desk {
+    type Return = ();
+
+    async fn handle(&mut self, message: Unhedged, _ctx: &mut Context<Self>) {
+        let key = message.0;
+        let Some(job) = self.jobs.get_mut(key.index()) else {
+            return;
+        };
+        let service = job.request.service;
+        if let Some((id, agent)) = job.hedge.take() {
+            self.unpair(key, id, agent);
+        }
+        self.with(service, |s| s.unhedged(key));
+    }
+}
+
+impl Handler<Progressed> for Desk {
+    type Return = ();
+
+    async fn handle(&mut self, message: Progressed, _ctx: &mut Context<Self>) {
+        let Progressed {
+            job: key,
+            dispatch,
+            spent,
+        } = message;
+        let Some(job) = self.jobs.get(key.index()) else {
+            return;
+        };
+        if job.sent.is_some_and(|(id, _)| id == dispatch) {
+            let service = job.request.service;
+            self.with(service, |s| s.progress(key, spent));
+            self.hedge(key);
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/desk/inspect.rs
@@ -0,0 +1,43 @@
+//! The desk's figures for the admin address.
+
+use xtra::{Context, Handler};
+
+use super::Desk;
+use crate::entry::figures::{AgentStatus, DeskStatus, LevelStatus, ServiceStatus};
+use crate::entry::messages::Inspect;
+
+impl Handler<Inspect> for Desk {
+    type Return = DeskStatus;
+
+    async fn handle(&mut self, _message: Inspect, _ctx: &mut Context<Self>) -> DeskStatus {
+        let rules = self.rules.borrow().clone();
+        let agents = self.agents.iter().map(|(_, a)| AgentStatus {
+            host: a.info.host,
+            service: a.info.service.clone(),
+            zone: a.info.zone.clone(),
+            up: a.outbox.is_some(),
+            leaving: a.leaving || a.listed,
+            running: a.jobs.len(),
+        });
+        let agents = agents.collect();
+        let services = rules
+            .services()
+            .map(|(key, service)| {
+                let levels = rules.accounts().map(|(k, a)| LevelStatus {
+                    account: a.name.clone(),
+                    level_ms: self.with(key, |s| s.level(k)).as_ms(),
+                });
+                ServiceStatus {
+                    service: service.name.clone(),
+                    waiting: self.with(key, |s| s.backlog()).waiting,
+                    levels: levels.collect(),
+                }
+            })
+            .collect();
+        DeskStatus {
+            agents,
+            services,
+            jobs: self.jobs.len(),
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/desk/links.rs
@@ -0,0 +1,116 @@
+//! Agents' connections as they come and go, and the heartbeats to them.
+
+use xtra::{Context, Handler};
+
+use super::{AgentState, Desk};
+use crate::entry::messages::{AgentDown, AgentUp, Beat, Link};
+use crate::entry::routes::Event;
+use crate::ids::{AgentKey, ServiceKey};
+use crate::wire::ToAgent;
+
+impl Desk {
+    /// Tells the agents of a service that work waits here.
+    pub(super) fn announce(&mut self, service: ServiceKey) {
+        let backlog = self.with(service, |s| s.backlog());
+        let name = self.rules.borrow().service_at(service).name.clone();
+        for (_, agent) in &self.agents {
+            if agent.info.service == name
+                && let Some(outbox) = &agent.outbox
+            {
+                outbox.send(&ToAgent::Heartbeat { backlog });
+            }
+        }
+    }
+}
+
+impl Handler<AgentUp> for Desk {
+    type Return = Link;
+
+    async fn handle(&mut self, message: AgentUp, _ctx: &mut Context<Self>) -> Link {
+        let AgentUp { info, outbox } = message;
+        let agent = match self.hosts.get(&info.host) {
+            Some(&agent) => agent,
+            None => {
+                let state = AgentState {
+                    info: info.clone(),
+                    link: 0,
+                    outbox: None,
+                    leaving: false,
+                    listed: self.departing.contains(&info.host),
+                    parked: Vec::new(),
+                    held: Vec::new(),
+                    jobs: Vec::new(),
+                };
+                let agent = AgentKey::from(self.agents.insert(state));
+                self.hosts.insert(info.host, agent);
+                agent
+            }
+        };
+        self.withdraw(agent);
+        let state = &mut self.agents[agent.index()];
+        if let Some(old) = state.outbox.replace(outbox.clone()) {
+            old.close();
+        }
+        state.info = info;
+        state.link += 1;
+        state.leaving = false;
+        let link = Link {
+            agent,
+            number: state.link,
+        };
+        let boot = state.info.boot;
+        for key in state.jobs.clone() {
+            let event = Event::Back {
+                agent,
+                boot,
+                outbox: outbox.clone(),
+            };
+            // A task that is gone says so with `Over`, which follows.
+            let _ = self.jobs[key.index()].events.try_send(event);
+        }
+        self.tell_limits(agent);
+        link
+    }
+}
+
+impl Handler<AgentDown> for Desk {
+    type Return = ();
+
+    async fn handle(&mut self, message: AgentDown, _ctx: &mut Context<Self>) {
+        let link = message.0;
+        let Some(state) = self.current(link) else {
+            return;
+        };
+        state.outbox = None;
+        let jobs = state.jobs.clone();
+        self.withdraw(link.agent);
+        for key in jobs {
+            // A task that is gone says so with `Over`, which follows.
+            let _ = self.jobs[key.index()]
+                .events
+                .try_send(Event::Lost { agent: link.agent });
+        }
+    }
+}
+
+impl Handler<Beat> for Desk {
+    type Return = ();
+
+    async fn handle(&mut self, _message: Beat, _ctx: &mut Context<Self>) {
+        self.follow_rules();
+        self.unhold();
+        for at in 0..self.agents.capacity() {
+            let Some(state) = self.agents.get(at) else {
+                continue;
+            };
+            let Some(outbox) = state.outbox.clone() else {
+                continue;
+            };
+            let service = self.service_of(AgentKey::from(at));
+            let backlog = service
+                .map(|s| self.with(s, |s| s.backlog()))
+                .unwrap_or_default();
+            outbox.send(&ToAgent::Heartbeat { backlog });
+        }
+    }
+}
--- a/src/entry/flight.rs
+++ b/src/entry/flight.rs
@@ -1,30 +1,36 @@
 //! The task of one caller's request: carries out what its [`Attempt`] decides.
 
+mod answer;
+mod second;
+
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::mpsc;
 use tokio::time::Instant;
 use xtra::Address;
 
+pub use answer::{Caller, Head, Piece};
+use second::Second;
+
 use crate::attempt::{Action, Attempt, Event as Happening, Outcome, Plan};
 use crate::claim::Fate;
 use crate::conn::Outbox;
 use crate::entry::desk::Desk;
 use crate::entry::guard::{Guard, Trial};
 use crate::entry::keyed::Keyed;
-use crate::entry::messages::{Arrive, Over, Promoted, Returned, Unhedged};
+use crate::entry::messages::{Arrive, Over, Returned};
 use crate::entry::request::Request;
 use crate::entry::routes::{Event, Routes};
 use crate::entry::trail::{Step, Trail};
-use crate::ids::{AgentKey, BootId, DispatchId, JobKey};
+use crate::ids::{AgentKey, JobKey};
 use crate::problem::{Execution, Problem, Reason};
 use crate::telemetry::{self, Metrics, Span, Telemetry};
 use crate::units::{Clock, Micros};
-use crate::wire::{Header, ToAgent};
+use crate::wire::ToAgent;
 
 /// Wait that a refused caller is asked for.
 pub const QUEUE_RETRY: Duration = Duration::from_secs(1);
@@ -36,49 +42,6 @@
 /// Bytes that are passed on before the agent is told.
 const ACK_BYTES: u64 = 64 * 1024;
 
-/// An answer's status and headers.
-#[derive(Debug)]
-pub struct Head {
-    /// HTTP status.
-    pub status: u16,
-    /// Headers.
-    pub headers: Vec<Header>,
-}
-
-impl Head {
-    /// Length of the body, in bytes, when the headers tell it.
-    fn length(&self) -> Option<u64> {
-        let header = self.headers.iter().find(|h| h.name == "content-length")?;
-        std::str::from_utf8(&header.value).ok()?.parse().ok()
-    }
-}
-
-/// A piece of an answer's body.
-#[derive(Debug)]
-pub enum Piece {
-    /// Bytes of the body.
-    Data(Bytes),
-    /// The answer is complete. Without it, a body that stops is broken off.
-    End,
-}
-
-/// Where the answer goes.
-#[derive(Debug)]
-pub struct Caller {
-    head: Option<oneshot::Sender<Result<Head, Problem>>>,
-    body: mpsc::Sender<Piece>,
-}
-
-impl Caller {
-    /// A caller who takes the head (or a refusal) and the body.
-    pub fn new(head: oneshot::Sender<Result<Head, Problem>>, body: mpsc::Sender<Piece>) -> Self {
-        Caller {
-            head: Some(head),
-            body,
-        }
-    }
-}
-
 /// What a flight shares with the rest of the entry.
 #[derive(Clone)]
 pub struct Tools {
@@ -105,14 +68,6 @@
     outbox: Outbox,
 }
 
-/// A second copy on its way to another agent.
-#[derive(Clone, Debug)]
-struct Second {
-    dispatch: DispatchId,
-    boot: BootId,
-    link: Link,
-}
-
 /// What has been passed on since the agent was last told.
 #[derive(Clone, Copy, Debug, Default)]
 struct Unacked {
@@ -349,91 +304,6 @@
         self.decide(happening, passed).await;
     }
 
-    /// Takes an event in that concerns the second copy; gives back what concerns the first.
-    async fn about_second(&mut self, event: Event) -> Option<Event> {
-        match &event {
-            Event::Hedged {
-                dispatch,
-                agent,
-                boot,
-                outbox,
-            } => {
-                let link = Link {
-                    agent: *agent,
-                    outbox: outbox.clone(),
-                };
-                self.second = Some(Second {
-                    dispatch: *dispatch,
-                    boot: *boot,
-                    link,
-                });
-                self.tools
-                    .telemetry
-                    .metrics()
-                    .event(telemetry::Event::Hedge);
-                if self.attempt.dispatch().is_none() || self.attempt.next() > 0 {
-                    self.drop_second().await;
-                }
-                None
-            }
-            Event::Head { dispatch, .. } if self.is_second(*dispatch) => {
-                self.promote().await;
-                Some(event)
-            }
-            Event::Declined { dispatch }
-            | Event::End { dispatch, .. }
-            | Event::State { dispatch, .. }
-                if self.is_second(*dispatch) =>
-            {
-                self.drop_second().await;
-                None
-            }
-            Event::Lost { agent } | Event::Back { agent, .. }
-                if self.second.as_ref().is_some_and(|s| s.link.agent == *agent) =>
-            {
-                self.drop_second().await;
-                None
-            }
-            Event::Head { .. } => {
-                self.drop_second().await;
-                Some(event)
-            }
-            _ => Some(event),
-        }
-    }
-
-    fn is_second(&self, dispatch: DispatchId) -> bool {
-        self.second.as_ref().is_some_and(|s| s.dispatch == dispatch)
-    }
-
-    /// The second copy stands in for the first, which is cancelled.
-    async fn promote(&mut self) {
-        let Some(second) = self.second.take() else {
-            return;
-        };
-        if let Some(dispatch) = self.attempt.dispatch() {
-            self.send(&ToAgent::Cancel { dispatch });
-        }
-        self.attempt
-            .switch(second.link.agent, second.boot, second.dispatch);
-        self.link = Some(second.link);
-        self.spent = None;
-        // The desk outlives every request.
-        let _ = self.tools.desk.send(Promoted(self.job)).await;
-    }
-
-    /// The second copy is not wanted any more.
-    async fn drop_second(&mut self) {
-        let Some(second) = self.second.take() else {
-            return;
-        };
-        second.link.outbox.send(&ToAgent::Cancel {
-            dispatch: second.dispatch,
-        });
-        // The desk outlives every request.
-        let _ = self.tools.desk.send(Unhedged(self.job)).await;
-    }
-
     /// Lets the attempt decide and carries its actions out.
     async fn decide(&mut self, happening: Happening, mut passed: Option<Passed>) {
         let actions = self.attempt.on(self.tools.clock.now(), happening);
--- /dev/null
+++ b/src/entry/flight/second.rs
@@ -0,0 +1,103 @@
+//! The second copy of a late request: it stands in for the first, or is dropped.
+
+use super::{Flight, Link};
+use crate::entry::messages::{Promoted, Unhedged};
+use crate::entry::routes::Event;
+use crate::ids::{BootId, DispatchId};
+use crate::telemetry;
+use crate::wire::ToAgent;
+
+/// A second copy on its way to another agent.
+#[derive(Clone, Debug)]
+pub(super) struct Second {
+    pub(super) dispatch: DispatchId,
+    pub(super) boot: BootId,
+    pub(super) link: Link,
+}
+
+impl Flight {
+    /// Takes an event in that concerns the second copy; gives back what concerns the first.
+    pub(super) async fn about_second(&mut self, event: Event) -> Option<Event> {
+        match &event {
+            Event::Hedged {
+                dispatch,
+                agent,
+                boot,
+                outbox,
+            } => {
+                let link = Link {
+                    agent: *agent,
+                    outbox: outbox.clone(),
+                };
+                self.second = Some(Second {
+                    dispatch: *dispatch,
+                    boot: *boot,
+                    link,
+                });
+                self.tools
+                    .telemetry
+                    .metrics()
+                    .event(telemetry::Event::Hedge);
+                if self.attempt.dispatch().is_none() || self.attempt.next() > 0 {
+                    self.drop_second().await;
+                }
+                None
+            }
+            Event::Head { dispatch, .. } if self.is_second(*dispatch) => {
+                self.promote().await;
+                Some(event)
+            }
+            Event::Declined { dispatch }
+            | Event::End { dispatch, .. }
+            | Event::State { dispatch, .. }
+                if self.is_second(*dispatch) =>
+            {
+                self.drop_second().await;
+                None
+            }
+            Event::Lost { agent } | Event::Back { agent, .. }
+                if self.second.as_ref().is_some_and(|s| s.link.agent == *agent) =>
+            {
+                self.drop_second().await;
+                None
+            }
+            Event::Head { .. } => {
+                self.drop_second().await;
+                Some(event)
+            }
+            _ => Some(event),
+        }
+    }
+
+    pub(super) fn is_second(&self, dispatch: DispatchId) -> bool {
+        self.second.as_ref().is_some_and(|s| s.dispatch == dispatch)
+    }
+
+    /// The second copy stands in for the first, which is cancelled.
+    pub(super) async fn promote(&mut self) {
+        let Some(second) = self.second.take() else {
+            return;
+        };
+        if let Some(dispatch) = self.attempt.dispatch() {
+            self.send(&ToAgent::Cancel { dispatch });
+        }
+        self.attempt
+            .switch(second.link.agent, second.boot, second.dispatch);
+        self.link = Some(second.link);
+        self.spent = None;
+        // The desk outlives every request.
+        let _ = self.tools.desk.send(Promoted(self.job)).await;
+    }
+
+    /// The second copy is not wanted any more.
+    pub(super) async fn drop_second(&mut self) {
+        let Some(second) = self.second.take() else {
+            return;
+        };
+        second.link.outbox.send(&ToAgent::Cancel {
+            dispatch: second.dispatch,
+        });
+        // The desk outlives every request.
+        let _ = self.tools.desk.send(Unhedged(self.job)).await;
+    }
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -28,6 +28,7 @@
 use anyhow::Context;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::watch;
+use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 use xtra::{Address, Mailbox};
 
@@ -49,7 +50,7 @@
 use crate::entry::sightings::Sightings;
 use crate::entry::status::EntryView;
 use crate::entry::trail::Trail;
-use crate::exchange::service::Exchange;
+use crate::exchange::service::{Exchange, Status};
 use crate::ids::BootId;
 use crate::kernel::{Kernel, ServiceName};
 use crate::platform::Client;
@@ -62,9 +63,6 @@
 /// Name under which the rules' handle is registered.
 pub const RULES: ServiceName = ServiceName("rules");
 
-/// Name under which the exchange's status is registered.
-pub const EXCHANGE: ServiceName = ServiceName("exchange");
-
 /// How often a draining entry looks whether it is done.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
 /// Messages that wait for the desk before senders wait too.
@@ -91,104 +89,187 @@
     telemetry: Telemetry,
     drain: CancellationToken,
 ) -> anyhow::Result<()> {
-    let callers = listen(settings.listen, "callers").await?;
-    let peers = listen(settings.peer, "agents").await?;
-    let admin = listen(settings.admin, "operators").await?;
-    let kernel = Kernel::new();
-    let clock = Clock::start();
-    let boot = BootId::random();
-    let routes = Routes::default();
-    kernel.register(RULES, rules.clone());
-
-    let log = Client::new(settings.platform);
-    let keyed = Keyed::new(log.clone(), clock, settings.listen, boot);
-    let pool = Pool::new();
-    let trail = Trail::new(clock);
-    let desk = Desk::new(
-        clock,
-        boot,
-        rules.table(),
-        routes.clone(),
-        pool.clone(),
-        keyed.clone(),
-    )
-    .recording(trail.clone());
-    let desk = xtra::spawn_tokio(desk, Mailbox::bounded(DESK_MAILBOX));
-    kernel.register(DESK, desk.clone());
-
-    let socket = UdpSocket::bind(settings.peer)
-        .await
-        .with_context(|| format!("could not listen for entries on {}", settings.peer))?;
-    let guard = Guard::new(clock);
-    let sightings = Sightings::new(guard.clone(), clock, settings.peer, &settings.entries);
-    let bridge = Bridge::new(pool, rules.table(), settings.entries.clone(), sightings);
-    let key = settings.secret.as_bytes();
-    let exchange = Exchange::new(socket, settings.peer, key, bridge).with_boot(key, boot);
-    kernel.register(EXCHANGE, exchange.status());
-
-    let secret = Secret::new(&settings.secret);
-    let fetcher = Fetcher {
-        rules: rules.clone(),
-        me: settings.peer,
-        entries: settings.entries,
-        secret: secret.clone(),
-        boot,
-    };
-    let agents = Agents {
-        desk: desk.clone(),
-        routes: routes.clone(),
-        secret,
-        boot,
-        peers: Answerer::new(rules.view()),
-        telemetry: telemetry.clone(),
-    };
-    let (ready_in, ready) = watch::channel(false);
-    let view = EntryView {
-        desk: desk.clone(),
-        rules: rules.clone(),
-        telemetry: telemetry.clone(),
-        boot,
-        guard: guard.clone(),
-        trail: trail.clone(),
-        exchange: exchange.status(),
-    };
-    let services = [
-        tokio::spawn(agents.listen(peers)),
-        tokio::spawn(beat(desk.clone())),
-        tokio::spawn(fetcher.run()),
-        tokio::spawn(changes::follow(rules.clone(), telemetry.clone())),
-        tokio::spawn(keyed.clone().follow()),
-        tokio::spawn(hosts::follow(log, desk.clone(), telemetry.clone())),
-        tokio::spawn(async move {
+    let sockets = Sockets::bind(&settings).await?;
+    let parts = Parts::new(&Kernel::new(), settings, rules, telemetry);
+    let http = parts.http(drain.clone());
+    let mut services = JoinSet::new();
+    parts.spawn_network(&mut services, sockets.peers, sockets.gossip);
+    parts.spawn_platform(&mut services);
+    parts.spawn_admin(&mut services, sockets.admin, drain);
+
+    http.listen(sockets.callers).await;
+    finish(&parts.desk, &parts.keyed).await;
+    services.abort_all();
+    Ok(())
+}
+
+/// What the entry listens on.
+struct Sockets {
+    callers: TcpListener,
+    peers: TcpListener,
+    admin: TcpListener,
+    gossip: UdpSocket,
+}
+
+impl Sockets {
+    async fn bind(settings: &EntrySettings) -> anyhow::Result<Self> {
+        let gossip = UdpSocket::bind(settings.peer)
+            .await
+            .with_context(|| format!("could not listen for entries on {}", settings.peer))?;
+        Ok(Sockets {
+            callers: listen(settings.listen, "callers").await?,
+            peers: listen(settings.peer, "agents").await?,
+            admin: listen(settings.admin, "operators").await?,
+            gossip,
+        })
+    }
+}
+
+/// What the services of an entry share.
+struct Parts {
+    settings: EntrySettings,
+    rules: Handle,
+    telemetry: Telemetry,
+    clock: Clock,
+    boot: BootId,
+    routes: Routes,
+    log: Client,
+    keyed: Keyed,
+    pool: Pool,
+    guard: Guard,
+    trail: Trail,
+    desk: Address<Desk>,
+    /// Told by the exchange once it runs.
+    exchange: watch::Sender<Status>,
+}
+
+impl Parts {
+    fn new(kernel: &Kernel, settings: EntrySettings, rules: Handle, telemetry: Telemetry) -> Self {
+        let (clock, boot) = (Clock::start(), BootId::random());
+        let routes = Routes::default();
+        let log = Client::new(settings.platform);
+        let keyed = Keyed::new(log.clone(), clock, settings.listen, boot);
+        let (pool, trail) = (Pool::new(), Trail::new(clock));
+        let table = rules.table();
+        let desk = Desk::new(
+            clock,
+            boot,
+            table,
+            routes.clone(),
+            pool.clone(),
+            keyed.clone(),
+        );
+        let desk = desk.recording(trail.clone());
+        let desk = xtra::spawn_tokio(desk, Mailbox::bounded(DESK_MAILBOX));
+        kernel.register(RULES, rules.clone());
+        kernel.register(DESK, desk.clone());
+        Parts {
+            settings,
+            rules,
+            telemetry,
+            clock,
+            boot,
+            routes,
+            log,
+            keyed,
+            pool,
+            guard: Guard::new(clock),
+            trail,
+            desk,
+            exchange: watch::Sender::default(),
+        }
+    }
+
+    /// Agents, other entries, and the exchange.
+    fn spawn_network(&self, services: &mut JoinSet<()>, peers: TcpListener, gossip: UdpSocket) {
+        let secret = Secret::new(&self.settings.secret);
+        let agents = Agents {
+            desk: self.desk.clone(),
+            routes: self.routes.clone(),
+            secret: secret.clone(),
+            boot: self.boot,
+            peers: Answerer::new(self.rules.view()),
+            telemetry: self.telemetry.clone(),
+        };
+        let fetcher = Fetcher {
+            rules: self.rules.clone(),
+            me: self.settings.peer,
+            entries: self.settings.entries.clone(),
+            secret,
+            boot: self.boot,
+        };
+        let exchange = self.exchange(gossip);
+        services.spawn(agents.listen(peers));
+        services.spawn(beat(self.desk.clone()));
+        services.spawn(fetcher.run());
+        services.spawn(async move {
             exchange.run(CancellationToken::new()).await;
-        }),
-        tokio::spawn(admin::serve(admin, Arc::new(view), ready)),
-        tokio::spawn(readiness(rules.clone(), ready_in, drain.clone())),
-    ];
-
-    let tools = Tools {
-        desk: desk.clone(),
-        routes,
-        clock,
-        telemetry,
-        keyed: keyed.clone(),
-        guard,
-        trail,
-    };
-    let answers = Answers::new();
-    let joiner = Joiner::new(answers.clone(), boot);
-    Http {
-        tools,
-        answers,
-        joiner,
-        rules: rules.table(),
-        drain,
+        });
+    }
+
+    fn exchange(&self, socket: UdpSocket) -> Exchange<Bridge> {
+        let (me, entries) = (self.settings.peer, &self.settings.entries);
+        let sightings = Sightings::new(self.guard.clone(), self.clock, me, entries);
+        let bridge = Bridge::new(
+            self.pool.clone(),
+            self.rules.table(),
+            entries.clone(),
+            sightings,
+        );
+        let secret = self.settings.secret.as_bytes();
+        Exchange::new(socket, me, secret, bridge)
+            .with_boot(secret, self.boot)
+            .reporting(self.exchange.clone())
+    }
+
+    /// The log and the host list.
+    fn spawn_platform(&self, services: &mut JoinSet<()>) {
+        let hosts = hosts::follow(self.log.clone(), self.desk.clone(), self.telemetry.clone());
+        services.spawn(changes::follow(self.rules.clone(), self.telemetry.clone()));
+        services.spawn(self.keyed.clone().follow());
+        services.spawn(hosts);
+    }
+
+    fn spawn_admin(
+        &self,
+        services: &mut JoinSet<()>,
+        listener: TcpListener,
+        drain: CancellationToken,
+    ) {
+        let (ready_in, ready) = watch::channel(false);
+        let view = EntryView {
+            desk: self.desk.clone(),
+            rules: self.rules.clone(),
+            telemetry: self.telemetry.clone(),
+            boot: self.boot,
+            guard: self.guard.clone(),
+            trail: self.trail.clone(),
+            exchange: self.exchange.subscribe(),
+        };
+        services.spawn(admin::serve(listener, Arc::new(view), ready));
+        services.spawn(readiness(self.rules.clone(), ready_in, drain));
+    }
+
+    fn http(&self, drain: CancellationToken) -> Http {
+        let tools = Tools {
+            desk: self.desk.clone(),
+            routes: self.routes.clone(),
+            clock: self.clock,
+            telemetry: self.telemetry.clone(),
+            keyed: self.keyed.clone(),
+            guard: self.guard.clone(),
+            trail: self.trail.clone(),
+        };
+        let answers = Answers::new();
+        let joiner = Joiner::new(answers.clone(), self.boot);
+        Http {
+            tools,
+            answers,
+            joiner,
+            rules: self.rules.table(),
+            drain,
+        }
     }
-    .listen(callers)
-    .await;
-    finish(&desk, &keyed).await;
-    services.iter().for_each(|s| s.abort());
-    Ok(())
 }
 
 /// Waits for requests whose callers are gone, and for what the log is still to be told.
--- a/src/exchange/service.rs
+++ b/src/exchange/service.rs
@@ -121,6 +121,12 @@
         self
     }
 
+    /// Tells its status through this sender in place of its own.
+    pub fn reporting(mut self, status: watch::Sender<Status>) -> Self {
+        self.status = status;
+        self
+    }
+
     /// Follows the status while the exchange runs.
     pub fn status(&self) -> watch::Receiver<Status> {
         self.status.subscribe()
