Hold rules and agents to one limit of a request's body

Cause: rules allowed bodies of up to 1 GiB, agents took 64 MiB: a body between was declined again and again until it was refused for lack of capacity. Ruled out: 1 GiB for both (bodies are held whole, at the entry and at the agent). The expected text of body_without_unit names the new limit and asks for as much as before.

--- a/src/agent/core.rs
+++ b/src/agent/core.rs
@@ -20,13 +20,11 @@
 use crate::pull::{Pull, Step, Steps, Verdict};
 use crate::telemetry::{Event, Telemetry};
 use crate::units::Clock;
-use crate::wire::{Backlog, Dispatch, Finish, Known, ToAgent, ToEntry};
+use crate::wire::{Backlog, Dispatch, Finish, Known, MAX_BODY_BYTES, ToAgent, ToEntry};
 
 /// Name under which the core's address is registered.
 pub const CORE: ServiceName = ServiceName("core");
 
-/// Largest request body that an agent takes, in bytes.
-const MAX_BODY_BYTES: u64 = 64 * 1024 * 1024;
 /// Commands that wait for a run.
 const RUN_COMMANDS: usize = 64;
 
--- a/src/rules/fields.rs
+++ b/src/rules/fields.rs
@@ -24,7 +24,7 @@
 /// Largest `queue`, in requests.
 pub const MAX_QUEUE: u32 = 100_000;
 /// Largest `body`, in bytes.
-pub const MAX_BODY_BYTES: u64 = 1024 * 1024 * 1024;
+pub use crate::wire::MAX_BODY_BYTES;
 /// Most `slots` of one target.
 pub const MAX_SLOTS: u16 = 4_096;
 /// Longest `deadline`.
--- a/src/rules/tests.rs
+++ b/src/rules/tests.rs
@@ -49,7 +49,7 @@
         ["line 1, column 87: field `queue` is \"0\", expected a whole number from 1 to 100000"];
     zero_body: "account a key-sha256=KEY body=0B # x" => ["line 1, column 87: field `body`"];
     body_without_unit: "account a key-sha256=KEY body=10 # x" =>
-        ["line 1, column 87: field `body` is \"10\", expected a size from 1B to 1GiB"];
+        ["line 1, column 87: field `body` is \"10\", expected a size from 1B to 64MiB"];
     body_overflow: "account a key-sha256=KEY body=18446744073709551615GiB # x" =>
         ["line 1, column 87: field `body`"];
     zero_deadline: "service a deadline=0s # x" =>
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -21,6 +21,8 @@
 pub const MAX_HEAD_BYTES: usize = 48 * 1024;
 /// Most bytes of an answer's headers, names and values, so that they fit in a frame.
 pub const MAX_ANSWER_HEAD_BYTES: usize = 240 * 1024;
+/// Largest body of a request, in bytes.
+pub const MAX_BODY_BYTES: u64 = 64 * 1024 * 1024;
 /// Most headers in a request or an answer.
 pub const MAX_HEADERS: usize = 128;
 
