Answer callers whom the system let in before a drain

Cause: a draining entry dropped its listener at once: connections that the system had taken and the entry had not were reset, and so were fresh ones whose request had not been read, since a shutdown closes them unread. Nothing bounded the callers' open connections either. Ruled out: refusing to drain while callers come (a drain must end). Change: the entry takes what waits in the system's queue and gives it 100 ms to send its request, which is then refused as draining; at 16,384 connections it stops taking more, so callers wait. Conclusion: a caller is answered or refused, not reset. One that sends nothing for 100 ms is closed.

--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -17,7 +17,8 @@
 use hyper_util::server::conn::auto;
 use hyper_util::server::graceful::GracefulShutdown;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot, watch};
+use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
 use crate::attempt::Outcome;
@@ -42,6 +43,10 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
 /// Pieces of an answer that wait for a slow caller.
 const BODY_PIECES: usize = 16;
+/// Time for requests that are on their way when the entry starts to drain.
+const LAST_REQUESTS: Duration = Duration::from_millis(100);
+/// Most open connections of callers.
+const MAX_CONNECTIONS: usize = 16_384;
 /// Most concurrent streams of one HTTP/2 connection.
 const MAX_STREAMS: u32 = 1024;
 
@@ -94,24 +99,47 @@
     /// Serves callers until `drain` is cancelled, then finishes what it has.
     pub async fn listen(self, listener: TcpListener) {
         let graceful = GracefulShutdown::new();
-        loop {
-            let stream = tokio::select! {
-                () = self.drain.cancelled() => break,
-                accepted = listener.accept() => match accepted {
-                    Ok((stream, _)) => stream,
-                    Err(_) => {
-                        tokio::time::sleep(ACCEPT_PAUSE).await;
-                        continue;
-                    }
-                },
+        let places = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+        while let Some((stream, place)) = self.next(&listener, &places).await {
+            self.serve(stream, place, &graceful);
+        }
+        // Callers who were let in by the system before the drain get a true refusal.
+        while let Ok(Ok((stream, _))) = timeout(Duration::ZERO, listener.accept()).await {
+            let Ok(place) = places.clone().try_acquire_owned() else {
+                break;
             };
-            self.serve(stream, &graceful);
+            self.serve(stream, place, &graceful);
         }
         drop(listener);
+        // A fresh connection is closed without an answer when its request has not been read yet.
+        tokio::time::sleep(LAST_REQUESTS).await;
         graceful.shutdown().await;
     }
 
-    fn serve(&self, stream: TcpStream, graceful: &GracefulShutdown) {
+    /// The next caller's connection; `None` once the entry drains. Above [`MAX_CONNECTIONS`]
+    /// callers wait in the system's queue.
+    async fn next(
+        &self,
+        listener: &TcpListener,
+        places: &Arc<Semaphore>,
+    ) -> Option<(TcpStream, OwnedSemaphorePermit)> {
+        let accept = async {
+            let place = places.clone().acquire_owned().await;
+            let place = place.expect("the semaphore is never closed");
+            loop {
+                match listener.accept().await {
+                    Ok((stream, _)) => return (stream, place),
+                    Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+                }
+            }
+        };
+        tokio::select! {
+            () = self.drain.cancelled() => None,
+            accepted = accept => Some(accepted),
+        }
+    }
+
+    fn serve(&self, stream: TcpStream, place: OwnedSemaphorePermit, graceful: &GracefulShutdown) {
         // Without it answers only wait longer.
         let _ = stream.set_nodelay(true);
         let http = self.clone();
@@ -133,6 +161,7 @@
             .into_owned();
         let connection = graceful.watch(connection);
         tokio::spawn(async move {
+            let _place = place;
             // A caller's broken connection concerns nobody else.
             let _ = connection.await;
         });
--- a/tests/draining.rs
+++ b/tests/draining.rs
@@ -3,9 +3,13 @@
 mod common;
 mod fleet;
 
+use std::net::SocketAddr;
+
 use common::http::Call;
 use common::process::Signal;
 use fleet::{Fleet, Plan};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 fn order() -> Call {
     Call::post("/orders/run?ms=1500", "order-1")
@@ -43,3 +47,38 @@
     assert_eq!(repeat.json()["execution"], "unknown");
     assert_eq!(fleet.count("order-1").await, 1);
 }
+
+/// Callers whom the system lets in while the entry is paused.
+const LET_IN: usize = 16;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_let_in_before_the_drain_are_answered() {
+    let mut fleet = Plan::entries(1).targets("model", 1, 2).start().await;
+    let to = fleet.entries[0].callers;
+    fleet.entries[0].process.signal(Signal::Stop);
+    let mut callers = Vec::new();
+    for _ in 0..LET_IN {
+        callers.push(ask(to).await);
+    }
+    fleet.entries[0].process.signal(Signal::Term);
+    fleet.entries[0].process.signal(Signal::Cont);
+    for mut caller in callers {
+        let mut answer = String::new();
+        let read = caller.read_to_string(&mut answer).await;
+        read.expect("an answer comes, not a reset");
+        let served = answer.starts_with("HTTP/1.1 200") && answer.ends_with("hi");
+        let refused = answer.starts_with("HTTP/1.1 503") && answer.contains("not_run");
+        assert!(served || refused, "{answer:?}");
+    }
+    assert!(fleet.entries[0].process.end().await.success());
+}
+
+/// Sends a request on a connection of its own.
+async fn ask(to: SocketAddr) -> TcpStream {
+    let mut stream = TcpStream::connect(to).await.expect("the system lets in");
+    let request = "POST /model/run HTTP/1.1\r\nhost: x\r\nauthorization: Bearer school-key\r\n\
+        connection: close\r\ncontent-length: 2\r\n\r\nhi";
+    let sent = stream.write_all(request.as_bytes()).await;
+    sent.expect("the system takes the request");
+    stream
+}
