Stop the local fleet's agents after its entries

Cause: SIGTERM drained entries and agents of the local fleet together: agents took no new work, so what waited at the entries was refused at its deadline, 30 s later. Ruled out: agents that go on for a while (a fleet of processes must not guess how long).

--- a/src/local.rs
+++ b/src/local.rs
@@ -91,11 +91,24 @@
             drain.clone(),
         ));
     }
+    // Agents stop last: what waits at the entries still needs them.
+    let (agents_drain, mut serving) = (CancellationToken::new(), JoinSet::new());
     for agent in agents {
-        running.spawn(crate::agent::run(agent, telemetry.clone(), drain.clone()));
+        serving.spawn(crate::agent::run(
+            agent,
+            telemetry.clone(),
+            agents_drain.clone(),
+        ));
     }
     announce(&options);
-    while let Some(ended) = running.join_next().await {
+    ended(&mut running).await?;
+    agents_drain.cancel();
+    ended(&mut serving).await
+}
+
+/// Waits until all of them have ended.
+async fn ended(processes: &mut JoinSet<anyhow::Result<()>>) -> anyhow::Result<()> {
+    while let Some(ended) = processes.join_next().await {
         ended.context("could not keep a process of the fleet running")??;
     }
     Ok(())
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -1,6 +1,7 @@
 //! One request from end to end, within one process.
 
 use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 
@@ -15,6 +16,7 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use opentelemetry_sdk::trace::{InMemorySpanExporter, SdkTracerProvider};
 use tokio::net::TcpListener;
+use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
 /// Trace flag of a trace that is recorded.
@@ -191,3 +193,20 @@
     names.sort();
     assert_eq!(names, ["agent", "entry", "queue", "target"]);
 }
+
+#[tokio::test]
+async fn a_drain_finishes_what_waits() {
+    let fleet = Arc::new(Fleet::start().await);
+    let mut calls = JoinSet::new();
+    for _ in 0..6 {
+        let fleet = fleet.clone();
+        calls.spawn(async move { fleet.call("school-key", "/model/run?ms=200", "a").await });
+    }
+    // Two of the requests run by now, four wait.
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    fleet.drain.cancel();
+    while let Some(answer) = calls.join_next().await {
+        let (status, body, _) = answer.expect("a call does not panic");
+        assert_eq!(status, 200, "{body}");
+    }
+}
