Show that keyed orders carry growing fencing numbers to their targets

Cause: the offset of a claim is passed on as a fencing number, and no test between processes asked for it. Change: four keyed orders through two entries to a target that checks fencing numbers. Conclusion: targets that check can refuse a late holder; others ignore the header.

--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -135,3 +135,26 @@
     let reply = fleet.call(1, call).await.expect("the other entry answers");
     assert_whole(&reply, &answer);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn keyed_orders_carry_growing_fencing_numbers() {
+    let plan = Plan::entries(2).targets("orders", 1, 2).fenced();
+    let fleet = plan.start().await;
+    let mut fences = Vec::new();
+    for number in 0..4 {
+        let order = Call::post("/orders/headers", format!("order-{number}"))
+            .key("club-key")
+            .header("idempotency-key", format!("fence-{number}"));
+        let reply = fleet.call(number % 2, order).await;
+        let seen = reply.expect("the entry answers").text();
+        let fence = seen
+            .lines()
+            .find_map(|l| l.strip_prefix("x-balsampitch-fence: "));
+        let fence: u64 = fence
+            .expect("a fence comes")
+            .parse()
+            .expect("it is a number");
+        fences.push(fence);
+    }
+    assert!(fences.is_sorted_by(|a, b| a < b), "{fences:?}");
+}
