Build a flight from what arrives, and one table to measure with

Cause: a read of the whole change found that a flight was given an attempt and a flag that its run replaced at once by those of the arrival, and that the bench built the same table of accounts and services as the exchange's measurement. Ruled out: merging the entry's events with the frames they come from (an event also tells of connections); one table for the tests as well (they ask for other names and deadlines). Change: a flight is built from its arrival; the bench calls the measurement's table. Conclusion: nothing is made twice at a request's start.

--- a/src/bench/capacity/desk.rs
+++ b/src/bench/capacity/desk.rs
@@ -184,16 +184,15 @@
     let (events_in, events) = mpsc::channel(FLIGHT_EVENTS);
     let (body_in, body) = mpsc::channel(BODY_PIECES);
     let (head_in, head) = oneshot::channel();
-    let request = Arc::new(request(at));
     let arrive = Arrive {
-        request: request.clone(),
+        request: Arc::new(request(at)),
         events: events_in,
         deadline: Micros::from_secs(3_600),
         answering: Arc::default(),
     };
     let span = tools.telemetry.span("entry", None);
     let caller = Caller::new(head_in, body_in);
-    let flight = Flight::new(tools.clone(), request, events, caller);
+    let flight = Flight::new(tools.clone(), &arrive, events, caller);
     tokio::spawn(flight.run(arrive, span));
     (head, body)
 }
--- a/src/bench/member.rs
+++ b/src/bench/member.rs
@@ -4,10 +4,10 @@
 
 use crate::exchange::Pair;
 use crate::exchange::gossip;
+use crate::exchange::measure::table;
 use crate::exchange::names::Names;
 use crate::exchange::node::Node;
 use crate::ids::{BootId, EntryKey, ServiceKey};
-use crate::rules::table::{Account, Service, Table};
 use crate::scheduler::Scheduler;
 use crate::units::Micros;
 
@@ -36,7 +36,7 @@
 impl Member {
     /// One of so many entries, for so many accounts.
     pub fn new(now: Micros, me: EntryKey, entries: usize, accounts: usize) -> Self {
-        let mut node = Node::new(address(me), Names::of(&table(accounts)));
+        let mut node = Node::new(address(me), Names::of(&table(accounts, 1)));
         let members: Vec<_> = (0..entries).map(|i| address(EntryKey::from(i))).collect();
         node.set_members(now, &members);
         Member { node }
@@ -81,25 +81,3 @@
     };
     EntryKey(u32::from(*v4.ip()) - u32::from(FIRST))
 }
-
-fn table(accounts: usize) -> Table {
-    let account = |i| Account {
-        name: format!("account-{i:03}"),
-        keys: Vec::new(),
-        queue_limit: 1,
-        body_limit: 1,
-        live: true,
-    };
-    let service = Service {
-        name: "model".to_owned(),
-        slots: 1,
-        repeatable: true,
-        fenced: false,
-        deadline: Micros::from_secs(1),
-        hedge_percent: 0,
-        retry_percent: 0,
-        live: true,
-    };
-    let accounts = (0..accounts).map(account).collect();
-    Table::default().succeed(1, accounts, vec![service])
-}
--- a/src/entry/flight.rs
+++ b/src/entry/flight.rs
@@ -103,13 +103,15 @@
     /// A request that has not arrived at the desk yet.
     pub fn new(
         tools: Tools,
-        request: Arc<Request>,
+        arrive: &Arrive,
         events: mpsc::Receiver<Event>,
         caller: Caller,
     ) -> Self {
+        let request = arrive.request.clone();
+        let plan = Plan::new(request.idempotent).deadline(Some(arrive.deadline));
         let arrived = tools.clock.now();
         Flight {
-            attempt: Attempt::new(Plan::new(request.idempotent)),
+            attempt: Attempt::new(plan),
             tools,
             request,
             events,
@@ -127,7 +129,7 @@
             status: 0,
             trial: None,
             second: None,
-            answering: Arc::default(),
+            answering: arrive.answering.clone(),
         }
     }
 
@@ -139,9 +141,6 @@
 
     /// Brings the request to the desk and follows it to its end.
     pub async fn run(mut self, arrive: Arrive, mut span: Span) -> Outcome {
-        self.answering = arrive.answering.clone();
-        let plan = Plan::new(self.request.idempotent).deadline(Some(arrive.deadline));
-        self.attempt = Attempt::new(plan);
         self.queue_span = Some(self.tools.telemetry.span("queue", Some(&span.context())));
         let outcome = match self.tools.desk.send(arrive).await {
             Ok(Ok(job)) => {
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -282,15 +282,14 @@
         let (events_in, events) = mpsc::channel(FLIGHT_EVENTS);
         let (body_in, body) = mpsc::channel(BODY_PIECES);
         let (head_in, head) = oneshot::channel();
-        let request = Arc::new(request);
         let arrive = Arrive {
-            request: request.clone(),
+            request: Arc::new(request),
             events: events_in,
             deadline: self.tools.clock.now() + allowed,
             answering: Arc::default(),
         };
         let caller = Caller::new(head_in, body_in);
-        let flight = Flight::new(self.tools, request, events, caller).trial(trial);
+        let flight = Flight::new(self.tools, &arrive, events, caller).trial(trial);
         // A task of its own: a caller that goes away must not tear it from its place.
         tokio::spawn(flight.run(arrive, span));
         Ok(Flown { head, body })
--- a/src/exchange/measure.rs
+++ b/src/exchange/measure.rs
@@ -204,7 +204,8 @@
     }
 }
 
-pub(super) fn table(accounts: usize, services: usize) -> Table {
+/// A table of accounts and services that differ in their names only.
+pub(crate) fn table(accounts: usize, services: usize) -> Table {
     let accounts = (0..accounts).map(|i| Account {
         name: format!("account-{i:05}"),
         keys: Vec::new(),
