--- a/src/bench/capacity/desk.rs
+++ b/src/bench/capacity/desk.rs
@@ -25,7 +25,7 @@
 use crate::entry::routes::Routes;
 use crate::entry::trail::Trail;
 use crate::ids::{AccountKey, BootId, RequestId, ServiceKey};
-use crate::platform::Client;
+use crate::log::Client;
 use crate::problem::Problem;
 use crate::rules::service::View;
 use crate::rules::{Table, parse};
--- a/src/bench/capacity/hosts.rs
+++ b/src/bench/capacity/hosts.rs
@@ -5,8 +5,8 @@
 
 use super::slope::{held, line, nanos};
 use crate::bench::report::Report;
-use crate::platform::Host;
-use crate::platform::wire::WireHost;
+use crate::log::Host;
+use crate::log::wire::WireHost;
 
 /// Readings in a measurement of time.
 const STEPS: usize = 5;
--- a/src/bench/capacity/readers.rs
+++ b/src/bench/capacity/readers.rs
@@ -7,7 +7,7 @@
 use super::slope::{line, runtime};
 use crate::bench::heap;
 use crate::bench::report::Report;
-use crate::platform::{Client, Log, RULES};
+use crate::log::{Client, Log, RULES};
 use crate::rules::renew::Timing;
 use crate::rules::service::{Handle, spawn};
 use crate::standin::Platform;
--- a/src/bench/capacity/rules.rs
+++ b/src/bench/capacity/rules.rs
@@ -6,7 +6,7 @@
 
 use super::slope::{held, line, nanos};
 use crate::bench::report::Report;
-use crate::platform::{Page, Record as Appended};
+use crate::log::{Page, Record as Appended};
 use crate::rules::change::Change;
 use crate::rules::record::TextDigest;
 use crate::rules::renew::Timing;
--- /dev/null
+++ b/src/bin/balsampitch-gateway.rs
@@ -0,0 +1,7 @@
+//! The `balsampitch-gateway` binary.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    balsampitch::cmd::gateway::main()
+}
--- a/src/cmd/ctl/admin.rs
+++ b/src/cmd/ctl/admin.rs
@@ -5,8 +5,8 @@
 
 use serde_json::Value;
 
-use crate::platform::Cause;
-use crate::platform::http::{Bounds, Http};
+use crate::log::Cause;
+use crate::log::http::{Bounds, Http};
 
 /// Longest time for an answer.
 pub const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
--- a/src/cmd/ctl/apply.rs
+++ b/src/cmd/ctl/apply.rs
@@ -8,7 +8,7 @@
 use super::file::{self, RulesFile};
 use super::log::{POLL_WAIT, Reader};
 use super::{Failure, Run};
-use crate::platform::{AppendError, Client, Log, RULES};
+use crate::log::{AppendError, Client, Log, RULES};
 use crate::rules::change::Change;
 use crate::rules::record::{
     Accepted, Edit, EditId, MAX_AUTHOR_BYTES, Record, RecordError, TextDigest,
--- a/src/cmd/ctl/diff.rs
+++ b/src/cmd/ctl/diff.rs
@@ -8,7 +8,7 @@
 use super::file::{self, RulesFile};
 use super::log::Reader;
 use super::{Failure, Run};
-use crate::platform::Client;
+use crate::log::Client;
 use crate::rules::{self, Rules};
 
 /// Compares the current rules with a file, rule by rule.
--- a/src/cmd/ctl/explain.rs
+++ b/src/cmd/ctl/explain.rs
@@ -8,7 +8,7 @@
 use super::args::{Args, usage};
 use super::{Failure, Run, admin, view};
 use crate::ids::RequestId;
-use crate::platform::Cause;
+use crate::log::Cause;
 
 const STATUS_NOT_FOUND: u16 = 404;
 
--- a/src/cmd/ctl/history.rs
+++ b/src/cmd/ctl/history.rs
@@ -4,7 +4,7 @@
 use super::log::Reader;
 use super::view::Table;
 use super::{Failure, Run};
-use crate::platform::Client;
+use crate::log::Client;
 
 /// Lists the versions that the log still tells.
 pub struct History {
--- a/src/cmd/ctl/log.rs
+++ b/src/cmd/ctl/log.rs
@@ -4,7 +4,7 @@
 
 use anyhow::{Context, bail};
 
-use crate::platform::{Log, RULES, ReadError};
+use crate::log::{Log, RULES, ReadError};
 use crate::rules::history::{Decided, Follower};
 use crate::rules::record::Accepted;
 use crate::rules::renew::Timing;
--- a/src/cmd/ctl/show.rs
+++ b/src/cmd/ctl/show.rs
@@ -3,7 +3,7 @@
 use super::args::Args;
 use super::log::Reader;
 use super::{Failure, Run, file};
-use crate::platform::Client;
+use crate::log::Client;
 
 /// Prints the current rules.
 pub struct Show {
--- a/src/cmd/ctl/tests.rs
+++ b/src/cmd/ctl/tests.rs
@@ -4,7 +4,7 @@
 use super::args::{Command, parse};
 use super::log::Reader;
 use super::*;
-use crate::platform::fake::FakeLog;
+use crate::log::fake::FakeLog;
 use crate::rules;
 
 const ONE: &str = "service a slots=1  # x\n";
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -4,6 +4,7 @@
 pub mod bench;
 pub mod ctl;
 pub mod entry;
+pub mod gateway;
 pub mod local;
 pub mod shutdown;
 pub mod standin;
--- a/src/entry/hosts.rs
+++ b/src/entry/hosts.rs
@@ -7,7 +7,7 @@
 
 use crate::entry::desk::Desk;
 use crate::entry::messages::HostsLeaving;
-use crate::platform::{HostState, Hosts};
+use crate::log::{HostState, Hosts};
 use crate::telemetry::{Event, Telemetry};
 
 /// Time between two readings of the host list.
--- a/src/entry/keyed.rs
+++ b/src/entry/keyed.rs
@@ -12,7 +12,7 @@
 
 use crate::claim::{Claim, ClaimId, Claims, Digest, Fate, Record, Report, Verdict, View};
 use crate::ids::BootId;
-use crate::platform::{AppendError, CLAIMS, Client, Log, ReadError};
+use crate::log::{AppendError, CLAIMS, Client, Log, ReadError};
 use crate::problem::{Problem, Reason};
 use crate::units::Clock;
 
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -53,7 +53,7 @@
 use crate::exchange::service::{Exchange, Status};
 use crate::ids::BootId;
 use crate::kernel::{Kernel, ServiceName};
-use crate::platform::Client;
+use crate::log::Client;
 use crate::rules::renew::Timing;
 use crate::rules::service::Handle;
 use crate::settings::EntrySettings;
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -1,14 +1,14 @@
 //! A caller's request, read and checked.
 
 use bytes::Bytes;
-use hyper::header::{AUTHORIZATION, CONNECTION, HeaderMap, HeaderName};
+use hyper::header::{AUTHORIZATION, HeaderMap, HeaderName};
 use hyper::http::request::Parts;
 use hyper::{Method, Uri};
-use smallvec::SmallVec;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::claim::{ClaimId, Digest};
 use crate::entry::join::JOIN_HEADER;
+use crate::hop;
 use crate::ids::{AccountKey, RequestId, ServiceKey};
 use crate::problem::{Problem, Reason};
 use crate::rules::Table;
@@ -33,19 +33,7 @@
 const BEARER: &str = "Bearer ";
 
 /// Headers that concern one connection only, or that the fleet sets itself.
-const DROPPED_HEADERS: [&str; 17] = [
-    "connection",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "host",
-    "content-length",
-    "expect",
+const DROPPED_HEADERS: [&str; 5] = [
     ACCOUNT_HEADER,
     REQUEST_ID_HEADER,
     TRACE_HEADER,
@@ -200,9 +188,10 @@
 }
 
 fn kept(headers: &HeaderMap, wanted: impl Fn(&HeaderName) -> bool) -> Vec<Header> {
-    let own = connection_options(headers);
+    let own = hop::connection_options(headers);
     headers
         .iter()
+        .filter(|(name, _)| !hop::is_hop(name.as_str()))
         .filter(|(name, _)| !DROPPED_HEADERS.contains(&name.as_str()) && wanted(name))
         .filter(|(name, _)| !own.iter().any(|o| o.eq_ignore_ascii_case(name.as_str())))
         .map(|(name, value)| Header {
@@ -211,15 +200,3 @@
         })
         .collect()
 }
-
-/// Names of headers that concern this connection only, as its `Connection` header lists them
-/// (RFC 9110, 7.6.1).
-fn connection_options(headers: &HeaderMap) -> SmallVec<[&str; 4]> {
-    headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .map(str::trim)
-        .collect()
-}
--- /dev/null
+++ b/src/gateway/health.rs
@@ -0,0 +1,59 @@
+//! Which targets get no work for a while because they failed.
+//!
+//! Answers a target that is dark, or fails what it gets: after a few failures in a row it is left
+//! alone, longer each time, and then tried with what comes next.
+
+use crate::gateway::targets::{Load, Report};
+use crate::units::Micros;
+
+/// Failures in a row after which a target gets no work for a while.
+const MAX_FAILURES: u32 = 3;
+/// The first pause.
+const PAUSE: Micros = Micros::from_ms(400);
+/// The longest pause is the first one, doubled this often.
+const MAX_DOUBLINGS: u32 = 3;
+/// Part of the old value that a new measurement leaves.
+const SMOOTHING: f64 = 0.8;
+/// Bounds of the measured slowness.
+const SLOWNESS: (f64, f64) = (0.5, 8.0);
+/// Largest number of callers that one of the own requests stands for.
+const MAX_CROWD: f64 = 64.0;
+
+impl Load {
+    /// The target answered what it got.
+    pub fn answered(&mut self, now: Micros) {
+        self.failures = 0;
+        self.heard = now;
+    }
+
+    /// The target failed. `reached` is false when no connection to it was made.
+    pub fn failed(&mut self, now: Micros, reached: bool) {
+        self.failures += 1;
+        self.heard = now;
+        let most = if reached { MAX_FAILURES } else { 1 };
+        if self.failures >= most {
+            let doublings = (self.failures - most).min(MAX_DOUBLINGS);
+            self.closed = now + Micros(PAUSE.0 << doublings);
+        }
+    }
+
+    /// A first event came after `took`, and was expected after `expected`.
+    pub fn timed(&mut self, took: Micros, expected: Micros) {
+        let plain = expected.0 as f64 / self.slowness;
+        let (least, most) = SLOWNESS;
+        let ratio = (took.0 as f64 / plain.max(1.0)).clamp(least, most);
+        self.slowness = self.slowness * SMOOTHING + ratio * (1.0 - SMOOTHING);
+    }
+
+    /// The target told its load in an answer.
+    pub fn reported(&mut self, report: Report) {
+        let all = f64::from(report.running + report.waiting);
+        let own = f64::from(self.active.max(1));
+        let crowd = (all / own).clamp(1.0, MAX_CROWD);
+        self.crowd = self.crowd * SMOOTHING + crowd * (1.0 - SMOOTHING);
+        self.waiting = report.waiting;
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/gateway/http.rs
@@ -0,0 +1,106 @@
+//! The gateway's HTTP server towards callers.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::server::graceful::GracefulShutdown;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
+
+use crate::gateway::answer::{self, AnswerBody};
+use crate::gateway::flight::Flight;
+use crate::gateway::gate::Gate;
+use crate::gateway::order::Order;
+use crate::platform::headers::REQUEST_ID;
+use crate::problem::Problem;
+
+/// How long a leaving gateway still takes connections: the platform needs some seconds to see that
+/// it is not ready.
+const LEAVING: Duration = Duration::from_millis(2_600);
+/// Pause after the system could not accept a connection.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// How long a caller's connection may be idle, at least; callers learn of it only by trying.
+const LEAST_IDLE: Duration = Duration::from_secs(30);
+/// Largest head of a request that is read at all, in bytes.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+
+/// Serves callers.
+#[derive(Clone, Debug)]
+pub struct Http {
+    /// What the gateway's parts share.
+    pub gate: Arc<Gate>,
+    /// Cancelled when the gateway is to leave.
+    pub drain: CancellationToken,
+}
+
+impl Http {
+    /// Serves callers until the gateway leaves, then finishes what it has.
+    pub async fn listen(self, listener: TcpListener) {
+        let graceful = GracefulShutdown::new();
+        let leaving = async {
+            self.drain.cancelled().await;
+            tokio::time::sleep(LEAVING).await;
+        };
+        tokio::pin!(leaving);
+        loop {
+            tokio::select! {
+                () = &mut leaving => break,
+                accepted = listener.accept() => match accepted {
+                    Ok((stream, _)) => self.serve(stream, &graceful),
+                    Err(error) => {
+                        spdlog::warn!("could not accept a caller", kv: { error: = error });
+                        tokio::time::sleep(ACCEPT_PAUSE).await;
+                    }
+                },
+            }
+        }
+        // Callers whom the system let in already get a true refusal.
+        while let Ok(Ok((stream, _))) = timeout(Duration::ZERO, listener.accept()).await {
+            self.serve(stream, &graceful);
+        }
+        drop(listener);
+        graceful.shutdown().await;
+    }
+
+    fn serve(&self, stream: TcpStream, graceful: &GracefulShutdown) {
+        // Only a hint to the system; the connection works without.
+        let _ = stream.set_nodelay(true);
+        let idle = self.gate.config().limits.idle.max(LEAST_IDLE);
+        let http = self.clone();
+        let service = service_fn(move |request| http.clone().answer(request));
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(idle)
+            .max_buf_size(MAX_HEAD_BYTES)
+            .serve_connection(TokioIo::new(stream), service);
+        let connection = graceful.watch(connection);
+        // A caller that breaks its connection off is no fault of the gateway's.
+        tokio::spawn(async move { drop(connection.await) });
+    }
+
+    async fn answer(self, request: Request<Incoming>) -> Result<Response<AnswerBody>, Infallible> {
+        let id = request.headers().get(REQUEST_ID).cloned();
+        let answer = self.respond(request).await;
+        let mut response = answer.unwrap_or_else(|problem| answer::refusal(problem, id));
+        if self.drain.is_cancelled() {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(CONNECTION, close);
+        }
+        Ok(response)
+    }
+
+    async fn respond(&self, request: Request<Incoming>) -> Result<Response<AnswerBody>, Problem> {
+        let config = self.gate.config();
+        let order = Order::read(request, &config, self.gate.clock).await?;
+        drop(config);
+        Flight::new(self.gate.clone(), order).run().await
+    }
+}
--- /dev/null
+++ b/src/gateway/mod.rs
@@ -0,0 +1,105 @@
+//! The gateway: sends callers' requests to targets itself, on a platform whose targets have no
+//! agent.
+//!
+//! The decisions ([`place`], [`turn_away`], [`repeat`], [`budget`], [`health`]) are pure. What is
+//! believed of the world stands in [`gate`], and comes from [`follow`].
+
+pub mod answer;
+pub mod budget;
+pub mod config;
+pub mod directory;
+pub mod events;
+pub mod flight;
+pub mod follow;
+pub mod gate;
+pub mod health;
+pub mod http;
+pub mod links;
+pub mod order;
+pub mod place;
+pub mod prompts;
+pub mod ready;
+pub mod relay;
+pub mod repeat;
+pub mod targets;
+pub mod turn_away;
+pub mod words;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::Context;
+use tokio::net::TcpListener;
+use tokio::task::JoinSet;
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
+
+use crate::gateway::budget::Allowance;
+use crate::gateway::directory::Directory;
+use crate::gateway::gate::Gate;
+use crate::gateway::http::Http;
+use crate::platform::Store;
+use crate::settings::GatewaySettings;
+use crate::telemetry;
+
+/// Time between the last moment for requests to finish and the end of the grace.
+const GRACE_MARGIN: Duration = Duration::from_millis(700);
+
+/// Runs a gateway as a process of its own.
+///
+/// # Errors
+/// When logs cannot be set up or an address cannot be listened on.
+pub async fn serve(settings: GatewaySettings, drain: CancellationToken) -> anyhow::Result<()> {
+    telemetry::init(&settings.telemetry, "balsampitch-gateway")?;
+    let store = Store::new(settings.platform);
+    run(settings, store, drain).await
+}
+
+/// Runs a gateway until `drain` is cancelled and its requests are finished.
+///
+/// # Errors
+/// When an address cannot be listened on.
+pub async fn run<D: Directory>(
+    settings: GatewaySettings,
+    directory: D,
+    drain: CancellationToken,
+) -> anyhow::Result<()> {
+    let callers = listen(settings.listen, "callers").await?;
+    let ready = listen(settings.ready, "the balancer").await?;
+    let gate = Arc::new(Gate::new(
+        &settings.zone,
+        Allowance::from(&settings.retries),
+    ));
+    let mut services = JoinSet::new();
+    services.spawn(follow::config(directory.clone(), gate.clone()));
+    services.spawn(follow::targets(directory, gate.clone()));
+    services.spawn(ready::serve(ready, gate.clone(), drain.clone()));
+    spdlog::info!("started", kv: { name: = settings.name.as_str(), zone: = settings.zone.as_str() });
+
+    let http = Http {
+        gate,
+        drain: drain.clone(),
+    };
+    let grace = Duration::from_secs_f64(settings.grace).saturating_sub(GRACE_MARGIN);
+    let late = async {
+        drain.cancelled().await;
+        spdlog::info!("leaving", kv: { name: = settings.name.as_str() });
+        tokio::time::sleep(grace).await;
+    };
+    tokio::select! {
+        () = http.listen(callers) => {}
+        () = late => spdlog::warn!("requests were still running at the end of the grace"),
+    }
+    spdlog::info!("stopped", kv: { name: = settings.name.as_str() });
+    // Answers that are written need a moment to leave.
+    let _ = timeout(Duration::from_millis(50), std::future::pending::<()>()).await;
+    services.abort_all();
+    Ok(())
+}
+
+async fn listen(address: SocketAddr, whom: &str) -> anyhow::Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .with_context(|| format!("could not listen for {whom} on {address}"))
+}
--- /dev/null
+++ b/src/gateway/order.rs
@@ -0,0 +1,159 @@
+//! A caller's request, read and checked.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::header::HeaderValue;
+use hyper::http::request::Parts;
+use hyper::{HeaderMap, Method, Request, Uri};
+use tokio::time::timeout;
+
+use crate::gateway::config::{Config, Route};
+use crate::gateway::prompts::Prompt;
+use crate::platform::headers::{self, Added};
+use crate::problem::{Problem, Reason};
+use crate::units::{Clock, Micros};
+
+/// Longest time to read a body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// When a process that knows no configuration yet asks to come back.
+const NO_CONFIG_RETRY: Duration = Duration::from_millis(500);
+
+/// A request to pass on.
+#[derive(Debug)]
+pub struct Order {
+    /// Its id.
+    pub id: HeaderValue,
+    /// Its method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// The caller's headers.
+    headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+    /// The route that it takes.
+    pub route: Arc<Route>,
+    /// The service that runs it.
+    pub service: Arc<str>,
+    /// The client account's name, if it has one.
+    pub account: Option<Box<str>>,
+    /// Its prompt, for a model.
+    pub prompt: Option<Prompt>,
+    /// When it arrived.
+    pub arrived: Micros,
+    /// The moment until which the caller waits.
+    pub patience: Micros,
+}
+
+impl Order {
+    /// Reads a request.
+    ///
+    /// # Errors
+    /// Why it is refused.
+    pub async fn read(
+        request: Request<Incoming>,
+        config: &Config,
+        clock: Clock,
+    ) -> Result<Order, Problem> {
+        let arrived = clock.now();
+        let (parts, body) = request.into_parts();
+        let (route, service) = route(&parts, config)?;
+        let asked = headers::asked(&parts.headers);
+        let id = asked.id.ok_or(Problem::not_run(400, Reason::BadRequest))?;
+        let account = account(&route, asked.key, config)?;
+        let left = asked.left.unwrap_or(route.timeout);
+        let (id, prompt) = (id.clone(), asked.prompt);
+        let body = whole(body, config.limits.body).await?;
+        Ok(Order {
+            id,
+            method: parts.method,
+            uri: parts.uri,
+            headers: parts.headers,
+            body,
+            route,
+            service,
+            account,
+            prompt,
+            arrived,
+            patience: arrived + left.into(),
+        })
+    }
+
+    /// The moment by which it must have its final answer.
+    pub fn until(&self) -> Micros {
+        self.patience.min(self.arrived + self.route.timeout.into())
+    }
+
+    /// The headers towards a target.
+    pub fn headers(&self, target: &str, now: Micros, after: Option<&str>) -> HeaderMap {
+        let added = Added {
+            target,
+            account: self.account.as_deref(),
+            left: self.until().saturating_sub(now).into(),
+            after,
+        };
+        headers::passed_on(&self.headers, &added)
+    }
+
+    /// Its id as text, for logs.
+    pub fn name(&self) -> &str {
+        self.id.to_str().unwrap_or("unreadable")
+    }
+}
+
+/// The route of a request, and one of the route's services by their weights.
+fn route(parts: &Parts, config: &Config) -> Result<(Arc<Route>, Arc<str>), Problem> {
+    if config.version == 0 {
+        let problem = Problem::not_run(503, Reason::NoCapacity);
+        return Err(problem.retry_after(NO_CONFIG_RETRY));
+    }
+    let host = parts.headers.get(hyper::header::HOST);
+    let host = host.and_then(|host| host.to_str().ok());
+    let host = host.or_else(|| parts.uri.authority().map(|a| a.as_str()));
+    let route = config
+        .route(host.unwrap_or_default(), parts.uri.path())
+        .ok_or(Problem::not_run(404, Reason::NoService))?;
+    let service = weighted(route, rand::random::<f64>());
+    let service = service.ok_or(Problem::not_run(404, Reason::NoService))?;
+    Ok((route.clone(), service.clone()))
+}
+
+/// The service at a place, from 0 to 1, of all the route's weights.
+fn weighted(route: &Route, place: f64) -> Option<&Arc<str>> {
+    let total: u32 = route.services.iter().map(|(_, weight)| weight).sum();
+    let mut rest = place * f64::from(total);
+    for (service, weight) in &route.services {
+        rest -= f64::from(*weight);
+        if rest < 0.0 {
+            return Some(service);
+        }
+    }
+    route.services.first().map(|(service, _)| service)
+}
+
+/// Name of the client account whose key the caller presents.
+fn account(route: &Route, key: Option<&str>, config: &Config) -> Result<Option<Box<str>>, Problem> {
+    let account = key.and_then(|key| config.account_of(key));
+    if account.is_none() && config.has_accounts() && !route.anonymous {
+        return Err(Problem::not_run(401, Reason::BadKey));
+    }
+    Ok(account.map(|account| config.account(account).name.clone()))
+}
+
+async fn whole(body: Incoming, limit: usize) -> Result<Bytes, Problem> {
+    let body = Limited::new(body, limit).collect();
+    let body = timeout(BODY_TIMEOUT, body)
+        .await
+        .map_err(|_| Problem::not_run(408, Reason::BadRequest))?;
+    match body {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => {
+            Err(Problem::not_run(413, Reason::BodyTooLarge))
+        }
+        Err(_) => Err(Problem::not_run(400, Reason::BadRequest)),
+    }
+}
--- /dev/null
+++ b/src/gateway/relay.rs
@@ -0,0 +1,205 @@
+//! Passes a stream of events on as they come, and goes on at another target where that is allowed.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame, Incoming};
+use smallvec::SmallVec;
+use tokio::sync::oneshot;
+use tokio::time::Sleep;
+
+use crate::gateway::events::Splitter;
+use crate::gateway::flight::{self, Upstream};
+use crate::gateway::gate::{Gate, InFlight};
+use crate::gateway::links::Link;
+use crate::gateway::order::Order;
+use crate::gateway::targets::TargetKey;
+use crate::gateway::words;
+use crate::platform::headers::Told;
+
+/// The stream broke off; the connection is reset so that the caller sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum BrokenStream {
+    /// The target's stream ended within an event, or with an error.
+    #[error("the target's stream broke off")]
+    Target,
+    /// It took longer than its route allows.
+    #[error("the stream took too long")]
+    Late,
+}
+
+/// A stream that comes from a target.
+#[derive(Debug)]
+struct Source {
+    body: Incoming,
+    link: Link,
+    told: Told,
+    flight: InFlight,
+}
+
+#[derive(Debug)]
+enum State {
+    Reading(Box<Source>),
+    /// Another target is asked to go on.
+    Resuming(oneshot::Receiver<Option<Upstream>>),
+    Over,
+}
+
+/// The body of an answer that is a stream of events.
+#[derive(Debug)]
+pub struct Relay {
+    gate: Arc<Gate>,
+    order: Arc<Order>,
+    state: State,
+    splitter: Splitter,
+    tried: SmallVec<[TargetKey; 4]>,
+    late: Pin<Box<Sleep>>,
+    begun: bool,
+}
+
+impl Relay {
+    /// Passes on the stream that has begun. `tried` are the targets that were tried before.
+    pub fn new(
+        gate: Arc<Gate>,
+        order: Arc<Order>,
+        upstream: Upstream,
+        tried: SmallVec<[TargetKey; 4]>,
+    ) -> Self {
+        let at = flight::deadline(&gate, order.arrived + order.route.timeout.into());
+        Relay {
+            gate,
+            order,
+            state: State::Reading(Box::new(upstream.into())),
+            splitter: Splitter::default(),
+            tried,
+            late: Box::pin(tokio::time::sleep_until(at)),
+            begun: false,
+        }
+    }
+
+    /// The target's stream has ended; keeps its connection if the stream was whole.
+    fn ended(&mut self) -> Poll<Option<Result<Frame<Bytes>, BrokenStream>>> {
+        if self.splitter.is_within() {
+            return self.broken();
+        }
+        if let State::Reading(source) = std::mem::replace(&mut self.state, State::Over) {
+            let target = source.flight.target;
+            self.gate.links.put(target, source.link, source.told.idle);
+        }
+        Poll::Ready(None)
+    }
+
+    /// The target's stream broke off: another goes on where that is allowed.
+    fn broken(&mut self) -> Poll<Option<Result<Frame<Bytes>, BrokenStream>>> {
+        let state = std::mem::replace(&mut self.state, State::Over);
+        if let State::Reading(source) = state {
+            self.tried.push(source.flight.target);
+            // The connection ends here, so that the target stops.
+            drop(source);
+            if let Some(resumed) = self.resume() {
+                self.splitter.drop_part();
+                self.state = State::Resuming(resumed);
+                return Poll::Pending;
+            }
+        }
+        words::broken(&self.order, self.begun);
+        Poll::Ready(Some(Err(BrokenStream::Target)))
+    }
+
+    /// Asks another target to go on, if that is allowed.
+    fn resume(&self) -> Option<oneshot::Receiver<Option<Upstream>>> {
+        let order = &self.order;
+        let sent = u32::try_from(self.tried.len()).unwrap_or(u32::MAX);
+        if !flight::may_resume(order.route.kind) || sent >= order.route.attempts {
+            return None;
+        }
+        let choice = self
+            .gate
+            .choose(&order.service, order.prompt.as_ref(), &self.tried)?;
+        if !self.gate.may_repeat(&order.service) {
+            return None;
+        }
+        let (mut back, resumed) = oneshot::channel();
+        let (gate, order) = (self.gate.clone(), order.clone());
+        let after = self.splitter.last().map(str::to_owned);
+        tokio::spawn(async move {
+            let open = flight::open(&gate, &order, choice, after.as_deref());
+            tokio::select! {
+                upstream = open => {
+                    let upstream = upstream.ok().filter(|u| u.head.status.is_success());
+                    // A caller that is gone needs no stream.
+                    let _ = back.send(upstream);
+                }
+                () = back.closed() => {}
+            }
+        });
+        Some(resumed)
+    }
+}
+
+impl From<Upstream> for Source {
+    fn from(upstream: Upstream) -> Self {
+        Source {
+            body: upstream.body,
+            link: upstream.link,
+            told: upstream.told,
+            flight: upstream.flight,
+        }
+    }
+}
+
+impl Body for Relay {
+    type Data = Bytes;
+    type Error = BrokenStream;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenStream>>> {
+        let this = self.get_mut();
+        if this.late.as_mut().poll(context).is_ready() {
+            this.state = State::Over;
+            words::broken(&this.order, this.begun);
+            return Poll::Ready(Some(Err(BrokenStream::Late)));
+        }
+        loop {
+            match &mut this.state {
+                State::Over => return Poll::Ready(None),
+                State::Resuming(resumed) => {
+                    let upstream = ready!(Pin::new(resumed).poll(context));
+                    let Ok(Some(upstream)) = upstream else {
+                        this.state = State::Over;
+                        words::broken(&this.order, this.begun);
+                        return Poll::Ready(Some(Err(BrokenStream::Target)));
+                    };
+                    this.state = State::Reading(Box::new(upstream.into()));
+                }
+                State::Reading(source) => {
+                    let frame = ready!(Pin::new(&mut source.body).poll_frame(context));
+                    let data = match frame {
+                        Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+                        None if !this.splitter.is_within() => return this.ended(),
+                        Some(Err(_)) | None => match this.broken() {
+                            Poll::Pending => continue,
+                            over => return over,
+                        },
+                    };
+                    if !this.begun && !data.is_empty() {
+                        this.begun = true;
+                        source.flight.begun();
+                    }
+                    match this.splitter.push(data) {
+                        Ok(whole) if whole.is_empty() => {}
+                        Ok(whole) => return Poll::Ready(Some(Ok(Frame::data(whole)))),
+                        Err(_) => {
+                            this.state = State::Over;
+                            return Poll::Ready(Some(Err(BrokenStream::Target)));
+                        }
+                    }
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/repeat.rs
@@ -0,0 +1,95 @@
+//! What to do after a try that brought no usable answer.
+//!
+//! Pure. A refusal that says "not run" must be true, so what is known of every try decides.
+
+use crate::gateway::config::Kind;
+use crate::problem::{Execution, Problem, Reason};
+
+/// Why a try brought no usable answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// No connection was made; nothing was sent.
+    Unreached,
+    /// The target says that it did not run the request.
+    Declined,
+    /// Another target has the address now, and did not run the request.
+    Moved,
+    /// The connection ended, or what came was no answer to the request.
+    Broken,
+    /// The target ran it and answered with a failure of its own.
+    Failed,
+    /// Nothing came in time.
+    Silent,
+}
+
+impl Failure {
+    /// Whether the target has surely not run the request, and never will.
+    pub fn not_run(self) -> bool {
+        matches!(
+            self,
+            Failure::Unreached | Failure::Declined | Failure::Moved
+        )
+    }
+}
+
+/// What is known of a request's tries so far.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Tries {
+    /// Tries that may have been run.
+    pub run: u32,
+    /// Tries that surely were not.
+    pub declined: u32,
+}
+
+/// Most tries of a request that were not run.
+const MAX_DECLINED: u32 = 3;
+
+impl Tries {
+    /// Notes how a try ended.
+    pub fn add(&mut self, failure: Failure) {
+        if failure.not_run() {
+            self.declined += 1;
+        } else {
+            self.run += 1;
+        }
+    }
+
+    /// Whether another target may be tried, budgets aside. `attempts` is the most targets that may
+    /// run the request.
+    pub fn may_repeat(&self, kind: Kind, attempts: u32) -> bool {
+        let harmless = self.run == 0 || kind.may_repeat();
+        harmless && self.run < attempts.max(1) && self.declined < MAX_DECLINED
+    }
+
+    /// The answer to a request that is given up after `failure`.
+    pub fn problem(&self, failure: Failure) -> Problem {
+        let reason = match failure {
+            Failure::Unreached | Failure::Declined | Failure::Moved => Reason::NoCapacity,
+            Failure::Broken | Failure::Failed => Reason::TargetFailed,
+            Failure::Silent => Reason::OutcomeUnknown,
+        };
+        self.refuse(reason)
+    }
+
+    /// A refusal that is true for all tries.
+    pub fn refuse(&self, reason: Reason) -> Problem {
+        match (self.execution(), reason) {
+            (Execution::NotRun, _) => Problem::not_run(503, reason),
+            (Execution::Unknown, Reason::DeadlinePassed | Reason::OutcomeUnknown) => {
+                Problem::unknown(504, reason)
+            }
+            (Execution::Unknown, _) => Problem::unknown(502, reason),
+        }
+    }
+
+    fn execution(&self) -> Execution {
+        if self.run == 0 {
+            Execution::NotRun
+        } else {
+            Execution::Unknown
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/gateway/turn_away.rs
@@ -0,0 +1,73 @@
+//! When a request is refused at once instead of sent.
+//!
+//! Answers load beyond what the targets can serve in time: a request whose first event would come
+//! after its aim would only delay those behind it. It is told when room is expected, so that it can
+//! come back while it still can be on time.
+//!
+//! Pure.
+
+use std::time::Duration;
+
+use crate::gateway::place::Choice;
+use crate::problem::{Problem, Reason};
+use crate::units::Micros;
+
+/// Shortest wait that a refused caller is asked for.
+const LEAST_RETRY: Duration = Duration::from_millis(100);
+/// Callers come back spread over this part of the wait, on top of it.
+const SPREAD: f64 = 0.5;
+/// What the way to the target and back is taken to need.
+const MARGIN: Micros = Micros::from_ms(30);
+
+/// What is known of a request when it arrives.
+#[derive(Clone, Copy, Debug)]
+pub struct Offer {
+    /// Where it would go.
+    pub choice: Option<Choice>,
+    /// How long it has been here.
+    pub waited: Micros,
+    /// How long its caller will wait from now.
+    pub left: Micros,
+    /// Time to its first event that its operator aims at.
+    pub aim: Micros,
+    /// Whether it goes to an engine.
+    pub engine: bool,
+}
+
+/// The target that a request goes to. `random` is from 0 to 1 and spreads callers.
+///
+/// # Errors
+/// A refusal with the time after which to come back.
+pub fn decide(offer: &Offer, random: f64) -> Result<Choice, Problem> {
+    let Some(choice) = offer.choice else {
+        return Err(later(Reason::NoCapacity, LEAST_RETRY * 2, random));
+    };
+    let needed = choice.expected + MARGIN;
+    if needed > offer.left {
+        return Err(later(Reason::DeadlinePassed, LEAST_RETRY, random));
+    }
+    let late = (offer.waited + needed).saturating_sub(offer.aim);
+    if offer.engine && late > Micros::ZERO {
+        return Err(later(Reason::NoCapacity, late.into(), random));
+    }
+    Ok(choice)
+}
+
+/// Adds when to come back to a refusal that was not run.
+pub fn with_retry(problem: Problem, random: f64) -> Problem {
+    match problem.status {
+        503 => problem.retry_after(spread(LEAST_RETRY, random)),
+        _ => problem,
+    }
+}
+
+fn later(reason: Reason, wait: Duration, random: f64) -> Problem {
+    Problem::not_run(503, reason).retry_after(spread(wait.max(LEAST_RETRY), random))
+}
+
+fn spread(wait: Duration, random: f64) -> Duration {
+    wait.mul_f64(1.0 + SPREAD * random)
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/local.rs
+++ b/src/local.rs
@@ -12,7 +12,7 @@
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
-use crate::platform::{Client, Log, RULES};
+use crate::log::{Client, Log, RULES};
 use crate::rules::change::Change;
 use crate::rules::record::TextDigest;
 use crate::rules::renew::Timing;
--- /dev/null
+++ b/src/log/tests.rs
@@ -0,0 +1,131 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+
+use super::http::{Bounds, Http};
+use super::*;
+
+const BOUNDS: Bounds = Bounds {
+    timeout: Duration::from_secs(5),
+    answer: 64,
+};
+
+/// What the server does with a call.
+#[derive(Clone, Copy)]
+enum Server {
+    Answers(u16, &'static str),
+    Breaks,
+    Absent,
+}
+
+async fn serve(server: Server) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback");
+    let addr = listener.local_addr().expect("bound");
+    if matches!(server, Server::Absent) {
+        return addr;
+    }
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a client connects");
+        let mut head = [0; 4_096];
+        let _ = stream.read(&mut head).await;
+        if let Server::Answers(status, body) = server {
+            let length = body.len();
+            let answer = format!("HTTP/1.1 {status} X\r\ncontent-length: {length}\r\n\r\n{body}");
+            let _ = stream.write_all(answer.as_bytes()).await;
+        }
+    });
+    addr
+}
+
+macro_rules! appends {
+    ($($name:ident: $server:expr => $result:pat,)+) => {$(
+        #[tokio::test]
+        async fn $name() {
+            let client = Client::new(serve($server).await);
+            let result = client.append(RULES, Bytes::from_static(b"x")).await;
+            assert!(matches!(result, $result), "{result:?}");
+        }
+    )+};
+}
+
+appends! {
+    append_tells_the_offset: Server::Answers(200, r#"{"offset":7}"#) => Ok(7),
+    append_in_an_outage_is_surely_not_in: Server::Answers(503, "") =>
+        Err(AppendError::NotAppended(Cause::Status(503))),
+    append_refused_is_surely_not_in: Server::Answers(413, "") =>
+        Err(AppendError::NotAppended(Cause::Status(413))),
+    append_without_connection_is_surely_not_in: Server::Absent =>
+        Err(AppendError::NotAppended(Cause::Connect(_))),
+    append_cut_off_may_be_in: Server::Breaks => Err(AppendError::Unknown(Cause::Broken(_))),
+    append_failed_inside_may_be_in: Server::Answers(500, "") =>
+        Err(AppendError::Unknown(Cause::Status(500))),
+    append_with_a_strange_answer_may_be_in: Server::Answers(200, "{}") =>
+        Err(AppendError::Unknown(Cause::Malformed(_))),
+}
+
+macro_rules! reads {
+    ($($name:ident: $status:literal $body:expr => $result:pat,)+) => {$(
+        #[tokio::test]
+        async fn $name() {
+            let client = Client::new(serve(Server::Answers($status, $body)).await);
+            let result = client.read(RULES, 3, Duration::ZERO).await;
+            assert!(matches!(result, $result), "{result:?}");
+        }
+    )+};
+}
+
+reads! {
+    read_gives_records: 200 r#"{"first":1,"next":4,"records":[{"offset":3,"data":"eHk="}]}"# =>
+        Ok(Page { first: 1, next: 4, .. }),
+    read_of_an_expired_offset_tells_the_first: 410 r#"{"first":9}"# =>
+        Err(ReadError::Expired { first: 9 }),
+    read_in_an_outage_fails: 503 "" => Err(ReadError::Failed(Cause::Status(503))),
+    read_of_bad_base64_is_malformed: 200
+        r#"{"first":1,"next":4,"records":[{"offset":3,"data":"*"}]}"# =>
+        Err(ReadError::Failed(Cause::Malformed(_))),
+    read_of_disorder_is_malformed: 200
+        r#"{"first":1,"next":3,"records":[{"offset":3,"data":""}]}"# =>
+        Err(ReadError::Failed(Cause::Malformed(_))),
+}
+
+#[tokio::test]
+async fn hosts_are_listed_with_their_state() {
+    let body = r#"[{"host":"10.0.0.1:90","zone":"a","service":"model","state":"leaving"}]"#;
+    let client = Client::new(serve(Server::Answers(200, body)).await);
+    let hosts = client.hosts().await.expect("a list");
+    assert_eq!(hosts[0].addr, "10.0.0.1:90".parse().expect("an address"));
+    assert_eq!(hosts[0].state, HostState::Leaving);
+}
+
+#[tokio::test]
+async fn answer_over_its_bound_is_refused() {
+    let body = "0123456789012345678901234567890123456789012345678901234567890123456789";
+    let http = Http::new(serve(Server::Answers(200, body)).await);
+    let result = http.get("/", BOUNDS).await;
+    assert!(matches!(result, Err(Cause::TooLarge(64))), "{result:?}");
+}
+
+#[tokio::test]
+async fn silent_connection_delays_one_call_only() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback");
+    let http = Http::new(listener.local_addr().expect("bound"));
+    let server = tokio::spawn(async move {
+        let silent = listener.accept().await.expect("the first call connects");
+        let (mut stream, _) = listener.accept().await.expect("the second call connects");
+        let answer = b"HTTP/1.1 200 X\r\ncontent-length: 2\r\n\r\n{}";
+        let _ = stream.write_all(answer).await;
+        let _ = stream.read(&mut [0; 4_096]).await;
+        silent
+    });
+    let short = Bounds {
+        timeout: Duration::from_millis(50),
+        ..BOUNDS
+    };
+    let first = http.get("/", short).await;
+    assert!(matches!(first, Err(Cause::Timeout)), "{first:?}");
+    let second = http.get("/", BOUNDS).await;
+    assert!(second.is_ok(), "{second:?}");
+    drop(server.await);
+}
--- /dev/null
+++ b/src/log/wire.rs
@@ -0,0 +1,148 @@
+//! The platform's JSON, apart from the types that the crate uses.
+
+use std::net::SocketAddr;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use super::{Cause, Host, HostState, Page, Record};
+
+/// Answer to an append.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub struct Appended {
+    /// Offset of the new record.
+    pub offset: u64,
+}
+
+/// Answer to a read of an expired offset.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub struct Expired {
+    /// Offset of the oldest record.
+    pub first: u64,
+}
+
+/// Answer to a read.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct WirePage {
+    /// Offset of the oldest record.
+    pub first: u64,
+    /// Offset to read from next.
+    pub next: u64,
+    /// The records.
+    pub records: Vec<WireRecord>,
+}
+
+/// A record in the answer to a read.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct WireRecord {
+    /// Its offset.
+    pub offset: u64,
+    /// Its data in base64.
+    pub data: String,
+}
+
+/// A host in the platform's list.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct WireHost {
+    /// Address of its agent, as `ip:port`.
+    pub host: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// The service that it runs.
+    pub service: String,
+    /// `live` or `leaving`.
+    pub state: String,
+}
+
+impl TryFrom<WirePage> for Page {
+    type Error = Cause;
+
+    fn try_from(page: WirePage) -> Result<Self, Cause> {
+        let records: Result<Vec<Record>, Cause> =
+            page.records.into_iter().map(Record::try_from).collect();
+        let records = records?;
+        let ordered = records.is_sorted_by(|a, b| a.offset < b.offset);
+        let last = records.last().map_or(0, |record| record.offset + 1);
+        if !ordered || page.next < last {
+            return Err(Cause::Malformed("offsets out of order".to_owned()));
+        }
+        Ok(Page {
+            first: page.first,
+            next: page.next,
+            records,
+        })
+    }
+}
+
+impl TryFrom<WireRecord> for Record {
+    type Error = Cause;
+
+    fn try_from(record: WireRecord) -> Result<Self, Cause> {
+        let data = STANDARD
+            .decode(&record.data)
+            .map_err(|error| Cause::Malformed(format!("record {}: {error}", record.offset)))?;
+        Ok(Record {
+            offset: record.offset,
+            data: Bytes::from(data),
+        })
+    }
+}
+
+impl From<&Record> for WireRecord {
+    fn from(record: &Record) -> Self {
+        WireRecord {
+            offset: record.offset,
+            data: STANDARD.encode(&record.data),
+        }
+    }
+}
+
+impl From<&Page> for WirePage {
+    fn from(page: &Page) -> Self {
+        WirePage {
+            first: page.first,
+            next: page.next,
+            records: page.records.iter().map(WireRecord::from).collect(),
+        }
+    }
+}
+
+impl TryFrom<WireHost> for Host {
+    type Error = Cause;
+
+    fn try_from(host: WireHost) -> Result<Self, Cause> {
+        let malformed = |what: &str| Cause::Malformed(format!("host {:?}: {what}", host.host));
+        let addr: SocketAddr = host
+            .host
+            .parse()
+            .map_err(|_| malformed("expected ip:port"))?;
+        let state = match host.state.as_str() {
+            "live" => HostState::Live,
+            "leaving" => HostState::Leaving,
+            _ => return Err(malformed("expected state live or leaving")),
+        };
+        Ok(Host {
+            addr,
+            zone: host.zone,
+            service: host.service,
+            state,
+        })
+    }
+}
+
+impl From<&Host> for WireHost {
+    fn from(host: &Host) -> Self {
+        let state = match host.state {
+            HostState::Live => "live",
+            HostState::Leaving => "leaving",
+        };
+        WireHost {
+            host: host.addr.to_string(),
+            zone: host.zone.clone(),
+            service: host.service.clone(),
+            state: state.to_owned(),
+        }
+    }
+}
--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -1,148 +1,198 @@
-//! The platform's JSON, apart from the types that the crate uses.
-
-use std::net::SocketAddr;
-
-use base64::Engine;
-use base64::engine::general_purpose::STANDARD;
-use bytes::Bytes;
-use serde::{Deserialize, Serialize};
-
-use super::{Cause, Host, HostState, Page, Record};
-
-/// Answer to an append.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
-pub struct Appended {
-    /// Offset of the new record.
-    pub offset: u64,
-}
-
-/// Answer to a read of an expired offset.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
-pub struct Expired {
-    /// Offset of the oldest record.
-    pub first: u64,
-}
-
-/// Answer to a read.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct WirePage {
-    /// Offset of the oldest record.
-    pub first: u64,
-    /// Offset to read from next.
-    pub next: u64,
-    /// The records.
-    pub records: Vec<WireRecord>,
-}
-
-/// A record in the answer to a read.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct WireRecord {
-    /// Its offset.
-    pub offset: u64,
-    /// Its data in base64.
-    pub data: String,
-}
-
-/// A host in the platform's list.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct WireHost {
-    /// Address of its agent, as `ip:port`.
-    pub host: String,
-    /// Its availability zone.
-    pub zone: String,
-    /// The service that it runs.
-    pub service: String,
-    /// `live` or `leaving`.
-    pub state: String,
-}
-
-impl TryFrom<WirePage> for Page {
-    type Error = Cause;
-
-    fn try_from(page: WirePage) -> Result<Self, Cause> {
-        let records: Result<Vec<Record>, Cause> =
-            page.records.into_iter().map(Record::try_from).collect();
-        let records = records?;
-        let ordered = records.is_sorted_by(|a, b| a.offset < b.offset);
-        let last = records.last().map_or(0, |record| record.offset + 1);
-        if !ordered || page.next < last {
-            return Err(Cause::Malformed("offsets out of order".to_owned()));
-        }
-        Ok(Page {
-            first: page.first,
-            next: page.next,
-            records,
-        })
-    }
+//! What lies in the platform's store: the operator's configuration, and the workers' entries.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::Deserialize;
+
+use crate::gateway::config::{self, Account, Engine, Kind, Limits, Route, Service};
+use crate::gateway::targets::Entry;
+
+/// A whole configuration.
+#[derive(Debug, Deserialize)]
+pub struct WireConfig {
+    version: u64,
+    #[serde(default)]
+    routes: Vec<WireRoute>,
+    #[serde(default)]
+    services: Vec<WireService>,
+    #[serde(default)]
+    limits: WireLimits,
+    #[serde(default)]
+    tenants: Vec<WireTenant>,
 }
 
-impl TryFrom<WireRecord> for Record {
-    type Error = Cause;
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WireRoute {
+    #[serde(default)]
+    name: Box<str>,
+    authority: Box<str>,
+    path_prefix: Box<str>,
+    route_class: Box<str>,
+    timeout_ms: f64,
+    #[serde(default)]
+    target_latency_ms: f64,
+    backend: Option<Box<str>>,
+    #[serde(default)]
+    weighted_backends: Vec<WireShare>,
+    #[serde(default = "one")]
+    max_attempts: u32,
+    #[serde(default)]
+    anonymous_access: bool,
+    #[serde(default)]
+    stream_resume: bool,
+}
 
-    fn try_from(record: WireRecord) -> Result<Self, Cause> {
-        let data = STANDARD
-            .decode(&record.data)
-            .map_err(|error| Cause::Malformed(format!("record {}: {error}", record.offset)))?;
-        Ok(Record {
-            offset: record.offset,
-            data: Bytes::from(data),
-        })
-    }
+#[derive(Debug, Deserialize)]
+struct WireShare {
+    backend: Box<str>,
+    weight: u32,
 }
 
-impl From<&Record> for WireRecord {
-    fn from(record: &Record) -> Self {
-        WireRecord {
-            offset: record.offset,
-            data: STANDARD.encode(&record.data),
-        }
-    }
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WireService {
+    name: Box<str>,
+    #[serde(default)]
+    max_connections: usize,
+    engine: Option<WireEngine>,
 }
 
-impl From<&Page> for WirePage {
-    fn from(page: &Page) -> Self {
-        WirePage {
-            first: page.first,
-            next: page.next,
-            records: page.records.iter().map(WireRecord::from).collect(),
-        }
-    }
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WireEngine {
+    #[serde(default = "one")]
+    slots: u32,
+    /// Tokens, not bytes.
+    #[serde(default)]
+    kv_capacity: u64,
 }
 
-impl TryFrom<WireHost> for Host {
-    type Error = Cause;
+#[derive(Debug, Default, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WireLimits {
+    header_bytes: Option<usize>,
+    max_body_bytes: Option<usize>,
+    header_timeout_ms: Option<u64>,
+    idle_timeout_ms: Option<u64>,
+    tokens_per_s: Option<f64>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WireTenant {
+    name: Box<str>,
+    #[serde(default)]
+    api_keys: Vec<Box<str>>,
+}
+
+/// What a worker says of itself.
+#[derive(Debug, Deserialize)]
+pub struct WireWorker {
+    backend: Box<str>,
+    address: std::net::SocketAddr,
+    zone: Box<str>,
+    slots: u32,
+    state: WireState,
+    born: Option<u64>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum WireState {
+    Ready,
+    Draining,
+}
 
-    fn try_from(host: WireHost) -> Result<Self, Cause> {
-        let malformed = |what: &str| Cause::Malformed(format!("host {:?}: {what}", host.host));
-        let addr: SocketAddr = host
-            .host
-            .parse()
-            .map_err(|_| malformed("expected ip:port"))?;
-        let state = match host.state.as_str() {
-            "live" => HostState::Live,
-            "leaving" => HostState::Leaving,
-            _ => return Err(malformed("expected state live or leaving")),
+fn one() -> u32 {
+    1
+}
+
+fn millis(ms: f64) -> Duration {
+    Duration::try_from_secs_f64(ms / 1e3).unwrap_or_default()
+}
+
+impl From<WireConfig> for config::Config {
+    fn from(wire: WireConfig) -> Self {
+        let parts = config::Parts {
+            version: wire.version,
+            routes: wire.routes.into_iter().map(Route::from).collect(),
+            services: wire.services.into_iter().map(service).collect(),
+            accounts: wire.tenants.into_iter().map(account).collect(),
+            limits: wire.limits.into(),
         };
-        Ok(Host {
-            addr,
-            zone: host.zone,
-            service: host.service,
-            state,
-        })
+        parts.into()
     }
 }
 
-impl From<&Host> for WireHost {
-    fn from(host: &Host) -> Self {
-        let state = match host.state {
-            HostState::Live => "live",
-            HostState::Leaving => "leaving",
+impl From<WireRoute> for Route {
+    fn from(wire: WireRoute) -> Self {
+        let kind = match (wire.route_class.as_ref(), wire.stream_resume) {
+            ("idempotent", _) => Kind::Idempotent,
+            ("streaming", true) => Kind::ResumableStream,
+            ("streaming", false) => Kind::Stream,
+            _ => Kind::Once,
         };
-        WireHost {
-            host: host.addr.to_string(),
-            zone: host.zone.clone(),
-            service: host.service.clone(),
-            state: state.to_owned(),
+        let only = wire.backend.map(|name| (Arc::from(name), 1));
+        let shares = wire.weighted_backends.into_iter();
+        let shares = shares.map(|share| (Arc::from(share.backend), share.weight));
+        Route {
+            name: wire.name,
+            host: wire.authority,
+            prefix: wire.path_prefix,
+            services: only.into_iter().chain(shares).collect(),
+            kind,
+            timeout: millis(wire.timeout_ms),
+            aim: millis(wire.target_latency_ms),
+            attempts: wire.max_attempts,
+            anonymous: wire.anonymous_access,
+        }
+    }
+}
+
+impl From<WireLimits> for Limits {
+    fn from(wire: WireLimits) -> Self {
+        let usual = Limits::default();
+        Limits {
+            head: wire.header_bytes.unwrap_or(usual.head),
+            body: wire.max_body_bytes.unwrap_or(usual.body),
+            read: wire
+                .header_timeout_ms
+                .map_or(usual.read, Duration::from_millis),
+            idle: wire
+                .idle_timeout_ms
+                .map_or(usual.idle, Duration::from_millis),
+            tokens: wire.tokens_per_s,
         }
     }
 }
+
+impl From<WireWorker> for Entry {
+    fn from(wire: WireWorker) -> Self {
+        Entry {
+            service: wire.backend.into(),
+            addr: wire.address,
+            zone: wire.zone,
+            slots: wire.slots,
+            leaving: wire.state == WireState::Draining,
+            born: wire.born,
+        }
+    }
+}
+
+fn service(wire: WireService) -> (Arc<str>, Service) {
+    let engine = wire.engine.map(|engine| Engine {
+        slots: engine.slots,
+        memory: engine.kv_capacity,
+    });
+    let service = Service {
+        connections: wire.max_connections,
+        engine,
+    };
+    (wire.name.into(), service)
+}
+
+fn account(wire: WireTenant) -> (Account, Vec<Box<str>>) {
+    (Account { name: wire.name }, wire.api_keys)
+}
--- a/src/rules/history.rs
+++ b/src/rules/history.rs
@@ -10,7 +10,7 @@
 use super::parse::MAX_FILE_BYTES;
 use super::record::{Accepted, EditId, Record, Renewal};
 use super::renew::{Due, Schedule, Timing};
-use crate::platform::Page;
+use crate::log::Page;
 use crate::units::Micros;
 
 /// Records that a reader keeps while it looks for a renewal.
--- a/src/rules/history/oracle.rs
+++ b/src/rules/history/oracle.rs
@@ -1,6 +1,6 @@
 use std::collections::HashSet;
 
-use crate::platform::{Page, Record as LogRecord};
+use crate::log::{Page, Record as LogRecord};
 use crate::rules::record::{Accepted, EditId, Record, TextDigest};
 
 use super::Follower;
--- a/src/rules/service.rs
+++ b/src/rules/service.rs
@@ -13,7 +13,7 @@
 use super::record::{Accepted, Record};
 use super::renew::Timing;
 use super::table::Table;
-use crate::platform::{Log, Page, RULES, ReadError};
+use crate::log::{Log, Page, RULES, ReadError};
 use crate::units::{Clock, Micros};
 
 /// Longest time that one read waits for a record.
--- a/src/rules/service/tests.rs
+++ b/src/rules/service/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::platform::fake::FakeLog;
+use crate::log::fake::FakeLog;
 use crate::rules::change::Change;
 use crate::rules::record::{Edit, EditId, TextDigest};
 use crate::rules::renew::RENEW_SPREAD;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -2,11 +2,13 @@
 
 use std::net::SocketAddr;
 use std::path::Path;
+use std::time::Duration;
 
 use anyhow::Context;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 
+use crate::gateway::budget::Allowance;
 use crate::rules::parse::MAX_NAME_BYTES;
 
 /// Settings of `balsampitch-entry`.
@@ -57,6 +59,51 @@
     pub telemetry: TelemetrySettings,
 }
 
+/// Settings of `balsampitch-gateway`.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct GatewaySettings {
+    /// This host's name, for logs.
+    pub name: String,
+    /// Where callers connect.
+    pub listen: SocketAddr,
+    /// Where the balancer asks whether the gateway takes connections.
+    pub ready: SocketAddr,
+    /// Availability zone of this host.
+    pub zone: String,
+    /// Address of the platform's store.
+    pub platform: SocketAddr,
+    /// Longest time from SIGTERM to the end of the process, in seconds.
+    pub grace: f64,
+    /// What all gateways together may send once more.
+    pub retries: RetrySettings,
+    /// Logs and telemetry.
+    #[serde(default)]
+    pub telemetry: TelemetrySettings,
+}
+
+/// What all entries or gateways together may send once more.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RetrySettings {
+    /// Repeats for each request of a service.
+    pub ratio: f64,
+    /// Repeats on top, in each window.
+    pub slack: f64,
+    /// Length of the window, in seconds.
+    pub window: f64,
+}
+
+impl From<&RetrySettings> for Allowance {
+    fn from(settings: &RetrySettings) -> Self {
+        Allowance {
+            ratio: settings.ratio,
+            slack: settings.slack,
+            window: Duration::from_secs_f64(settings.window).into(),
+        }
+    }
+}
+
 /// Settings of `balsampitch-ctl`.
 #[derive(Clone, Debug, Default, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -88,6 +135,8 @@
     Json,
 }
 
+/// Longest span that settings may name, in seconds.
+const MAX_SECONDS: f64 = 86_400.0;
 /// Shortest shared key, in bytes.
 pub const MIN_SECRET_BYTES: usize = 16;
 
@@ -125,6 +174,23 @@
     }
 }
 
+impl Check for GatewaySettings {
+    fn faults(&self) -> Vec<String> {
+        let mut faults = Faults::default();
+        faults.bind("listen", self.listen);
+        faults.bind("ready", self.ready);
+        faults.distinct(&[("listen", self.listen), ("ready", self.ready)]);
+        faults.connect("platform", self.platform);
+        faults.word("zone", &self.zone);
+        faults.positive("grace", self.grace);
+        faults.positive("retries.window", self.retries.window);
+        faults.share("retries.ratio", self.retries.ratio);
+        faults.share("retries.slack", self.retries.slack);
+        faults.telemetry(&self.telemetry);
+        faults.0
+    }
+}
+
 impl Check for AgentSettings {
     fn faults(&self) -> Vec<String> {
         let mut faults = Faults::default();
@@ -233,6 +299,21 @@
         }
     }
 
+    /// A span of seconds that is longer than none.
+    fn positive(&mut self, field: &str, span: f64) {
+        if !(span > 0.0 && span <= MAX_SECONDS) {
+            let fault = format!("is {span}, expected more than 0 and at most {MAX_SECONDS}");
+            self.push(field, fault);
+        }
+    }
+
+    /// A number that is not negative.
+    fn share(&mut self, field: &str, share: f64) {
+        if !(share >= 0.0 && share.is_finite()) {
+            self.push(field, format!("is {share}, expected 0 or more"));
+        }
+    }
+
     fn secret(&mut self, secret: &str) {
         let length = secret.len();
         if length < MIN_SECRET_BYTES {
