Let gateways tell each other their load, and keep shared parts in one place

Change: a part's first target by hash counts as keeping it, and one more target costs three times the reading; gateways tell what they have at each target and what accounts ask and get, five times a second, four others a round; accounts past their max-min share are refused as soon as work waits; only waiting for others is a reason to refuse; SIGHUP reads the settings anew; configuration and target list are handed over between gateways.

Ruled out: reading the targets' cache events (priced calls from each gateway to each target).

--- a/src/cmd/agent.rs
+++ b/src/cmd/agent.rs
@@ -17,7 +17,7 @@
 
 fn run() -> Result<(), Failure> {
     match PROGRAM.start::<AgentSettings>()? {
-        Start::Run(settings) => {
+        Start::Run(settings, _) => {
             shutdown::block_on(|drain| crate::agent::serve(settings, drain)).map_err(Into::into)
         }
         Start::Done => Ok(()),
--- a/src/cmd/entry.rs
+++ b/src/cmd/entry.rs
@@ -17,7 +17,7 @@
 
 fn run() -> Result<(), Failure> {
     match PROGRAM.start::<EntrySettings>()? {
-        Start::Run(settings) => {
+        Start::Run(settings, _) => {
             shutdown::block_on(|drain| crate::entry::serve(settings, drain)).map_err(Into::into)
         }
         Start::Done => Ok(()),
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -17,8 +17,8 @@
 
 fn run() -> Result<(), Failure> {
     match PROGRAM.start::<GatewaySettings>()? {
-        Start::Run(settings) => {
-            shutdown::block_on_one(|drain| crate::gateway::serve(settings, drain))
+        Start::Run(settings, path) => {
+            shutdown::block_on_one(|drain| crate::gateway::serve(settings, path, drain))
                 .map_err(Into::into)
         }
         Start::Done => Ok(()),
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -36,8 +36,8 @@
 /// How a process with a settings file goes on after its command line is read.
 #[derive(Debug)]
 pub enum Start<T> {
-    /// Run with these settings.
-    Run(T),
+    /// Run with these settings, read from this file.
+    Run(T, PathBuf),
     /// Nothing is left to do.
     Done,
 }
@@ -107,7 +107,7 @@
             println!("{}: ok", path.display());
             return Ok(Start::Done);
         }
-        Ok(Start::Run(settings))
+        Ok(Start::Run(settings, path))
     }
 
     /// The name with the crate's version.
--- a/src/gateway/config.rs
+++ b/src/gateway/config.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use smallvec::SmallVec;
 
 use crate::ids::AccountKey;
@@ -20,6 +21,8 @@
     keys: HashMap<Box<str>, AccountKey>,
     /// What callers may send.
     pub limits: Limits,
+    /// As the operator wrote it.
+    pub source: Bytes,
 }
 
 /// Where requests of one authority and path prefix go.
@@ -160,11 +163,18 @@
             accounts,
             keys,
             limits: parts.limits,
+            source: Bytes::new(),
         }
     }
 }
 
 impl Config {
+    /// Keeps what the operator wrote, for gateways that cannot read it themselves.
+    pub fn with_source(mut self, source: Bytes) -> Self {
+        self.source = source;
+        self
+    }
+
     /// The route of a request: of its authority's, the one with the longest prefix of the path.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let routes = match self.hosts.get(host) {
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -3,6 +3,8 @@
 use std::future::Future;
 use std::time::Duration;
 
+use bytes::Bytes;
+
 use crate::gateway::config::Config;
 use crate::gateway::targets::Entry;
 use crate::log::{Cause, ReadError};
@@ -46,6 +48,9 @@
     /// Why it was not read.
     fn list(&self, topic: Topic) -> impl Future<Output = Result<News, Cause>> + Send;
 
+    /// Reads a configuration as the operator wrote it; `None`: it cannot be read.
+    fn decode(&self, source: Bytes) -> Option<Config>;
+
     /// What changed since `from`. Waits up to `wait` for a change.
     ///
     /// # Errors
--- a/src/gateway/flight.rs
+++ b/src/gateway/flight.rs
@@ -13,6 +13,7 @@
 
 use crate::gateway::answer::{self, AnswerBody};
 use crate::gateway::config::Kind;
+use crate::gateway::fair::AccountTag;
 use crate::gateway::gate::{Gate, InFlight};
 use crate::gateway::links::{self, ConnectError, Link};
 use crate::gateway::order::Order;
@@ -109,15 +110,38 @@
         let order = &self.order;
         let prompt = order.prompt.as_ref();
         let choice = self.gate.choose(&order.service, prompt, &[]);
+        let now = self.gate.clock.now();
         let offer = Offer {
             choice,
             waited: self.gate.clock.now().saturating_sub(order.arrived),
             left: order.until().saturating_sub(self.gate.clock.now()),
             aim: order.route.aim.into(),
             engine: prompt.is_some(),
+            sated: self.asks(now),
         };
-        turn_away::decide(&offer, rand::random()).inspect_err(|problem| {
+        let choice = turn_away::decide(&offer, rand::random()).inspect_err(|problem| {
             words::refused(order, problem, offer.choice.map(|c| c.expected));
+        })?;
+        if let (Some(account), Some(prompt)) = (&order.account, prompt) {
+            let (tag, tokens) = (AccountTag::of(account), prompt.cost());
+            self.gate.with_fair(|fair| fair.sent(now, tag, tokens));
+        }
+        Ok(choice)
+    }
+
+    /// Counts what the client account asks for. Returns whether it has its fair share already.
+    fn asks(&self, now: Micros) -> bool {
+        let order = &self.order;
+        let (Some(account), Some(prompt)) = (&order.account, &order.prompt) else {
+            return false;
+        };
+        let Some(pace) = self.gate.pace() else {
+            return false;
+        };
+        let tag = AccountTag::of(account);
+        self.gate.with_fair(|fair| {
+            fair.asked(now, tag, prompt.cost());
+            fair.has_share(now, tag, pace)
         })
     }
 
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -6,6 +6,7 @@
 
 use crate::gateway::directory::{Change, Directory, News, Topic};
 use crate::gateway::gate::Gate;
+use crate::gateway::peers::handover;
 use crate::gateway::targets;
 use crate::log::ReadError;
 use crate::units::Micros;
@@ -36,11 +37,9 @@
                     put_config(&gate, change);
                 }
             }
+            Err(ReadError::Expired { .. }) => next = None,
             Err(error) => {
                 link.failed(gate.clock.now(), &error);
-                if matches!(error, ReadError::Expired { .. }) {
-                    next = None;
-                }
                 tokio::time::sleep(RETRY_PAUSE).await;
             }
         }
@@ -77,24 +76,18 @@
                 if link.answered(now) >= OUTAGE {
                     missing.outage_over(now);
                 }
-                let whole = next.is_none();
+                take_targets(&gate, &mut missing, &news, next.is_none());
                 next = Some(news.next);
-                if whole {
-                    drop_absent(&gate, &mut missing, now, &news);
-                }
-                for change in news.changes {
-                    put_target(&gate, &mut missing, now, change);
-                }
-                for id in missing.due(now) {
-                    remove(&gate, &id);
-                }
-                gate.links.sweep(|key| gate.lives(key));
+                gate.set_listed(next);
                 tokio::time::sleep(TARGETS_PAUSE).await;
             }
+            Err(ReadError::Expired { .. }) => next = None,
             Err(error) => {
                 link.failed(now, &error);
-                if matches!(error, ReadError::Expired { .. }) {
-                    next = None;
+                gate.set_listed(None);
+                if let Some(news) = handed_over(&gate).await {
+                    next = Some(news.next);
+                    take_targets(&gate, &mut missing, &news, true);
                 }
                 tokio::time::sleep(RETRY_PAUSE).await;
             }
@@ -102,6 +95,34 @@
     }
 }
 
+/// The list of a gateway that can read it.
+async fn handed_over(gate: &Gate) -> Option<News> {
+    let peer = gate.with_peers(|peers| peers.linked())?;
+    match handover::targets(peer).await {
+        Ok(news) => Some(news),
+        Err(error) => {
+            let error = format!("{error:#}");
+            spdlog::warn!("could not take the target list", kv: { peer: = peer, error: = error });
+            None
+        }
+    }
+}
+
+/// Takes in news of the targets; `whole` says that they are all that there is.
+fn take_targets(gate: &Gate, missing: &mut Missing, news: &News, whole: bool) {
+    let now = gate.clock.now();
+    if whole {
+        drop_absent(gate, missing, now, news);
+    }
+    for change in &news.changes {
+        put_target(gate, missing, now, change.clone());
+    }
+    for id in missing.due(now) {
+        remove(gate, &id);
+    }
+    gate.links.sweep(|key| gate.lives(key));
+}
+
 /// A list, whole the first time, then its changes.
 async fn read<D: Directory>(
     directory: &D,
--- a/src/gateway/gate.rs
+++ b/src/gateway/gate.rs
@@ -2,13 +2,18 @@
 //! and the budgets.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use arc_swap::ArcSwap;
+use smallvec::SmallVec;
 
 use crate::gateway::budget::{Allowance, Budget};
 use crate::gateway::config::Config;
+use crate::gateway::fair::Fair;
 use crate::gateway::links::Links;
+use crate::gateway::peers::wire::{Hello, WireList};
+use crate::gateway::peers::{Held, Peers};
 use crate::gateway::place::{self, Ask, Choice};
 use crate::gateway::prompts::Prompt;
 use crate::gateway::targets::{Entry, Target, TargetKey, Targets};
@@ -30,12 +35,16 @@
     /// Connections to targets.
     pub links: Links,
     config: ArcSwap<Config>,
-    allowance: Allowance,
     state: Mutex<State>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct State {
+    allowance: Allowance,
+    fair: Fair,
+    peers: Peers,
+    /// Where the list of targets is read on; `None` while the platform does not answer.
+    listed: Option<u64>,
     targets: Targets,
     budgets: HashMap<Arc<str>, Budget>,
 }
@@ -48,8 +57,14 @@
             zone: zone.into(),
             links: Links::default(),
             config: ArcSwap::default(),
-            allowance,
-            state: Mutex::default(),
+            state: Mutex::new(State {
+                allowance,
+                fair: Fair::default(),
+                peers: Peers::default(),
+                listed: None,
+                targets: Targets::default(),
+                budgets: HashMap::new(),
+            }),
         }
     }
 
@@ -77,6 +92,58 @@
         self.lock().targets.get_mut(key).map(act)
     }
 
+    /// Acts on what client accounts ask for and get.
+    pub fn with_fair<T>(&self, act: impl FnOnce(&mut Fair) -> T) -> T {
+        act(&mut self.lock().fair)
+    }
+
+    /// Acts on the other gateways.
+    pub fn with_peers<T>(&self, act: impl FnOnce(&mut Peers) -> T) -> T {
+        act(&mut self.lock().peers)
+    }
+
+    /// Notes where the list of targets is read on; `None` when the platform does not answer.
+    pub fn set_listed(&self, next: Option<u64>) {
+        self.lock().listed = next;
+    }
+
+    /// The list of targets, for a gateway that cannot read it.
+    pub fn list(&self) -> WireList {
+        let state = self.lock();
+        let targets = state.targets.iter();
+        let targets = targets.map(|target| (target.id.as_ref(), &target.entry));
+        WireList::new(state.listed.unwrap_or_default(), targets)
+    }
+
+    /// What to tell the other gateways, and whom.
+    pub fn round(&self, hello: Hello) -> (Hello, SmallVec<[SocketAddr; 8]>) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let state = &mut *state;
+        state.peers.expire(now);
+        take_others(state, now);
+        let busy = state.targets.iter().filter(|t| t.load.active > 0);
+        let held = busy.map(|target| {
+            let (active, reading) = (target.load.active, target.load.reading);
+            (target.tag, Held { active, reading })
+        });
+        let mut hello = hello.loads(held).uses(state.fair.own(now));
+        hello.version = self.config.load().version;
+        hello.linked = state.listed.is_some();
+        hello.named = state.peers.some();
+        (hello, state.peers.round())
+    }
+
+    /// Takes in what the other gateways told of their requests.
+    pub fn take_others(&self, now: Micros) {
+        take_others(&mut self.lock(), now);
+    }
+
+    /// Tokens that all targets of the engines make a second.
+    pub fn pace(&self) -> Option<f64> {
+        self.config.load().limits.tokens
+    }
+
     /// Whether a target is in the list.
     pub fn lives(&self, key: TargetKey) -> bool {
         self.lock().targets.get(key).is_some()
@@ -112,16 +179,23 @@
     pub fn sent_first(&self, service: &Arc<str>) {
         let now = self.clock.now();
         let mut state = self.lock();
+        let allowance = state.allowance;
         let budget = state.budgets.entry(service.clone()).or_default();
-        budget.first(now, &self.allowance);
+        budget.first(now, &allowance);
     }
 
     /// Whether a request of a service may be sent once more.
     pub fn may_repeat(&self, service: &Arc<str>) -> bool {
         let now = self.clock.now();
         let mut state = self.lock();
+        let allowance = state.allowance;
         let budget = state.budgets.entry(service.clone()).or_default();
-        budget.take(now, &self.allowance)
+        budget.take(now, &allowance)
+    }
+
+    /// Changes what may be sent once more.
+    pub fn put_allowance(&self, allowance: Allowance) {
+        self.lock().allowance = allowance;
     }
 
     /// Prompt tokens that an engine of a service reads in a millisecond.
@@ -138,6 +212,15 @@
     }
 }
 
+fn take_others(state: &mut State, now: Micros) {
+    let heard = state.peers.hears(now);
+    let load = state.peers.load(now);
+    for target in state.targets.iter_mut() {
+        let others = load.get(&target.tag).copied().unwrap_or_default();
+        target.load.others = heard.then_some(others);
+    }
+}
+
 /// A request that is with a target, in the target's load until it is dropped.
 #[derive(Debug)]
 pub struct InFlight {
--- a/src/gateway/health.rs
+++ b/src/gateway/health.rs
@@ -20,6 +20,22 @@
 const MAX_CROWD: f64 = 64.0;
 
 impl Load {
+    /// Requests of all callers that are with the target, as far as is known.
+    pub fn all_active(&self) -> f64 {
+        match self.others {
+            Some(others) => f64::from(self.active + others.active),
+            None => f64::from(self.active) * self.crowd,
+        }
+    }
+
+    /// Prompt tokens that the target has to read for all callers, as far as is known.
+    pub fn all_reading(&self) -> f64 {
+        match self.others {
+            Some(others) => (self.reading + others.reading) as f64,
+            None => self.reading as f64 * self.crowd,
+        }
+    }
+
     /// The target answered what it got.
     pub fn answered(&mut self, now: Micros) {
         self.failures = 0;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 pub mod config;
 pub mod directory;
 pub mod events;
+pub mod fair;
 pub mod flight;
 pub mod follow;
 pub mod gate;
@@ -16,21 +17,25 @@
 pub mod http;
 pub mod links;
 pub mod order;
+pub mod peers;
 pub mod place;
 pub mod prompts;
 pub mod ready;
 pub mod relay;
+pub mod reload;
 pub mod repeat;
 pub mod targets;
 pub mod turn_away;
 pub mod words;
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 
 use anyhow::Context;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::JoinSet;
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
@@ -39,6 +44,7 @@
 use crate::gateway::directory::Directory;
 use crate::gateway::gate::Gate;
 use crate::gateway::http::Http;
+use crate::gateway::peers::Peers;
 use crate::platform::Store;
 use crate::settings::GatewaySettings;
 use crate::telemetry;
@@ -50,10 +56,20 @@
 ///
 /// # Errors
 /// When logs cannot be set up or an address cannot be listened on.
-pub async fn serve(settings: GatewaySettings, drain: CancellationToken) -> anyhow::Result<()> {
+pub async fn serve(
+    settings: GatewaySettings,
+    path: PathBuf,
+    drain: CancellationToken,
+) -> anyhow::Result<()> {
     telemetry::init(&settings.telemetry, "balsampitch-gateway")?;
     let store = Store::new(settings.platform);
-    run(settings, store, drain).await
+    let allowance = Allowance::from(&settings.retries);
+    let gate = Arc::new(Gate::new(&settings.zone, allowance));
+    let hangup = signal(SignalKind::hangup()).context("could not watch for SIGHUP")?;
+    let reloads = tokio::spawn(reload::follow(path, hangup, gate.clone()));
+    let result = run(settings, gate, store, drain).await;
+    reloads.abort();
+    result
 }
 
 /// Runs a gateway until `drain` is cancelled and its requests are finished.
@@ -62,18 +78,23 @@
 /// When an address cannot be listened on.
 pub async fn run<D: Directory>(
     settings: GatewaySettings,
+    gate: Arc<Gate>,
     directory: D,
     drain: CancellationToken,
 ) -> anyhow::Result<()> {
     let callers = listen(settings.listen, "callers").await?;
     let ready = listen(settings.ready, "the balancer").await?;
-    let gate = Arc::new(Gate::new(
-        &settings.zone,
-        Allowance::from(&settings.retries),
-    ));
+    let handover = listen(settings.peer, "other gateways").await?;
+    let gossip = UdpSocket::bind(settings.peer)
+        .await
+        .with_context(|| format!("could not listen for datagrams on {}", settings.peer))?;
     let mut services = JoinSet::new();
+    gate.with_peers(|peers| *peers = Peers::new(settings.seed_peers(), settings.peer));
     services.spawn(follow::config(directory.clone(), gate.clone()));
-    services.spawn(follow::targets(directory, gate.clone()));
+    services.spawn(follow::targets(directory.clone(), gate.clone()));
+    services.spawn(peers::handover::serve(handover, gate.clone()));
+    services.spawn(peers::service::run(gossip, gate.clone(), settings.peer));
+    services.spawn(peers::service::take_configs(gate.clone(), directory));
     services.spawn(ready::serve(ready, gate.clone(), drain.clone()));
     spdlog::info!("started", kv: { name: = settings.name.as_str(), zone: = settings.zone.as_str() });
 
--- /dev/null
+++ b/src/gateway/peers/service.rs
@@ -0,0 +1,93 @@
+//! Tells the other gateways what goes on here, several times a second, and hears them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::net::UdpSocket;
+use tokio::time::MissedTickBehavior;
+
+use crate::gateway::directory::Directory;
+use crate::gateway::gate::Gate;
+use crate::gateway::peers::wire::{Hello, MAX_DATAGRAM_BYTES};
+use crate::gateway::peers::{Told, handover};
+
+/// Time between two rounds.
+const ROUND: Duration = Duration::from_millis(200);
+
+/// Tells and hears other gateways, for ever. `me` is this one's address.
+pub async fn run(socket: UdpSocket, gate: Arc<Gate>, me: SocketAddr) {
+    let boot: u64 = rand::random();
+    let mut rounds = tokio::time::interval(ROUND);
+    rounds.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut buffer = [0; MAX_DATAGRAM_BYTES];
+    loop {
+        tokio::select! {
+            _ = rounds.tick() => {
+                tell(&socket, &gate, boot).await;
+            }
+            received = socket.recv_from(&mut buffer) => {
+                // An error here is of an earlier datagram: its host was unreachable.
+                let Ok((length, from)) = received else { continue };
+                let Ok(hello) = Hello::decode(&buffer[..length]) else { continue };
+                if hello.boot != boot {
+                    hear(&gate, from, me, &hello);
+                }
+            }
+        }
+    }
+}
+
+async fn tell(socket: &UdpSocket, gate: &Gate, boot: u64) {
+    let (hello, round) = gate.round(Hello::new(boot));
+    let data = hello.encode();
+    for peer in round {
+        // A datagram that is lost is followed by the next round's.
+        let _ = socket.send_to(&data, peer).await;
+    }
+}
+
+fn hear(gate: &Gate, from: SocketAddr, me: SocketAddr, hello: &Hello) {
+    let now = gate.clock.now();
+    gate.with_fair(|fair| fair.told(now, hello.boot, hello.rows()));
+    gate.with_peers(|peers| {
+        peers.heard(now, from, Told::from(hello));
+        for &other in &hello.named {
+            peers.named(other, me);
+        }
+    });
+    gate.take_others(now);
+}
+
+/// Takes newer configurations from the gateways that have them, for ever.
+pub async fn take_configs<D: Directory>(gate: Arc<Gate>, directory: D) {
+    loop {
+        tokio::time::sleep(ROUND).await;
+        take_newer(&gate, &directory).await;
+    }
+}
+
+async fn take_newer<D: Directory>(gate: &Gate, directory: &D) {
+    let version = gate.config().version;
+    let Some(peer) = gate.with_peers(|peers| peers.newer(version)) else {
+        return;
+    };
+    match handover::config(peer).await {
+        Ok(raw) => match directory.decode(raw) {
+            Some(config) => {
+                let version = config.version;
+                let newer = gate.put_config(config);
+                spdlog::info!("configuration handed over", kv: {
+                    peer: = peer, version = version, in_force = newer
+                });
+            }
+            None => {
+                spdlog::error!("could not read a gateway's configuration", kv: { peer: = peer })
+            }
+        },
+        Err(error) => {
+            let error = format!("{error:#}");
+            spdlog::warn!("could not take a configuration", kv: { peer: = peer, error: = error });
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/peers/wire.rs
@@ -0,0 +1,208 @@
+//! What gateways tell each other, as it travels.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::gateway::directory::{Change, News};
+use crate::gateway::fair::{AccountTag, Use};
+use crate::gateway::peers::{Held, Told};
+use crate::gateway::targets::{Entry, TargetTag};
+
+/// Version of these messages; others are dropped.
+pub const VERSION: u8 = 1;
+/// Largest datagram.
+pub const MAX_DATAGRAM_BYTES: usize = 1_400;
+/// Most targets in a datagram.
+const MAX_LOADS: usize = 48;
+/// Most client accounts in a datagram.
+const MAX_USES: usize = 48;
+/// Tokens are told in units of this size.
+const TOKENS: u64 = 64;
+
+/// A round's message.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Hello {
+    /// [`VERSION`].
+    pub protocol: u8,
+    /// Tells one run of the sender from the next.
+    pub boot: u64,
+    /// The version of its configuration.
+    pub version: u64,
+    /// Whether it reads the platform's lists itself.
+    pub linked: bool,
+    /// Some gateways that it knows.
+    pub named: Vec<SocketAddr>,
+    loads: Vec<WireLoad>,
+    uses: Vec<WireUse>,
+}
+
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+struct WireLoad {
+    target: u32,
+    active: u32,
+    reading: u64,
+}
+
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+struct WireUse {
+    account: u32,
+    asked: u32,
+    got: u32,
+}
+
+/// What a gateway asks another for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Question {
+    /// Its configuration.
+    Config,
+    /// Its list of targets.
+    Targets,
+}
+
+/// The targets that a gateway knows.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct WireList {
+    next: u64,
+    targets: Vec<WireTarget>,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct WireTarget {
+    id: String,
+    service: String,
+    addr: SocketAddr,
+    zone: String,
+    slots: u32,
+    leaving: bool,
+    born: Option<u64>,
+}
+
+/// A datagram is not a message of this version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("not a message of a gateway")]
+pub struct NotHello;
+
+impl Hello {
+    /// A message of the run `boot` that tells nothing yet.
+    pub fn new(boot: u64) -> Self {
+        Hello {
+            protocol: VERSION,
+            boot,
+            ..Hello::default()
+        }
+    }
+
+    /// Adds what the sender has at its targets; what exceeds the bound is left out.
+    pub fn loads(mut self, held: impl Iterator<Item = (TargetTag, Held)>) -> Self {
+        self.loads = held
+            .take(MAX_LOADS)
+            .map(|(tag, held)| WireLoad {
+                target: tag.0,
+                active: held.active,
+                reading: held.reading.div_ceil(TOKENS),
+            })
+            .collect();
+        self
+    }
+
+    /// Adds what client accounts ask for and get; the largest ones, if there are too many.
+    pub fn uses(mut self, uses: impl Iterator<Item = (AccountTag, Use)>) -> Self {
+        let mut all: Vec<(AccountTag, Use)> = uses.collect();
+        all.sort_by(|(_, a), (_, b)| b.asked.total_cmp(&a.asked));
+        all.truncate(MAX_USES);
+        self.uses = all
+            .into_iter()
+            .map(|(account, uses)| WireUse {
+                account: account.0,
+                asked: (uses.asked / TOKENS as f64).ceil() as u32,
+                got: (uses.got / TOKENS as f64).ceil() as u32,
+            })
+            .collect();
+        self
+    }
+
+    /// The datagram.
+    pub fn encode(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).expect("a message encodes")
+    }
+
+    /// Reads a datagram.
+    ///
+    /// # Errors
+    /// [`NotHello`] when it is something else.
+    pub fn decode(data: &[u8]) -> Result<Self, NotHello> {
+        let hello: Hello = postcard::from_bytes(data).map_err(|_| NotHello)?;
+        let fits = hello.loads.len() <= MAX_LOADS && hello.uses.len() <= MAX_USES;
+        (hello.protocol == VERSION && fits)
+            .then_some(hello)
+            .ok_or(NotHello)
+    }
+
+    /// What client accounts ask for and get at the sender.
+    pub fn rows(&self) -> impl Iterator<Item = (AccountTag, Use)> + '_ {
+        self.uses.iter().map(|row| {
+            let uses = Use {
+                asked: f64::from(row.asked) * TOKENS as f64,
+                got: f64::from(row.got) * TOKENS as f64,
+            };
+            (AccountTag(row.account), uses)
+        })
+    }
+}
+
+impl From<&Hello> for Told {
+    fn from(hello: &Hello) -> Self {
+        let load = |row: &WireLoad| {
+            let held = Held {
+                active: row.active,
+                reading: row.reading.saturating_mul(TOKENS),
+            };
+            (TargetTag(row.target), held)
+        };
+        Told {
+            version: hello.version,
+            linked: hello.linked,
+            load: hello.loads.iter().map(load).collect(),
+        }
+    }
+}
+
+impl WireList {
+    /// The list at an offset of the platform's.
+    pub fn new<'a>(next: u64, targets: impl Iterator<Item = (&'a str, &'a Entry)>) -> Self {
+        let targets = targets.map(|(id, entry)| WireTarget {
+            id: id.to_owned(),
+            service: entry.service.to_string(),
+            addr: entry.addr,
+            zone: entry.zone.to_string(),
+            slots: entry.slots,
+            leaving: entry.leaving,
+            born: entry.born,
+        });
+        WireList {
+            next,
+            targets: targets.collect(),
+        }
+    }
+}
+
+impl From<WireList> for News {
+    fn from(list: WireList) -> Self {
+        let change = |target: WireTarget| {
+            let entry = Entry {
+                service: target.service.into(),
+                addr: target.addr,
+                zone: target.zone.into(),
+                slots: target.slots,
+                leaving: target.leaving,
+                born: target.born,
+            };
+            Change::Target(target.id.into(), entry)
+        };
+        News {
+            next: list.next,
+            changes: list.targets.into_iter().map(change).collect(),
+        }
+    }
+}
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -12,12 +12,16 @@
 use smallvec::SmallVec;
 
 use crate::gateway::prompts::{Prompt, mix};
-use crate::gateway::targets::{Target, TargetKey, Targets};
+use crate::gateway::targets::{Target, TargetKey, TargetTag, Targets};
 use crate::units::Micros;
 
-/// The share of a shared part that counts as unread on its first targets by hash, while this
-/// process has not itself sent the part there.
-const UNREAD: [f64; 3] = [0.3, 0.6, 0.8];
+/// Targets, by hash, that are taken to keep a shared part: other gateways send it there too.
+const FIRSTS: usize = 1;
+/// What it costs to read a shared part at one more target, in times of reading it: it takes the
+/// target's time, and the room of other parts.
+const SPREAD_COST: f64 = 3.0;
+/// What a first event needs on an idle engine, beside reading.
+const ENGINE_US: f64 = 40_000.0;
 /// What a request that runs beside another adds to its first event.
 const BESIDE_US: f64 = 300.0;
 /// What another zone adds: the way there and back, and the price of its bytes.
@@ -51,6 +55,8 @@
     pub target: TargetKey,
     /// Expected time to its first event or its answer's start.
     pub expected: Micros,
+    /// The part of it that others before and beside the request cause.
+    pub wait: Micros,
     /// Prompt tokens that the target must read.
     pub unread: u64,
 }
@@ -79,21 +85,22 @@
     let mut best: Option<(f64, u64, Choice)> = None;
     for (key, target) in keys.iter().filter_map(|&k| usable(k)) {
         let rank = firsts.iter().position(|&(_, first)| first == key);
-        let (time, unread) = match ask.prompt {
-            Some(prompt) => engine_time(target, now, prompt, rank, ask.rate),
-            None => (call_time(target), 0),
+        let first = rank.is_some_and(|rank| rank < FIRSTS);
+        let cost = match ask.prompt {
+            Some(prompt) => engine_cost(target, now, prompt, first, ask.rate),
+            None => call_cost(target),
         };
         let away = target.entry.zone.as_ref() != ask.zone;
-        let time = time + if away { OTHER_ZONE_US } else { 0.0 };
-        let tie = mix(ask.random ^ spread(&target.id));
-        let better = best.is_none_or(|(t, i, _)| (time, tie) < (t, i));
-        if better {
+        let total = cost.total + if away { OTHER_ZONE_US } else { 0.0 };
+        let tie = mix(ask.random ^ spread(target.tag));
+        if best.is_none_or(|(t, i, _)| (total, tie) < (t, i)) {
             let choice = Choice {
                 target: key,
-                expected: Micros(time as u64),
-                unread,
+                expected: Micros(cost.time as u64),
+                wait: Micros(cost.wait as u64),
+                unread: cost.unread,
             };
-            best = Some((time, tie, choice));
+            best = Some((total, tie, choice));
         }
     }
     best.map(|(_, _, choice)| choice)
@@ -109,52 +116,72 @@
         return firsts;
     };
     for (key, target) in targets {
-        let weight = mix(shared ^ spread(&target.id));
+        let weight = mix(shared ^ spread(target.tag));
         let at = firsts.partition_point(|&(other, _)| other > weight);
-        if at < UNREAD.len() {
+        if at < FIRSTS {
             firsts.insert(at, (weight, key));
-            firsts.truncate(UNREAD.len());
+            firsts.truncate(FIRSTS);
         }
     }
     firsts
 }
 
-/// Expected time to the first event on an engine, and the tokens that it must read for it.
-fn engine_time(
-    target: &Target,
-    now: Micros,
-    prompt: &Prompt,
-    rank: Option<usize>,
-    rate: f64,
-) -> (f64, u64) {
+/// What it costs to send a request to a target, in microseconds.
+#[derive(Clone, Copy, Debug)]
+struct Cost {
+    /// Expected time to the first event.
+    time: f64,
+    /// The part of it that others cause.
+    wait: f64,
+    /// The time, and what others lose.
+    total: f64,
+    /// Prompt tokens to read.
+    unread: u64,
+}
+
+/// The cost on an engine. `first` says that the shared parts are taken to be kept there.
+fn engine_cost(target: &Target, now: Micros, prompt: &Prompt, first: bool, rate: f64) -> Cost {
     let load = &target.load;
-    let kept = target.kept.tokens(now, prompt);
-    let unread = prompt.tokens.saturating_sub(kept);
     let own = prompt
         .parts
         .last()
         .map_or(prompt.tokens, |part| part.tokens);
-    let shared = unread.saturating_sub(own);
-    let share = rank.map_or(1.0, |rank| UNREAD[rank]);
-    let read = shared as f64 * share + (unread - shared) as f64;
-    let before = load.reading as f64 * load.crowd;
-    let beside = f64::from(load.active) * load.crowd * BESIDE_US;
-    let time = (read + before) / rate * 1_000.0 + beside;
-    (time * load.slowness, unread)
+    let kept = target.kept.tokens(now, prompt);
+    let unread = prompt.tokens.saturating_sub(kept);
+    let shared = if first { 0 } else { unread.saturating_sub(own) };
+    let us = |tokens: f64| tokens / rate * 1_000.0;
+    let before = us(load.all_reading());
+    let beside = load.all_active() * BESIDE_US;
+    let read = us((own.min(unread) + shared) as f64);
+    let wait = (before + beside) * load.slowness;
+    let time = wait + (read + ENGINE_US) * load.slowness;
+    Cost {
+        time,
+        wait,
+        total: time + us(shared as f64) * (SPREAD_COST - 1.0),
+        unread: own.min(unread) + shared,
+    }
 }
 
-/// Expected time to a plain call's answer.
-fn call_time(target: &Target) -> f64 {
+/// The cost on a plain target.
+fn call_cost(target: &Target) -> Cost {
     let load = &target.load;
     let slots = f64::from(target.entry.slots.max(LEAST_SLOTS));
-    let ahead = f64::from(load.active) * load.crowd;
-    let rounds = 1.0 + (ahead / slots).powi(2).max(ahead + 1.0 - slots).max(0.0) / slots;
-    CALL_US * rounds * load.slowness
+    let ahead = load.all_active();
+    let filling = (ahead / slots).powi(2).max(ahead + 1.0 - slots).max(0.0);
+    let wait = CALL_US * filling / slots * load.slowness;
+    let time = wait + CALL_US * load.slowness;
+    Cost {
+        time,
+        wait,
+        total: time,
+        unread: 0,
+    }
 }
 
-/// A number that stands for a target's id.
-fn spread(id: &str) -> u64 {
-    xxhash_rust::xxh3::xxh3_64(id.as_bytes())
+/// A well-spread number that stands for a target.
+fn spread(tag: TargetTag) -> u64 {
+    mix(u64::from(tag.0))
 }
 
 #[cfg(test)]
--- a/src/gateway/prompts.rs
+++ b/src/gateway/prompts.rs
@@ -38,6 +38,11 @@
 }
 
 impl Prompt {
+    /// Its cost in tokens: each read counts once, each generated twice.
+    pub fn cost(&self) -> f64 {
+        (self.tokens + 2 * self.output) as f64
+    }
+
     /// Names what requests with the same shared parts have in common; 0 without such parts.
     pub fn shared(&self) -> u64 {
         let own = self.parts.len().saturating_sub(1);
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -6,6 +6,7 @@
 
 use slab::Slab;
 
+use crate::gateway::peers::Held;
 use crate::gateway::prompts::Kept;
 use crate::units::Micros;
 
@@ -16,6 +17,10 @@
     run: u32,
 }
 
+/// Names a target alike in all processes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TargetTag(pub u32);
+
 /// What the platform's list says of a target.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Entry {
@@ -53,6 +58,8 @@
     pub reading: u64,
     /// Requests of all callers for each of this process's own, at least 1.
     pub crowd: f64,
+    /// What other gateways told of theirs; `None` while none is heard.
+    pub others: Option<Held>,
     /// Requests that waited there, by its last report.
     pub waiting: u32,
     /// Time to a first event, measured against what was expected; 1 is as expected.
@@ -70,6 +77,8 @@
 pub struct Target {
     /// Its id in the platform's list.
     pub id: Arc<str>,
+    /// Stands for its id.
+    pub tag: TargetTag,
     /// What the list says of it.
     pub entry: Entry,
     /// How loaded it seems.
@@ -123,6 +132,16 @@
         self.ids.keys()
     }
 
+    /// Every target.
+    pub fn iter(&self) -> impl Iterator<Item = &Target> {
+        self.arena.iter().map(|(_, (_, target))| target)
+    }
+
+    /// Every target, to change it.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut Target> {
+        self.arena.iter_mut().map(|(_, (_, target))| target)
+    }
+
     /// How many there are.
     pub fn len(&self) -> usize {
         self.ids.len()
@@ -178,6 +197,7 @@
         };
         let target = Target {
             id: id.clone(),
+            tag: TargetTag(xxhash_rust::xxh3::xxh3_64(id.as_bytes()) as u32),
             entry,
             load,
             kept: Kept::default(),
--- a/src/gateway/turn_away.rs
+++ b/src/gateway/turn_away.rs
@@ -16,6 +16,12 @@
 const LEAST_RETRY: Duration = Duration::from_millis(100);
 /// Callers come back spread over this part of the wait, on top of it.
 const SPREAD: f64 = 0.5;
+/// Part of the aim up to which a wait for others is no reason to refuse.
+const SHORT_WAIT: f64 = 0.25;
+/// Part of the aim up to which an account that has its fair share may add to a wait.
+const SATED_WAIT: f64 = 0.12;
+/// When an account that has its fair share is asked to come back.
+const SATED_RETRY: Duration = Duration::from_millis(800);
 /// What the way to the target and back is taken to need.
 const MARGIN: Micros = Micros::from_ms(30);
 
@@ -32,6 +38,8 @@
     pub aim: Micros,
     /// Whether it goes to an engine.
     pub engine: bool,
+    /// Whether its client account has got its fair share already.
+    pub sated: bool,
 }
 
 /// The target that a request goes to. `random` is from 0 to 1 and spreads callers.
@@ -46,8 +54,14 @@
     if needed > offer.left {
         return Err(later(Reason::DeadlinePassed, LEAST_RETRY, random));
     }
+    let sated = offer.sated && choice.wait > part(offer.aim, SATED_WAIT);
+    if sated {
+        return Err(later(Reason::NoCapacity, SATED_RETRY, random));
+    }
     let late = (offer.waited + needed).saturating_sub(offer.aim);
-    if offer.engine && late > Micros::ZERO {
+    // What takes long by itself is served all the same: coming back would not make it shorter.
+    let waits = choice.wait > part(offer.aim, SHORT_WAIT);
+    if offer.engine && late > Micros::ZERO && waits {
         return Err(later(Reason::NoCapacity, late.into(), random));
     }
     Ok(choice)
@@ -61,6 +75,11 @@
     }
 }
 
+/// A part of a span.
+fn part(span: Micros, share: f64) -> Micros {
+    Micros((span.0 as f64 * share) as u64)
+}
+
 fn later(reason: Reason, wait: Duration, random: f64) -> Problem {
     Problem::not_run(503, reason).retry_after(spread(wait.max(LEAST_RETRY), random))
 }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -9,6 +9,7 @@
 use hyper::StatusCode;
 use serde::Deserialize;
 
+use crate::gateway::config::Config;
 use crate::gateway::directory::{Change, Directory, News, Topic};
 use crate::log::http::{Bounds, Http};
 use crate::log::{Cause, ReadError};
@@ -85,6 +86,10 @@
         }
     }
 
+    fn decode(&self, source: Bytes) -> Option<Config> {
+        decoded(source)
+    }
+
     async fn changes(&self, topic: Topic, from: u64, wait: Duration) -> Result<News, ReadError> {
         let (name, ms) = (name(topic), wait.as_millis());
         let path = format!("/v1/log-read?topic={name}&part=0&from={from}&waitMs={ms}");
@@ -145,12 +150,17 @@
 }
 
 fn config(record: Keyed) -> Change {
-    match serde_json::from_slice::<WireConfig>(&record.value) {
-        Ok(wire) => Change::Config(Box::new(wire.into())),
-        Err(_) => Change::Unreadable(record.key),
+    match decoded(record.value) {
+        Some(config) => Change::Config(Box::new(config)),
+        None => Change::Unreadable(record.key),
     }
 }
 
+fn decoded(source: Bytes) -> Option<Config> {
+    let wire: WireConfig = serde_json::from_slice(&source).ok()?;
+    Some(Config::from(wire).with_source(source))
+}
+
 fn worker(record: Keyed) -> Change {
     match serde_json::from_slice::<WireWorker>(&record.value) {
         Ok(wire) => Change::Target(record.key, wire.into()),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -69,6 +69,11 @@
     pub listen: SocketAddr,
     /// Where the balancer asks whether the gateway takes connections.
     pub ready: SocketAddr,
+    /// Where other gateways connect and send datagrams.
+    pub peer: SocketAddr,
+    /// Addresses on hosts that may run gateways; only the hosts matter, all gateways use one port.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
     /// Availability zone of this host.
     pub zone: String,
     /// Address of the platform's store.
@@ -82,6 +87,14 @@
     pub telemetry: TelemetrySettings,
 }
 
+impl GatewaySettings {
+    /// Where other gateways may be.
+    pub fn seed_peers(&self) -> impl Iterator<Item = SocketAddr> + '_ {
+        let port = self.peer.port();
+        self.seeds.iter().map(move |seed| (seed.ip(), port).into())
+    }
+}
+
 /// What all entries or gateways together may send once more.
 #[derive(Clone, Copy, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -179,7 +192,13 @@
         let mut faults = Faults::default();
         faults.bind("listen", self.listen);
         faults.bind("ready", self.ready);
-        faults.distinct(&[("listen", self.listen), ("ready", self.ready)]);
+        faults.bind("peer", self.peer);
+        faults.distinct(&[
+            ("listen", self.listen),
+            ("ready", self.ready),
+            ("peer", self.peer),
+        ]);
+        faults.connect("peer", self.peer);
         faults.connect("platform", self.platform);
         faults.word("zone", &self.zone);
         faults.positive("grace", self.grace);
