Refuse sated accounts by the pressure on all engines, and bound open connections

Change: an account past its fair share is refused when all engines together have more than a twentieth of the aim to read; a target that can be in time goes before one that keeps the part; connections close after their answer while more than half of the descriptors are callers', and idle ones at the configured time.

Ruled out: a slow processor (0.053 of 0.19 cores at most).

--- a/src/gateway/flight.rs
+++ b/src/gateway/flight.rs
@@ -109,7 +109,9 @@
     fn admit(&self) -> Result<Choice, Problem> {
         let order = &self.order;
         let prompt = order.prompt.as_ref();
-        let choice = self.gate.choose(&order.service, prompt, &[]);
+        let choice = self
+            .gate
+            .choose(&order.service, prompt, order.route.aim.into(), &[]);
         let now = self.gate.clock.now();
         let offer = Offer {
             choice,
@@ -118,6 +120,7 @@
             aim: order.route.aim.into(),
             engine: prompt.is_some(),
             sated: self.asks(now),
+            pressure: self.gate.pressure(&order.service),
         };
         let choice = turn_away::decide(&offer, rand::random()).inspect_err(|problem| {
             words::refused(order, problem, offer.choice.map(|c| c.expected));
@@ -154,9 +157,12 @@
         if !may || self.gate.clock.now() >= order.until() {
             return None;
         }
-        let choice = self
-            .gate
-            .choose(&order.service, order.prompt.as_ref(), &self.tried)?;
+        let choice = self.gate.choose(
+            &order.service,
+            order.prompt.as_ref(),
+            order.route.aim.into(),
+            &self.tried,
+        )?;
         self.gate.may_repeat(&order.service).then_some(choice)
     }
 
--- a/src/gateway/gate.rs
+++ b/src/gateway/gate.rs
@@ -161,6 +161,7 @@
         &self,
         service: &str,
         prompt: Option<&Prompt>,
+        aim: Micros,
         tried: &[TargetKey],
     ) -> Option<Choice> {
         let state = self.lock();
@@ -170,11 +171,22 @@
             zone: &self.zone,
             tried,
             rate: self.rate(service, &state.targets),
+            aim,
             random: rand::random(),
         };
         place::choose(&state.targets, self.clock.now(), &ask)
     }
 
+    /// How long the engines of a service have to read what is with them, on average.
+    pub fn pressure(&self, service: &str) -> Micros {
+        let state = self.lock();
+        let keys = state.targets.of(service);
+        let targets = keys.iter().filter_map(|&key| state.targets.get(key));
+        let reading: f64 = targets.map(|target| target.load.all_reading()).sum();
+        let rate = self.rate(service, &state.targets) * keys.len().max(1) as f64;
+        Micros((reading / rate * 1_000.0) as u64)
+    }
+
     /// A request of a service is sent for the first time.
     pub fn sent_first(&self, service: &Arc<str>) {
         let now = self.clock.now();
--- a/src/gateway/http.rs
+++ b/src/gateway/http.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use hyper::body::Incoming;
@@ -27,8 +28,9 @@
 const LEAVING: Duration = Duration::from_millis(2_600);
 /// Pause after the system could not accept a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-/// How long a caller's connection may be idle, at least; callers learn of it only by trying.
-const LEAST_IDLE: Duration = Duration::from_secs(30);
+/// Part of the process's descriptors that callers' connections may take before they are closed
+/// after each answer.
+const KEPT_SHARE: f64 = 0.5;
 /// Largest head of a request that is read at all, in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
@@ -39,6 +41,45 @@
     pub gate: Arc<Gate>,
     /// Cancelled when the gateway is to leave.
     pub drain: CancellationToken,
+    /// Callers' connections.
+    pub open: Open,
+}
+
+/// Counts callers' connections. Clones share the count.
+#[derive(Clone, Debug)]
+pub struct Open {
+    count: Arc<AtomicUsize>,
+    most: usize,
+}
+
+/// A caller's connection, counted until this is dropped.
+#[derive(Debug)]
+struct Counted(Arc<AtomicUsize>);
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl Open {
+    /// No connections, in a process that may have so many descriptors.
+    pub fn new(descriptors: usize) -> Self {
+        Open {
+            count: Arc::default(),
+            most: (descriptors as f64 * KEPT_SHARE) as usize,
+        }
+    }
+
+    fn one(&self) -> Counted {
+        self.count.fetch_add(1, Ordering::Relaxed);
+        Counted(self.count.clone())
+    }
+
+    /// Whether there are too many to keep idle ones.
+    fn are_many(&self) -> bool {
+        self.count.load(Ordering::Relaxed) > self.most
+    }
 }
 
 impl Http {
@@ -73,7 +114,8 @@
     fn serve(&self, stream: TcpStream, graceful: &GracefulShutdown) {
         // Only a hint to the system; the connection works without.
         let _ = stream.set_nodelay(true);
-        let idle = self.gate.config().limits.idle.max(LEAST_IDLE);
+        let idle = self.gate.config().limits.idle;
+        let counted = self.open.one();
         let http = self.clone();
         let service = service_fn(move |request| http.clone().answer(request));
         let connection = http1::Builder::new()
@@ -83,14 +125,17 @@
             .serve_connection(TokioIo::new(stream), service);
         let connection = graceful.watch(connection);
         // A caller that breaks its connection off is no fault of the gateway's.
-        tokio::spawn(async move { drop(connection.await) });
+        tokio::spawn(async move {
+            drop(connection.await);
+            drop(counted);
+        });
     }
 
     async fn answer(self, request: Request<Incoming>) -> Result<Response<AnswerBody>, Infallible> {
         let id = request.headers().get(REQUEST_ID).cloned();
         let answer = self.respond(request).await;
         let mut response = answer.unwrap_or_else(|problem| answer::refusal(problem, id));
-        if self.drain.is_cancelled() {
+        if self.drain.is_cancelled() || self.open.are_many() {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(CONNECTION, close);
         }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -43,7 +43,7 @@
 use crate::gateway::budget::Allowance;
 use crate::gateway::directory::Directory;
 use crate::gateway::gate::Gate;
-use crate::gateway::http::Http;
+use crate::gateway::http::{Http, Open};
 use crate::gateway::peers::Peers;
 use crate::platform::Store;
 use crate::settings::GatewaySettings;
@@ -101,6 +101,7 @@
     let http = Http {
         gate,
         drain: drain.clone(),
+        open: Open::new(settings.descriptors),
     };
     let grace = Duration::from_secs_f64(settings.grace).saturating_sub(GRACE_MARGIN);
     let late = async {
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -26,6 +26,8 @@
 const BESIDE_US: f64 = 300.0;
 /// What another zone adds: the way there and back, and the price of its bytes.
 const OTHER_ZONE_US: f64 = 5_000.0;
+/// What it costs to be late: a target that can be in time goes first, whatever it must read again.
+const LATE_US: f64 = 10_000_000.0;
 /// What a plain call is taken to need of a slot.
 const CALL_US: f64 = 30_000.0;
 /// Slots of a plain target that names none.
@@ -44,6 +46,8 @@
     pub tried: &'a [TargetKey],
     /// Prompt tokens that an engine reads in a millisecond.
     pub rate: f64,
+    /// Time to its first event that its operator aims at.
+    pub aim: Micros,
     /// Breaks ties.
     pub random: u64,
 }
@@ -91,7 +95,10 @@
             None => call_cost(target),
         };
         let away = target.entry.zone.as_ref() != ask.zone;
-        let total = cost.total + if away { OTHER_ZONE_US } else { 0.0 };
+        let late = cost.time > ask.aim.0 as f64;
+        let mut total = cost.total;
+        total += if away { OTHER_ZONE_US } else { 0.0 };
+        total += if late { LATE_US } else { 0.0 };
         let tie = mix(ask.random ^ spread(target.tag));
         if best.is_none_or(|(t, i, _)| (total, tie) < (t, i)) {
             let choice = Choice {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -115,9 +115,12 @@
         if !flight::may_resume(order.route.kind) || sent >= order.route.attempts {
             return None;
         }
-        let choice = self
-            .gate
-            .choose(&order.service, order.prompt.as_ref(), &self.tried)?;
+        let choice = self.gate.choose(
+            &order.service,
+            order.prompt.as_ref(),
+            order.route.aim.into(),
+            &self.tried,
+        )?;
         if !self.gate.may_repeat(&order.service) {
             return None;
         }
--- a/src/gateway/turn_away.rs
+++ b/src/gateway/turn_away.rs
@@ -20,6 +20,8 @@
 const SHORT_WAIT: f64 = 0.25;
 /// Part of the aim up to which an account that has its fair share may add to a wait.
 const SATED_WAIT: f64 = 0.12;
+/// Part of the aim up to which such an account may add to what all engines have to read.
+const SATED_PRESSURE: f64 = 0.05;
 /// When an account that has its fair share is asked to come back.
 const SATED_RETRY: Duration = Duration::from_millis(800);
 /// What the way to the target and back is taken to need.
@@ -40,6 +42,8 @@
     pub engine: bool,
     /// Whether its client account has got its fair share already.
     pub sated: bool,
+    /// How long all engines of the service together have to read, on average.
+    pub pressure: Micros,
 }
 
 /// The target that a request goes to. `random` is from 0 to 1 and spreads callers.
@@ -54,8 +58,9 @@
     if needed > offer.left {
         return Err(later(Reason::DeadlinePassed, LEAST_RETRY, random));
     }
-    let sated = offer.sated && choice.wait > part(offer.aim, SATED_WAIT);
-    if sated {
+    let busy = choice.wait > part(offer.aim, SATED_WAIT)
+        || offer.pressure > part(offer.aim, SATED_PRESSURE);
+    if offer.sated && busy {
         return Err(later(Reason::NoCapacity, SATED_RETRY, random));
     }
     let late = (offer.waited + needed).saturating_sub(offer.aim);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -80,6 +80,8 @@
     pub platform: SocketAddr,
     /// Longest time from SIGTERM to the end of the process, in seconds.
     pub grace: f64,
+    /// File descriptors that the process may have.
+    pub descriptors: usize,
     /// What all gateways together may send once more.
     pub retries: RetrySettings,
     /// Logs and telemetry.
@@ -148,6 +150,8 @@
     Json,
 }
 
+/// Fewest file descriptors that a gateway works with.
+const MIN_DESCRIPTORS: usize = 128;
 /// Longest span that settings may name, in seconds.
 const MAX_SECONDS: f64 = 86_400.0;
 /// Shortest shared key, in bytes.
@@ -202,6 +206,13 @@
         faults.connect("platform", self.platform);
         faults.word("zone", &self.zone);
         faults.positive("grace", self.grace);
+        if self.descriptors < MIN_DESCRIPTORS {
+            let expected = format!("expected at least {MIN_DESCRIPTORS}");
+            faults.push(
+                "descriptors",
+                format!("is {}, {expected}", self.descriptors),
+            );
+        }
         faults.positive("retries.window", self.retries.window);
         faults.share("retries.ratio", self.retries.ratio);
         faults.share("retries.slack", self.retries.slack);
