--- a/src/gateway/events/tests.rs
+++ b/src/gateway/events/tests.rs
@@ -1,1 +1,56 @@
+use bytes::Bytes;
+use proptest::prelude::*;
 
+use super::Splitter;
+
+/// What is passed on of a stream that comes in these pieces.
+fn passed(pieces: &[&[u8]]) -> (Vec<u8>, Splitter) {
+    let mut splitter = Splitter::default();
+    let mut out = Vec::new();
+    for piece in pieces {
+        let whole = splitter.push(Bytes::copy_from_slice(piece));
+        out.extend_from_slice(&whole.expect("the events are short"));
+    }
+    (out, splitter)
+}
+
+macro_rules! streams {
+    ($($name:ident: $pieces:expr => $passed:expr, $within:expr, $last:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let (out, splitter) = passed(&$pieces);
+            assert_eq!(out, $passed.to_vec());
+            assert_eq!(splitter.is_within(), $within);
+            assert_eq!(splitter.last(), $last);
+        }
+    )*};
+}
+
+streams! {
+    a_whole_event: [b"id: 1\ndata: a\n\n"] => b"id: 1\ndata: a\n\n", false, Some("1");
+    a_part_is_held: [b"id: 1\ndata: a\n\nid: 2\nda"] => b"id: 1\ndata: a\n\n", true, Some("1");
+    a_part_is_completed: [b"id: 7\nda", b"ta: a\n", b"\n"] => b"id: 7\ndata: a\n\n", false, Some("7");
+    two_events: [b"id: 1\n\nid: 2\n\n"] => b"id: 1\n\nid: 2\n\n", false, Some("2");
+    carriage_returns: [b"id: 3\r\n\r\nid"] => b"id: 3\r\n\r\n", true, Some("3");
+    an_event_without_id: [b"id: 1\n\n", b"data: x\n\n"] => b"id: 1\n\ndata: x\n\n", false, Some("1");
+    nothing: [] => b"", false, None;
+}
+
+proptest! {
+    /// However a stream is cut into pieces, whole events come out, and nothing is lost.
+    #[test]
+    fn cuts_do_not_matter(cuts in proptest::collection::vec(1_usize..9, 0..40)) {
+        let text: Vec<u8> = (0..12).flat_map(|n| format!("id: {n}\ndata: {n}\n\n").into_bytes()).collect();
+        let mut pieces = Vec::new();
+        let mut rest = text.as_slice();
+        for cut in cuts {
+            let (piece, after) = rest.split_at(cut.min(rest.len()));
+            pieces.push(piece);
+            rest = after;
+        }
+        pieces.push(rest);
+        let (out, splitter) = passed(&pieces);
+        prop_assert_eq!(out, text);
+        prop_assert!(!splitter.is_within());
+    }
+}
--- a/src/gateway/health/tests.rs
+++ b/src/gateway/health/tests.rs
@@ -1,1 +1,67 @@
+use crate::gateway::targets::{Load, Report};
+use crate::units::Micros;
 
+fn load() -> Load {
+    Load {
+        crowd: 1.0,
+        slowness: 1.0,
+        ..Load::default()
+    }
+}
+
+macro_rules! closed {
+    ($($name:ident: $failures:expr, $reached:expr => $closed:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut load = load();
+            (0..$failures).for_each(|_| load.failed(Micros::ZERO, $reached));
+            assert_eq!(load.closed > Micros::ZERO, $closed);
+        }
+    )*};
+}
+
+closed! {
+    one_failure_is_no_reason: 1, true => false;
+    a_few_in_a_row_are: 3, true => true;
+    one_that_could_not_be_reached_is: 1, false => true;
+}
+
+#[test]
+fn pauses_grow_to_a_bound_and_end_with_an_answer() {
+    let mut load = load();
+    let mut pauses = Vec::new();
+    for _ in 0..20 {
+        load.failed(Micros::ZERO, false);
+        pauses.push(load.closed);
+    }
+    assert!(pauses.windows(2).all(|pair| pair[0] <= pair[1]));
+    assert!(pauses[19] <= Micros::from_secs(4));
+    load.answered(Micros::ZERO);
+    load.failed(Micros::ZERO, true);
+    assert_eq!(load.failures, 1);
+}
+
+#[test]
+fn slowness_follows_what_is_measured_within_a_few_requests() {
+    let mut load = load();
+    for _ in 0..6 {
+        load.timed(
+            Micros::from_ms(500),
+            Micros((100_000.0 * load.slowness) as u64),
+        );
+    }
+    assert!(load.slowness > 3.0, "{}", load.slowness);
+}
+
+#[test]
+fn a_report_tells_how_many_callers_there_are_while_no_gateway_is_heard() {
+    let mut load = load();
+    load.active = 2;
+    let report = Report {
+        running: 10,
+        waiting: 2,
+        slowness: 100,
+    };
+    (0..40).for_each(|_| load.reported(report));
+    assert!((load.all_active() - 12.0).abs() < 0.5);
+}
--- a/src/gateway/peers/tests.rs
+++ b/src/gateway/peers/tests.rs
@@ -1,1 +1,147 @@
+use std::collections::HashMap;
+use std::net::SocketAddr;
 
+use proptest::prelude::*;
+
+use super::wire::{Hello, MAX_DATAGRAM_BYTES, WireList};
+use super::{FANOUT, Held, MAX_PEERS, Peers, Told};
+use crate::gateway::directory::{Change, News};
+use crate::gateway::fair::{AccountTag, Use};
+use crate::gateway::targets::{Entry, TargetTag};
+use crate::units::Micros;
+
+fn addr(host: u16) -> SocketAddr {
+    let [high, low] = host.to_be_bytes();
+    ([127, 0, high, low], 7_400).into()
+}
+
+fn at(ms: u64) -> Micros {
+    Micros::from_ms(ms)
+}
+
+fn told(version: u64, linked: bool, reading: u64) -> Told {
+    let held = Held { active: 1, reading };
+    Told {
+        version,
+        linked,
+        load: HashMap::from([(TargetTag(1), held)]),
+    }
+}
+
+fn three() -> Peers {
+    let mut peers = Peers::new([addr(1), addr(2)].into_iter(), addr(1));
+    peers.heard(at(0), addr(2), told(5, false, 100));
+    peers.heard(at(500), addr(3), told(9, true, 50));
+    peers
+}
+
+#[test]
+fn loads_of_all_that_were_heard_add_up_until_they_are_old() {
+    let peers = three();
+    let reading = |ms| {
+        peers
+            .load(at(ms))
+            .get(&TargetTag(1))
+            .map(|held| held.reading)
+    };
+    assert_eq!(reading(600), Some(150));
+    assert_eq!(reading(1_300), Some(50));
+    assert_eq!(reading(5_000), None);
+    assert!(!peers.hears(at(5_000)));
+}
+
+#[test]
+fn the_newest_configuration_is_taken_and_none_that_is_older() {
+    let peers = three();
+    assert_eq!(peers.newer(4), Some(addr(3)));
+    assert_eq!(peers.newer(9), None);
+}
+
+#[test]
+fn lists_come_from_a_gateway_that_reads_them_itself() {
+    assert_eq!(three().linked(), Some(addr(3)));
+}
+
+#[test]
+fn a_gateway_that_is_silent_is_forgotten() {
+    let mut peers = three();
+    peers.expire(at(10_200));
+    assert_eq!(peers.newer(0), Some(addr(3)));
+    peers.expire(at(60_000));
+    assert_eq!(peers.newer(0), None);
+}
+
+#[test]
+fn seeds_are_tried_before_they_were_heard() {
+    let peers = Peers::new([addr(1), addr(2)].into_iter(), addr(1));
+    assert_eq!(peers.round().as_slice(), [addr(2)]);
+}
+
+#[test]
+fn neither_state_nor_messages_grow_with_the_fleet() {
+    let mut peers = Peers::default();
+    for host in 2..400 {
+        peers.heard(at(0), addr(host), told(1, true, 1));
+        peers.named(addr(1_000 + host), addr(1));
+    }
+    assert_eq!(peers.known.len(), MAX_PEERS);
+    assert!(peers.seeds.len() < 16);
+    assert!(peers.round().len() <= FANOUT + 1);
+}
+
+#[test]
+fn a_full_message_fits_a_datagram_and_is_read_back() {
+    let held = |tag: u32| {
+        let held = Held {
+            active: 128,
+            reading: 1_000_000,
+        };
+        (TargetTag(u32::MAX - tag), held)
+    };
+    let uses = |tag: u32| {
+        let uses = Use {
+            asked: 9e6 + f64::from(tag),
+            got: 9e6,
+        };
+        (AccountTag(u32::MAX - tag), uses)
+    };
+    let mut hello = Hello::new(u64::MAX);
+    hello.named = (0..4).map(addr).collect();
+    let hello = hello.loads((0..500).map(held)).uses((0..500).map(uses));
+    let data = hello.encode();
+    assert!(data.len() <= MAX_DATAGRAM_BYTES, "{}", data.len());
+    let read = Hello::decode(&data).expect("it is a message");
+    assert_eq!(read.rows().count(), 48);
+    assert_eq!(Told::from(&read).load.len(), 48);
+}
+
+#[test]
+fn a_list_is_handed_over_whole() {
+    let entry = Entry {
+        service: "model".into(),
+        addr: addr(9),
+        zone: "a".into(),
+        slots: 4,
+        leaving: true,
+        born: Some(17),
+    };
+    let list = WireList::new(12, [("one", &entry)].into_iter());
+    let data = postcard::to_stdvec(&list).expect("it encodes");
+    let list: WireList = postcard::from_bytes(&data).expect("it decodes");
+    let news = News::from(list);
+    assert_eq!(news.next, 12);
+    let [Change::Target(id, read)] = news.changes.as_slice() else {
+        panic!("one target was handed over");
+    };
+    assert_eq!((id.as_ref(), read), ("one", &entry));
+}
+
+proptest! {
+    /// Any datagram is read or dropped, never a panic.
+    #[test]
+    fn any_datagram_is_no_panic(data in proptest::collection::vec(any::<u8>(), 0..300)) {
+        if let Ok(hello) = Hello::decode(&data) {
+            prop_assert!(Told::from(&hello).load.len() <= 48);
+        }
+    }
+}
--- a/src/gateway/place/tests.rs
+++ b/src/gateway/place/tests.rs
@@ -1,1 +1,172 @@
+use super::{Ask, Choice, choose};
+use crate::gateway::prompts::{Part, Prompt};
+use crate::gateway::targets::{Entry, TargetKey, Targets};
+use crate::units::Micros;
 
+const NOW: Micros = Micros::from_secs(1);
+const RATE: f64 = 100.0;
+const SHARED_TOKENS: u64 = 13_000;
+const OWN_TOKENS: u64 = 3_000;
+
+fn fleet(count: u16, service: &str) -> Targets {
+    let mut targets = Targets::default();
+    for index in 0..count {
+        let entry = Entry {
+            service: service.into(),
+            addr: ([127, 0, 0, 1], 1_000 + index).into(),
+            zone: if index % 2 == 0 { "a" } else { "b" }.into(),
+            slots: 4,
+            leaving: false,
+            born: None,
+        };
+        targets.put(&format!("target-{index}"), entry);
+    }
+    targets
+}
+
+fn prompt(shared: u64, own: u64) -> Prompt {
+    let part = |id, tokens| Part { id, tokens };
+    Prompt {
+        tokens: SHARED_TOKENS + OWN_TOKENS,
+        output: 100,
+        parts: [part(shared, SHARED_TOKENS), part(own, OWN_TOKENS)]
+            .into_iter()
+            .collect(),
+    }
+}
+
+fn place(targets: &Targets, prompt: Option<&Prompt>, random: u64) -> Option<Choice> {
+    let ask = Ask {
+        service: "model",
+        prompt,
+        zone: "a",
+        tried: &[],
+        rate: RATE,
+        aim: Micros::from_ms(600),
+        random,
+    };
+    choose(targets, NOW, &ask)
+}
+
+/// Sends a request and leaves it there, unread.
+fn send(targets: &mut Targets, prompt: &Prompt, random: u64) -> Choice {
+    let choice = place(targets, Some(prompt), random).expect("there are targets");
+    let target = targets.get_mut(choice.target).expect("it was just chosen");
+    target.load.active += 1;
+    target.load.reading += choice.unread;
+    target.kept.read(NOW, prompt);
+    choice
+}
+
+#[test]
+fn gateways_that_know_nothing_agree_on_where_a_part_is_read() {
+    let targets = fleet(18, "model");
+    let first = place(&targets, Some(&prompt(5, 100)), 1).map(|c| c.target);
+    for random in 2..50 {
+        let other = place(&targets, Some(&prompt(5, 100 + random)), random);
+        assert_eq!(other.map(|c| c.target), first);
+    }
+}
+
+#[test]
+fn parts_spread_over_the_targets() {
+    let targets = fleet(18, "model");
+    let mut counts = std::collections::HashMap::<TargetKey, u32>::new();
+    for shared in 1..=400 {
+        let choice = place(&targets, Some(&prompt(shared, 9_000 + shared)), shared);
+        *counts
+            .entry(choice.expect("there are targets").target)
+            .or_default() += 1;
+    }
+    assert_eq!(counts.len(), 18);
+    assert!(counts.values().all(|&count| count < 60), "{counts:?}");
+}
+
+/// Load: one part gets nearly all requests, far beyond what one target reads in time.
+#[test]
+fn a_part_in_great_demand_spreads_only_as_far_as_it_must() {
+    let mut targets = fleet(18, "model");
+    let choices: Vec<Choice> = (0..60)
+        .map(|own| send(&mut targets, &prompt(5, 1_000 + own), own))
+        .collect();
+    let read: u64 = choices.iter().map(|choice| choice.unread).sum();
+    let used: std::collections::HashSet<TargetKey> = choices.iter().map(|c| c.target).collect();
+    assert!(used.len() >= 3, "it spreads: {}", used.len());
+    let least = 60 * OWN_TOKENS;
+    assert!(read <= least + used.len() as u64 * SHARED_TOKENS);
+    let busiest = choices
+        .iter()
+        .map(|choice| choice.expected)
+        .max()
+        .expect("some");
+    assert!(busiest <= Micros::from_ms(600), "{busiest}");
+}
+
+#[test]
+fn a_lost_target_moves_only_its_own_parts() {
+    let mut targets = fleet(18, "model");
+    let before: Vec<Choice> = (1..=200)
+        .filter_map(|shared| place(&targets, Some(&prompt(shared, 9_000)), 0))
+        .collect();
+    let lost = targets
+        .get(before[0].target)
+        .expect("it is there")
+        .id
+        .clone();
+    targets.remove(&lost);
+    for (choice, shared) in before.iter().zip(1..=200) {
+        let after = place(&targets, Some(&prompt(shared, 9_000)), 0).expect("some are left");
+        assert!(after.target == choice.target || choice.target == before[0].target);
+    }
+}
+
+macro_rules! passed_over {
+    ($($name:ident: $change:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut targets = fleet(4, "model");
+            let prompt = prompt(5, 100);
+            let first = place(&targets, Some(&prompt), 0).expect("there are targets").target;
+            let change: fn(&mut crate::gateway::targets::Target) = $change;
+            change(targets.get_mut(first).expect("it was just chosen"));
+            let next = place(&targets, Some(&prompt), 0).expect("others are left").target;
+            assert_ne!(next, first);
+        }
+    )*};
+}
+
+passed_over! {
+    a_leaving_target: |target| target.entry.leaving = true;
+    a_target_that_fails: |target| target.load.closed = NOW + Micros::from_ms(1);
+    a_slowed_target: |target| target.load.slowness = 8.0;
+    a_target_with_much_to_read: |target| target.load.reading = 80_000;
+    a_target_that_others_keep_busy: |target| target.load.others = Some(crate::gateway::peers::Held { active: 9, reading: 80_000 });
+}
+
+#[test]
+fn where_all_fail_one_is_tried_all_the_same() {
+    let mut targets = fleet(2, "model");
+    for target in targets.iter_mut() {
+        target.load.closed = NOW + Micros::from_secs(1);
+    }
+    assert!(place(&targets, None, 0).is_some());
+}
+
+#[test]
+fn nothing_is_placed_without_a_target() {
+    assert!(place(&fleet(3, "desk"), None, 0).is_none());
+}
+
+#[test]
+fn plain_calls_go_to_the_own_zone_until_it_is_busy() {
+    let mut targets = fleet(2, "model");
+    let mut zones = Vec::new();
+    for random in 0..8 {
+        let choice = place(&targets, None, random).expect("there are targets");
+        let target = targets.get_mut(choice.target).expect("it was just chosen");
+        target.load.active += 1;
+        zones.push(target.entry.zone.to_string());
+    }
+    assert_eq!(zones[0], "a");
+    assert!(zones.contains(&"b".to_owned()));
+}
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -1,1 +1,254 @@
+use std::time::Duration;
 
+use bytes::{BufMut, Bytes, BytesMut};
+use hyper::HeaderMap;
+use hyper::header::{HeaderName, HeaderValue};
+use proptest::prelude::*;
+
+use super::headers::{self, Added};
+use super::prompt::prompt;
+use super::records::{self, CutShort, Keyed};
+use super::wire::{WireConfig, WireWorker};
+use crate::gateway::config::{Config, Kind};
+use crate::gateway::prompts::Part;
+use crate::gateway::targets::Entry;
+
+fn header_map(rows: &[(&'static str, &'static str)]) -> HeaderMap {
+    rows.iter()
+        .map(|&(name, value)| {
+            (
+                HeaderName::from_static(name),
+                HeaderValue::from_static(value),
+            )
+        })
+        .collect()
+}
+
+const CONFIG: &str = r#"{"version":7,"routes":[
+  {"name":"r1","authority":"A.example","pathPrefix":"/m/","routeClass":"streaming","timeoutMs":8000,
+   "targetLatencyMs":600,"priority":1,"maxAttempts":1,"anonymousAccess":false,"sessionAffinity":true,
+   "streamResume":true,"weightedBackends":[{"backend":"x","weight":90},{"backend":"y","weight":10}]},
+  {"name":"r2","authority":"A.example","pathPrefix":"/m/n/","routeClass":"non_idempotent",
+   "timeoutMs":800,"backend":"y","anonymousAccess":true,"newField":[1]},
+  {"name":"r3","authority":"b.example","pathPrefix":"/","routeClass":"idempotent","timeoutMs":800,
+   "backend":"y","maxAttempts":2}],
+ "services":[{"name":"x","maxConnections":630,"engine":{"slots":128,"kvCapacity":789097}},{"name":"y"}],
+ "limits":{"headerBytes":16384,"idleTimeoutMs":9000,"tokensPerS":1100000},
+ "tenants":[{"name":"t1","apiKeys":["k1","k2"]},{"name":"t2","apiKeys":[]}]}"#;
+
+fn config() -> Config {
+    let wire: WireConfig = serde_json::from_str(CONFIG).expect("the example is valid");
+    wire.into()
+}
+
+macro_rules! routes {
+    ($($name:ident: $host:expr, $path:expr => $route:expr, $kind:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let config = config();
+            let route = config.route($host, $path).map(|r| (r.name.as_ref(), r.kind));
+            let expected: Option<&str> = $route;
+            assert_eq!(route, expected.zip($kind));
+        }
+    )*};
+}
+
+routes! {
+    a_prefix: "a.example", "/m/1" => Some("r1"), Some(Kind::ResumableStream);
+    the_longest_prefix: "a.example", "/m/n/1" => Some("r2"), Some(Kind::Once);
+    any_case_of_the_host: "A.EXAMPLE", "/m/1" => Some("r1"), Some(Kind::ResumableStream);
+    another_host: "b.example", "/m/1" => Some("r3"), Some(Kind::Idempotent);
+    no_prefix: "a.example", "/x" => None, None;
+    no_host: "c.example", "/m/1" => None, None;
+}
+
+#[test]
+fn a_configuration_is_taken_in_whole() {
+    let config = config();
+    assert_eq!((config.version, config.len()), (7, 3));
+    assert_eq!(config.limits.idle, Duration::from_secs(9));
+    assert_eq!(config.limits.tokens, Some(1_100_000.0));
+    let account = config.account_of("k2").expect("the key is held");
+    assert_eq!(config.account(account).name.as_ref(), "t1");
+    assert_eq!(config.account_of("k3"), None);
+    let route = config.route("a.example", "/m/1").expect("there is a route");
+    assert_eq!(
+        route.services.iter().map(|(_, weight)| weight).sum::<u32>(),
+        100
+    );
+    let memory = config
+        .service("x")
+        .and_then(|service| service.engine)
+        .map(|engine| engine.memory);
+    assert_eq!(memory, Some(789_097));
+}
+
+macro_rules! workers {
+    ($($name:ident: $text:expr => $leaving:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let wire = serde_json::from_str::<WireWorker>($text);
+            let leaving = wire.ok().map(|wire| Entry::from(wire).leaving);
+            assert_eq!(leaving, $leaving);
+        }
+    )*};
+}
+
+workers! {
+    a_ready_worker: r#"{"backend":"x","address":"10.0.0.9:80","zone":"a","slots":4,"state":"ready","callSeq":4,"born":17}"# => Some(false);
+    a_leaving_worker: r#"{"backend":"x","address":"10.0.0.9:80","zone":"a","slots":4,"state":"draining"}"# => Some(true);
+    an_unknown_state: r#"{"backend":"x","address":"10.0.0.9:80","zone":"a","slots":4,"state":"odd"}"# => None;
+    no_address: r#"{"backend":"x","zone":"a","slots":4,"state":"ready"}"# => None;
+    slots_of_another_type: r#"{"backend":"x","address":"10.0.0.9:80","zone":"a","slots":"4","state":"ready"}"# => None;
+    no_json: "\u{1}x" => None;
+}
+
+/// A page of records as the store sends it.
+fn page(end: u64, records: &[(&str, &[u8])]) -> Bytes {
+    let mut out = BytesMut::new();
+    out.put_u64(end);
+    out.put_u64(0);
+    for (key, value) in records {
+        out.put_u32(u32::try_from(1 + key.len() + value.len()).expect("records are short"));
+        out.put_u8(u8::try_from(key.len()).expect("keys are short"));
+        out.put_slice(key.as_bytes());
+        out.put_slice(value);
+    }
+    out.freeze()
+}
+
+#[test]
+fn a_page_of_records_is_read() {
+    let read = records::page(page(9, &[("a", b"one"), ("b", b"")])).expect("it is whole");
+    let keyed = |key: &str, value: &'static [u8]| Keyed {
+        key: key.into(),
+        value: Bytes::from_static(value),
+    };
+    assert_eq!((read.end, read.count), (9, 2));
+    assert_eq!(read.records, [keyed("a", b"one"), keyed("b", b"")]);
+}
+
+#[test]
+fn a_record_without_a_key_is_counted_and_left_out() {
+    let mut body = BytesMut::from(page(1, &[]).as_ref());
+    body.put_u32(1);
+    body.put_u8(9);
+    let read = records::page(body.freeze()).expect("it is whole");
+    assert_eq!((read.count, read.records.len()), (1, 0));
+}
+
+proptest! {
+    /// A page that is cut anywhere is an error or a shorter page, never a panic.
+    #[test]
+    fn a_cut_page_is_no_panic(cut in 0_usize..60) {
+        let whole = page(2, &[("key", b"some value"), ("other", b"x")]);
+        let part = whole.slice(..cut.min(whole.len()));
+        if let Ok(read) = records::page(part) {
+            prop_assert!(read.count <= 2);
+        }
+    }
+
+    /// Any bytes are read without a panic.
+    #[test]
+    fn any_bytes_are_no_panic(body in proptest::collection::vec(any::<u8>(), 0..200)) {
+        let short = body.len() < 16;
+        let read = records::page(body.into());
+        if short {
+            prop_assert_eq!(read, Err(CutShort));
+        }
+    }
+}
+
+#[test]
+fn only_what_the_system_sets_reaches_a_worker() {
+    let client = header_map(&[
+        ("host", "a.example"),
+        ("attempt-id", "9c41"),
+        ("authorization", "Bearer k1"),
+        ("tenant", "someone-else"),
+        ("expect-instance", "i-other"),
+        ("deadline-remaining", "9000"),
+        ("hold", "1"),
+        ("pin-duration", "4000"),
+        ("kv-from", "10.0.0.1:1/2"),
+        ("kv-backup", "10.0.0.1:1"),
+        ("connection", "x-own, keep-alive"),
+        ("x-own", "1"),
+        ("x-kept", "yes"),
+        ("prompt-prefix", "1:2"),
+    ]);
+    let added = Added {
+        target: "i-1",
+        account: None,
+        left: Duration::from_millis(700),
+        after: None,
+    };
+    let sent = headers::passed_on(&client, &added);
+    let expected = header_map(&[
+        ("attempt-id", "9c41"),
+        ("x-kept", "yes"),
+        ("prompt-prefix", "1:2"),
+        ("host", "a.example"),
+        ("expect-instance", "i-1"),
+        ("deadline-remaining", "700"),
+    ]);
+    assert_eq!(sent, expected);
+    let added = Added {
+        account: Some("t1"),
+        after: Some("12"),
+        ..added
+    };
+    let sent = headers::passed_on(&client, &added);
+    assert_eq!(sent.get("tenant"), Some(&HeaderValue::from_static("t1")));
+    assert_eq!(
+        sent.get("last-event-id"),
+        Some(&HeaderValue::from_static("12"))
+    );
+}
+
+macro_rules! answers {
+    ($($name:ident: $rows:expr => $ours:expr, $declined:expr, $idle:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let id = HeaderValue::from_static("9c41");
+            let told = headers::told(&header_map(&$rows), Some(&id));
+            assert_eq!((told.ours, told.declined, told.idle), ($ours, $declined, $idle));
+        }
+    )*};
+}
+
+answers! {
+    an_answer: [("attempt-id", "9c41"), ("server-stamp", "s")] => true, false, None;
+    an_answer_to_another: [("attempt-id", "9c42")] => false, false, None;
+    an_answer_to_nobody: [("server-stamp", "s")] => false, false, None;
+    it_did_not_run: [("attempt-id", "9c41"), ("not-executed", "1")] => true, true, None;
+    it_closes: [("attempt-id", "9c41"), ("connection", "close")] => true, false, Some(Duration::ZERO);
+    it_keeps_for_a_time: [("attempt-id", "9c41"), ("keep-alive", "timeout=5")] => true, false, Some(Duration::from_secs(5));
+}
+
+#[test]
+fn a_report_of_load_is_read() {
+    let told = headers::told(&header_map(&[("server-load", "3,1,8,250")]), None);
+    let report = told.report.expect("it is a report");
+    assert_eq!(
+        (report.running, report.waiting, report.slowness),
+        (3, 1, 250)
+    );
+    let odd = headers::told(&header_map(&[("server-load", "3,x,8")]), None);
+    assert_eq!(odd.report, None);
+}
+
+#[test]
+fn a_prompt_is_read_in_its_parts() {
+    let read =
+        prompt("1460,80", Some("5c1e07a2:800,91bd3f06:410,e4402b7d:250")).expect("it is one");
+    assert_eq!((read.tokens, read.output), (1_460, 80));
+    let first = Part {
+        id: 0x5c1e_07a2,
+        tokens: 800,
+    };
+    assert_eq!(read.parts.len(), 3);
+    assert_eq!(read.parts[0], first);
+    assert_eq!(prompt("many", None), None);
+    assert_eq!(prompt("12,3", Some("zz:1")).map(|p| p.parts.len()), Some(0));
+}
--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -31,8 +31,8 @@
     path_prefix: Box<str>,
     route_class: Box<str>,
     timeout_ms: f64,
-    #[serde(default)]
-    target_latency_ms: f64,
+    #[serde(default, rename = "targetLatencyMs")]
+    aim_ms: f64,
     backend: Option<Box<str>>,
     #[serde(default)]
     weighted_backends: Vec<WireShare>,
@@ -73,10 +73,14 @@
 #[serde(rename_all = "camelCase")]
 struct WireLimits {
     header_bytes: Option<usize>,
-    max_body_bytes: Option<usize>,
-    header_timeout_ms: Option<u64>,
-    idle_timeout_ms: Option<u64>,
-    tokens_per_s: Option<f64>,
+    #[serde(rename = "maxBodyBytes")]
+    body_bytes: Option<usize>,
+    #[serde(rename = "headerTimeoutMs")]
+    read_ms: Option<u64>,
+    #[serde(rename = "idleTimeoutMs")]
+    idle_ms: Option<u64>,
+    #[serde(rename = "tokensPerS")]
+    tokens: Option<f64>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -144,7 +148,7 @@
             services: only.into_iter().chain(shares).collect(),
             kind,
             timeout: millis(wire.timeout_ms),
-            aim: millis(wire.target_latency_ms),
+            aim: millis(wire.aim_ms),
             attempts: wire.max_attempts,
             anonymous: wire.anonymous_access,
         }
@@ -156,14 +160,10 @@
         let usual = Limits::default();
         Limits {
             head: wire.header_bytes.unwrap_or(usual.head),
-            body: wire.max_body_bytes.unwrap_or(usual.body),
-            read: wire
-                .header_timeout_ms
-                .map_or(usual.read, Duration::from_millis),
-            idle: wire
-                .idle_timeout_ms
-                .map_or(usual.idle, Duration::from_millis),
-            tokens: wire.tokens_per_s,
+            body: wire.body_bytes.unwrap_or(usual.body),
+            read: wire.read_ms.map_or(usual.read, Duration::from_millis),
+            idle: wire.idle_ms.map_or(usual.idle, Duration::from_millis),
+            tokens: wire.tokens,
         }
     }
 }
