--- a/src/gateway/turn_away.rs
+++ b/src/gateway/turn_away.rs
@@ -19,9 +19,9 @@
 /// Part of the aim up to which a wait for others is no reason to refuse.
 const SHORT_WAIT: f64 = 0.25;
 /// Part of the aim up to which an account that has its fair share may add to a wait.
-const SATED_WAIT: f64 = 0.12;
+const SATED_WAIT: f64 = 0.2;
 /// Part of the aim up to which such an account may add to what all engines have to read.
-const SATED_PRESSURE: f64 = 0.05;
+const SATED_PRESSURE: f64 = 0.12;
 /// When an account that has its fair share is asked to come back.
 const SATED_RETRY: Duration = Duration::from_millis(800);
 /// What the way to the target and back is taken to need.
