Divide what is served beyond the pace in fair shares too

Change: shares are max-min of the larger of the pace and of what was really served in the window. Refusals log what decided them.

--- a/src/gateway/fair.rs
+++ b/src/gateway/fair.rs
@@ -44,6 +44,16 @@
     pub got: f64,
 }
 
+/// Where an account stands beside the others.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Standing {
+    /// It has not got its fair share yet.
+    #[default]
+    Owed,
+    /// It has got its fair share.
+    Sated,
+}
+
 type Uses = HashMap<AccountTag, Use, FxBuildHasher>;
 
 /// One process's uses by account, with the time they were told.
@@ -89,12 +99,14 @@
         news.uses.extend(rows);
     }
 
-    /// Whether an account has got its fair share, when all targets together make `pace` tokens a
-    /// second.
-    pub fn has_share(&mut self, now: Micros, account: AccountTag, pace: f64) -> bool {
+    /// Where an account stands, when all targets together make `pace` tokens a second.
+    pub fn standing(&mut self, now: Micros, account: AccountTag, pace: f64) -> Standing {
         self.compute(now, pace);
         let got = self.total.get(&account).map_or(0.0, |uses| uses.got);
-        got >= self.level
+        match got >= self.level {
+            true => Standing::Sated,
+            false => Standing::Owed,
+        }
     }
 
     fn count(&mut self, now: Micros, account: AccountTag, add: impl Fn(&mut Use)) {
@@ -146,7 +158,9 @@
             total.got += uses.got;
         }
         let mut asked: Vec<f64> = self.total.values().map(|uses| uses.asked).collect();
-        self.level = level(&mut asked, pace * WINDOW_S);
+        let served: f64 = self.total.values().map(|uses| uses.got).sum();
+        // What is served beyond the pace, since parts are kept, is divided in the same way.
+        self.level = level(&mut asked, served.max(pace * WINDOW_S));
         self.computed = Some(now);
     }
 }
--- a/src/gateway/fair/tests.rs
+++ b/src/gateway/fair/tests.rs
@@ -1,4 +1,4 @@
-use super::{AccountTag, Fair, Use, level};
+use super::{AccountTag, Fair, Standing, Use, level};
 use crate::units::Micros;
 
 macro_rules! levels {
@@ -37,15 +37,15 @@
 fn an_account_that_jumps_has_its_share_and_a_small_one_does_not() {
     let mut fair = Fair::default();
     jump(&mut fair);
-    assert!(fair.has_share(at(2_000), CLUB, PACE));
-    assert!(!fair.has_share(at(2_000), SCHOOL, PACE));
+    assert_eq!(fair.standing(at(2_000), CLUB, PACE), Standing::Sated);
+    assert_eq!(fair.standing(at(2_000), SCHOOL, PACE), Standing::Owed);
 }
 
 #[test]
 fn a_jump_is_forgotten_after_the_window() {
     let mut fair = Fair::default();
     jump(&mut fair);
-    assert!(!fair.has_share(at(6_000), CLUB, PACE));
+    assert_eq!(fair.standing(at(6_000), CLUB, PACE), Standing::Owed);
     assert_eq!(fair.own(at(6_000)).count(), 0);
 }
 
@@ -57,8 +57,8 @@
         got: 6_000.0,
     };
     fair.told(at(0), 7, [(CLUB, uses)].into_iter());
-    assert!(fair.has_share(at(100), CLUB, PACE));
-    assert!(!fair.has_share(at(2_000), CLUB, PACE));
+    assert_eq!(fair.standing(at(100), CLUB, PACE), Standing::Sated);
+    assert_eq!(fair.standing(at(2_000), CLUB, PACE), Standing::Owed);
 }
 
 #[test]
@@ -70,5 +70,19 @@
     };
     fair.told(at(0), 7, [(CLUB, uses)].into_iter());
     fair.told(at(1), 7, [(CLUB, uses)].into_iter());
-    assert!(!fair.has_share(at(100), CLUB, PACE));
+    assert_eq!(fair.standing(at(100), CLUB, PACE), Standing::Owed);
+}
+
+/// Load: all accounts ask for far more than their share of the pace, and one of them for most; the
+/// targets serve more than the pace, since they keep prompts.
+#[test]
+fn what_is_served_beyond_the_pace_is_divided_fairly_too() {
+    let mut fair = Fair::default();
+    for (account, asked, got) in [(CLUB, 9e6, 5e6), (SCHOOL, 5e6, 2e6)] {
+        fair.asked(at(0), account, asked);
+        fair.sent(at(0), account, got);
+    }
+    let pace = 1e6;
+    assert_eq!(fair.standing(at(0), CLUB, pace), Standing::Sated);
+    assert_eq!(fair.standing(at(0), SCHOOL, pace), Standing::Owed);
 }
--- a/src/gateway/flight.rs
+++ b/src/gateway/flight.rs
@@ -13,7 +13,7 @@
 
 use crate::gateway::answer::{self, AnswerBody};
 use crate::gateway::config::Kind;
-use crate::gateway::fair::AccountTag;
+use crate::gateway::fair::{AccountTag, Standing};
 use crate::gateway::gate::{Gate, InFlight};
 use crate::gateway::links::{self, ConnectError, Link};
 use crate::gateway::order::Order;
@@ -119,11 +119,11 @@
             left: order.until().saturating_sub(self.gate.clock.now()),
             aim: order.route.aim.into(),
             engine: prompt.is_some(),
-            sated: self.asks(now),
+            standing: self.asks(now),
             pressure: self.gate.pressure(&order.service),
         };
         let choice = turn_away::decide(&offer, rand::random()).inspect_err(|problem| {
-            words::refused(order, problem, offer.choice.map(|c| c.expected));
+            words::refused(order, problem, &offer);
         })?;
         if let (Some(account), Some(prompt)) = (&order.account, prompt) {
             let (tag, tokens) = (AccountTag::of(account), prompt.cost());
@@ -132,19 +132,19 @@
         Ok(choice)
     }
 
-    /// Counts what the client account asks for. Returns whether it has its fair share already.
-    fn asks(&self, now: Micros) -> bool {
+    /// Counts what the client account asks for. Returns where it stands.
+    fn asks(&self, now: Micros) -> Standing {
         let order = &self.order;
         let (Some(account), Some(prompt)) = (&order.account, &order.prompt) else {
-            return false;
+            return Standing::Owed;
         };
         let Some(pace) = self.gate.pace() else {
-            return false;
+            return Standing::Owed;
         };
         let tag = AccountTag::of(account);
         self.gate.with_fair(|fair| {
             fair.asked(now, tag, prompt.cost());
-            fair.has_share(now, tag, pace)
+            fair.standing(now, tag, pace)
         })
     }
 
--- a/src/gateway/turn_away.rs
+++ b/src/gateway/turn_away.rs
@@ -8,6 +8,7 @@
 
 use std::time::Duration;
 
+use crate::gateway::fair::Standing;
 use crate::gateway::place::Choice;
 use crate::problem::{Problem, Reason};
 use crate::units::Micros;
@@ -40,8 +41,8 @@
     pub aim: Micros,
     /// Whether it goes to an engine.
     pub engine: bool,
-    /// Whether its client account has got its fair share already.
-    pub sated: bool,
+    /// Where its client account stands beside the others.
+    pub standing: Standing,
     /// How long all engines of the service together have to read, on average.
     pub pressure: Micros,
 }
@@ -60,7 +61,7 @@
     }
     let busy = choice.wait > part(offer.aim, SATED_WAIT)
         || offer.pressure > part(offer.aim, SATED_PRESSURE);
-    if offer.sated && busy {
+    if offer.standing == Standing::Sated && busy {
         return Err(later(Reason::NoCapacity, SATED_RETRY, random));
     }
     let late = (offer.waited + needed).saturating_sub(offer.aim);
--- a/src/gateway/turn_away/tests.rs
+++ b/src/gateway/turn_away/tests.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
 use super::{Offer, decide, with_retry};
+use crate::gateway::fair::Standing;
 use crate::gateway::place::Choice;
 use crate::gateway::targets::Targets;
 use crate::problem::{Execution, Problem, Reason};
@@ -31,7 +32,7 @@
         left: Micros::from_secs(8),
         aim: AIM,
         engine: true,
-        sated: false,
+        standing: Standing::Owed,
         pressure: Micros::ZERO,
     }
 }
@@ -57,9 +58,9 @@
     a_plain_call_that_waits: Offer { engine: false, ..offer(900, 700) } => true;
     no_time_is_left: Offer { left: Micros::from_ms(200), ..offer(300, 0) } => false;
     no_target: Offer { choice: None, ..offer(0, 0) } => false;
-    sated_while_nothing_waits: Offer { sated: true, ..offer(300, 10) } => true;
-    sated_and_it_would_wait: Offer { sated: true, ..offer(300, 200) } => false;
-    sated_while_all_engines_are_busy: Offer { sated: true, pressure: AIM, ..offer(100, 0) } => false;
+    sated_while_nothing_waits: Offer { standing: Standing::Sated, ..offer(300, 10) } => true;
+    sated_and_it_would_wait: Offer { standing: Standing::Sated, ..offer(300, 200) } => false;
+    sated_while_all_engines_are_busy: Offer { standing: Standing::Sated, pressure: AIM, ..offer(100, 0) } => false;
     not_sated_while_all_engines_are_busy: Offer { pressure: AIM, ..offer(100, 0) } => true;
 }
 
--- a/src/gateway/words.rs
+++ b/src/gateway/words.rs
@@ -7,19 +7,24 @@
 use crate::gateway::order::Order;
 use crate::gateway::repeat::Failure;
 use crate::gateway::targets::TargetKey;
+use crate::gateway::turn_away::Offer;
 use crate::problem::Problem;
-use crate::units::Micros;
 
 /// A request was refused without being sent.
-pub fn refused(order: &Order, problem: &Problem, expected: Option<Micros>) {
-    spdlog::info!(
-        "refused", kv: {
+pub fn refused(order: &Order, problem: &Problem, offer: &Offer) {
+    let choice = offer.choice;
+    spdlog::info!("refused", kv: {
         request: = order.name(),
         route: = order.route.name.as_ref(),
+        account: = order.account.as_deref().unwrap_or("none"),
         reason:? = problem.reason,
-        expected:? = expected,
-        retry_after:? = problem.retry_after }
-    );
+        standing:? = offer.standing,
+        expected_ms = choice.map_or(0, |c| c.expected.as_ms()),
+        wait_ms = choice.map_or(0, |c| c.wait.as_ms()),
+        pressure_ms = offer.pressure.as_ms(),
+        aim_ms = offer.aim.as_ms(),
+        retry_ms = problem.retry_after.map_or(0, |wait| wait.as_millis() as u64),
+    });
 }
 
 /// A try brought no usable answer.
