Test the gateway between raw callers and raw targets that misbehave

First drafts chose the misbehaving target by chance and failed; it is now the only one in the gateway's zone.

--- /dev/null
+++ b/tests/gateway/streams.rs
@@ -0,0 +1,72 @@
+//! Streams that break off, go on elsewhere, or lose their caller.
+
+use std::time::Duration;
+
+use crate::target::{Say, Target, header};
+use crate::world::{KEY, ROUTE_TIMEOUT, World};
+
+#[tokio::test]
+async fn a_stream_goes_on_at_another_target_after_its_last_whole_event() {
+    let cuts = Target::start(&[Say::CutEvents]).await;
+    let rest = Target::start(&[Say::Rest]).await;
+    let world = World::before(&[&cuts, &rest]).await;
+    let reply = world.call("POST", "/resumed/1").await;
+    assert_eq!(reply.events(), [1, 2, 3], "{reply:?}");
+    assert!(reply.whole, "{reply:?}");
+    let after = |target: &Target| header(&target.seen().heads[0], "last-event-id");
+    assert_eq!((after(&cuts), after(&rest)), (None, Some("1".to_owned())));
+}
+
+#[tokio::test]
+async fn a_stream_that_breaks_off_twice_does_not_look_whole() {
+    let first = Target::start(&[Say::CutEvents]).await;
+    let second = Target::start(&[Say::Reset]).await;
+    let world = World::before(&[&first, &second]).await;
+    let reply = world.call("POST", "/resumed/1").await;
+    assert_eq!((reply.events(), reply.whole), (vec![1], false));
+    assert_eq!((first.count(), second.count()), (1, 1));
+}
+
+#[tokio::test]
+async fn a_stream_that_may_not_be_resumed_is_sent_once() {
+    let first = Target::start(&[Say::CutEvents]).await;
+    let second = Target::start(&[Say::CutEvents]).await;
+    let world = World::before(&[&first, &second]).await;
+    let reply = world.call("POST", "/stream/1").await;
+    assert_eq!((reply.events(), reply.whole), (vec![1], false));
+    assert_eq!(first.count() + second.count(), 1);
+}
+
+macro_rules! departures {
+    ($($name:ident: $say:expr, $path:expr;)*) => {$(
+        #[tokio::test]
+        async fn $name() {
+            let target = Target::start(&[$say]).await;
+            let world = World::before(&[&target]).await;
+            let headers = format!("Authorization: Bearer {KEY}\r\n");
+            let stream = world.send("POST", $path, &headers).await;
+            world.until(|_| target.count() == 1).await;
+            drop(stream);
+            tokio::time::sleep(Duration::from_millis(400)).await;
+            assert_eq!(target.seen().gone, 1);
+            assert_eq!(target.count(), 1);
+        }
+    )*};
+}
+
+departures! {
+    a_stream_ends_at_the_target_when_its_caller_leaves: Say::Endless, "/stream/1";
+    a_call_ends_at_the_target_when_its_caller_leaves: Say::Hang, "/read/1";
+    an_unanswered_stream_ends_when_its_caller_leaves: Say::Hang, "/resumed/1";
+}
+
+#[tokio::test]
+async fn a_stream_ends_at_its_routes_timeout_and_does_not_look_whole() {
+    let target = Target::start(&[Say::Endless]).await;
+    let world = World::before(&[&target]).await;
+    let sent = std::time::Instant::now();
+    let reply = world.call("POST", "/stream/1").await;
+    assert!(!reply.whole);
+    assert!(reply.events().len() > 10);
+    assert!(sent.elapsed() < ROUTE_TIMEOUT + Duration::from_millis(400));
+}
--- /dev/null
+++ b/tests/gateway/world.rs
@@ -0,0 +1,321 @@
+//! A gateway with its lists in memory, and raw calls to it.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use balsampitch::gateway::budget::Allowance;
+use balsampitch::gateway::config::{Account, Config, Kind, Parts, Route};
+use balsampitch::gateway::directory::{Change, Directory, News, Topic};
+use balsampitch::gateway::gate::Gate;
+use balsampitch::gateway::targets::Entry;
+use balsampitch::log::{Cause, ReadError};
+use balsampitch::settings::{GatewaySettings, parse};
+use bytes::Bytes;
+use serde_json::json;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{sleep, timeout};
+use tokio_util::sync::CancellationToken;
+
+use crate::target::Target;
+
+/// Longest wait for something that must come.
+pub const PATIENCE: Duration = Duration::from_secs(10);
+/// Time within which a call's route wants its final answer.
+pub const ROUTE_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// A key that the configuration holds.
+pub const KEY: &str = "school-key";
+
+/// What the lists hold.
+#[derive(Clone, Debug, Default)]
+struct State {
+    config: Option<Config>,
+    targets: Vec<(String, Entry)>,
+    out: bool,
+    changes: u64,
+}
+
+/// The platform's lists in memory. Clones share them.
+#[derive(Clone, Debug, Default)]
+pub struct Lists {
+    state: Arc<Mutex<State>>,
+}
+
+impl Lists {
+    fn with<T>(&self, act: impl FnOnce(&mut State) -> T) -> T {
+        act(&mut self.state.lock().expect("no holder panics"))
+    }
+
+    /// The operator writes a configuration.
+    pub fn put_config(&self, config: Config) {
+        self.with(|state| {
+            state.config = Some(config);
+            state.changes += 1;
+        });
+    }
+
+    /// A target says something of itself. The first one is in the gateway's zone, and gets what
+    /// it can take.
+    pub fn put_target(&self, id: &str, addr: SocketAddr, leaving: bool) {
+        let zone = if id == "t0" { "a" } else { "b" };
+        let entry = Entry {
+            service: "desk".into(),
+            addr,
+            zone: zone.into(),
+            slots: 4,
+            leaving,
+            born: None,
+        };
+        self.with(|state| {
+            state.targets.retain(|(other, _)| other != id);
+            state.targets.push((id.to_owned(), entry));
+            state.changes += 1;
+        });
+    }
+
+    /// Every call fails, or none.
+    pub fn set_out(&self, out: bool) {
+        self.with(|state| state.out = out);
+    }
+
+    fn all(&self, topic: Topic) -> Result<News, Cause> {
+        self.with(|state| {
+            if state.out {
+                return Err(Cause::Status(503));
+            }
+            let config = state
+                .config
+                .iter()
+                .cloned()
+                .map(|c| Change::Config(Box::new(c)));
+            let targets = state.targets.iter().cloned();
+            let targets = targets.map(|(id, entry)| Change::Target(id.into(), entry));
+            Ok(News {
+                next: state.changes,
+                changes: match topic {
+                    Topic::Config => config.collect(),
+                    Topic::Targets => targets.collect(),
+                },
+            })
+        })
+    }
+}
+
+impl Directory for Lists {
+    async fn list(&self, topic: Topic) -> Result<News, Cause> {
+        self.all(topic)
+    }
+
+    fn decode(&self, _: Bytes) -> Option<Config> {
+        None
+    }
+
+    async fn changes(&self, topic: Topic, from: u64, _: Duration) -> Result<News, ReadError> {
+        sleep(Duration::from_millis(10)).await;
+        let news = self.all(topic)?;
+        match news.next == from {
+            true => Ok(News {
+                next: from,
+                changes: Vec::new(),
+            }),
+            false => Ok(news),
+        }
+    }
+}
+
+/// A configuration with one route of each kind, named for it, and one that needs no key.
+pub fn config(version: u64, keys: &[&str]) -> Config {
+    let route = |name: &str, kind, anonymous| Route {
+        name: name.into(),
+        host: "pool.example".into(),
+        prefix: format!("/{name}/").into(),
+        services: [("desk".into(), 1)].into_iter().collect(),
+        kind,
+        timeout: ROUTE_TIMEOUT,
+        aim: Duration::from_millis(300),
+        attempts: 2,
+        anonymous,
+    };
+    let account = Account {
+        name: "school".into(),
+    };
+    let parts = Parts {
+        version,
+        routes: vec![
+            route("read", Kind::Idempotent, false),
+            route("order", Kind::Once, false),
+            route("stream", Kind::Stream, false),
+            route("resumed", Kind::ResumableStream, false),
+            route("open", Kind::Idempotent, true),
+        ],
+        accounts: vec![(account, keys.iter().map(|&key| key.into()).collect())],
+        ..Parts::default()
+    };
+    parts.into()
+}
+
+/// A gateway that runs.
+pub struct World {
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the balancer asks.
+    pub ready: SocketAddr,
+    /// Its lists.
+    pub lists: Lists,
+    /// What its parts share.
+    pub gate: Arc<Gate>,
+    /// Ends it.
+    pub drain: CancellationToken,
+    /// Its end.
+    pub running: tokio::task::JoinHandle<anyhow::Result<()>>,
+}
+
+async fn free() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("loopback has ports");
+    listener.local_addr().expect("it is bound")
+}
+
+impl World {
+    /// A gateway that knows neither configuration nor targets.
+    pub async fn empty() -> World {
+        let (callers, ready) = (free().await, free().await);
+        let settings = json!({
+            "name": "gateway", "listen": callers, "ready": ready, "peer": free().await,
+            "zone": "a", "platform": "127.0.0.1:1", "grace": 4.0, "descriptors": 1024,
+            "retries": {"ratio": 0.2, "slack": 160.0, "window": 10.0},
+        });
+        let settings: GatewaySettings = parse(&settings.to_string()).expect("they are sound");
+        let allowance = Allowance::from(&settings.retries);
+        let gate = Arc::new(Gate::new("a", allowance));
+        let (lists, drain) = (Lists::default(), CancellationToken::new());
+        let run = balsampitch::gateway::run(settings, gate.clone(), lists.clone(), drain.clone());
+        World {
+            callers,
+            ready,
+            lists,
+            gate,
+            drain,
+            running: tokio::spawn(run),
+        }
+    }
+
+    /// A gateway before these targets, which it knows.
+    pub async fn before(targets: &[&Target]) -> World {
+        let world = World::empty().await;
+        world.lists.put_config(config(1, &[KEY]));
+        for (index, target) in targets.iter().enumerate() {
+            world
+                .lists
+                .put_target(&format!("t{index}"), target.addr, false);
+        }
+        let count = targets.len();
+        world
+            .until(|gate| gate.config().version > 0 && gate.with(|t| t.len()) == count)
+            .await;
+        world
+    }
+
+    /// Waits until something holds.
+    pub async fn until(&self, holds: impl Fn(&Gate) -> bool) {
+        let wait = async {
+            while !holds(&self.gate) {
+                sleep(Duration::from_millis(5)).await;
+            }
+        };
+        timeout(PATIENCE, wait).await.expect("it comes to hold");
+    }
+
+    /// Sends a request with the key and reads until the connection ends.
+    pub async fn call(&self, method: &str, path: &str) -> Reply {
+        self.call_with(method, path, &format!("Authorization: Bearer {KEY}\r\n"))
+            .await
+    }
+
+    /// As [`World::call`], with these headers instead of the key.
+    pub async fn call_with(&self, method: &str, path: &str, headers: &str) -> Reply {
+        let mut stream = self.send(method, path, headers).await;
+        let mut data = Vec::new();
+        let read = timeout(PATIENCE, stream.read_to_end(&mut data)).await;
+        let cut = read.expect("it ends in time").is_err();
+        Reply::new(&data, cut)
+    }
+
+    /// Sends a request and reads nothing.
+    pub async fn send(&self, method: &str, path: &str, headers: &str) -> TcpStream {
+        let mut stream = TcpStream::connect(self.callers).await.expect("it listens");
+        let request = format!(
+            "{method} {path} HTTP/1.1\r\nHost: pool.example\r\nAttempt-Id: 9c41\r\n\
+             Deadline-Remaining: 5000\r\nConnection: close\r\n{headers}Content-Length: 2\r\n\r\nhi"
+        );
+        stream
+            .write_all(request.as_bytes())
+            .await
+            .expect("it reads");
+        stream
+    }
+
+    /// What the balancer is told.
+    pub async fn is_ready(&self) -> bool {
+        let mut stream = TcpStream::connect(self.ready).await.expect("it listens");
+        let request = "GET /v1/readiness HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+        stream
+            .write_all(request.as_bytes())
+            .await
+            .expect("it reads");
+        let mut data = Vec::new();
+        stream.read_to_end(&mut data).await.expect("it answers");
+        Reply::new(&data, false).status == 200
+    }
+}
+
+/// An answer as it came.
+#[derive(Debug)]
+pub struct Reply {
+    /// Its status; 0 when there was none.
+    pub status: u16,
+    /// Its head.
+    pub head: String,
+    /// What followed the head.
+    pub body: String,
+    /// Whether it ended as its framing says.
+    pub whole: bool,
+}
+
+impl Reply {
+    fn new(data: &[u8], cut: bool) -> Reply {
+        let text = String::from_utf8_lossy(data);
+        let (head, body) = text.split_once("\r\n\r\n").unwrap_or((&text, ""));
+        let status = head
+            .split(' ')
+            .nth(1)
+            .and_then(|status| status.parse().ok());
+        let length = crate::target::header(head, "content-length");
+        let framed = match length.and_then(|length| length.parse::<usize>().ok()) {
+            Some(length) => body.len() == length,
+            None => body.ends_with("0\r\n\r\n"),
+        };
+        Reply {
+            status: status.unwrap_or(0),
+            head: head.to_owned(),
+            body: body.to_owned(),
+            whole: framed && !cut,
+        }
+    }
+
+    /// A header, by its name in lower case.
+    pub fn header(&self, name: &str) -> Option<String> {
+        crate::target::header(&self.head, name)
+    }
+
+    /// Ids of the events that came.
+    pub fn events(&self) -> Vec<u32> {
+        let ids = self
+            .body
+            .lines()
+            .filter_map(|line| line.strip_prefix("id: "));
+        ids.filter_map(|id| id.parse().ok()).collect()
+    }
+}
