Tell metrics as text, and log each decision on a request in bounded volume

Change: lines on standard output with the request's id, the inputs of the decision, their values and the outcome; at most 40 a second with a burst of 200, and what is left out is counted in the next line; a line for each late first event. Counters and latency histograms by opentelemetry's text exporter on the metrics address.

--- a/src/cmd/bench.rs
+++ b/src/cmd/bench.rs
@@ -73,7 +73,7 @@
 
 fn measure(options: &Options) -> anyhow::Result<()> {
     // Standard output is for figures.
-    logs::init(LogForm::Text, "balsampitch-bench")?;
+    logs::init(LogForm::Text, "balsampitch-bench", logs::Stream::Error)?;
     for &experiment in &options.chosen.experiments {
         print(bench::run(experiment, options.seed, options.variant))?;
     }
--- a/src/cmd/local.rs
+++ b/src/cmd/local.rs
@@ -38,7 +38,7 @@
     let Some(options) = options()? else {
         return Ok(());
     };
-    logs::init(LogForm::Text, PROGRAM.name)?;
+    logs::init(LogForm::Text, PROGRAM.name, logs::Stream::Error)?;
     shutdown::block_on(|drain| local::run(options, drain)).map_err(Into::into)
 }
 
--- a/src/gateway/flight.rs
+++ b/src/gateway/flight.rs
@@ -25,6 +25,7 @@
 use crate::gateway::words;
 use crate::platform::headers::{self, Told};
 use crate::problem::{Problem, Reason};
+use crate::telemetry::{Event, Outcome};
 use crate::units::Micros;
 
 /// Largest answer of a plain call.
@@ -99,7 +100,10 @@
             self.tried.push(choice.target);
             words::failed(&self.order, &self.gate, choice.target, failed.failure);
             choice = match self.next() {
-                Some(choice) => choice,
+                Some(choice) => {
+                    self.gate.metrics().event(Event::Retry);
+                    choice
+                }
                 None => return self.give_up(failed),
             };
         }
@@ -123,7 +127,7 @@
             pressure: self.gate.pressure(&order.service),
         };
         let choice = turn_away::decide(&offer, rand::random()).inspect_err(|problem| {
-            words::refused(order, problem, &offer);
+            words::refused(&self.gate, order, problem, &offer);
         })?;
         if let (Some(account), Some(prompt)) = (&order.account, prompt) {
             let (tag, tokens) = (AccountTag::of(account), prompt.cost());
@@ -174,6 +178,7 @@
         if self.gate.clock.now() >= self.order.until() {
             problem = self.tries.refuse(Reason::DeadlinePassed);
         }
+        words::given_up(&self.gate, &self.order, &problem);
         Err(turn_away::with_retry(problem, rand::random()))
     }
 
@@ -212,6 +217,9 @@
         let body = self.read(body).await?;
         flight.begun();
         self.gate.links.put(flight.target, link, told.idle);
+        let took = self.gate.clock.now().saturating_sub(self.order.arrived);
+        self.gate.metrics().request(Outcome::Whole);
+        self.gate.metrics().total(took);
         let headers = headers::passed_back(&head.headers);
         let body = AnswerBody::Left(Full::new(body));
         Ok(answer::with(head.status, headers, body))
@@ -277,9 +285,10 @@
     let until = deadline(gate, order.until());
     let mut link = link(gate, target, entry.addr).await.map_err(|error| {
         fail(gate, target, false);
-        words::unreached(order, &id, &error);
+        words::unreached(gate, order, &id, &error);
         Failure::Unreached
     })?;
+    gate.metrics().event(Event::Dispatch);
     let request = request(order, &id, gate.clock.now(), after);
     let answer = match timeout_at(until, link.sender.send_request(request)).await {
         Ok(Ok(answer)) => answer,
--- a/src/gateway/gate.rs
+++ b/src/gateway/gate.rs
@@ -11,12 +11,14 @@
 use crate::gateway::budget::{Allowance, Budget};
 use crate::gateway::config::Config;
 use crate::gateway::fair::Fair;
+use crate::gateway::limiter::Limiter;
 use crate::gateway::links::Links;
 use crate::gateway::peers::wire::{Hello, WireList};
 use crate::gateway::peers::{Held, Peers};
 use crate::gateway::place::{self, Ask, Choice};
 use crate::gateway::prompts::Prompt;
 use crate::gateway::targets::{Entry, Target, TargetKey, Targets};
+use crate::telemetry::{Metrics, Telemetry};
 use crate::units::{Clock, Micros};
 
 /// Prompt tokens that an engine reads in a millisecond, until the configuration tells the pace of
@@ -35,6 +37,7 @@
     /// Connections to targets.
     pub links: Links,
     config: ArcSwap<Config>,
+    telemetry: Telemetry,
     state: Mutex<State>,
 }
 
@@ -42,6 +45,7 @@
 struct State {
     allowance: Allowance,
     fair: Fair,
+    lines: Limiter,
     peers: Peers,
     /// Where the list of targets is read on; `None` while the platform does not answer.
     listed: Option<u64>,
@@ -57,9 +61,11 @@
             zone: zone.into(),
             links: Links::default(),
             config: ArcSwap::default(),
+            telemetry: Telemetry::disabled(),
             state: Mutex::new(State {
                 allowance,
                 fair: Fair::default(),
+                lines: Limiter::default(),
                 peers: Peers::default(),
                 listed: None,
                 targets: Targets::default(),
@@ -68,6 +74,23 @@
         }
     }
 
+    /// Counts in this telemetry.
+    pub fn counting(mut self, telemetry: Telemetry) -> Self {
+        self.telemetry = telemetry;
+        self
+    }
+
+    /// The process's counters and latencies.
+    pub fn metrics(&self) -> &Metrics {
+        self.telemetry.metrics()
+    }
+
+    /// Whether a line about a request may be logged; then how many were left out before it.
+    pub fn may_log(&self) -> Option<u64> {
+        let now = self.clock.now();
+        self.lock().lines.take(now)
+    }
+
     /// The configuration in force; its version is 0 while none is known.
     pub fn config(&self) -> Arc<Config> {
         self.config.load_full()
@@ -241,8 +264,12 @@
     pub target: TargetKey,
     /// Prompt tokens that the target has yet to read.
     reading: u64,
-    sent: Micros,
-    expected: Micros,
+    /// When it was sent.
+    pub sent: Micros,
+    /// When its first event was expected, after it was sent.
+    pub expected: Micros,
+    /// Prompt tokens that the target was taken to have to read for it.
+    pub unread: u64,
 }
 
 impl InFlight {
@@ -262,6 +289,7 @@
             reading: choice.unread,
             sent: now,
             expected: choice.expected,
+            unread: choice.unread,
         }
     }
 
--- a/src/gateway/http.rs
+++ b/src/gateway/http.rs
@@ -20,8 +20,10 @@
 use crate::gateway::flight::Flight;
 use crate::gateway::gate::Gate;
 use crate::gateway::order::Order;
+use crate::gateway::words;
 use crate::platform::headers::REQUEST_ID;
-use crate::problem::Problem;
+use crate::problem::{Execution, Problem};
+use crate::telemetry::Outcome;
 
 /// How long a leaving gateway still takes connections: the platform needs some seconds to see that
 /// it is not ready.
@@ -134,7 +136,10 @@
     async fn answer(self, request: Request<Incoming>) -> Result<Response<AnswerBody>, Infallible> {
         let id = request.headers().get(REQUEST_ID).cloned();
         let answer = self.respond(request).await;
-        let mut response = answer.unwrap_or_else(|problem| answer::refusal(problem, id));
+        let mut response = answer.unwrap_or_else(|problem| {
+            self.count(&problem);
+            answer::refusal(problem, id)
+        });
         if self.drain.is_cancelled() || self.open.are_many() {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(CONNECTION, close);
@@ -142,9 +147,23 @@
         Ok(response)
     }
 
+    fn count(&self, problem: &Problem) {
+        let outcome = match problem.execution {
+            Execution::NotRun => Outcome::Refused,
+            Execution::Unknown => Outcome::Unknown,
+        };
+        self.gate.metrics().request(outcome);
+        self.gate.metrics().refusal(problem.reason);
+    }
+
     async fn respond(&self, request: Request<Incoming>) -> Result<Response<AnswerBody>, Problem> {
         let config = self.gate.config();
-        let order = Order::read(request, &config, self.gate.clock).await?;
+        let id = request.headers().get(REQUEST_ID).cloned();
+        let order = Order::read(request, &config, self.gate.clock).await;
+        let order = order.inspect_err(|problem| {
+            let id = id.as_ref().and_then(|id| id.to_str().ok());
+            words::not_taken(&self.gate, id.unwrap_or("none"), problem, config.version);
+        })?;
         drop(config);
         Flight::new(self.gate.clone(), order).run().await
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -15,12 +15,13 @@
 pub mod gate;
 pub mod health;
 pub mod http;
+pub mod limiter;
 pub mod links;
 pub mod order;
 pub mod peers;
 pub mod place;
+pub mod probe;
 pub mod prompts;
-pub mod ready;
 pub mod relay;
 pub mod reload;
 pub mod repeat;
@@ -45,9 +46,12 @@
 use crate::gateway::gate::Gate;
 use crate::gateway::http::{Http, Open};
 use crate::gateway::peers::Peers;
+use crate::gateway::probe::Probe;
 use crate::platform::Store;
 use crate::settings::GatewaySettings;
-use crate::telemetry;
+use crate::telemetry::Telemetry;
+use crate::telemetry::logs::{self, Stream};
+use crate::telemetry::scrape::Scrape;
 
 /// Time between the last moment for requests to finish and the end of the grace.
 const GRACE_MARGIN: Duration = Duration::from_millis(700);
@@ -61,13 +65,20 @@
     path: PathBuf,
     drain: CancellationToken,
 ) -> anyhow::Result<()> {
-    telemetry::init(&settings.telemetry, "balsampitch-gateway")?;
+    logs::init(
+        settings.telemetry.logs,
+        "balsampitch-gateway",
+        Stream::Output,
+    )?;
+    let scrape = Scrape::default();
+    let telemetry = Telemetry::scraped(scrape.meters()?);
     let store = Store::new(settings.platform);
     let allowance = Allowance::from(&settings.retries);
-    let gate = Arc::new(Gate::new(&settings.zone, allowance));
+    let gate = Gate::new(&settings.zone, allowance).counting(telemetry);
+    let gate = Arc::new(gate);
     let hangup = signal(SignalKind::hangup()).context("could not watch for SIGHUP")?;
     let reloads = tokio::spawn(reload::follow(path, hangup, gate.clone()));
-    let result = run(settings, gate, store, drain).await;
+    let result = run(settings, gate, scrape, store, drain).await;
     reloads.abort();
     result
 }
@@ -79,11 +90,13 @@
 pub async fn run<D: Directory>(
     settings: GatewaySettings,
     gate: Arc<Gate>,
+    scrape: Scrape,
     directory: D,
     drain: CancellationToken,
 ) -> anyhow::Result<()> {
     let callers = listen(settings.listen, "callers").await?;
     let ready = listen(settings.ready, "the balancer").await?;
+    let metrics = listen(settings.metrics, "those who fetch metrics").await?;
     let handover = listen(settings.peer, "other gateways").await?;
     let gossip = UdpSocket::bind(settings.peer)
         .await
@@ -95,7 +108,13 @@
     services.spawn(peers::handover::serve(handover, gate.clone()));
     services.spawn(peers::service::run(gossip, gate.clone(), settings.peer));
     services.spawn(peers::service::take_configs(gate.clone(), directory));
-    services.spawn(ready::serve(ready, gate.clone(), drain.clone()));
+    let probe = Probe {
+        gate: gate.clone(),
+        drain: drain.clone(),
+        scrape,
+    };
+    services.spawn(probe.clone().serve(ready));
+    services.spawn(probe.serve(metrics));
     spdlog::info!("started", kv: { name: = settings.name.as_str(), zone: = settings.zone.as_str() });
 
     let http = Http {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -18,6 +18,7 @@
 use crate::gateway::targets::TargetKey;
 use crate::gateway::words;
 use crate::platform::headers::Told;
+use crate::telemetry::Outcome;
 
 /// The stream broke off; the connection is reset so that the caller sees it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -87,6 +88,9 @@
         if let State::Reading(source) = std::mem::replace(&mut self.state, State::Over) {
             let target = source.flight.target;
             self.gate.links.put(target, source.link, source.told.idle);
+            let took = self.gate.clock.now().saturating_sub(self.order.arrived);
+            self.gate.metrics().request(Outcome::Whole);
+            self.gate.metrics().total(took);
         }
         Poll::Ready(None)
     }
@@ -104,7 +108,7 @@
                 return Poll::Pending;
             }
         }
-        words::broken(&self.order, self.begun);
+        words::broken(&self.gate, &self.order, self.begun, BrokenStream::Target);
         Poll::Ready(Some(Err(BrokenStream::Target)))
     }
 
@@ -164,7 +168,7 @@
         let this = self.get_mut();
         if this.late.as_mut().poll(context).is_ready() {
             this.state = State::Over;
-            words::broken(&this.order, this.begun);
+            words::broken(&this.gate, &this.order, this.begun, BrokenStream::Late);
             return Poll::Ready(Some(Err(BrokenStream::Late)));
         }
         loop {
@@ -174,7 +178,7 @@
                     let upstream = ready!(Pin::new(resumed).poll(context));
                     let Ok(Some(upstream)) = upstream else {
                         this.state = State::Over;
-                        words::broken(&this.order, this.begun);
+                        words::broken(&this.gate, &this.order, this.begun, BrokenStream::Target);
                         return Poll::Ready(Some(Err(BrokenStream::Target)));
                     };
                     this.state = State::Reading(Box::new(upstream.into()));
@@ -192,6 +196,12 @@
                     if !this.begun && !data.is_empty() {
                         this.begun = true;
                         source.flight.begun();
+                        let now = this.gate.clock.now();
+                        let wait = now.saturating_sub(this.order.arrived);
+                        this.gate.metrics().wait(wait);
+                        if wait > this.order.route.aim.into() {
+                            words::late(&this.gate, &this.order, &source.flight);
+                        }
                     }
                     match this.splitter.push(data) {
                         Ok(whole) if whole.is_empty() => {}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -69,6 +69,8 @@
     pub listen: SocketAddr,
     /// Where the balancer asks whether the gateway takes connections.
     pub ready: SocketAddr,
+    /// Where the metrics are fetched.
+    pub metrics: SocketAddr,
     /// Where other gateways connect and send datagrams.
     pub peer: SocketAddr,
     /// Addresses on hosts that may run gateways; only the hosts matter, all gateways use one port.
@@ -196,10 +198,12 @@
         let mut faults = Faults::default();
         faults.bind("listen", self.listen);
         faults.bind("ready", self.ready);
+        faults.bind("metrics", self.metrics);
         faults.bind("peer", self.peer);
         faults.distinct(&[
             ("listen", self.listen),
             ("ready", self.ready),
+            ("metrics", self.metrics),
             ("peer", self.peer),
         ]);
         faults.connect("peer", self.peer);
--- a/src/telemetry/logs.rs
+++ b/src/telemetry/logs.rs
@@ -1,4 +1,4 @@
-//! Log lines on standard error, as text or as JSON.
+//! Log lines on a standard stream, as text or as JSON.
 //!
 //! Lines tell of changes of state; what happens to each request is counted instead. Lines never
 //! carry keys, bodies or headers of callers.
@@ -10,7 +10,7 @@
 use serde::Serialize;
 use serde_json::{Map, Value};
 use spdlog::formatter::{Formatter, FormatterContext, FullFormatter};
-use spdlog::sink::StdStreamSink;
+use spdlog::sink::{StdStream, StdStreamSink};
 use spdlog::terminal_style::StyleMode;
 use spdlog::{Level, LevelFilter, Logger, Record, StringBuf};
 
@@ -55,13 +55,26 @@
     }
 }
 
-/// Sends the process's log lines to standard error in the given form.
+/// Where log lines go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stream {
+    /// Standard output.
+    Output,
+    /// Standard error.
+    Error,
+}
+
+/// Sends the process's log lines to a stream in the given form.
 ///
 /// # Errors
 /// When the logger cannot be built.
-pub fn init(form: LogForm, process: &'static str) -> anyhow::Result<()> {
+pub fn init(form: LogForm, process: &'static str, stream: Stream) -> anyhow::Result<()> {
+    let stream = match stream {
+        Stream::Output => StdStream::Stdout,
+        Stream::Error => StdStream::Stderr,
+    };
     let builder = StdStreamSink::builder()
-        .stderr()
+        .std_stream(stream)
         .style_mode(StyleMode::Never);
     let builder = match form {
         LogForm::Text => builder.formatter(text()),
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -4,6 +4,7 @@
 pub mod latency;
 pub mod logs;
 pub mod metrics;
+pub mod scrape;
 pub mod trace;
 
 #[cfg(test)]
@@ -18,6 +19,7 @@
 use opentelemetry_sdk::trace::{SdkTracer, SdkTracerProvider};
 
 use crate::settings::TelemetrySettings;
+use crate::telemetry::logs::Stream;
 
 pub use metrics::{Event, Gauge, Metrics, Outcome};
 pub use trace::{Span, TraceContext};
@@ -38,6 +40,8 @@
     metrics: Arc<Metrics>,
     tracer: Option<SdkTracer>,
     providers: Option<Arc<Providers>>,
+    /// Kept alive while metrics are fetched as text.
+    _meters: Option<SdkMeterProvider>,
 }
 
 /// Sets up logs, and export when the settings name an endpoint. `process` names the process in
@@ -46,7 +50,7 @@
 /// # Errors
 /// When logs cannot be set up, the endpoint is malformed, or there is an endpoint and no runtime.
 pub fn init(settings: &TelemetrySettings, process: &'static str) -> anyhow::Result<Telemetry> {
-    logs::init(settings.logs, process)?;
+    logs::init(settings.logs, process, Stream::Error)?;
     match &settings.otlp {
         None => Ok(Telemetry::disabled()),
         Some(endpoint) => {
@@ -66,6 +70,7 @@
             metrics: Arc::new(Metrics::unexported()),
             tracer: None,
             providers: None,
+            _meters: None,
         }
     }
 
@@ -76,6 +81,18 @@
             metrics: Arc::new(Metrics::exported(&meter)),
             tracer: Some(traces.tracer(SCOPE)),
             providers: Some(Arc::new(Providers { traces, meters })),
+            _meters: None,
+        }
+    }
+
+    /// Counts for those who fetch the metrics as text.
+    pub fn scraped(meters: SdkMeterProvider) -> Self {
+        let meter: Meter = meters.meter(SCOPE);
+        Telemetry {
+            metrics: Arc::new(Metrics::exported(&meter)),
+            tracer: None,
+            providers: None,
+            _meters: Some(meters),
         }
     }
 
--- a/tests/gateway/lists.rs
+++ b/tests/gateway/lists.rs
@@ -95,3 +95,20 @@
         .expect("it does not panic")
         .expect("it ends well");
 }
+
+#[tokio::test]
+async fn metrics_count_how_requests_ended() {
+    let target = Target::start(&[Say::Whole]).await;
+    let world = World::before(&[&target]).await;
+    world.call("GET", "/read/1").await;
+    world.call("GET", "/nowhere/1").await;
+    let text = world.metrics().await;
+    assert!(text.contains("outcome=\"whole\""), "{text}");
+    let whole = text.lines().find(|line| line.contains("outcome=\"whole\""));
+    assert!(whole.is_some_and(|line| line.ends_with(" 1")), "{text}");
+    let refused = text
+        .lines()
+        .find(|line| line.contains("reason=\"no_service\""));
+    assert!(refused.is_some_and(|line| line.ends_with(" 1")), "{text}");
+    assert!(text.contains("balsampitch_latency"), "{text}");
+}
--- a/tests/gateway/world.rs
+++ b/tests/gateway/world.rs
@@ -11,6 +11,8 @@
 use balsampitch::gateway::targets::Entry;
 use balsampitch::log::{Cause, ReadError};
 use balsampitch::settings::{GatewaySettings, parse};
+use balsampitch::telemetry::Telemetry;
+use balsampitch::telemetry::scrape::Scrape;
 use bytes::Bytes;
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -183,15 +185,18 @@
     pub async fn empty() -> World {
         let (callers, ready) = (free().await, free().await);
         let settings = json!({
-            "name": "gateway", "listen": callers, "ready": ready, "peer": free().await,
+            "name": "gateway", "listen": callers, "ready": ready, "metrics": free().await, "peer": free().await,
             "zone": "a", "platform": "127.0.0.1:1", "grace": 4.0, "descriptors": 1024,
             "retries": {"ratio": 0.2, "slack": 160.0, "window": 10.0},
         });
         let settings: GatewaySettings = parse(&settings.to_string()).expect("they are sound");
         let allowance = Allowance::from(&settings.retries);
-        let gate = Arc::new(Gate::new("a", allowance));
+        let scrape = Scrape::default();
+        let telemetry = Telemetry::scraped(scrape.meters().expect("it exports"));
+        let gate = Arc::new(Gate::new("a", allowance).counting(telemetry));
         let (lists, drain) = (Lists::default(), CancellationToken::new());
-        let run = balsampitch::gateway::run(settings, gate.clone(), lists.clone(), drain.clone());
+        let run =
+            balsampitch::gateway::run(settings, gate.clone(), scrape, lists.clone(), drain.clone());
         World {
             callers,
             ready,
@@ -259,15 +264,24 @@
 
     /// What the balancer is told.
     pub async fn is_ready(&self) -> bool {
+        self.ask("/v1/readiness").await.status == 200
+    }
+
+    /// The metrics as text.
+    pub async fn metrics(&self) -> String {
+        self.ask("/metrics").await.body
+    }
+
+    async fn ask(&self, path: &str) -> Reply {
         let mut stream = TcpStream::connect(self.ready).await.expect("it listens");
-        let request = "GET /v1/readiness HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+        let request = format!("GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
         stream
             .write_all(request.as_bytes())
             .await
             .expect("it reads");
         let mut data = Vec::new();
         stream.read_to_end(&mut data).await.expect("it answers");
-        Reply::new(&data, false).status == 200
+        Reply::new(&data, false)
     }
 }
 
