Spread a part to its second target by hash before any other

Change: reading a part at its second target by hash costs the others half of what it costs elsewhere, so gateways that know nothing of each other's choices meet there.

--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -15,10 +15,12 @@
 use crate::gateway::targets::{Target, TargetKey, TargetTag, Targets};
 use crate::units::Micros;
 
-/// Targets, by hash, that are taken to keep a shared part: other gateways send it there too.
-const FIRSTS: usize = 1;
-/// What it costs to read a shared part at one more target, in times of reading it: it takes the
-/// target's time, and the room of other parts.
+/// What reading a shared part costs the others at its first targets by hash, as a share of what it
+/// costs elsewhere. The first one is taken to keep it; the second one is where all gateways send it
+/// when the first is busy.
+const FIRSTS: [f64; 2] = [0.0, 0.5];
+/// What reading a shared part at one more target costs the others, in times of reading it: it takes
+/// the target's time, and the room of other parts.
 const SPREAD_COST: f64 = 3.0;
 /// What a first event needs on an idle engine, beside reading.
 const ENGINE_US: f64 = 40_000.0;
@@ -89,9 +91,8 @@
     let mut best: Option<(f64, u64, Choice)> = None;
     for (key, target) in keys.iter().filter_map(|&k| usable(k)) {
         let rank = firsts.iter().position(|&(_, first)| first == key);
-        let first = rank.is_some_and(|rank| rank < FIRSTS);
         let cost = match ask.prompt {
-            Some(prompt) => engine_cost(target, now, prompt, first, ask.rate),
+            Some(prompt) => engine_cost(target, now, prompt, rank, ask.rate),
             None => call_cost(target),
         };
         let away = target.entry.zone.as_ref() != ask.zone;
@@ -125,9 +126,9 @@
     for (key, target) in targets {
         let weight = mix(shared ^ spread(target.tag));
         let at = firsts.partition_point(|&(other, _)| other > weight);
-        if at < FIRSTS {
+        if at < FIRSTS.len() {
             firsts.insert(at, (weight, key));
-            firsts.truncate(FIRSTS);
+            firsts.truncate(FIRSTS.len());
         }
     }
     firsts
@@ -146,8 +147,14 @@
     unread: u64,
 }
 
-/// The cost on an engine. `first` says that the shared parts are taken to be kept there.
-fn engine_cost(target: &Target, now: Micros, prompt: &Prompt, first: bool, rate: f64) -> Cost {
+/// The cost on an engine. `rank` is its place among the prompt's first targets.
+fn engine_cost(
+    target: &Target,
+    now: Micros,
+    prompt: &Prompt,
+    rank: Option<usize>,
+    rate: f64,
+) -> Cost {
     let load = &target.load;
     let own = prompt
         .parts
@@ -155,7 +162,11 @@
         .map_or(prompt.tokens, |part| part.tokens);
     let kept = target.kept.tokens(now, prompt);
     let unread = prompt.tokens.saturating_sub(kept);
-    let shared = if first { 0 } else { unread.saturating_sub(own) };
+    let shared = match rank {
+        Some(0) => 0,
+        _ => unread.saturating_sub(own),
+    };
+    let spread = rank.map_or(1.0, |rank| FIRSTS[rank]) * SPREAD_COST;
     let us = |tokens: f64| tokens / rate * 1_000.0;
     let before = us(load.all_reading());
     let beside = load.all_active() * BESIDE_US;
@@ -165,7 +176,7 @@
     Cost {
         time,
         wait,
-        total: time + us(shared as f64) * (SPREAD_COST - 1.0),
+        total: time + us(shared as f64) * spread,
         unread: own.min(unread) + shared,
     }
 }
