Let a process without targets take those of any gateway; close moved targets

Ruled out: a lost datagram (the configuration came over).

Change: a process that knows no target takes the list of any gateway with a configuration; a gateway is ready only once it knows a target as well; a target that is not at its address is closed as one that cannot be reached.

Two tests failed before (no targets within 10 s; not closed) and pass.

--- a/src/gateway/flight.rs
+++ b/src/gateway/flight.rs
@@ -347,13 +347,14 @@
 
 fn note(gate: &Gate, target: TargetKey, head: &Parts, told: &Told) {
     let now = gate.clock.now();
+    let moved = head.status == StatusCode::MISDIRECTED_REQUEST;
     let failed = head.status.is_server_error() && !told.declined;
     gate.on_target(target, |target| {
         if let Some(report) = told.report {
             target.load.reported(report);
         }
-        match failed {
-            true => target.load.failed(now, true),
+        match failed || moved {
+            true => target.load.failed(now, !moved),
             false => target.load.answered(now),
         }
     });
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -97,7 +97,8 @@
 
 /// The list of a gateway that can read it.
 async fn handed_over(gate: &Gate) -> Option<News> {
-    let peer = gate.with_peers(|peers| peers.linked())?;
+    let knows_none = gate.with(|targets| targets.is_empty());
+    let peer = gate.with_peers(|peers| peers.source(knows_none))?;
     match handover::targets(peer).await {
         Ok(news) => Some(news),
         Err(error) => {
--- a/src/gateway/health.rs
+++ b/src/gateway/health.rs
@@ -42,7 +42,7 @@
         self.heard = now;
     }
 
-    /// The target failed. `reached` is false when no connection to it was made.
+    /// The target failed. `reached` is false when it is not at its address.
     pub fn failed(&mut self, now: Micros, reached: bool) {
         self.failures += 1;
         self.heard = now;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -122,10 +122,13 @@
         self.known.keys().copied().choose_multiple(&mut rng, NAMED)
     }
 
-    /// A gateway that reads the platform's lists itself.
-    pub fn linked(&self) -> Option<SocketAddr> {
-        let linked = self.known.iter().filter(|(_, peer)| peer.linked);
-        linked.max_by_key(|(_, peer)| peer.heard).map(|(&at, _)| at)
+    /// A gateway to take the list of targets from: one that reads the platform's lists itself. A
+    /// process that knows no target takes what any other one has, if that has a configuration.
+    pub fn source(&self, knows_none: bool) -> Option<SocketAddr> {
+        let fits = |peer: &Peer| peer.linked || knows_none && peer.version > 0;
+        let fit = self.known.iter().filter(|(_, peer)| fits(peer));
+        fit.max_by_key(|(_, peer)| (peer.linked, peer.heard))
+            .map(|(&at, _)| at)
     }
 
     /// A gateway with a newer configuration than `version`.
--- a/src/gateway/peers/tests.rs
+++ b/src/gateway/peers/tests.rs
@@ -59,7 +59,17 @@
 
 #[test]
 fn lists_come_from_a_gateway_that_reads_them_itself() {
-    assert_eq!(three().linked(), Some(addr(3)));
+    assert_eq!(three().source(false), Some(addr(3)));
+    assert_eq!(three().source(true), Some(addr(3)));
+}
+
+#[test]
+fn a_process_without_targets_takes_those_of_any_other() {
+    let mut peers = Peers::default();
+    peers.heard(at(0), addr(2), told(0, false, 0));
+    peers.heard(at(0), addr(3), told(5, false, 0));
+    assert_eq!(peers.source(false), None);
+    assert_eq!(peers.source(true), Some(addr(3)));
 }
 
 #[test]
--- a/src/gateway/probe.rs
+++ b/src/gateway/probe.rs
@@ -68,9 +68,10 @@
         }
     }
 
-    /// A gateway takes connections while it knows a configuration and does not leave.
+    /// A gateway takes connections while it knows a configuration and a target, and does not leave.
     fn is_ready(&self) -> bool {
-        self.gate.config().version > 0 && !self.drain.is_cancelled()
+        let knows = self.gate.config().version > 0 && !self.gate.with(|t| t.is_empty());
+        knows && !self.drain.is_cancelled()
     }
 
     fn metrics(&self) -> Response<Full<Bytes>> {
--- a/tests/gateway/lists.rs
+++ b/tests/gateway/lists.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use balsampitch::gateway::targets::Targets;
 use tokio::io::AsyncReadExt;
 use tokio::time::sleep;
 
@@ -9,7 +10,7 @@
 use crate::world::{KEY, ROUTE_TIMEOUT, World, config};
 
 #[tokio::test]
-async fn without_a_configuration_it_is_not_ready_and_says_when_to_come_back() {
+async fn without_a_configuration_and_a_target_it_is_not_ready_and_says_when_to_come_back() {
     let world = World::empty().await;
     sleep(Duration::from_millis(50)).await;
     assert!(!world.is_ready().await);
@@ -18,6 +19,12 @@
     assert!(reply.header("retry-after").is_some());
     world.lists.put_config(config(3, &[KEY]));
     world.until(|gate| gate.config().version == 3).await;
+    assert!(!world.is_ready().await);
+    let target = Target::start(&[Say::Whole]).await;
+    world.lists.put_target("t0", target.addr, false);
+    world
+        .until(|gate| gate.with(|targets| targets.len()) == 1)
+        .await;
     assert!(world.is_ready().await);
 }
 
@@ -112,3 +119,32 @@
     assert!(refused.is_some_and(|line| line.ends_with(" 1")), "{text}");
     assert!(text.contains("balsampitch_latency"), "{text}");
 }
+
+#[tokio::test]
+async fn a_gateway_that_starts_while_the_lists_are_out_learns_all_from_another() {
+    let port = crate::world::free().await.port();
+    let (one, two) = (([127, 0, 0, 1], port).into(), ([127, 0, 0, 2], port).into());
+    let target = Target::start(&[Say::Whole]).await;
+    let old = World::beside(one, &[two]).await.knowing(&[&target]).await;
+    old.lists.set_out(true);
+    // The old one notices, and no longer counts as reading the lists itself.
+    sleep(Duration::from_millis(700)).await;
+    let new = World::beside(two, &[one]).await;
+    new.lists.set_out(true);
+    new.until(|gate| gate.config().version == 1 && gate.with(|targets| targets.len()) == 1)
+        .await;
+    assert!(new.is_ready().await);
+    assert_eq!(new.call("GET", "/read/1").await.status, 200);
+}
+
+#[tokio::test]
+async fn an_address_that_another_target_has_now_is_left_alone() {
+    let moved = Target::start(&[Say::Moved]).await;
+    let good = Target::start(&[Say::Whole]).await;
+    let world = World::before(&[&moved, &good]).await;
+    assert_eq!(world.call("POST", "/order/1").await.status, 200);
+    assert_eq!(moved.count(), 1);
+    let now = world.gate.clock.now();
+    let closed = |targets: &mut Targets| targets.iter().any(|target| target.load.closed > now);
+    assert!(world.gate.with(closed));
+}
--- a/tests/gateway/world.rs
+++ b/tests/gateway/world.rs
@@ -109,8 +109,9 @@
         self.all(topic)
     }
 
-    fn decode(&self, _: Bytes) -> Option<Config> {
-        None
+    fn decode(&self, source: Bytes) -> Option<Config> {
+        let version = std::str::from_utf8(&source).ok()?.parse().ok()?;
+        Some(config(version, &[KEY]))
     }
 
     async fn changes(&self, topic: Topic, from: u64, _: Duration) -> Result<News, ReadError> {
@@ -154,7 +155,7 @@
         accounts: vec![(account, keys.iter().map(|&key| key.into()).collect())],
         ..Parts::default()
     };
-    parts.into()
+    Config::from(parts).with_source(version.to_string().into())
 }
 
 /// A gateway that runs.
@@ -173,7 +174,8 @@
     pub running: tokio::task::JoinHandle<anyhow::Result<()>>,
 }
 
-async fn free() -> SocketAddr {
+/// An address on loopback that nothing uses.
+pub async fn free() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0")
         .await
         .expect("loopback has ports");
@@ -183,9 +185,14 @@
 impl World {
     /// A gateway that knows neither configuration nor targets.
     pub async fn empty() -> World {
+        World::beside(free().await, &[]).await
+    }
+
+    /// As [`World::empty`], with an address for other gateways, and where these may be.
+    pub async fn beside(peer: SocketAddr, seeds: &[SocketAddr]) -> World {
         let (callers, ready) = (free().await, free().await);
         let settings = json!({
-            "name": "gateway", "listen": callers, "ready": ready, "metrics": free().await, "peer": free().await,
+            "name": "gateway", "listen": callers, "ready": ready, "metrics": free().await, "peer": peer, "seeds": seeds,
             "zone": "a", "platform": "127.0.0.1:1", "grace": 4.0, "descriptors": 1024,
             "retries": {"ratio": 0.2, "slack": 160.0, "window": 10.0},
         });
@@ -209,7 +216,12 @@
 
     /// A gateway before these targets, which it knows.
     pub async fn before(targets: &[&Target]) -> World {
-        let world = World::empty().await;
+        World::empty().await.knowing(targets).await
+    }
+
+    /// Lists a configuration and these targets, and waits until the gateway knows them.
+    pub async fn knowing(self, targets: &[&Target]) -> World {
+        let world = self;
         world.lists.put_config(config(1, &[KEY]));
         for (index, target) in targets.iter().enumerate() {
             world
