--- a/src/gateway/gate.rs
+++ b/src/gateway/gate.rs
@@ -26,6 +26,9 @@
 const USUAL_RATE: f64 = 100.0;
 /// Engines read faster than the pace at which they serve whole requests.
 const READ_SHARE: f64 = 1.8;
+/// How long after the first start of the whole system its targets keep hardly any prompt; requests
+/// come some ten seconds after the start.
+const WARM_UP: Micros = Micros::from_secs(12);
 
 /// What the parts of a gateway share.
 #[derive(Debug)]
@@ -38,6 +41,8 @@
     pub links: Links,
     config: ArcSwap<Config>,
     telemetry: Telemetry,
+    /// Whether the targets start with this process.
+    cold: bool,
     state: Mutex<State>,
 }
 
@@ -62,6 +67,7 @@
             links: Links::default(),
             config: ArcSwap::default(),
             telemetry: Telemetry::disabled(),
+            cold: false,
             state: Mutex::new(State {
                 allowance,
                 fair: Fair::default(),
@@ -74,6 +80,12 @@
         }
     }
 
+    /// Whether the whole system starts for the first time, its targets included.
+    pub fn cold(mut self, cold: bool) -> Self {
+        self.cold = cold;
+        self
+    }
+
     /// Counts in this telemetry.
     pub fn counting(mut self, telemetry: Telemetry) -> Self {
         self.telemetry = telemetry;
@@ -195,6 +207,7 @@
             tried,
             rate: self.rate(service, &state.targets),
             aim,
+            presumes: !self.cold || self.clock.now() > WARM_UP,
             random: rand::random(),
         };
         place::choose(&state.targets, self.clock.now(), &ask)
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -74,7 +74,9 @@
     let telemetry = Telemetry::scraped(scrape.meters()?);
     let store = Store::new(settings.platform);
     let allowance = Allowance::from(&settings.retries);
-    let gate = Gate::new(&settings.zone, allowance).counting(telemetry);
+    let gate = Gate::new(&settings.zone, allowance)
+        .cold(settings.first)
+        .counting(telemetry);
     let gate = Arc::new(gate);
     let hangup = signal(SignalKind::hangup()).context("could not watch for SIGHUP")?;
     let reloads = tokio::spawn(reload::follow(path, hangup, gate.clone()));
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -50,6 +50,9 @@
     pub rate: f64,
     /// Time to its first event that its operator aims at.
     pub aim: Micros,
+    /// Whether shared parts are taken to be kept by their first targets: not while these have
+    /// hardly read any.
+    pub presumes: bool,
     /// Breaks ties.
     pub random: u64,
 }
@@ -92,7 +95,7 @@
     for (key, target) in keys.iter().filter_map(|&k| usable(k)) {
         let rank = firsts.iter().position(|&(_, first)| first == key);
         let cost = match ask.prompt {
-            Some(prompt) => engine_cost(target, now, prompt, rank, ask.rate),
+            Some(prompt) => engine_cost(target, now, prompt, rank, ask),
             None => call_cost(target),
         };
         let away = target.entry.zone.as_ref() != ask.zone;
@@ -153,7 +156,7 @@
     now: Micros,
     prompt: &Prompt,
     rank: Option<usize>,
-    rate: f64,
+    ask: &Ask<'_>,
 ) -> Cost {
     let load = &target.load;
     let own = prompt
@@ -163,11 +166,11 @@
     let kept = target.kept.tokens(now, prompt);
     let unread = prompt.tokens.saturating_sub(kept);
     let shared = match rank {
-        Some(0) => 0,
+        Some(0) if ask.presumes => 0,
         _ => unread.saturating_sub(own),
     };
     let spread = rank.map_or(1.0, |rank| FIRSTS[rank]) * SPREAD_COST;
-    let us = |tokens: f64| tokens / rate * 1_000.0;
+    let us = |tokens: f64| tokens / ask.rate * 1_000.0;
     let before = us(load.all_reading());
     let beside = load.all_active() * BESIDE_US;
     let read = us((own.min(unread) + shared) as f64);
--- a/src/gateway/place/tests.rs
+++ b/src/gateway/place/tests.rs
@@ -35,17 +35,21 @@
     }
 }
 
-fn place(targets: &Targets, prompt: Option<&Prompt>, random: u64) -> Option<Choice> {
-    let ask = Ask {
+fn ask(prompt: Option<&Prompt>, random: u64) -> Ask<'_> {
+    Ask {
         service: "model",
         prompt,
         zone: "a",
         tried: &[],
         rate: RATE,
         aim: Micros::from_ms(600),
+        presumes: true,
         random,
-    };
-    choose(targets, NOW, &ask)
+    }
+}
+
+fn place(targets: &Targets, prompt: Option<&Prompt>, random: u64) -> Option<Choice> {
+    choose(targets, NOW, &ask(prompt, random))
 }
 
 /// Sends a request and leaves it there, unread.
@@ -102,6 +106,22 @@
     assert!(busiest <= Micros::from_ms(600), "{busiest}");
 }
 
+/// Load: all parts are asked for at once before any target has read one.
+#[test]
+fn at_the_first_start_shared_parts_count_as_unread_where_they_go_first() {
+    let targets = fleet(18, "model");
+    let prompt = prompt(5, 100);
+    let warm = ask(Some(&prompt), 1);
+    let cold = Ask {
+        presumes: false,
+        ..warm
+    };
+    let choose = |ask| choose(&targets, NOW, &ask).expect("there are targets");
+    assert_eq!(choose(warm).unread, OWN_TOKENS);
+    assert_eq!(choose(cold).unread, OWN_TOKENS + SHARED_TOKENS);
+    assert_eq!(choose(cold).target, choose(warm).target);
+}
+
 #[test]
 fn a_lost_target_moves_only_its_own_parts() {
     let mut targets = fleet(18, "model");
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -76,6 +76,9 @@
     /// Addresses on hosts that may run gateways; only the hosts matter, all gateways use one port.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
+    /// Whether the whole system starts for the first time, its targets included.
+    #[serde(default)]
+    pub first: bool,
     /// Availability zone of this host.
     pub zone: String,
     /// Address of the platform's store.
