Send elsewhere what may run again when its target is silent

Cause: a request that may be repeated waited for a dark target until its route's timeout.

Change: a try that is not the last one is given up after twice the aim or four times the expected time, whichever is longer; its connection ends.

Test: a read that finds silence is answered by another target (504 before); an order is not sent again.

--- a/src/gateway/flight.rs
+++ b/src/gateway/flight.rs
@@ -184,7 +184,19 @@
 
     /// Sends the request to a target and takes its answer.
     async fn attempt(&mut self, choice: Choice) -> Result<Response<AnswerBody>, Failed> {
-        let upstream = open(&self.gate, &self.order, choice, None).await?;
+        let route = &self.order.route;
+        let silence = self.tries.silence(
+            route.kind,
+            route.attempts,
+            choice.expected,
+            route.aim.into(),
+        );
+        let ask = Sending {
+            choice,
+            after: None,
+            silence,
+        };
+        let upstream = open(&self.gate, &self.order, ask).await?;
         let streams = self.order.route.kind.streams();
         match upstream.head.status.is_success() {
             true if streams => Ok(self.stream(upstream)),
@@ -268,21 +280,37 @@
     }
 }
 
-/// Sends a request to a target and waits for the head of its answer. `after` is the id of the last
-/// event that the caller has.
+/// One sending of a request.
+#[derive(Clone, Copy, Debug)]
+pub struct Sending<'a> {
+    /// Where it goes.
+    pub choice: Choice,
+    /// Id of the last event that the caller has.
+    pub after: Option<&'a str>,
+    /// How long the target may be silent before another one is tried; `None`: until the end.
+    pub silence: Option<Micros>,
+}
+
+/// Sends a request to a target and waits for the head of its answer.
 ///
 /// # Errors
 /// Why there is no answer to the request.
 pub async fn open(
     gate: &Arc<Gate>,
     order: &Order,
-    choice: Choice,
-    after: Option<&str>,
+    sending: Sending<'_>,
 ) -> Result<Upstream, Failure> {
+    let Sending {
+        choice,
+        after,
+        silence,
+    } = sending;
     let target = choice.target;
     let flight = InFlight::begin(gate, choice, order.prompt.as_ref());
     let (id, entry) = gate.entry(target).ok_or(Failure::Unreached)?;
-    let until = deadline(gate, order.until());
+    let silent = silence.map(|silence| gate.clock.now() + silence);
+    let until = silent.map_or(order.until(), |at| at.min(order.until()));
+    let until = deadline(gate, until);
     let mut link = link(gate, target, entry.addr).await.map_err(|error| {
         fail(gate, target, false);
         words::unreached(gate, order, &id, &error);
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -11,7 +11,7 @@
 use tokio::time::Sleep;
 
 use crate::gateway::events::Splitter;
-use crate::gateway::flight::{self, Upstream};
+use crate::gateway::flight::{self, Sending, Upstream};
 use crate::gateway::gate::{Gate, InFlight};
 use crate::gateway::links::Link;
 use crate::gateway::order::Order;
@@ -132,7 +132,12 @@
         let (gate, order) = (self.gate.clone(), order.clone());
         let after = self.splitter.last().map(str::to_owned);
         tokio::spawn(async move {
-            let open = flight::open(&gate, &order, choice, after.as_deref());
+            let sending = Sending {
+                choice,
+                after: after.as_deref(),
+                silence: None,
+            };
+            let open = flight::open(&gate, &order, sending);
             tokio::select! {
                 upstream = open => {
                     let upstream = upstream.ok().filter(|u| u.head.status.is_success());
--- a/src/gateway/repeat.rs
+++ b/src/gateway/repeat.rs
@@ -4,6 +4,7 @@
 
 use crate::gateway::config::Kind;
 use crate::problem::{Execution, Problem, Reason};
+use crate::units::Micros;
 
 /// Why a try brought no usable answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -43,6 +44,8 @@
 
 /// Most tries of a request that were not run.
 const MAX_DECLINED: u32 = 3;
+/// A target is given up after this many times the expected time.
+const SILENCE_FACTOR: u64 = 4;
 
 impl Tries {
     /// Notes how a try ended.
@@ -61,6 +64,24 @@
         harmless && self.run < attempts.max(1) && self.declined < MAX_DECLINED
     }
 
+    /// How long the next try may be silent. A request that may run again elsewhere does not wait for
+    /// one target until its end: `expected` is when an answer should begin, `aim` when its operator
+    /// wants it.
+    pub fn silence(
+        &self,
+        kind: Kind,
+        attempts: u32,
+        expected: Micros,
+        aim: Micros,
+    ) -> Option<Micros> {
+        let last = self.run + 1 >= attempts;
+        if last || !kind.may_repeat() {
+            return None;
+        }
+        let usual = Micros(expected.0.saturating_mul(SILENCE_FACTOR));
+        Some(usual.max(aim + aim))
+    }
+
     /// The answer to a request that is given up after `failure`.
     pub fn problem(&self, failure: Failure) -> Problem {
         let reason = match failure {
--- a/src/gateway/repeat/tests.rs
+++ b/src/gateway/repeat/tests.rs
@@ -1,6 +1,7 @@
 use super::{Failure, Tries};
 use crate::gateway::config::Kind;
 use crate::problem::{Execution, Reason};
+use crate::units::Micros;
 
 fn tries(failures: &[Failure]) -> Tries {
     let mut tries = Tries::default();
@@ -60,3 +61,22 @@
         (503, Execution::NotRun)
     );
 }
+
+macro_rules! silences {
+    ($($name:ident: $failures:expr, $kind:ident, $attempts:expr, $expected:expr => $ms:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let (expected, aim) = (Micros::from_ms($expected), Micros::from_ms(150));
+            let silence = tries(&$failures).silence(Kind::$kind, $attempts, expected, aim);
+            assert_eq!(silence, Option::<u64>::map($ms, Micros::from_ms));
+        }
+    )*};
+}
+
+silences! {
+    a_read_waits_for_twice_its_aim: [], Idempotent, 2, 30 => Some(300);
+    a_read_that_is_expected_late_waits_longer: [], Idempotent, 2, 100 => Some(400);
+    the_last_try_of_a_read_waits_to_the_end: [Failure::Silent], Idempotent, 2, 30 => None;
+    an_order_waits_to_the_end: [], Once, 9, 30 => None;
+    a_stream_that_cannot_be_resumed_waits_to_the_end: [], Stream, 9, 30 => None;
+}
--- a/tests/gateway/repeats.rs
+++ b/tests/gateway/repeats.rs
@@ -27,6 +27,8 @@
     an_order_that_may_have_run_is_not: Say::Unsure, "/order/1" => 502, 1;
     a_read_whose_answer_is_lost_is: Say::Reset, "/read/1" => 200, 2;
     a_read_that_failed_is: Say::Failed, "/read/1" => 200, 2;
+    a_read_that_finds_silence_is: Say::Hang, "/read/1" => 200, 2;
+    an_order_that_finds_silence_is_not: Say::Hang, "/order/1" => 504, 1;
     a_read_with_anothers_answer_is: Say::Crossed, "/read/1" => 200, 2;
 }
 
