Split sending and the load's accounting from the flight and the gate

One job a module: send.rs sends to one target, in_flight.rs accounts for what is with a target, request_log.rs (words.rs before) has the lines. flight.rs and relay.rs chose a target with the same five lines: Gate::choose takes the request now. No change in behaviour; 156 cases pass.

--- a/src/gateway/flight.rs
+++ b/src/gateway/flight.rs
@@ -1,29 +1,27 @@
 //! A request on its way: tries targets until one answers, or no more may be tried.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use hyper::http::response::Parts;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Response, StatusCode};
 use smallvec::SmallVec;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::timeout_at;
 
 use crate::gateway::answer::{self, AnswerBody};
 use crate::gateway::config::Kind;
 use crate::gateway::fair::{AccountTag, Standing};
-use crate::gateway::gate::{Gate, InFlight};
-use crate::gateway::links::{self, ConnectError, Link};
+use crate::gateway::gate::Gate;
 use crate::gateway::order::Order;
 use crate::gateway::place::Choice;
 use crate::gateway::relay::Relay;
 use crate::gateway::repeat::{Failure, Tries};
+use crate::gateway::request_log;
+use crate::gateway::send::{Sending, Upstream, deadline, open};
 use crate::gateway::targets::TargetKey;
 use crate::gateway::turn_away::{self, Offer};
-use crate::gateway::words;
-use crate::platform::headers::{self, Told};
+use crate::platform::headers::{self};
 use crate::problem::{Problem, Reason};
 use crate::telemetry::{Event, Outcome};
 use crate::units::Micros;
@@ -31,21 +29,6 @@
 /// Largest answer of a plain call.
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 
-/// A target's answer that has begun.
-#[derive(Debug)]
-pub struct Upstream {
-    /// Its head.
-    pub head: Parts,
-    /// What its head says.
-    pub told: Told,
-    /// Its body.
-    pub body: Incoming,
-    /// The connection that it comes on.
-    pub link: Link,
-    /// Its place in the target's load.
-    pub flight: InFlight,
-}
-
 /// How a try ended without a usable answer.
 #[derive(Debug)]
 pub struct Failed {
@@ -98,7 +81,7 @@
             };
             self.tries.add(failed.failure);
             self.tried.push(choice.target);
-            words::failed(&self.order, &self.gate, choice.target, failed.failure);
+            request_log::failed(&self.order, &self.gate, choice.target, failed.failure);
             choice = match self.next() {
                 Some(choice) => {
                     self.gate.metrics().event(Event::Retry);
@@ -113,9 +96,7 @@
     fn admit(&self) -> Result<Choice, Problem> {
         let order = &self.order;
         let prompt = order.prompt.as_ref();
-        let choice = self
-            .gate
-            .choose(&order.service, prompt, order.route.aim.into(), &[]);
+        let choice = self.gate.choose(order, &[]);
         let now = self.gate.clock.now();
         let offer = Offer {
             choice,
@@ -127,7 +108,7 @@
             pressure: self.gate.pressure(&order.service),
         };
         let choice = turn_away::decide(&offer, rand::random()).inspect_err(|problem| {
-            words::refused(&self.gate, order, problem, &offer);
+            request_log::refused(&self.gate, order, problem, &offer);
         })?;
         if let (Some(account), Some(prompt)) = (&order.account, prompt) {
             let (tag, tokens) = (AccountTag::of(account), prompt.cost());
@@ -161,12 +142,7 @@
         if !may || self.gate.clock.now() >= order.until() {
             return None;
         }
-        let choice = self.gate.choose(
-            &order.service,
-            order.prompt.as_ref(),
-            order.route.aim.into(),
-            &self.tried,
-        )?;
+        let choice = self.gate.choose(order, &self.tried)?;
         self.gate.may_repeat(&order.service).then_some(choice)
     }
 
@@ -178,7 +154,7 @@
         if self.gate.clock.now() >= self.order.until() {
             problem = self.tries.refuse(Reason::DeadlinePassed);
         }
-        words::given_up(&self.gate, &self.order, &problem);
+        request_log::given_up(&self.gate, &self.order, &problem);
         Err(turn_away::with_retry(problem, rand::random()))
     }
 
@@ -280,125 +256,6 @@
     }
 }
 
-/// One sending of a request.
-#[derive(Clone, Copy, Debug)]
-pub struct Sending<'a> {
-    /// Where it goes.
-    pub choice: Choice,
-    /// Id of the last event that the caller has.
-    pub after: Option<&'a str>,
-    /// How long the target may be silent before another one is tried; `None`: until the end.
-    pub silence: Option<Micros>,
-}
-
-/// Sends a request to a target and waits for the head of its answer.
-///
-/// # Errors
-/// Why there is no answer to the request.
-pub async fn open(
-    gate: &Arc<Gate>,
-    order: &Order,
-    sending: Sending<'_>,
-) -> Result<Upstream, Failure> {
-    let Sending {
-        choice,
-        after,
-        silence,
-    } = sending;
-    let target = choice.target;
-    let flight = InFlight::begin(gate, choice, order.prompt.as_ref());
-    let (id, entry) = gate.entry(target).ok_or(Failure::Unreached)?;
-    let silent = silence.map(|silence| gate.clock.now() + silence);
-    let until = silent.map_or(order.until(), |at| at.min(order.until()));
-    let until = deadline(gate, until);
-    let mut link = link(gate, target, entry.addr).await.map_err(|error| {
-        fail(gate, target, false);
-        words::unreached(gate, order, &id, &error);
-        Failure::Unreached
-    })?;
-    gate.metrics().event(Event::Dispatch);
-    let request = request(order, &id, gate.clock.now(), after);
-    let answer = match timeout_at(until, link.sender.send_request(request)).await {
-        Ok(Ok(answer)) => answer,
-        Ok(Err(error)) => {
-            fail(gate, target, true);
-            return Err(broken(&error));
-        }
-        Err(_) => {
-            fail(gate, target, true);
-            return Err(Failure::Silent);
-        }
-    };
-    let (head, body) = answer.into_parts();
-    let told = headers::told(&head.headers, Some(&order.id));
-    if !told.ours || (head.status.is_success() && !told.signed) {
-        fail(gate, target, true);
-        return Err(Failure::Broken);
-    }
-    note(gate, target, &head, &told);
-    Ok(Upstream {
-        head,
-        told,
-        body,
-        link,
-        flight,
-    })
-}
-
-async fn link(
-    gate: &Gate,
-    target: TargetKey,
-    addr: std::net::SocketAddr,
-) -> Result<Link, ConnectError> {
-    match gate.links.take(target) {
-        Some(link) => Ok(link),
-        None => links::connect(addr).await,
-    }
-}
-
-fn request(order: &Order, target: &str, now: Micros, after: Option<&str>) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(order.body.clone()));
-    *request.method_mut() = order.method.clone();
-    *request.uri_mut() = order.uri.clone();
-    *request.headers_mut() = order.headers(target, now, after);
-    request
-}
-
-/// A request that the library gave back unsent has surely not run.
-fn broken(error: &hyper::Error) -> Failure {
-    if error.is_canceled() {
-        Failure::Unreached
-    } else {
-        Failure::Broken
-    }
-}
-
-fn note(gate: &Gate, target: TargetKey, head: &Parts, told: &Told) {
-    let now = gate.clock.now();
-    let moved = head.status == StatusCode::MISDIRECTED_REQUEST;
-    let failed = head.status.is_server_error() && !told.declined;
-    gate.on_target(target, |target| {
-        if let Some(report) = told.report {
-            target.load.reported(report);
-        }
-        match failed || moved {
-            true => target.load.failed(now, !moved),
-            false => target.load.answered(now),
-        }
-    });
-}
-
-fn fail(gate: &Gate, target: TargetKey, reached: bool) {
-    let now = gate.clock.now();
-    gate.on_target(target, |target| target.load.failed(now, reached));
-}
-
-/// A moment of the gateway's clock, for timers.
-pub fn deadline(gate: &Gate, at: Micros) -> Instant {
-    let left: Duration = at.saturating_sub(gate.clock.now()).into();
-    Instant::now() + left
-}
-
 /// Whether another target may go on with a stream.
 pub fn may_resume(kind: Kind) -> bool {
     kind == Kind::ResumableStream
--- a/src/gateway/gate.rs
+++ b/src/gateway/gate.rs
@@ -13,10 +13,10 @@
 use crate::gateway::fair::Fair;
 use crate::gateway::limiter::Limiter;
 use crate::gateway::links::Links;
+use crate::gateway::order::Order;
 use crate::gateway::peers::wire::{Hello, WireList};
 use crate::gateway::peers::{Held, Peers};
 use crate::gateway::place::{self, Ask, Choice};
-use crate::gateway::prompts::Prompt;
 use crate::gateway::targets::{Entry, Target, TargetKey, Targets};
 use crate::telemetry::{Metrics, Telemetry};
 use crate::units::{Clock, Micros};
@@ -191,22 +191,17 @@
         Some((target.id.clone(), target.entry.clone()))
     }
 
-    /// Chooses a target for a request.
-    pub fn choose(
-        &self,
-        service: &str,
-        prompt: Option<&Prompt>,
-        aim: Micros,
-        tried: &[TargetKey],
-    ) -> Option<Choice> {
+    /// Chooses a target for a request, other than those that it was sent to before.
+    pub fn choose(&self, order: &Order, tried: &[TargetKey]) -> Option<Choice> {
+        let service = order.service.as_ref();
         let state = self.lock();
         let ask = Ask {
             service,
-            prompt,
+            prompt: order.prompt.as_ref(),
             zone: &self.zone,
             tried,
             rate: self.rate(service, &state.targets),
-            aim,
+            aim: order.route.aim.into(),
             presumes: !self.cold || self.clock.now() > WARM_UP,
             random: rand::random(),
         };
@@ -268,63 +263,3 @@
         target.load.others = heard.then_some(others);
     }
 }
-
-/// A request that is with a target, in the target's load until it is dropped.
-#[derive(Debug)]
-pub struct InFlight {
-    gate: Arc<Gate>,
-    /// The target.
-    pub target: TargetKey,
-    /// Prompt tokens that the target has yet to read.
-    reading: u64,
-    /// When it was sent.
-    pub sent: Micros,
-    /// When its first event was expected, after it was sent.
-    pub expected: Micros,
-    /// Prompt tokens that the target was taken to have to read for it.
-    pub unread: u64,
-}
-
-impl InFlight {
-    /// A request is about to go to a target.
-    pub fn begin(gate: &Arc<Gate>, choice: Choice, prompt: Option<&Prompt>) -> Self {
-        let now = gate.clock.now();
-        gate.on_target(choice.target, |target| {
-            target.load.active += 1;
-            target.load.reading += choice.unread;
-            if let Some(prompt) = prompt {
-                target.kept.read(now, prompt);
-            }
-        });
-        InFlight {
-            gate: gate.clone(),
-            target: choice.target,
-            reading: choice.unread,
-            sent: now,
-            expected: choice.expected,
-            unread: choice.unread,
-        }
-    }
-
-    /// The target has begun to answer.
-    pub fn begun(&mut self) {
-        let now = self.gate.clock.now();
-        let (took, expected) = (now.saturating_sub(self.sent), self.expected);
-        let reading = std::mem::take(&mut self.reading);
-        self.gate.on_target(self.target, |target| {
-            target.load.reading = target.load.reading.saturating_sub(reading);
-            target.load.timed(took, expected);
-            target.load.answered(now);
-        });
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        let reading = self.reading;
-        self.gate.on_target(self.target, |target| {
-            target.load.active = target.load.active.saturating_sub(1);
-            target.load.reading = target.load.reading.saturating_sub(reading);
-        });
-    }
-}
--- a/src/gateway/http.rs
+++ b/src/gateway/http.rs
@@ -20,7 +20,7 @@
 use crate::gateway::flight::Flight;
 use crate::gateway::gate::Gate;
 use crate::gateway::order::Order;
-use crate::gateway::words;
+use crate::gateway::request_log;
 use crate::platform::headers::REQUEST_ID;
 use crate::problem::{Execution, Problem};
 use crate::telemetry::Outcome;
@@ -162,7 +162,7 @@
         let order = Order::read(request, &config, self.gate.clock).await;
         let order = order.inspect_err(|problem| {
             let id = id.as_ref().and_then(|id| id.to_str().ok());
-            words::not_taken(&self.gate, id.unwrap_or("none"), problem, config.version);
+            request_log::not_taken(&self.gate, id.unwrap_or("none"), problem, config.version);
         })?;
         drop(config);
         Flight::new(self.gate.clone(), order).run().await
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,8 +1,10 @@
 //! The gateway: sends callers' requests to targets itself, on a platform whose targets have no
 //! agent.
 //!
-//! The decisions ([`place`], [`turn_away`], [`repeat`], [`budget`], [`health`]) are pure. What is
-//! believed of the world stands in [`gate`], and comes from [`follow`].
+//! The decisions ([`place`], [`turn_away`], [`fair`], [`repeat`], [`budget`], [`health`]) are pure.
+//! What is believed of the world stands in [`gate`], and comes from [`follow`] and [`peers`]. A request
+//! is read into an [`order`], goes through [`http`], [`flight`] and [`send`], and a stream through
+//! [`relay`].
 
 pub mod answer;
 pub mod budget;
@@ -15,6 +17,7 @@
 pub mod gate;
 pub mod health;
 pub mod http;
+pub mod in_flight;
 pub mod limiter;
 pub mod links;
 pub mod order;
@@ -25,9 +28,10 @@
 pub mod relay;
 pub mod reload;
 pub mod repeat;
+pub mod request_log;
+pub mod send;
 pub mod targets;
 pub mod turn_away;
-pub mod words;
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -98,11 +98,7 @@
             Some(prompt) => engine_cost(target, now, prompt, rank, ask),
             None => call_cost(target),
         };
-        let away = target.entry.zone.as_ref() != ask.zone;
-        let late = cost.time > ask.aim.0 as f64;
-        let mut total = cost.total;
-        total += if away { OTHER_ZONE_US } else { 0.0 };
-        total += if late { LATE_US } else { 0.0 };
+        let total = cost.total + extra(target, &cost, ask);
         let tie = mix(ask.random ^ spread(target.tag));
         if best.is_none_or(|(t, i, _)| (total, tie) < (t, i)) {
             let choice = Choice {
@@ -117,6 +113,15 @@
     best.map(|(_, _, choice)| choice)
 }
 
+/// What being late, or in another zone, costs on top.
+fn extra(target: &Target, cost: &Cost, ask: &Ask<'_>) -> f64 {
+    let away = target.entry.zone.as_ref() != ask.zone;
+    let late = cost.time > ask.aim.0 as f64;
+    let away = if away { OTHER_ZONE_US } else { 0.0 };
+    let late = if late { LATE_US } else { 0.0 };
+    away + late
+}
+
 /// The targets that a prompt's shared parts go to first, by rendezvous hashing.
 fn firsts<'a>(
     targets: impl Iterator<Item = (TargetKey, &'a Target)>,
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -11,12 +11,14 @@
 use tokio::time::Sleep;
 
 use crate::gateway::events::Splitter;
-use crate::gateway::flight::{self, Sending, Upstream};
-use crate::gateway::gate::{Gate, InFlight};
+use crate::gateway::flight;
+use crate::gateway::gate::Gate;
+use crate::gateway::in_flight::InFlight;
 use crate::gateway::links::Link;
 use crate::gateway::order::Order;
+use crate::gateway::request_log;
+use crate::gateway::send::{self, Sending, Upstream};
 use crate::gateway::targets::TargetKey;
-use crate::gateway::words;
 use crate::platform::headers::Told;
 use crate::telemetry::Outcome;
 
@@ -68,7 +70,7 @@
         upstream: Upstream,
         tried: SmallVec<[TargetKey; 4]>,
     ) -> Self {
-        let at = flight::deadline(&gate, order.arrived + order.route.timeout.into());
+        let at = send::deadline(&gate, order.arrived + order.route.timeout.into());
         Relay {
             gate,
             order,
@@ -108,7 +110,7 @@
                 return Poll::Pending;
             }
         }
-        words::broken(&self.gate, &self.order, self.begun, BrokenStream::Target);
+        request_log::broken(&self.gate, &self.order, self.begun, BrokenStream::Target);
         Poll::Ready(Some(Err(BrokenStream::Target)))
     }
 
@@ -119,12 +121,7 @@
         if !flight::may_resume(order.route.kind) || sent >= order.route.attempts {
             return None;
         }
-        let choice = self.gate.choose(
-            &order.service,
-            order.prompt.as_ref(),
-            order.route.aim.into(),
-            &self.tried,
-        )?;
+        let choice = self.gate.choose(order, &self.tried)?;
         if !self.gate.may_repeat(&order.service) {
             return None;
         }
@@ -137,7 +134,7 @@
                 after: after.as_deref(),
                 silence: None,
             };
-            let open = flight::open(&gate, &order, sending);
+            let open = send::open(&gate, &order, sending);
             tokio::select! {
                 upstream = open => {
                     let upstream = upstream.ok().filter(|u| u.head.status.is_success());
@@ -173,7 +170,7 @@
         let this = self.get_mut();
         if this.late.as_mut().poll(context).is_ready() {
             this.state = State::Over;
-            words::broken(&this.gate, &this.order, this.begun, BrokenStream::Late);
+            request_log::broken(&this.gate, &this.order, this.begun, BrokenStream::Late);
             return Poll::Ready(Some(Err(BrokenStream::Late)));
         }
         loop {
@@ -183,7 +180,12 @@
                     let upstream = ready!(Pin::new(resumed).poll(context));
                     let Ok(Some(upstream)) = upstream else {
                         this.state = State::Over;
-                        words::broken(&this.gate, &this.order, this.begun, BrokenStream::Target);
+                        request_log::broken(
+                            &this.gate,
+                            &this.order,
+                            this.begun,
+                            BrokenStream::Target,
+                        );
                         return Poll::Ready(Some(Err(BrokenStream::Target)));
                     };
                     this.state = State::Reading(Box::new(upstream.into()));
@@ -205,7 +207,7 @@
                         let wait = now.saturating_sub(this.order.arrived);
                         this.gate.metrics().wait(wait);
                         if wait > this.order.route.aim.into() {
-                            words::late(&this.gate, &this.order, &source.flight);
+                            request_log::late(&this.gate, &this.order, &source.flight);
                         }
                     }
                     match this.splitter.push(data) {
--- a/src/gateway/words.rs
+++ b/src/gateway/request_log.rs
@@ -2,7 +2,8 @@
 
 use std::sync::Arc;
 
-use crate::gateway::gate::{Gate, InFlight};
+use crate::gateway::gate::Gate;
+use crate::gateway::in_flight::InFlight;
 use crate::gateway::links::ConnectError;
 use crate::gateway::order::Order;
 use crate::gateway::relay::BrokenStream;
