Count a resumed stream's prompt as read when its first event comes

Cause: only a stream's very first event ended the account of unread tokens; a target that went on with another's stream seemed to have its whole prompt to read until the stream ended, and got less work than it could take.

Test: left (1 request, 9,000 tokens) at the target before, (1, 0) after.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -40,6 +40,8 @@
     link: Link,
     told: Told,
     flight: InFlight,
+    /// Whether anything of its stream has come.
+    begun: bool,
 }
 
 #[derive(Debug)]
@@ -155,6 +157,7 @@
             link: upstream.link,
             told: upstream.told,
             flight: upstream.flight,
+            begun: false,
         }
     }
 }
@@ -200,9 +203,12 @@
                             over => return over,
                         },
                     };
+                    if !source.begun && !data.is_empty() {
+                        source.begun = true;
+                        source.flight.begun();
+                    }
                     if !this.begun && !data.is_empty() {
                         this.begun = true;
-                        source.flight.begun();
                         let now = this.gate.clock.now();
                         let wait = now.saturating_sub(this.order.arrived);
                         this.gate.metrics().wait(wait);
--- a/tests/gateway/streams.rs
+++ b/tests/gateway/streams.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use balsampitch::gateway::targets::{Load, Targets};
+
 use crate::target::{Say, Target, header};
 use crate::world::{KEY, ROUTE_TIMEOUT, World};
 
@@ -17,6 +19,25 @@
     assert_eq!((after(&cuts), after(&rest)), (None, Some("1".to_owned())));
 }
 
+#[tokio::test]
+async fn a_target_that_goes_on_with_a_stream_counts_as_having_read_its_prompt() {
+    let cuts = Target::start(&[Say::CutEvents]).await;
+    let rest = Target::start(&[Say::RestAndHang]).await;
+    let world = World::before(&[&cuts, &rest]).await;
+    let prompt = "Token-Count: 9000,80\r\nPrompt-Prefix: 2:9000\r\n";
+    let headers = format!("Authorization: Bearer {KEY}\r\n{prompt}");
+    let stream = world.send("POST", "/resumed/1", &headers).await;
+    world.until(|_| rest.count() == 1).await;
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let held = |targets: &mut Targets| -> (u32, u64) {
+        let sum = |one: (u32, u64), load: &Load| (one.0 + load.active, one.1 + load.reading);
+        let loads = targets.iter().map(|target| &target.load);
+        loads.fold((0, 0), sum)
+    };
+    assert_eq!(world.gate.with(held), (1, 0));
+    drop(stream);
+}
+
 #[tokio::test]
 async fn a_stream_that_breaks_off_twice_does_not_look_whole() {
     let first = Target::start(&[Say::CutEvents]).await;
--- a/tests/gateway/target.rs
+++ b/tests/gateway/target.rs
@@ -43,6 +43,8 @@
     CutEvents,
     /// Events 2 and 3: goes on after event 1.
     Rest,
+    /// Events 2 and 3, and then nothing: goes on after event 1 and does not end.
+    RestAndHang,
     /// Events without end, 20 ms apart.
     Endless,
 }
@@ -179,6 +181,13 @@
                 let rest = event(2) + &event(3) + "0\r\n\r\n";
                 (head("200 OK", events) + &rest, true)
             }
+            Say::RestAndHang => {
+                let text = head("200 OK", events) + &event(2) + &event(3);
+                if stream.write_all(text.as_bytes()).await.is_ok() {
+                    self.wait_for_end(stream).await;
+                }
+                return false;
+            }
             Say::Endless => {
                 let mut number = 1;
                 let mut text = head("200 OK", events);
