Test reloads, crowds of idle callers, and handed-over configurations

Ruled out: testing the signal inside the test's process, where a missing handler would end the test runner instead of failing a case. The handler for SIGHUP is now set before anything else in gateway::serve; until then it came after the logs, and a SIGHUP in between ended the process.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -69,6 +69,8 @@
     path: PathBuf,
     drain: CancellationToken,
 ) -> anyhow::Result<()> {
+    // First of all: a SIGHUP that finds no handler ends the process.
+    let hangup = signal(SignalKind::hangup()).context("could not watch for SIGHUP")?;
     logs::init(
         settings.telemetry.logs,
         "balsampitch-gateway",
@@ -82,7 +84,6 @@
         .cold(settings.first)
         .counting(telemetry);
     let gate = Arc::new(gate);
-    let hangup = signal(SignalKind::hangup()).context("could not watch for SIGHUP")?;
     let reloads = tokio::spawn(reload::follow(path, hangup, gate.clone()));
     let result = run(settings, gate, scrape, store, drain).await;
     reloads.abort();
--- a/tests/common/process.rs
+++ b/tests/common/process.rs
@@ -15,6 +15,8 @@
     Stop,
     /// Lets a paused process go on.
     Cont,
+    /// Says that the settings file has changed.
+    Hangup,
 }
 
 impl Signal {
@@ -23,6 +25,7 @@
             Signal::Term => "-TERM",
             Signal::Stop => "-STOP",
             Signal::Cont => "-CONT",
+            Signal::Hangup => "-HUP",
         }
     }
 }
--- a/tests/gateway/answers.rs
+++ b/tests/gateway/answers.rs
@@ -2,6 +2,8 @@
 
 use std::time::{Duration, Instant};
 
+use tokio::net::TcpStream;
+
 use crate::target::{Say, Target};
 use crate::world::{ROUTE_TIMEOUT, World};
 
@@ -101,3 +103,26 @@
         assert_ne!(reply.body, "stray");
     }
 }
+
+macro_rules! crowds {
+    ($($name:ident: $idle:expr => $closes:expr;)*) => {$(
+        #[tokio::test]
+        async fn $name() {
+            let target = Target::start(&[Say::Whole]).await;
+            let world = World::narrow(128).await.knowing(&[&target]).await;
+            let mut idle = Vec::new();
+            for _ in 0..$idle {
+                idle.push(TcpStream::connect(world.callers).await.expect("it listens"));
+            }
+            let reply = world.call_kept("GET", "/read/1").await;
+            assert_eq!(reply.status, 200, "{reply:?}");
+            let closes = reply.header("connection").as_deref() == Some("close");
+            assert_eq!(closes, $closes, "{reply:?}");
+        }
+    )*};
+}
+
+crowds! {
+    a_connection_is_kept_while_few_are_open: 20 => false;
+    a_connection_ends_with_its_answer_while_many_are_open: 70 => true;
+}
--- a/tests/gateway/lists.rs
+++ b/tests/gateway/lists.rs
@@ -148,3 +148,16 @@
     let closed = |targets: &mut Targets| targets.iter().any(|target| target.load.closed > now);
     assert!(world.gate.with(closed));
 }
+
+#[tokio::test]
+async fn a_running_gateway_that_cannot_read_takes_a_newer_configuration_from_another() {
+    let port = crate::world::free().await.port();
+    let (one, two) = (([127, 0, 0, 3], port).into(), ([127, 0, 0, 4], port).into());
+    let target = Target::start(&[Say::Whole]).await;
+    let reads = World::beside(one, &[two]).await.knowing(&[&target]).await;
+    let shut_out = World::beside(two, &[one]).await.knowing(&[&target]).await;
+    shut_out.lists.set_out(true);
+    reads.lists.put_config(config(8, &["another"]));
+    shut_out.until(|gate| gate.config().version == 8).await;
+    assert_eq!(shut_out.call("GET", "/read/1").await.status, 401);
+}
--- a/tests/gateway/world.rs
+++ b/tests/gateway/world.rs
@@ -110,8 +110,10 @@
     }
 
     fn decode(&self, source: Bytes) -> Option<Config> {
-        let version = std::str::from_utf8(&source).ok()?.parse().ok()?;
-        Some(config(version, &[KEY]))
+        let mut words = std::str::from_utf8(&source).ok()?.split(' ');
+        let version = words.next()?.parse().ok()?;
+        let keys: Vec<&str> = words.collect();
+        Some(config(version, &keys))
     }
 
     async fn changes(&self, topic: Topic, from: u64, _: Duration) -> Result<News, ReadError> {
@@ -155,7 +157,8 @@
         accounts: vec![(account, keys.iter().map(|&key| key.into()).collect())],
         ..Parts::default()
     };
-    Config::from(parts).with_source(version.to_string().into())
+    let source = [&[version.to_string().as_str()], keys].concat().join(" ");
+    Config::from(parts).with_source(source.into())
 }
 
 /// A gateway that runs.
@@ -190,10 +193,19 @@
 
     /// As [`World::empty`], with an address for other gateways, and where these may be.
     pub async fn beside(peer: SocketAddr, seeds: &[SocketAddr]) -> World {
+        World::with(peer, seeds, 1_024).await
+    }
+
+    /// As [`World::empty`], with so few file descriptors.
+    pub async fn narrow(descriptors: usize) -> World {
+        World::with(free().await, &[], descriptors).await
+    }
+
+    async fn with(peer: SocketAddr, seeds: &[SocketAddr], descriptors: usize) -> World {
         let (callers, ready) = (free().await, free().await);
         let settings = json!({
             "name": "gateway", "listen": callers, "ready": ready, "metrics": free().await, "peer": peer, "seeds": seeds,
-            "zone": "a", "platform": "127.0.0.1:1", "grace": 4.0, "descriptors": 1024,
+            "zone": "a", "platform": "127.0.0.1:1", "grace": 4.0, "descriptors": descriptors,
             "retries": {"ratio": 0.2, "slack": 160.0, "window": 10.0},
         });
         let settings: GatewaySettings = parse(&settings.to_string()).expect("they are sound");
@@ -260,12 +272,35 @@
         Reply::new(&data, cut)
     }
 
+    /// As [`World::call`], on a connection that the caller would use again.
+    pub async fn call_kept(&self, method: &str, path: &str) -> Reply {
+        let headers = format!("Authorization: Bearer {KEY}\r\n");
+        let mut stream = self.write(method, path, &headers).await;
+        let mut data = Vec::new();
+        let read = async {
+            while !Reply::new(&data, false).whole {
+                if stream.read_buf(&mut data).await? == 0 {
+                    break;
+                }
+            }
+            Ok::<_, std::io::Error>(())
+        };
+        let read = timeout(PATIENCE, read).await;
+        let cut = read.expect("it answers in time").is_err();
+        Reply::new(&data, cut)
+    }
+
     /// Sends a request and reads nothing.
     pub async fn send(&self, method: &str, path: &str, headers: &str) -> TcpStream {
+        let headers = format!("Connection: close\r\n{headers}");
+        self.write(method, path, &headers).await
+    }
+
+    async fn write(&self, method: &str, path: &str, headers: &str) -> TcpStream {
         let mut stream = TcpStream::connect(self.callers).await.expect("it listens");
         let request = format!(
             "{method} {path} HTTP/1.1\r\nHost: pool.example\r\nAttempt-Id: 9c41\r\n\
-             Deadline-Remaining: 5000\r\nConnection: close\r\n{headers}Content-Length: 2\r\n\r\nhi"
+             Deadline-Remaining: 5000\r\n{headers}Content-Length: 2\r\n\r\nhi"
         );
         stream
             .write_all(request.as_bytes())
