Give each gateway under test addresses of its own

Cause: tests took a free port by binding and dropping a socket; another test's target or caller could get the port before the gateway bound it. The gateway then ended, and the case waited 10 s for lists that never came. Seen once in the suite and 3 times in 48 runs of its streams cases, four at a time (world.rs: 'it comes to hold: Elapsed'). Ruled out: load alone; 20 runs one at a time passed, and what elapsed is 10 s where milliseconds are needed. Change: addresses are handed out like those of fleets: a loopback address of the process's own and a counted port below the ephemeral ones.

--- a/tests/gateway/lists.rs
+++ b/tests/gateway/lists.rs
@@ -7,7 +7,7 @@
 use tokio::time::sleep;
 
 use crate::target::{Say, Target};
-use crate::world::{KEY, ROUTE_TIMEOUT, World, config};
+use crate::world::{KEY, ROUTE_TIMEOUT, World, config, pair};
 
 #[tokio::test]
 async fn without_a_configuration_and_a_target_it_is_not_ready_and_says_when_to_come_back() {
@@ -122,8 +122,7 @@
 
 #[tokio::test]
 async fn a_gateway_that_starts_while_the_lists_are_out_learns_all_from_another() {
-    let port = crate::world::free().await.port();
-    let (one, two) = (([127, 0, 0, 1], port).into(), ([127, 0, 0, 2], port).into());
+    let [one, two] = pair();
     let target = Target::start(&[Say::Whole]).await;
     let old = World::beside(one, &[two]).await.knowing(&[&target]).await;
     old.lists.set_out(true);
@@ -151,8 +150,7 @@
 
 #[tokio::test]
 async fn a_running_gateway_that_cannot_read_takes_a_newer_configuration_from_another() {
-    let port = crate::world::free().await.port();
-    let (one, two) = (([127, 0, 0, 3], port).into(), ([127, 0, 0, 4], port).into());
+    let [one, two] = pair();
     let target = Target::start(&[Say::Whole]).await;
     let reads = World::beside(one, &[two]).await.knowing(&[&target]).await;
     let shut_out = World::beside(two, &[one]).await.knowing(&[&target]).await;
--- a/tests/gateway/world.rs
+++ b/tests/gateway/world.rs
@@ -1,6 +1,7 @@
 //! A gateway with its lists in memory, and raw calls to it.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -16,7 +17,7 @@
 use bytes::Bytes;
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
@@ -177,18 +178,26 @@
     pub running: tokio::task::JoinHandle<anyhow::Result<()>>,
 }
 
-/// An address on loopback that nothing uses.
-pub async fn free() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0")
-        .await
-        .expect("loopback has ports");
-    listener.local_addr().expect("it is bound")
+/// First port that gateways listen on.
+const FIRST_PORT: u16 = 20_000;
+
+/// An address on loopback that nothing else uses, in this process or another.
+pub fn free() -> SocketAddr {
+    pair()[0]
+}
+
+/// Two such addresses on two hosts, with the same port.
+pub fn pair() -> [SocketAddr; 2] {
+    static NEXT: AtomicU16 = AtomicU16::new(FIRST_PORT);
+    let port = NEXT.fetch_add(1, Ordering::Relaxed);
+    let [.., high, low] = std::process::id().to_be_bytes();
+    [251, 252].map(|host| ([127, high | 0x80, low, host], port).into())
 }
 
 impl World {
     /// A gateway that knows neither configuration nor targets.
     pub async fn empty() -> World {
-        World::beside(free().await, &[]).await
+        World::beside(free(), &[]).await
     }
 
     /// As [`World::empty`], with an address for other gateways, and where these may be.
@@ -198,13 +207,13 @@
 
     /// As [`World::empty`], with so few file descriptors.
     pub async fn narrow(descriptors: usize) -> World {
-        World::with(free().await, &[], descriptors).await
+        World::with(free(), &[], descriptors).await
     }
 
     async fn with(peer: SocketAddr, seeds: &[SocketAddr], descriptors: usize) -> World {
-        let (callers, ready) = (free().await, free().await);
+        let (callers, ready) = (free(), free());
         let settings = json!({
-            "name": "gateway", "listen": callers, "ready": ready, "metrics": free().await, "peer": peer, "seeds": seeds,
+            "name": "gateway", "listen": callers, "ready": ready, "metrics": free(), "peer": peer, "seeds": seeds,
             "zone": "a", "platform": "127.0.0.1:1", "grace": 4.0, "descriptors": descriptors,
             "retries": {"ratio": 0.2, "slack": 160.0, "window": 10.0},
         });
