Go on elsewhere with a stream that falls silent

Cause: a target that goes dark within a stream left its caller waiting until the route's timeout, also where another target may resume the stream; and a second target that declined to go on ended the stream though a third could. Ruled out: a timer reset with each event (one more operation an event; the timer here looks at the time of the last event when it fires); giving up a silent stream where nobody else may go on (a pause is no reason to end it). Change: gateway::silence watches resumable streams while a try is left; gateway::attempts holds what a flight and a resumed stream both know of their tries (it stood twice), gateway::resume asks others one by one. The relay's poll_frame is now steps of one job each.

--- /dev/null
+++ b/src/gateway/attempts.rs
@@ -0,0 +1,61 @@
+//! A request's tries so far, and which target may be tried next.
+
+use std::sync::Arc;
+
+use smallvec::SmallVec;
+
+use crate::gateway::gate::Gate;
+use crate::gateway::order::Order;
+use crate::gateway::place::Choice;
+use crate::gateway::repeat::{Failure, Tries};
+use crate::gateway::request_log;
+use crate::gateway::targets::TargetKey;
+use crate::telemetry::Event;
+
+/// A request and its tries so far.
+#[derive(Clone, Debug)]
+pub struct Attempts {
+    /// What the gateway's parts share.
+    pub gate: Arc<Gate>,
+    /// The request.
+    pub order: Arc<Order>,
+    /// How its tries ended.
+    pub tries: Tries,
+    tried: SmallVec<[TargetKey; 4]>,
+}
+
+impl Attempts {
+    /// A request that was not sent yet.
+    pub fn new(gate: Arc<Gate>, order: Order) -> Self {
+        Attempts {
+            gate,
+            order: Arc::new(order),
+            tries: Tries::default(),
+            tried: SmallVec::new(),
+        }
+    }
+
+    /// A try ended without a usable answer.
+    pub fn failed(&mut self, target: TargetKey, failure: Failure) {
+        self.tries.add(failure);
+        self.tried.push(target);
+        request_log::failed(&self.order, &self.gate, target, failure);
+    }
+
+    /// Another target, if one may be tried; takes from the budget of repeats.
+    pub fn next(&self) -> Option<Choice> {
+        let (gate, order) = (&self.gate, &self.order);
+        let may = self
+            .tries
+            .may_repeat(order.route.kind, order.route.attempts);
+        if !may || gate.clock.now() >= order.until() {
+            return None;
+        }
+        let choice = gate.choose(order, &self.tried)?;
+        if !gate.may_repeat(&order.service) {
+            return None;
+        }
+        gate.metrics().event(Event::Retry);
+        Some(choice)
+    }
+}
--- a/src/gateway/flight.rs
+++ b/src/gateway/flight.rs
@@ -4,26 +4,24 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::Response;
 use hyper::body::Incoming;
-use hyper::{Response, StatusCode};
-use smallvec::SmallVec;
 use tokio::time::timeout_at;
 
 use crate::gateway::answer::{self, AnswerBody};
-use crate::gateway::config::Kind;
+use crate::gateway::attempts::Attempts;
 use crate::gateway::fair::{AccountTag, Standing};
 use crate::gateway::gate::Gate;
 use crate::gateway::order::Order;
 use crate::gateway::place::Choice;
 use crate::gateway::relay::Relay;
-use crate::gateway::repeat::{Failure, Tries};
+use crate::gateway::repeat::Failure;
 use crate::gateway::request_log;
 use crate::gateway::send::{Sending, Upstream, deadline, open};
-use crate::gateway::targets::TargetKey;
 use crate::gateway::turn_away::{self, Offer};
 use crate::platform::headers::{self};
 use crate::problem::{Problem, Reason};
-use crate::telemetry::{Event, Outcome};
+use crate::telemetry::Outcome;
 use crate::units::Micros;
 
 /// Largest answer of a plain call.
@@ -50,20 +48,14 @@
 /// A request on its way.
 #[derive(Debug)]
 pub struct Flight {
-    gate: Arc<Gate>,
-    order: Arc<Order>,
-    tries: Tries,
-    tried: SmallVec<[TargetKey; 4]>,
+    attempts: Attempts,
 }
 
 impl Flight {
     /// A request that was not sent yet.
     pub fn new(gate: Arc<Gate>, order: Order) -> Self {
         Flight {
-            gate,
-            order: Arc::new(order),
-            tries: Tries::default(),
-            tried: SmallVec::new(),
+            attempts: Attempts::new(gate, order),
         }
     }
 
@@ -73,20 +65,15 @@
     /// Why it is refused.
     pub async fn run(mut self) -> Result<Response<AnswerBody>, Problem> {
         let mut choice = self.admit()?;
-        self.gate.sent_first(&self.order.service);
+        self.attempts.gate.sent_first(&self.attempts.order.service);
         loop {
             let failed = match self.attempt(choice).await {
                 Ok(response) => return Ok(response),
                 Err(failed) => failed,
             };
-            self.tries.add(failed.failure);
-            self.tried.push(choice.target);
-            request_log::failed(&self.order, &self.gate, choice.target, failed.failure);
-            choice = match self.next() {
-                Some(choice) => {
-                    self.gate.metrics().event(Event::Retry);
-                    choice
-                }
+            self.attempts.failed(choice.target, failed.failure);
+            choice = match self.attempts.next() {
+                Some(choice) => choice,
                 None => return self.give_up(failed),
             };
         }
@@ -94,74 +81,63 @@
 
     /// The first target, unless the request is better refused at once.
     fn admit(&self) -> Result<Choice, Problem> {
-        let order = &self.order;
+        let order = &self.attempts.order;
         let prompt = order.prompt.as_ref();
-        let choice = self.gate.choose(order, &[]);
-        let now = self.gate.clock.now();
+        let choice = self.attempts.gate.choose(order, &[]);
+        let now = self.attempts.gate.clock.now();
         let offer = Offer {
             choice,
-            waited: self.gate.clock.now().saturating_sub(order.arrived),
-            left: order.until().saturating_sub(self.gate.clock.now()),
+            waited: self.attempts.gate.clock.now().saturating_sub(order.arrived),
+            left: order.until().saturating_sub(self.attempts.gate.clock.now()),
             aim: order.route.aim.into(),
             engine: prompt.is_some(),
             standing: self.asks(now),
-            pressure: self.gate.pressure(&order.service),
+            pressure: self.attempts.gate.pressure(&order.service),
         };
         let choice = turn_away::decide(&offer, rand::random()).inspect_err(|problem| {
-            request_log::refused(&self.gate, order, problem, &offer);
+            request_log::refused(&self.attempts.gate, order, problem, &offer);
         })?;
         if let (Some(account), Some(prompt)) = (&order.account, prompt) {
             let (tag, tokens) = (AccountTag::of(account), prompt.cost());
-            self.gate.with_fair(|fair| fair.sent(now, tag, tokens));
+            self.attempts
+                .gate
+                .with_fair(|fair| fair.sent(now, tag, tokens));
         }
         Ok(choice)
     }
 
     /// Counts what the client account asks for. Returns where it stands.
     fn asks(&self, now: Micros) -> Standing {
-        let order = &self.order;
+        let order = &self.attempts.order;
         let (Some(account), Some(prompt)) = (&order.account, &order.prompt) else {
             return Standing::Owed;
         };
-        let Some(pace) = self.gate.pace() else {
+        let Some(pace) = self.attempts.gate.pace() else {
             return Standing::Owed;
         };
         let tag = AccountTag::of(account);
-        self.gate.with_fair(|fair| {
+        self.attempts.gate.with_fair(|fair| {
             fair.asked(now, tag, prompt.cost());
             fair.standing(now, tag, pace)
         })
     }
 
-    /// Another target, if one may be tried.
-    fn next(&self) -> Option<Choice> {
-        let order = &self.order;
-        let may = self
-            .tries
-            .may_repeat(order.route.kind, order.route.attempts);
-        if !may || self.gate.clock.now() >= order.until() {
-            return None;
-        }
-        let choice = self.gate.choose(order, &self.tried)?;
-        self.gate.may_repeat(&order.service).then_some(choice)
-    }
-
     fn give_up(&self, failed: Failed) -> Result<Response<AnswerBody>, Problem> {
         if let Some(answer) = failed.answer {
             return Ok(answer);
         }
-        let mut problem = self.tries.problem(failed.failure);
-        if self.gate.clock.now() >= self.order.until() {
-            problem = self.tries.refuse(Reason::DeadlinePassed);
+        let mut problem = self.attempts.tries.problem(failed.failure);
+        if self.attempts.gate.clock.now() >= self.attempts.order.until() {
+            problem = self.attempts.tries.refuse(Reason::DeadlinePassed);
         }
-        request_log::given_up(&self.gate, &self.order, &problem);
+        request_log::given_up(&self.attempts.gate, &self.attempts.order, &problem);
         Err(turn_away::with_retry(problem, rand::random()))
     }
 
     /// Sends the request to a target and takes its answer.
     async fn attempt(&mut self, choice: Choice) -> Result<Response<AnswerBody>, Failed> {
-        let route = &self.order.route;
-        let silence = self.tries.silence(
+        let route = &self.attempts.order.route;
+        let silence = self.attempts.tries.silence(
             route.kind,
             route.attempts,
             choice.expected,
@@ -172,8 +148,8 @@
             after: None,
             silence,
         };
-        let upstream = open(&self.gate, &self.order, ask).await?;
-        let streams = self.order.route.kind.streams();
+        let upstream = open(&self.attempts.gate, &self.attempts.order, ask).await?;
+        let streams = self.attempts.order.route.kind.streams();
         match upstream.head.status.is_success() {
             true if streams => Ok(self.stream(upstream)),
             true => self.whole(upstream).await,
@@ -184,12 +160,7 @@
     fn stream(&self, upstream: Upstream) -> Response<AnswerBody> {
         let status = upstream.head.status;
         let headers = headers::passed_back(&upstream.head.headers);
-        let relay = Relay::new(
-            self.gate.clone(),
-            self.order.clone(),
-            upstream,
-            self.tried.clone(),
-        );
+        let relay = Relay::new(upstream, self.attempts.clone());
         answer::with(status, headers, AnswerBody::Right(relay))
     }
 
@@ -204,10 +175,15 @@
         } = upstream;
         let body = self.read(body).await?;
         flight.begun();
-        self.gate.links.put(flight.target, link, told.idle);
-        let took = self.gate.clock.now().saturating_sub(self.order.arrived);
-        self.gate.metrics().request(Outcome::Whole);
-        self.gate.metrics().total(took);
+        self.attempts.gate.links.put(flight.target, link, told.idle);
+        let took = self
+            .attempts
+            .gate
+            .clock
+            .now()
+            .saturating_sub(self.attempts.order.arrived);
+        self.attempts.gate.metrics().request(Outcome::Whole);
+        self.attempts.gate.metrics().total(took);
         let headers = headers::passed_back(&head.headers);
         let body = AnswerBody::Left(Full::new(body));
         Ok(answer::with(head.status, headers, body))
@@ -215,6 +191,7 @@
 
     /// What an answer that is no success means.
     async fn refused(&self, upstream: Upstream) -> Failed {
+        let failure = upstream.failure();
         let Upstream {
             head,
             told,
@@ -226,37 +203,34 @@
         let Ok(body) = self.read(body).await else {
             return Failure::Broken.into();
         };
-        self.gate.links.put(target, link, told.idle);
-        if head.status == StatusCode::MISDIRECTED_REQUEST {
-            return Failure::Moved.into();
-        }
-        if told.declined {
-            return Failure::Declined.into();
+        self.attempts.gate.links.put(target, link, told.idle);
+        if failure.not_run() {
+            return failure.into();
         }
         let promises = matches!(head.status.as_u16(), 408 | 429 | 503);
         if promises || !told.signed {
             // The status would say "not run", which is not certain.
-            return Failure::Failed.into();
+            return failure.into();
         }
         let headers = headers::passed_back(&head.headers);
         let body = AnswerBody::Left(Full::new(body));
         Failed {
-            failure: Failure::Failed,
+            failure,
             answer: Some(answer::with(head.status, headers, body)),
         }
     }
 
     async fn read(&self, body: Incoming) -> Result<Bytes, Failed> {
         let body = Limited::new(body, MAX_ANSWER_BYTES).collect();
-        match timeout_at(deadline(&self.gate, self.order.until()), body).await {
+        match timeout_at(
+            deadline(&self.attempts.gate, self.attempts.order.until()),
+            body,
+        )
+        .await
+        {
             Ok(Ok(body)) => Ok(body.to_bytes()),
             Ok(Err(_)) => Err(Failure::Broken.into()),
             Err(_) => Err(Failure::Silent.into()),
         }
     }
 }
-
-/// Whether another target may go on with a stream.
-pub fn may_resume(kind: Kind) -> bool {
-    kind == Kind::ResumableStream
-}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 //! [`relay`].
 
 pub mod answer;
+pub mod attempts;
 pub mod budget;
 pub mod config;
 pub mod directory;
@@ -29,7 +30,9 @@
 pub mod reload;
 pub mod repeat;
 pub mod request_log;
+pub mod resume;
 pub mod send;
+pub mod silence;
 pub mod targets;
 pub mod turn_away;
 
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -1,27 +1,28 @@
 //! Passes a stream of events on as they come, and goes on at another target where that is allowed.
 
 use std::pin::Pin;
-use std::sync::Arc;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming};
-use smallvec::SmallVec;
-use tokio::sync::oneshot;
 use tokio::time::Sleep;
 
+use crate::gateway::attempts::Attempts;
 use crate::gateway::events::Splitter;
-use crate::gateway::flight;
-use crate::gateway::gate::Gate;
 use crate::gateway::in_flight::InFlight;
 use crate::gateway::links::Link;
-use crate::gateway::order::Order;
+use crate::gateway::repeat::Failure;
 use crate::gateway::request_log;
-use crate::gateway::send::{self, Sending, Upstream};
-use crate::gateway::targets::TargetKey;
+use crate::gateway::resume::{self, Resumed};
+use crate::gateway::send::{self, Upstream};
+use crate::gateway::silence::Silence;
 use crate::platform::headers::Told;
 use crate::telemetry::Outcome;
 
+/// A stream that another target can resume may be silent for this many times its route's aim.
+const SILENT_AIMS: u32 = 2;
+
 /// The stream broke off; the connection is reset so that the caller sees it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum BrokenStream {
@@ -33,6 +34,8 @@
     Late,
 }
 
+type Next = Poll<Option<Result<Frame<Bytes>, BrokenStream>>>;
+
 /// A stream that comes from a target.
 #[derive(Debug)]
 struct Source {
@@ -48,105 +51,188 @@
 enum State {
     Reading(Box<Source>),
     /// Another target is asked to go on.
-    Resuming(oneshot::Receiver<Option<Upstream>>),
+    Resuming(Resumed),
     Over,
 }
 
 /// The body of an answer that is a stream of events.
 #[derive(Debug)]
 pub struct Relay {
-    gate: Arc<Gate>,
-    order: Arc<Order>,
+    attempts: Attempts,
     state: State,
     splitter: Splitter,
-    tried: SmallVec<[TargetKey; 4]>,
+    /// Watched while another target could go on.
+    silence: Option<Silence>,
     late: Pin<Box<Sleep>>,
     begun: bool,
 }
 
 impl Relay {
-    /// Passes on the stream that has begun. `tried` are the targets that were tried before.
-    pub fn new(
-        gate: Arc<Gate>,
-        order: Arc<Order>,
-        upstream: Upstream,
-        tried: SmallVec<[TargetKey; 4]>,
-    ) -> Self {
-        let at = send::deadline(&gate, order.arrived + order.route.timeout.into());
-        Relay {
-            gate,
-            order,
-            state: State::Reading(Box::new(upstream.into())),
+    /// Passes on the stream that has begun. `attempts` are the tries before it.
+    pub fn new(upstream: Upstream, attempts: Attempts) -> Self {
+        let order = &attempts.order;
+        let at = send::deadline(&attempts.gate, order.arrived + order.route.timeout.into());
+        let mut relay = Relay {
+            attempts,
+            state: State::Over,
             splitter: Splitter::default(),
-            tried,
+            silence: None,
             late: Box::pin(tokio::time::sleep_until(at)),
             begun: false,
-        }
+        };
+        relay.read(upstream);
+        relay
+    }
+
+    /// Reads a target's stream from now on.
+    fn read(&mut self, upstream: Upstream) {
+        let usual = self.attempts.order.route.aim * SILENT_AIMS;
+        let expected: Duration = upstream.flight.expected.into();
+        let most = usual.max(expected * SILENT_AIMS);
+        self.silence = self.may_resume().then(|| Silence::after(most));
+        self.state = State::Reading(Box::new(upstream.into()));
+    }
+
+    /// Whether one more target may run the request after the one that does now.
+    fn may_resume(&self) -> bool {
+        let route = &self.attempts.order.route;
+        let mut tries = self.attempts.tries;
+        tries.add(Failure::Broken);
+        route.kind.may_repeat() && tries.may_repeat(route.kind, route.attempts)
     }
 
     /// The target's stream has ended; keeps its connection if the stream was whole.
-    fn ended(&mut self) -> Poll<Option<Result<Frame<Bytes>, BrokenStream>>> {
-        if self.splitter.is_within() {
-            return self.broken();
-        }
+    fn ended(&mut self) -> Next {
         if let State::Reading(source) = std::mem::replace(&mut self.state, State::Over) {
             let target = source.flight.target;
-            self.gate.links.put(target, source.link, source.told.idle);
-            let took = self.gate.clock.now().saturating_sub(self.order.arrived);
-            self.gate.metrics().request(Outcome::Whole);
-            self.gate.metrics().total(took);
+            self.attempts
+                .gate
+                .links
+                .put(target, source.link, source.told.idle);
+            let took = self
+                .attempts
+                .gate
+                .clock
+                .now()
+                .saturating_sub(self.attempts.order.arrived);
+            self.attempts.gate.metrics().request(Outcome::Whole);
+            self.attempts.gate.metrics().total(took);
         }
         Poll::Ready(None)
     }
 
-    /// The target's stream broke off: another goes on where that is allowed.
-    fn broken(&mut self) -> Poll<Option<Result<Frame<Bytes>, BrokenStream>>> {
-        let state = std::mem::replace(&mut self.state, State::Over);
-        if let State::Reading(source) = state {
-            self.tried.push(source.flight.target);
-            // The connection ends here, so that the target stops.
-            drop(source);
-            if let Some(resumed) = self.resume() {
-                self.splitter.drop_part();
-                self.state = State::Resuming(resumed);
-                return Poll::Pending;
-            }
+    /// Gives up what the target sends and asks another one to go on. Returns whether one may.
+    fn go_on(&mut self, failure: Failure) -> bool {
+        let State::Reading(source) = &self.state else {
+            return false;
+        };
+        let target = source.flight.target;
+        let mut attempts = self.attempts.clone();
+        attempts.failed(target, failure);
+        let Some(choice) = attempts.next() else {
+            return false;
+        };
+        self.attempts = attempts.clone();
+        // The connection ends here, so that the target stops.
+        self.state = State::Over;
+        self.silence = None;
+        self.splitter.drop_part();
+        let after = self.splitter.last().map(str::to_owned);
+        self.state = State::Resuming(resume::start(attempts, choice, after));
+        true
+    }
+
+    fn broken(&mut self, cause: BrokenStream) -> Next {
+        self.state = State::Over;
+        request_log::broken(&self.attempts.gate, &self.attempts.order, self.begun, cause);
+        Poll::Ready(Some(Err(cause)))
+    }
+
+    /// The next bytes of the target's stream; `None` at an end that is no failure.
+    fn poll_source(&mut self, context: &mut Context<'_>) -> Poll<Result<Option<Bytes>, Failure>> {
+        let State::Reading(source) = &mut self.state else {
+            return Poll::Ready(Ok(None));
+        };
+        if let Poll::Ready(frame) = Pin::new(&mut source.body).poll_frame(context) {
+            let within = self.splitter.is_within();
+            return Poll::Ready(match frame {
+                Some(Ok(frame)) => Ok(Some(frame.into_data().unwrap_or_default())),
+                None if !within => Ok(None),
+                Some(Err(_)) | None => Err(Failure::Broken),
+            });
         }
-        request_log::broken(&self.gate, &self.order, self.begun, BrokenStream::Target);
-        Poll::Ready(Some(Err(BrokenStream::Target)))
+        let silence = self.silence.as_mut();
+        ready!(silence.map_or(Poll::Pending, |silence| silence.poll(context)));
+        self.silence = None;
+        Poll::Ready(Err(Failure::Silent))
     }
 
-    /// Asks another target to go on, if that is allowed.
-    fn resume(&self) -> Option<oneshot::Receiver<Option<Upstream>>> {
-        let order = &self.order;
-        let sent = u32::try_from(self.tried.len()).unwrap_or(u32::MAX);
-        if !flight::may_resume(order.route.kind) || sent >= order.route.attempts {
-            return None;
+    /// Takes in bytes of the stream; returns the whole events so far.
+    fn take(&mut self, data: Bytes) -> Result<Bytes, BrokenStream> {
+        if !data.is_empty() {
+            self.note();
         }
-        let choice = self.gate.choose(order, &self.tried)?;
-        if !self.gate.may_repeat(&order.service) {
-            return None;
+        self.splitter.push(data).map_err(|_| BrokenStream::Target)
+    }
+
+    /// Notes that something has come, and when the first of it has.
+    fn note(&mut self) {
+        if let Some(silence) = &mut self.silence {
+            silence.heard();
         }
-        let (mut back, resumed) = oneshot::channel();
-        let (gate, order) = (self.gate.clone(), order.clone());
-        let after = self.splitter.last().map(str::to_owned);
-        tokio::spawn(async move {
-            let sending = Sending {
-                choice,
-                after: after.as_deref(),
-                silence: None,
-            };
-            let open = send::open(&gate, &order, sending);
-            tokio::select! {
-                upstream = open => {
-                    let upstream = upstream.ok().filter(|u| u.head.status.is_success());
-                    // A caller that is gone needs no stream.
-                    let _ = back.send(upstream);
+        let State::Reading(source) = &mut self.state else {
+            return;
+        };
+        if !source.begun {
+            source.begun = true;
+            source.flight.begun();
+        }
+        if !self.begun {
+            self.begun = true;
+            let now = self.attempts.gate.clock.now();
+            let wait = now.saturating_sub(self.attempts.order.arrived);
+            self.attempts.gate.metrics().wait(wait);
+            if wait > self.attempts.order.route.aim.into() {
+                request_log::late(&self.attempts.gate, &self.attempts.order, &source.flight);
+            }
+        }
+    }
+
+    fn poll_resumed(&mut self, context: &mut Context<'_>) -> Poll<bool> {
+        let State::Resuming(resumed) = &mut self.state else {
+            return Poll::Ready(true);
+        };
+        let upstream = ready!(Pin::new(resumed).poll(context));
+        let Ok(Some(upstream)) = upstream else {
+            return Poll::Ready(false);
+        };
+        self.read(upstream);
+        Poll::Ready(true)
+    }
+
+    fn poll_next(&mut self, context: &mut Context<'_>) -> Next {
+        loop {
+            if let State::Over = self.state {
+                return Poll::Ready(None);
+            }
+            if !ready!(self.poll_resumed(context)) {
+                return self.broken(BrokenStream::Target);
+            }
+            match ready!(self.poll_source(context)) {
+                Ok(None) => return self.ended(),
+                Ok(Some(data)) => match self.take(data) {
+                    Ok(whole) if whole.is_empty() => {}
+                    Ok(whole) => return Poll::Ready(Some(Ok(Frame::data(whole)))),
+                    Err(cause) => return self.broken(cause),
+                },
+                Err(failure) => {
+                    // A silent stream that nobody else can go on with may still go on itself.
+                    if !self.go_on(failure) && failure != Failure::Silent {
+                        return self.broken(BrokenStream::Target);
+                    }
                 }
-                () = back.closed() => {}
             }
-        });
-        Some(resumed)
+        }
     }
 }
 
@@ -172,60 +258,8 @@
     ) -> Poll<Option<Result<Frame<Bytes>, BrokenStream>>> {
         let this = self.get_mut();
         if this.late.as_mut().poll(context).is_ready() {
-            this.state = State::Over;
-            request_log::broken(&this.gate, &this.order, this.begun, BrokenStream::Late);
-            return Poll::Ready(Some(Err(BrokenStream::Late)));
-        }
-        loop {
-            match &mut this.state {
-                State::Over => return Poll::Ready(None),
-                State::Resuming(resumed) => {
-                    let upstream = ready!(Pin::new(resumed).poll(context));
-                    let Ok(Some(upstream)) = upstream else {
-                        this.state = State::Over;
-                        request_log::broken(
-                            &this.gate,
-                            &this.order,
-                            this.begun,
-                            BrokenStream::Target,
-                        );
-                        return Poll::Ready(Some(Err(BrokenStream::Target)));
-                    };
-                    this.state = State::Reading(Box::new(upstream.into()));
-                }
-                State::Reading(source) => {
-                    let frame = ready!(Pin::new(&mut source.body).poll_frame(context));
-                    let data = match frame {
-                        Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
-                        None if !this.splitter.is_within() => return this.ended(),
-                        Some(Err(_)) | None => match this.broken() {
-                            Poll::Pending => continue,
-                            over => return over,
-                        },
-                    };
-                    if !source.begun && !data.is_empty() {
-                        source.begun = true;
-                        source.flight.begun();
-                    }
-                    if !this.begun && !data.is_empty() {
-                        this.begun = true;
-                        let now = this.gate.clock.now();
-                        let wait = now.saturating_sub(this.order.arrived);
-                        this.gate.metrics().wait(wait);
-                        if wait > this.order.route.aim.into() {
-                            request_log::late(&this.gate, &this.order, &source.flight);
-                        }
-                    }
-                    match this.splitter.push(data) {
-                        Ok(whole) if whole.is_empty() => {}
-                        Ok(whole) => return Poll::Ready(Some(Ok(Frame::data(whole)))),
-                        Err(_) => {
-                            this.state = State::Over;
-                            return Poll::Ready(Some(Err(BrokenStream::Target)));
-                        }
-                    }
-                }
-            }
+            return this.broken(BrokenStream::Late);
         }
+        this.poll_next(context)
     }
 }
--- /dev/null
+++ b/src/gateway/resume.rs
@@ -0,0 +1,42 @@
+//! Asks other targets to go on with a stream.
+
+use tokio::sync::oneshot;
+
+use crate::gateway::attempts::Attempts;
+use crate::gateway::place::Choice;
+use crate::gateway::send::{self, Sending, Upstream};
+
+/// Tells which target goes on; `None` when none does.
+pub type Resumed = oneshot::Receiver<Option<Upstream>>;
+
+/// Asks `choice` to go on after the event `after`, and others if it declines. Ends when the
+/// receiver is dropped.
+pub fn start(attempts: Attempts, choice: Choice, after: Option<String>) -> Resumed {
+    let (mut back, resumed) = oneshot::channel();
+    tokio::spawn(async move {
+        tokio::select! {
+            // A caller that is gone needs no stream.
+            upstream = run(attempts, choice, after.as_deref()) => drop(back.send(upstream)),
+            () = back.closed() => {}
+        }
+    });
+    resumed
+}
+
+async fn run(mut attempts: Attempts, first: Choice, after: Option<&str>) -> Option<Upstream> {
+    let mut choice = first;
+    loop {
+        let sending = Sending {
+            choice,
+            after,
+            silence: None,
+        };
+        let failure = match send::open(&attempts.gate, &attempts.order, sending).await {
+            Ok(upstream) if upstream.head.status.is_success() => return Some(upstream),
+            Ok(upstream) => upstream.failure(),
+            Err(failure) => failure,
+        };
+        attempts.failed(choice.target, failure);
+        choice = attempts.next()?;
+    }
+}
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -37,6 +37,17 @@
     pub flight: InFlight,
 }
 
+impl Upstream {
+    /// What an answer that is no success means.
+    pub fn failure(&self) -> Failure {
+        match self.head.status {
+            StatusCode::MISDIRECTED_REQUEST => Failure::Moved,
+            _ if self.told.declined => Failure::Declined,
+            _ => Failure::Failed,
+        }
+    }
+}
+
 /// One sending of a request.
 #[derive(Clone, Copy, Debug)]
 pub struct Sending<'a> {
--- a/tests/gateway/streams.rs
+++ b/tests/gateway/streams.rs
@@ -91,3 +91,43 @@
     assert!(reply.events().len() > 10);
     assert!(sent.elapsed() < ROUTE_TIMEOUT + Duration::from_millis(400));
 }
+
+macro_rules! silences {
+    ($($name:ident: $path:expr, $others:expr => $events:expr, $whole:expr, $sent:expr;)*) => {$(
+        #[tokio::test]
+        async fn $name() {
+            let mut targets = vec![Target::start(&[Say::EventAndHang]).await];
+            for &say in &$others {
+                targets.push(Target::start(&[say]).await);
+            }
+            let world = World::before(&targets.iter().collect::<Vec<_>>()).await;
+            let sent = std::time::Instant::now();
+            let reply = world.call("POST", $path).await;
+            assert_eq!((reply.events(), reply.whole), ($events.to_vec(), $whole), "{reply:?}");
+            assert!(sent.elapsed() < ROUTE_TIMEOUT + Duration::from_millis(400));
+            world.until(|_| targets[0].seen().gone == 1).await;
+            assert_eq!(targets.iter().map(Target::count).sum::<usize>(), $sent);
+        }
+    )*};
+}
+
+silences! {
+    a_stream_that_falls_silent_goes_on_at_another_target:
+        "/resumed/1", [Say::Rest] => [1, 2, 3], true, 2;
+    one_that_may_not_be_resumed_is_waited_for: "/stream/1", [Say::Rest] => [1], false, 1;
+    one_without_another_target_is_waited_for: "/resumed/1", [] => [1], false, 1;
+}
+
+#[tokio::test]
+async fn a_stream_goes_on_at_a_third_target_when_the_second_declines() {
+    let cuts = Target::start(&[Say::CutEvents]).await;
+    let one = Target::start(&[Say::Declined, Say::Rest]).await;
+    let other = one.twin().await;
+    let world = World::before(&[&cuts, &one, &other]).await;
+    let reply = world.call("POST", "/resumed/1").await;
+    assert_eq!(
+        (reply.events(), reply.whole),
+        (vec![1, 2, 3], true),
+        "{reply:?}"
+    );
+}
--- a/tests/gateway/target.rs
+++ b/tests/gateway/target.rs
@@ -41,6 +41,8 @@
     Events,
     /// Event 1 and a part of event 2, then the end.
     CutEvents,
+    /// Event 1, and then nothing.
+    EventAndHang,
     /// Events 2 and 3: goes on after event 1.
     Rest,
     /// Events 2 and 3, and then nothing: goes on after event 1 and does not end.
@@ -70,12 +72,21 @@
 impl Target {
     /// Gives one answer after the other; the last one again and again.
     pub async fn start(says: &[Say]) -> Target {
+        Target::saying(Arc::new(Mutex::new(says.iter().copied().collect()))).await
+    }
+
+    /// Another target; each answer is given by one of the two.
+    pub async fn twin(&self) -> Target {
+        Target::saying(self.says.clone()).await
+    }
+
+    async fn saying(says: Arc<Mutex<VecDeque<Say>>>) -> Target {
         let listener = TcpListener::bind("127.0.0.1:0")
             .await
             .expect("loopback has ports");
         let target = Target {
             addr: listener.local_addr().expect("it is bound"),
-            says: Arc::new(Mutex::new(says.iter().copied().collect())),
+            says,
             seen: Arc::default(),
         };
         let serving = target.clone();
@@ -177,6 +188,13 @@
                 let rest = event(1) + "8\r\nid: 2\nda\r\n";
                 (head("200 OK", events) + &rest, false)
             }
+            Say::EventAndHang => {
+                let text = head("200 OK", events) + &event(1);
+                if stream.write_all(text.as_bytes()).await.is_ok() {
+                    self.wait_for_end(stream).await;
+                }
+                return false;
+            }
             Say::Rest => {
                 let rest = event(2) + &event(3) + "0\r\n\r\n";
                 (head("200 OK", events) + &rest, true)
