Hold requests to the operator's limit on heads

Cause: the limit was decoded and not applied; any head up to 64 KiB was read. Ruled out: a limit of our own parser; the HTTP library bounds its buffer, at 8 KiB at least. Change: a connection's buffer is as large as the limit in force when it was accepted. What is longer gets 431. Tests: a_longer_one_is_refused failed before (200 for 20 KiB where 16 are allowed), passes now; a_head_within_the_operators_limit_is_read beside it. Left: the limit on the time to send a head is not applied by itself; the idle limit bounds it. Conclusion: one of the two limits found unused is held.

--- a/src/gateway/http.rs
+++ b/src/gateway/http.rs
@@ -33,8 +33,8 @@
 /// Part of the process's descriptors that callers' connections may take before they are closed
 /// after each answer.
 const KEPT_SHARE: f64 = 0.5;
-/// Largest head of a request that is read at all, in bytes.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Heads up to this size are read whatever the operator's limit: the HTTP library's least buffer.
+const LEAST_HEAD_BYTES: usize = 8 * 1024;
 
 /// Serves callers.
 #[derive(Clone, Debug)]
@@ -116,14 +116,14 @@
     fn serve(&self, stream: TcpStream, graceful: &GracefulShutdown) {
         // Only a hint to the system; the connection works without.
         let _ = stream.set_nodelay(true);
-        let idle = self.gate.config().limits.idle;
+        let limits = self.gate.config().limits;
         let counted = self.open.one();
         let http = self.clone();
         let service = service_fn(move |request| http.clone().answer(request));
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
-            .header_read_timeout(idle)
-            .max_buf_size(MAX_HEAD_BYTES)
+            .header_read_timeout(limits.idle)
+            .max_buf_size(limits.head.max(LEAST_HEAD_BYTES))
             .serve_connection(TokioIo::new(stream), service);
         let connection = graceful.watch(connection);
         // A caller that breaks its connection off is no fault of the gateway's.
--- a/tests/gateway/answers.rs
+++ b/tests/gateway/answers.rs
@@ -5,7 +5,7 @@
 use tokio::net::TcpStream;
 
 use crate::target::{Say, Target};
-use crate::world::{ROUTE_TIMEOUT, World};
+use crate::world::{KEY, ROUTE_TIMEOUT, World};
 
 macro_rules! answers {
     ($($name:ident: $say:expr, $path:expr => $status:expr, $whole:expr, $signed:expr;)*) => {$(
@@ -60,6 +60,26 @@
     no_route: "/nowhere/1", "" => 404;
 }
 
+macro_rules! heads {
+    ($($name:ident: $bytes:expr => $status:expr;)*) => {$(
+        #[tokio::test]
+        async fn $name() {
+            let target = Target::start(&[Say::Whole]).await;
+            let world = World::before(&[&target]).await;
+            let filler = "x".repeat($bytes);
+            let headers = format!("Authorization: Bearer {KEY}\r\nX-Filler: {filler}\r\n");
+            let reply = world.call_with("GET", "/read/1", &headers).await;
+            assert_eq!(reply.status, $status, "{reply:?}");
+            assert_eq!(target.count(), usize::from($status == 200));
+        }
+    )*};
+}
+
+heads! {
+    a_head_within_the_operators_limit_is_read: 12 * 1024 => 200;
+    a_longer_one_is_refused: 20 * 1024 => 431;
+}
+
 #[tokio::test]
 async fn a_target_is_told_the_account_and_not_the_key() {
     let target = Target::start(&[Say::Whole]).await;
