Split the caller's side and the meaning of events from the entry's flight

Ruled out: moving the events into the wire types; Event also carries addresses and connections, which do not travel. Tests: none new; all 27 test binaries pass as before. Conclusion: no change in behaviour.

--- a/src/entry/flight.rs
+++ b/src/entry/flight.rs
@@ -1,19 +1,21 @@
 //! The task of one caller's request: carries out what its [`Attempt`] decides.
 
 mod answer;
+mod delivery;
+mod happening;
 mod second;
 
-use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use bytes::Bytes;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 use xtra::Address;
 
 pub use answer::{Caller, Head, Piece};
+use delivery::Delivery;
+use happening::Passed;
 use second::Second;
 
 use crate::attempt::{Action, Attempt, Event as Happening, Outcome, Plan};
@@ -37,11 +39,6 @@
 
 /// A caller that takes nothing for this long has its answer broken off.
 const STALL_TIMEOUT: Duration = Duration::from_secs(60);
-/// Chunks that are passed on before the agent is told.
-const ACK_CHUNKS: u64 = 32;
-/// Bytes that are passed on before the agent is told.
-const ACK_BYTES: u64 = 64 * 1024;
-
 /// What a flight shares with the rest of the entry.
 #[derive(Clone)]
 pub struct Tools {
@@ -68,32 +65,18 @@
     outbox: Outbox,
 }
 
-/// What has been passed on since the agent was last told.
-#[derive(Clone, Copy, Debug, Default)]
-struct Unacked {
-    chunks: u64,
-    bytes: u64,
-}
-
 /// A request on its way.
 pub struct Flight {
     tools: Tools,
     request: Arc<Request>,
     events: mpsc::Receiver<Event>,
-    caller: Caller,
+    delivery: Delivery,
     attempt: Attempt,
     job: JobKey,
     link: Option<Link>,
-    pending: VecDeque<Bytes>,
-    unacked: Unacked,
-    passed: u64,
-    /// Bytes of the body that the caller still expects, when the head told its length.
-    left: Option<u64>,
     spent: Option<Micros>,
-    gone: bool,
     arrived: Micros,
     queue_span: Option<Span>,
-    status: u16,
     trial: Option<Trial>,
     second: Option<Second>,
     answering: Arc<AtomicBool>,
@@ -115,18 +98,12 @@
             tools,
             request,
             events,
-            caller,
+            delivery: Delivery::to(caller),
             job: JobKey::default(),
             link: None,
-            pending: VecDeque::new(),
-            unacked: Unacked::default(),
-            passed: 0,
-            left: None,
             spent: None,
-            gone: false,
             arrived,
             queue_span: None,
-            status: 0,
             trial: None,
             second: None,
             answering: arrive.answering.clone(),
@@ -159,7 +136,7 @@
     async fn follow(&mut self) -> Outcome {
         loop {
             if let Some(outcome) = self.attempt.outcome()
-                && (self.pending.is_empty() || outcome != Outcome::Whole)
+                && (!self.delivery.waits() || outcome != Outcome::Whole)
             {
                 return self.finish(outcome).await;
             }
@@ -169,9 +146,9 @@
 
     /// Waits for the next event and takes it in.
     async fn step(&mut self) {
-        let body = self.caller.body.clone();
+        let body = self.delivery.body();
         let wake = self.wake();
-        let waits = !self.pending.is_empty();
+        let waits = self.delivery.waits();
         tokio::select! {
             event = self.events.recv(), if self.attempt.outcome().is_none() => {
                 let event = event.expect("the flight holds no sender's last copy");
@@ -179,15 +156,14 @@
             }
             permit = body.reserve(), if waits => match permit {
                 Ok(permit) => {
-                    let data = self.pending.pop_front().expect("a piece waits");
+                    let data = self.delivery.next();
                     let size = data.len();
-                    self.left = self.left.map(|left| left.saturating_sub(size as u64));
                     permit.send(Piece::Data(data));
                     self.passed_on(size);
                 }
                 Err(_) => self.caller_gone().await,
             },
-            () = body.closed(), if !waits && !self.gone && !self.has_all() => {
+            () = body.closed(), if !waits && !self.delivery.is_gone() && !self.delivery.has_all() => {
                 self.caller_gone().await;
             }
             () = tokio::time::sleep_until(wake) => self.woken(waits).await,
@@ -204,8 +180,7 @@
     async fn woken(&mut self, waits: bool) {
         if waits && self.attempt.outcome().is_some() {
             // The caller has stalled: what it took ends without an end mark.
-            self.pending.clear();
-            self.gone = true;
+            self.delivery.stalled();
             return;
         }
         self.decide(Happening::Tick, None).await;
@@ -222,85 +197,35 @@
         let Some(event) = self.about_second(event).await else {
             return;
         };
-        let (happening, passed) = match event {
-            Event::Sent {
-                dispatch,
-                agent,
-                boot,
-                outbox,
-            } => {
-                self.link = Some(Link { agent, outbox });
+        self.follow_link(&event);
+        if let Some((happening, passed)) = happening::happening(event) {
+            self.decide(happening, passed).await;
+        }
+    }
+
+    /// Keeps to the agent of the dispatch in flight, and to what it spent.
+    fn follow_link(&mut self, event: &Event) {
+        match event {
+            Event::Sent { agent, outbox, .. } => {
+                let outbox = outbox.clone();
+                self.link = Some(Link {
+                    agent: *agent,
+                    outbox,
+                });
                 self.queue_span = None;
-                self.tools
-                    .telemetry
-                    .metrics()
-                    .event(telemetry::Event::Dispatch);
-                (
-                    Happening::Dispatched {
-                        agent,
-                        boot,
-                        dispatch,
-                    },
-                    None,
-                )
+                let metrics = self.tools.telemetry.metrics();
+                metrics.event(telemetry::Event::Dispatch);
             }
-            Event::Expired => (Happening::GiveUp(Reason::LogUnavailable), None),
-            // Taken by `about_second`.
-            Event::Hedged { .. } => return,
-            Event::Lost { agent } => (Happening::Lost(agent), None),
-            Event::Back {
-                agent,
-                boot,
-                outbox,
-            } => {
-                if let Some(link) = self.link.as_mut().filter(|l| l.agent == agent) {
-                    link.outbox = outbox;
+            Event::Back { agent, outbox, .. } => {
+                if let Some(link) = self.link.as_mut().filter(|l| l.agent == *agent) {
+                    link.outbox = outbox.clone();
                 }
-                (Happening::Back(agent, boot), None)
-            }
-            Event::Declined { dispatch } => (Happening::Declined(dispatch), None),
-            Event::Head {
-                dispatch,
-                status,
-                headers,
-            } => (
-                Happening::Head(dispatch),
-                Some(Passed::Head(Head { status, headers })),
-            ),
-            Event::Chunk {
-                dispatch,
-                seq,
-                data,
-            } => {
-                let len = data.len();
-                (
-                    Happening::Chunk { dispatch, seq, len },
-                    Some(Passed::Data(data)),
-                )
             }
             Event::End {
-                dispatch,
-                finish,
-                chunks,
-                bytes,
-                spent,
-            } => {
-                if self.attempt.dispatch() == Some(dispatch) {
-                    self.spent = Some(spent);
-                }
-                (
-                    Happening::End {
-                        dispatch,
-                        finish,
-                        chunks,
-                        bytes,
-                    },
-                    None,
-                )
-            }
-            Event::State { dispatch, known } => (Happening::State(dispatch, known), None),
-        };
-        self.decide(happening, passed).await;
+                dispatch, spent, ..
+            } if self.attempt.dispatch() == Some(*dispatch) => self.spent = Some(*spent),
+            _ => {}
+        }
     }
 
     /// Lets the attempt decide and carries its actions out.
@@ -407,63 +332,38 @@
                     .telemetry
                     .metrics()
                     .wait(self.tools.clock.now() - self.arrived);
-                self.status = head.status;
-                self.left = head.length();
                 self.answering.store(true, Ordering::Relaxed);
-                if let Some(to) = self.caller.head.take() {
-                    // A caller that is gone shows when the body is passed on.
-                    let _ = to.send(Ok(head));
-                }
+                self.delivery.head(head);
             }
-            Some(Passed::Data(data)) if self.gone => self.passed_on(data.len()),
-            Some(Passed::Data(data)) => self.pending.push_back(data),
+            Some(Passed::Data(data)) if self.delivery.is_gone() => self.passed_on(data.len()),
+            Some(Passed::Data(data)) => self.delivery.push(data),
             None => {}
         }
     }
 
     /// Counts a chunk that the caller has, and tells the agent of several at a time.
     fn passed_on(&mut self, size: usize) {
-        self.passed += 1;
-        self.unacked.chunks += 1;
-        self.unacked.bytes += size as u64;
-        if self.unacked.chunks < ACK_CHUNKS && self.unacked.bytes < ACK_BYTES {
-            return;
-        }
-        self.unacked = Unacked::default();
-        if let Some(dispatch) = self.attempt.dispatch() {
-            self.send(&ToAgent::Ack {
-                dispatch,
-                next: self.passed + 1,
-            });
+        let told = self.delivery.passed_on(size);
+        if let (Some(next), Some(dispatch)) = (told, self.attempt.dispatch()) {
+            self.send(&ToAgent::Ack { dispatch, next });
         }
     }
 
-    /// Whether the caller has a body of known length in full. Its connection then takes no more,
-    /// not even the end.
-    fn has_all(&self) -> bool {
-        self.left == Some(0)
-    }
-
     async fn caller_gone(&mut self) {
-        self.gone = true;
-        while let Some(data) = self.pending.pop_front() {
+        for data in self.delivery.abandoned() {
             self.passed_on(data.len());
         }
         self.decide(Happening::Gone, None).await;
     }
 
     fn refuse(&mut self, problem: Problem) -> Outcome {
-        if let Some(head) = self.caller.head.take() {
-            // A caller that is gone needs no word.
-            let _ = head.send(Err(problem));
-        }
+        self.delivery.refuse(problem);
         Outcome::Refused(problem)
     }
 
     async fn finish(&mut self, outcome: Outcome) -> Outcome {
-        if outcome == Outcome::Whole && !self.gone {
-            // A caller that is gone needs no word.
-            let _ = self.caller.body.send(Piece::End).await;
+        if outcome == Outcome::Whole {
+            self.delivery.end().await;
         }
         self.drop_second().await;
         // The desk outlives every request.
@@ -484,7 +384,7 @@
         if let Some(claim) = self.request.claim {
             let fate = match outcome {
                 Outcome::Whole => Fate::Done {
-                    status: self.status,
+                    status: self.delivery.status(),
                 },
                 _ if outcome.not_run() => Fate::NotRun,
                 _ => Fate::Unknown,
@@ -507,12 +407,6 @@
     }
 }
 
-/// The part of an event that goes on to the caller.
-enum Passed {
-    Head(Head),
-    Data(Bytes),
-}
-
 impl From<Outcome> for telemetry::Outcome {
     fn from(outcome: Outcome) -> Self {
         match outcome {
