Let a target's measured slowness fade

Cause: slowness was measured with each first event and kept until the next one. A target measured slow for half a second got no work, so nothing was measured, and it stayed out; on engines whose hosts are slow at times this takes out sound targets again and again, and their parts are read elsewhere. Change: Load::slow(now) halves what was measured each 2 s; it stands where the plain value stood. Load::{waiting, heard} and Kept::clear, which nothing read, are gone; a settings check is named for what it checks.

--- a/src/gateway/health.rs
+++ b/src/gateway/health.rs
@@ -14,6 +14,8 @@
 const MAX_DOUBLINGS: u32 = 3;
 /// Part of the old value that a new measurement leaves.
 const SMOOTHING: f64 = 0.8;
+/// Time in which a measured slowness comes to count for half.
+const SLOW_LIFE: Micros = Micros::from_secs(2);
 /// Bounds of the measured slowness.
 const SLOWNESS: (f64, f64) = (0.5, 8.0);
 /// Largest number of callers that one of the own requests stands for.
@@ -36,16 +38,21 @@
         }
     }
 
+    /// How slow the target is taken to be now. What was measured counts for less as time goes on,
+    /// so that a target that was slow, and got no work for it, is tried again.
+    pub fn slow(&self, now: Micros) -> f64 {
+        let age = now.saturating_sub(self.measured).0 as f64;
+        1.0 + (self.slowness - 1.0) * (-age / SLOW_LIFE.0 as f64).exp2()
+    }
+
     /// The target answered what it got.
-    pub fn answered(&mut self, now: Micros) {
+    pub fn answered(&mut self) {
         self.failures = 0;
-        self.heard = now;
     }
 
     /// The target failed. `reached` is false when it is not at its address.
     pub fn failed(&mut self, now: Micros, reached: bool) {
         self.failures += 1;
-        self.heard = now;
         let most = if reached { MAX_FAILURES } else { 1 };
         if self.failures >= most {
             let doublings = (self.failures - most).min(MAX_DOUBLINGS);
@@ -54,11 +61,13 @@
     }
 
     /// A first event came after `took`, and was expected after `expected`.
-    pub fn timed(&mut self, took: Micros, expected: Micros) {
-        let plain = expected.0 as f64 / self.slowness;
+    pub fn timed(&mut self, now: Micros, took: Micros, expected: Micros) {
+        let slow = self.slow(now);
+        let plain = expected.0 as f64 / slow;
         let (least, most) = SLOWNESS;
         let ratio = (took.0 as f64 / plain.max(1.0)).clamp(least, most);
-        self.slowness = self.slowness * SMOOTHING + ratio * (1.0 - SMOOTHING);
+        self.slowness = slow * SMOOTHING + ratio * (1.0 - SMOOTHING);
+        self.measured = now;
     }
 
     /// The target told its load in an answer.
@@ -67,7 +76,6 @@
         let own = f64::from(self.active.max(1));
         let crowd = (all / own).clamp(1.0, MAX_CROWD);
         self.crowd = self.crowd * SMOOTHING + crowd * (1.0 - SMOOTHING);
-        self.waiting = report.waiting;
     }
 }
 
--- a/src/gateway/health/tests.rs
+++ b/src/gateway/health/tests.rs
@@ -36,7 +36,7 @@
     }
     assert!(pauses.windows(2).all(|pair| pair[0] <= pair[1]));
     assert!(pauses[19] <= Micros::from_secs(4));
-    load.answered(Micros::ZERO);
+    load.answered();
     load.failed(Micros::ZERO, true);
     assert_eq!(load.failures, 1);
 }
@@ -45,10 +45,8 @@
 fn slowness_follows_what_is_measured_within_a_few_requests() {
     let mut load = load();
     for _ in 0..6 {
-        load.timed(
-            Micros::from_ms(500),
-            Micros((100_000.0 * load.slowness) as u64),
-        );
+        let expected = Micros((100_000.0 * load.slowness) as u64);
+        load.timed(Micros::ZERO, Micros::from_ms(500), expected);
     }
     assert!(load.slowness > 3.0, "{}", load.slowness);
 }
@@ -65,3 +63,24 @@
     (0..40).for_each(|_| load.reported(report));
     assert!((load.all_active() - 12.0).abs() < 0.5);
 }
+
+macro_rules! recoveries {
+    ($($name:ident: $after_s:expr => $range:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut load = load();
+            for _ in 0..40 {
+                let expected = Micros((100_000.0 * load.slowness) as u64);
+                load.timed(Micros::ZERO, Micros::from_ms(700), expected);
+            }
+            let slow = load.slow(Micros::from_secs($after_s));
+            assert!($range.contains(&slow), "{slow}");
+        }
+    )*};
+}
+
+recoveries! {
+    what_was_measured_counts_at_first: 0 => 6.5..7.5;
+    it_counts_for_less_later: 4 => 2.0..3.5;
+    it_no_longer_counts_in_the_end: 30 => 1.0..1.1;
+}
--- a/src/gateway/in_flight.rs
+++ b/src/gateway/in_flight.rs
@@ -52,8 +52,8 @@
         let reading = std::mem::take(&mut self.reading);
         self.gate.on_target(self.target, |target| {
             target.load.reading = target.load.reading.saturating_sub(reading);
-            target.load.timed(took, expected);
-            target.load.answered(now);
+            target.load.timed(now, took, expected);
+            target.load.answered();
         });
     }
 }
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -96,7 +96,7 @@
         let rank = firsts.iter().position(|&(_, first)| first == key);
         let cost = match ask.prompt {
             Some(prompt) => engine_cost(target, now, prompt, rank, ask),
-            None => call_cost(target),
+            None => call_cost(target, now),
         };
         let total = cost.total + extra(target, &cost, ask);
         let tie = mix(ask.random ^ spread(target.tag));
@@ -164,6 +164,7 @@
     ask: &Ask<'_>,
 ) -> Cost {
     let load = &target.load;
+    let slowness = load.slow(now);
     let own = prompt
         .parts
         .last()
@@ -179,8 +180,8 @@
     let before = us(load.all_reading());
     let beside = load.all_active() * BESIDE_US;
     let read = us((own.min(unread) + shared) as f64);
-    let wait = (before + beside) * load.slowness;
-    let time = wait + (read + ENGINE_US) * load.slowness;
+    let wait = (before + beside) * slowness;
+    let time = wait + (read + ENGINE_US) * slowness;
     Cost {
         time,
         wait,
@@ -190,13 +191,14 @@
 }
 
 /// The cost on a plain target.
-fn call_cost(target: &Target) -> Cost {
+fn call_cost(target: &Target, now: Micros) -> Cost {
     let load = &target.load;
+    let slowness = load.slow(now);
     let slots = f64::from(target.entry.slots.max(LEAST_SLOTS));
     let ahead = load.all_active();
     let filling = (ahead / slots).powi(2).max(ahead + 1.0 - slots).max(0.0);
-    let wait = CALL_US * filling / slots * load.slowness;
-    let time = wait + CALL_US * load.slowness;
+    let wait = CALL_US * filling / slots * slowness;
+    let time = wait + CALL_US * slowness;
     Cost {
         time,
         wait,
--- a/src/gateway/place/tests.rs
+++ b/src/gateway/place/tests.rs
@@ -190,3 +190,19 @@
     assert_eq!(zones[0], "a");
     assert!(zones.contains(&"b".to_owned()));
 }
+
+#[test]
+fn a_target_that_was_slow_gets_work_again() {
+    let mut targets = fleet(1, "model");
+    let slow = targets.of("model")[0];
+    let entry = targets.get(slow).expect("it is listed").entry.clone();
+    targets.put("other", entry);
+    let busy = targets.of("model")[1];
+    let load = &mut targets.get_mut(slow).expect("it is listed").load;
+    (load.slowness, load.measured) = (8.0, NOW);
+    let load = &mut targets.get_mut(busy).expect("it is listed").load;
+    load.reading = 2 * OWN_TOKENS;
+    let placed = |now| choose(&targets, now, &ask(Some(&prompt(0, 1)), 7)).map(|c| c.target);
+    assert_eq!(placed(NOW), Some(busy));
+    assert_eq!(placed(NOW + Micros::from_secs(20)), Some(slow));
+}
--- a/src/gateway/prompts.rs
+++ b/src/gateway/prompts.rs
@@ -83,11 +83,6 @@
             self.parts.extend(prompt.parts.iter().map(|p| (p.id, now)));
         }
     }
-
-    /// The target has lost all it kept.
-    pub fn clear(&mut self) {
-        self.parts.clear();
-    }
 }
 
 /// A well-spread function of a number (the finaliser of splitmix64).
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -151,7 +151,7 @@
         }
         match failed || moved {
             true => target.load.failed(now, !moved),
-            false => target.load.answered(now),
+            false => target.load.answered(),
         }
     });
 }
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -60,16 +60,14 @@
     pub crowd: f64,
     /// What other gateways told of theirs; `None` while none is heard.
     pub others: Option<Held>,
-    /// Requests that waited there, by its last report.
-    pub waiting: u32,
-    /// Time to a first event, measured against what was expected; 1 is as expected.
+    /// Time to a first event when last measured, against what was expected; 1 is as expected.
     pub slowness: f64,
+    /// When that was.
+    pub measured: Micros,
     /// Failures in a row.
     pub failures: u32,
     /// No work goes there until then.
     pub closed: Micros,
-    /// When it last answered or failed.
-    pub heard: Micros,
 }
 
 /// A target.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -221,8 +221,8 @@
             );
         }
         faults.positive("retries.window", self.retries.window);
-        faults.share("retries.ratio", self.retries.ratio);
-        faults.share("retries.slack", self.retries.slack);
+        faults.not_negative("retries.ratio", self.retries.ratio);
+        faults.not_negative("retries.slack", self.retries.slack);
         faults.telemetry(&self.telemetry);
         faults.0
     }
@@ -345,9 +345,9 @@
     }
 
     /// A number that is not negative.
-    fn share(&mut self, field: &str, share: f64) {
-        if !(share >= 0.0 && share.is_finite()) {
-            self.push(field, format!("is {share}, expected 0 or more"));
+    fn not_negative(&mut self, field: &str, number: f64) {
+        if !(number >= 0.0 && number.is_finite()) {
+            self.push(field, format!("is {number}, expected 0 or more"));
         }
     }
 
