Tell other gateways of loads ten times a second

Cause: gateways placed requests on loads that others told up to 0.2 s before; in that time each other gateway sends a dozen requests. Change: a round each 100 ms; what accounts ask for and which gateways there are goes out each second round, as before. Version 2 of the messages. Tests: a_round_of_loads_only_leaves_what_was_told_of_accounts.

--- a/src/gateway/gate.rs
+++ b/src/gateway/gate.rs
@@ -150,8 +150,8 @@
         WireList::new(state.listed.unwrap_or_default(), targets)
     }
 
-    /// What to tell the other gateways, and whom.
-    pub fn round(&self, hello: Hello) -> (Hello, SmallVec<[SocketAddr; 8]>) {
+    /// What to tell the other gateways, and whom: of the loads only, unless the message is `whole`.
+    pub fn round(&self, hello: Hello, whole: bool) -> (Hello, SmallVec<[SocketAddr; 8]>) {
         let now = self.clock.now();
         let mut state = self.lock();
         let state = &mut *state;
@@ -162,10 +162,13 @@
             let (active, reading) = (target.load.active, target.load.reading);
             (target.tag, Held { active, reading })
         });
-        let mut hello = hello.loads(held).uses(state.fair.own(now));
+        let mut hello = hello.loads(held);
         hello.version = self.config.load().version;
         hello.linked = state.listed.is_some();
-        hello.named = state.peers.some();
+        if whole {
+            hello = hello.uses(state.fair.own(now));
+            hello.named = state.peers.some();
+        }
         (hello, state.peers.round())
     }
 
--- a/src/gateway/peers/service.rs
+++ b/src/gateway/peers/service.rs
@@ -13,7 +13,11 @@
 use crate::gateway::peers::{Told, handover};
 
 /// Time between two rounds.
-const ROUND: Duration = Duration::from_millis(200);
+const ROUND: Duration = Duration::from_millis(100);
+/// One round of so many also tells what client accounts ask for and get, and other gateways.
+const WHOLE_EVERY: u64 = 2;
+/// Time between two looks for a newer configuration.
+const CONFIG_LOOK: Duration = Duration::from_millis(200);
 
 /// Tells and hears other gateways, for ever. `me` is this one's address.
 pub async fn run(socket: UdpSocket, gate: Arc<Gate>, me: SocketAddr) {
@@ -21,10 +25,12 @@
     let mut rounds = tokio::time::interval(ROUND);
     rounds.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut buffer = [0; MAX_DATAGRAM_BYTES];
+    let mut round = 0;
     loop {
         tokio::select! {
             _ = rounds.tick() => {
-                tell(&socket, &gate, boot).await;
+                round += 1;
+                tell(&socket, &gate, boot, round % WHOLE_EVERY == 0).await;
             }
             received = socket.recv_from(&mut buffer) => {
                 // An error here is of an earlier datagram: its host was unreachable.
@@ -38,8 +44,8 @@
     }
 }
 
-async fn tell(socket: &UdpSocket, gate: &Gate, boot: u64) {
-    let (hello, round) = gate.round(Hello::new(boot));
+async fn tell(socket: &UdpSocket, gate: &Gate, boot: u64, whole: bool) {
+    let (hello, round) = gate.round(Hello::new(boot), whole);
     let data = hello.encode();
     for peer in round {
         // A datagram that is lost is followed by the next round's.
@@ -49,7 +55,9 @@
 
 fn hear(gate: &Gate, from: SocketAddr, me: SocketAddr, hello: &Hello) {
     let now = gate.clock.now();
-    gate.with_fair(|fair| fair.told(now, hello.boot, hello.rows()));
+    if let Some(rows) = hello.rows() {
+        gate.with_fair(|fair| fair.told(now, hello.boot, rows));
+    }
     gate.with_peers(|peers| {
         peers.heard(now, from, Told::from(hello));
         for &other in &hello.named {
@@ -62,7 +70,7 @@
 /// Takes newer configurations from the gateways that have them, for ever.
 pub async fn take_configs<D: Directory>(gate: Arc<Gate>, directory: D) {
     loop {
-        tokio::time::sleep(ROUND).await;
+        tokio::time::sleep(CONFIG_LOOK).await;
         take_newer(&gate, &directory).await;
     }
 }
--- a/src/gateway/peers/tests.rs
+++ b/src/gateway/peers/tests.rs
@@ -5,8 +5,10 @@
 
 use super::wire::{Hello, MAX_DATAGRAM_BYTES, WireList};
 use super::{FANOUT, Held, MAX_PEERS, Peers, Told};
+use crate::gateway::budget::Allowance;
 use crate::gateway::directory::{Change, News};
 use crate::gateway::fair::{AccountTag, Use};
+use crate::gateway::gate::Gate;
 use crate::gateway::targets::{Entry, TargetTag};
 use crate::units::Micros;
 
@@ -121,10 +123,27 @@
     let data = hello.encode();
     assert!(data.len() <= MAX_DATAGRAM_BYTES, "{}", data.len());
     let read = Hello::decode(&data).expect("it is a message");
-    assert_eq!(read.rows().count(), 48);
+    assert_eq!(read.rows().map(Iterator::count), Some(48));
     assert_eq!(Told::from(&read).load.len(), 48);
 }
 
+#[test]
+fn a_round_of_loads_only_leaves_what_was_told_of_accounts() {
+    let allowance = Allowance {
+        ratio: 0.2,
+        slack: 10.0,
+        window: at(10_000),
+    };
+    let gate = Gate::new("a", allowance);
+    gate.with_fair(|fair| fair.asked(gate.clock.now(), AccountTag(7), 1_000.0));
+    let (whole, _) = gate.round(Hello::new(1), true);
+    let (loads, _) = gate.round(Hello::new(1), false);
+    let read = |hello: &Hello| Hello::decode(&hello.encode()).expect("it is a message");
+    assert_eq!(read(&whole).rows().map(Iterator::count), Some(1));
+    assert!(read(&loads).rows().is_none());
+    assert!(loads.encode().len() < whole.encode().len());
+}
+
 #[test]
 fn a_list_is_handed_over_whole() {
     let entry = Entry {
--- a/src/gateway/peers/wire.rs
+++ b/src/gateway/peers/wire.rs
@@ -10,7 +10,7 @@
 use crate::gateway::targets::{Entry, TargetTag};
 
 /// Version of these messages; others are dropped.
-pub const VERSION: u8 = 1;
+pub const VERSION: u8 = 2;
 /// Largest datagram.
 pub const MAX_DATAGRAM_BYTES: usize = 1_400;
 /// Most targets in a datagram.
@@ -34,7 +34,8 @@
     /// Some gateways that it knows.
     pub named: Vec<SocketAddr>,
     loads: Vec<WireLoad>,
-    uses: Vec<WireUse>,
+    /// Absent in rounds that tell loads only.
+    uses: Option<Vec<WireUse>>,
 }
 
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
@@ -111,14 +112,12 @@
         let mut all: Vec<(AccountTag, Use)> = uses.collect();
         all.sort_by(|(_, a), (_, b)| b.asked.total_cmp(&a.asked));
         all.truncate(MAX_USES);
-        self.uses = all
-            .into_iter()
-            .map(|(account, uses)| WireUse {
-                account: account.0,
-                asked: (uses.asked / TOKENS as f64).ceil() as u32,
-                got: (uses.got / TOKENS as f64).ceil() as u32,
-            })
-            .collect();
+        let row = |(account, uses): (AccountTag, Use)| WireUse {
+            account: account.0,
+            asked: (uses.asked / TOKENS as f64).ceil() as u32,
+            got: (uses.got / TOKENS as f64).ceil() as u32,
+        };
+        self.uses = Some(all.into_iter().map(row).collect());
         self
     }
 
@@ -133,21 +132,23 @@
     /// [`NotHello`] when it is something else.
     pub fn decode(data: &[u8]) -> Result<Self, NotHello> {
         let hello: Hello = postcard::from_bytes(data).map_err(|_| NotHello)?;
-        let fits = hello.loads.len() <= MAX_LOADS && hello.uses.len() <= MAX_USES;
+        let uses = hello.uses.as_ref().map_or(0, Vec::len);
+        let fits = hello.loads.len() <= MAX_LOADS && uses <= MAX_USES;
         (hello.protocol == VERSION && fits)
             .then_some(hello)
             .ok_or(NotHello)
     }
 
-    /// What client accounts ask for and get at the sender.
-    pub fn rows(&self) -> impl Iterator<Item = (AccountTag, Use)> + '_ {
-        self.uses.iter().map(|row| {
+    /// What client accounts ask for and get at the sender, if it tells.
+    pub fn rows(&self) -> Option<impl Iterator<Item = (AccountTag, Use)> + '_> {
+        let uses = |row: &WireUse| {
             let uses = Use {
                 asked: f64::from(row.asked) * TOKENS as f64,
                 got: f64::from(row.got) * TOKENS as f64,
             };
             (AccountTag(row.account), uses)
-        })
+        };
+        Some(self.uses.as_ref()?.iter().map(uses))
     }
 }
 
