Say when a slowed target was measured in its placement case

Cause: the case set a slowness without the time of its measurement, one second before it is looked at. Ruled out: a fault in placement; a measurement of a second ago now counts for a sixth, as meant. Change: the case measures at the moment of the choice; what it asks is the same. Conclusion: 118 cases of the gateway's modules pass.

--- a/src/gateway/place/tests.rs
+++ b/src/gateway/place/tests.rs
@@ -158,7 +158,7 @@
 passed_over! {
     a_leaving_target: |target| target.entry.leaving = true;
     a_target_that_fails: |target| target.load.closed = NOW + Micros::from_ms(1);
-    a_slowed_target: |target| target.load.slowness = 8.0;
+    a_slowed_target: |target| (target.load.slowness, target.load.measured) = (8.0, NOW);
     a_target_with_much_to_read: |target| target.load.reading = 80_000;
     a_target_that_others_keep_busy: |target| target.load.others = Some(crate::gateway::peers::Held { active: 9, reading: 80_000 });
 }
