Refuse requests that crash the targets that run them

Cause: a request that takes down each target that runs it was sent again each time its caller came back; only the product's own path knew such requests. Ruled out: counting each broken connection as a crash (targets reset connections for other reasons; sound requests would be held back); trials one at a time as on the own path (requests beside the culprit would wait). Change: gateway::suspects. A connection that broke off after the request was sent counts as a crash when its target cannot be reached within 2 s; three crashes and the request gets 503, not run. Gateways tell each other the latest six crashes; a request that is answered is cleared, for good, since a merge keeps the earlier end (quarantine::clear). A digest is computed only while something is suspected.

--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -39,6 +39,11 @@
     pub fn failed(&mut self, target: TargetKey, failure: Failure) {
         self.tries.add(failure);
         self.tried.push(target);
+        if failure == Failure::Broken {
+            let (now, digest) = (self.gate.clock.now(), self.order.digest());
+            self.gate
+                .with_suspects(|suspects| suspects.broke(now, target, digest));
+        }
         request_log::failed(&self.order, &self.gate, target, failure);
     }
 
@@ -48,7 +53,8 @@
         let may = self
             .tries
             .may_repeat(order.route.kind, order.route.attempts);
-        if !may || gate.clock.now() >= order.until() {
+        let over = gate.clock.now() >= order.until();
+        if !may || over || gate.held(order).is_some() {
             return None;
         }
         let choice = gate.choose(order, &self.tried)?;
--- a/src/gateway/flight.rs
+++ b/src/gateway/flight.rs
@@ -82,6 +82,11 @@
     /// The first target, unless the request is better refused at once.
     fn admit(&self) -> Result<Choice, Problem> {
         let order = &self.attempts.order;
+        if let Some(wait) = self.attempts.gate.held(order) {
+            let problem = Problem::not_run(503, Reason::Quarantined).retry_after(wait.into());
+            request_log::given_up(&self.attempts.gate, order, &problem);
+            return Err(problem);
+        }
         let prompt = order.prompt.as_ref();
         let choice = self.attempts.gate.choose(order, &[]);
         let now = self.attempts.gate.clock.now();
@@ -175,6 +180,7 @@
         } = upstream;
         let body = self.read(body).await?;
         flight.begun();
+        self.attempts.gate.answered(&self.attempts.order);
         self.attempts.gate.links.put(flight.target, link, told.idle);
         let took = self
             .attempts
--- a/src/gateway/gate.rs
+++ b/src/gateway/gate.rs
@@ -17,6 +17,7 @@
 use crate::gateway::peers::wire::{Hello, WireList};
 use crate::gateway::peers::{Held, Peers};
 use crate::gateway::place::{self, Ask, Choice};
+use crate::gateway::suspects::Suspects;
 use crate::gateway::targets::{Entry, Target, TargetKey, Targets};
 use crate::telemetry::{Metrics, Telemetry};
 use crate::units::{Clock, Micros};
@@ -54,6 +55,7 @@
     peers: Peers,
     /// Where the list of targets is read on; `None` while the platform does not answer.
     listed: Option<u64>,
+    suspects: Suspects,
     targets: Targets,
     budgets: HashMap<Arc<str>, Budget>,
 }
@@ -74,6 +76,7 @@
                 lines: Limiter::default(),
                 peers: Peers::default(),
                 listed: None,
+                suspects: Suspects::default(),
                 targets: Targets::default(),
                 budgets: HashMap::new(),
             }),
@@ -167,6 +170,7 @@
         hello.linked = state.listed.is_some();
         if whole {
             hello = hello.uses(state.fair.own(now));
+            hello = hello.crashes(state.suspects.sightings(now));
             hello.named = state.peers.some();
         }
         (hello, state.peers.round())
@@ -177,6 +181,30 @@
         take_others(&mut self.lock(), now);
     }
 
+    /// Acts on the requests that seem to crash targets.
+    pub fn with_suspects<T>(&self, act: impl FnOnce(&mut Suspects) -> T) -> T {
+        act(&mut self.lock().suspects)
+    }
+
+    /// A request was answered in full.
+    pub fn answered(&self, order: &Order) {
+        let now = self.clock.now();
+        self.with_suspects(|suspects| {
+            if !suspects.is_empty() {
+                suspects.answered(now, order.digest());
+            }
+        });
+    }
+
+    /// When a request that crashes targets may come back; `None`: it may be sent.
+    pub fn held(&self, order: &Order) -> Option<Micros> {
+        let now = self.clock.now();
+        self.with_suspects(|suspects| match suspects.is_empty() {
+            true => None,
+            false => suspects.held(now, order.digest()),
+        })
+    }
+
     /// Tokens that all targets of the engines make a second.
     pub fn pace(&self) -> Option<f64> {
         self.config.load().limits.tokens
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -33,6 +33,7 @@
 pub mod resume;
 pub mod send;
 pub mod silence;
+pub mod suspects;
 pub mod targets;
 pub mod turn_away;
 
--- a/src/gateway/order.rs
+++ b/src/gateway/order.rs
@@ -11,6 +11,7 @@
 use hyper::{HeaderMap, Method, Request, Uri};
 use tokio::time::timeout;
 
+use crate::claim::Digest;
 use crate::gateway::config::{Config, Route};
 use crate::gateway::prompts::Prompt;
 use crate::platform::headers::{self, Added};
@@ -99,6 +100,18 @@
         headers::passed_on(&self.headers, &added)
     }
 
+    /// Stands for all that the target is given: the same request has it again.
+    pub fn digest(&self) -> Digest {
+        let uri = self.uri.to_string();
+        let account = self.account.as_deref().unwrap_or_default();
+        Digest::of(&[
+            self.method.as_str().as_bytes(),
+            uri.as_bytes(),
+            account.as_bytes(),
+            &self.body,
+        ])
+    }
+
     /// Its id as text, for logs.
     pub fn name(&self) -> &str {
         self.id.to_str().unwrap_or("unreadable")
--- a/src/gateway/peers/service.rs
+++ b/src/gateway/peers/service.rs
@@ -58,6 +58,9 @@
     if let Some(rows) = hello.rows() {
         gate.with_fair(|fair| fair.told(now, hello.boot, rows));
     }
+    if !hello.crashes.is_empty() {
+        gate.with_suspects(|suspects| suspects.told(now, &hello.crashes));
+    }
     gate.with_peers(|peers| {
         peers.heard(now, from, Told::from(hello));
         for &other in &hello.named {
--- a/src/gateway/peers/tests.rs
+++ b/src/gateway/peers/tests.rs
@@ -5,11 +5,13 @@
 
 use super::wire::{Hello, MAX_DATAGRAM_BYTES, WireList};
 use super::{FANOUT, Held, MAX_PEERS, Peers, Told};
+use crate::claim::Digest;
 use crate::gateway::budget::Allowance;
 use crate::gateway::directory::{Change, News};
 use crate::gateway::fair::{AccountTag, Use};
 use crate::gateway::gate::Gate;
 use crate::gateway::targets::{Entry, TargetTag};
+use crate::quarantine::{self, Kind, Sighting};
 use crate::units::Micros;
 
 fn addr(host: u16) -> SocketAddr {
@@ -119,11 +121,19 @@
     };
     let mut hello = Hello::new(u64::MAX);
     hello.named = (0..4).map(addr).collect();
+    let crash = |id: u64| Sighting {
+        digest: Digest([255; 16]),
+        id: u64::MAX - id,
+        kind: Kind::Crash,
+        age: quarantine::HOLD,
+    };
     let hello = hello.loads((0..500).map(held)).uses((0..500).map(uses));
+    let hello = hello.crashes((0..500).map(crash).collect());
     let data = hello.encode();
     assert!(data.len() <= MAX_DATAGRAM_BYTES, "{}", data.len());
     let read = Hello::decode(&data).expect("it is a message");
     assert_eq!(read.rows().map(Iterator::count), Some(48));
+    assert_eq!(read.crashes.len(), 6);
     assert_eq!(Told::from(&read).load.len(), 48);
 }
 
--- a/src/gateway/peers/wire.rs
+++ b/src/gateway/peers/wire.rs
@@ -8,6 +8,7 @@
 use crate::gateway::fair::{AccountTag, Use};
 use crate::gateway::peers::{Held, Told};
 use crate::gateway::targets::{Entry, TargetTag};
+use crate::quarantine::Sighting;
 
 /// Version of these messages; others are dropped.
 pub const VERSION: u8 = 2;
@@ -17,6 +18,8 @@
 const MAX_LOADS: usize = 48;
 /// Most client accounts in a datagram.
 const MAX_USES: usize = 48;
+/// Most crashes in a datagram.
+const MAX_CRASHES: usize = 6;
 /// Tokens are told in units of this size.
 const TOKENS: u64 = 64;
 
@@ -36,6 +39,8 @@
     loads: Vec<WireLoad>,
     /// Absent in rounds that tell loads only.
     uses: Option<Vec<WireUse>>,
+    /// Crashes that the sender knows of.
+    pub crashes: Vec<Sighting>,
 }
 
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
@@ -121,6 +126,13 @@
         self
     }
 
+    /// Adds crashes that the sender knows of; those beyond the bound are left out.
+    pub fn crashes(mut self, mut crashes: Vec<Sighting>) -> Self {
+        crashes.truncate(MAX_CRASHES);
+        self.crashes = crashes;
+        self
+    }
+
     /// The datagram.
     pub fn encode(&self) -> Vec<u8> {
         postcard::to_stdvec(self).expect("a message encodes")
@@ -133,7 +145,9 @@
     pub fn decode(data: &[u8]) -> Result<Self, NotHello> {
         let hello: Hello = postcard::from_bytes(data).map_err(|_| NotHello)?;
         let uses = hello.uses.as_ref().map_or(0, Vec::len);
-        let fits = hello.loads.len() <= MAX_LOADS && uses <= MAX_USES;
+        let fits = hello.loads.len() <= MAX_LOADS
+            && uses <= MAX_USES
+            && hello.crashes.len() <= MAX_CRASHES;
         (hello.protocol == VERSION && fits)
             .then_some(hello)
             .ok_or(NotHello)
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -109,6 +109,7 @@
                 .gate
                 .links
                 .put(target, source.link, source.told.idle);
+            self.attempts.gate.answered(&self.attempts.order);
             let took = self
                 .attempts
                 .gate
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -159,6 +159,9 @@
 fn fail(gate: &Gate, target: TargetKey, reached: bool) {
     let now = gate.clock.now();
     gate.on_target(target, |target| target.load.failed(now, reached));
+    if !reached {
+        gate.with_suspects(|suspects| suspects.unreached(now, target, rand::random));
+    }
 }
 
 /// A moment of the gateway's clock, for timers.
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -133,6 +133,20 @@
         self.note(now + HOLD, digest, id, Kind::Crash);
     }
 
+    /// How long each crash of a request still counts.
+    pub fn crashes(&self, now: Micros, digest: Digest) -> impl Iterator<Item = Micros> + Clone {
+        let seen = self.seen.get(&digest).into_iter().flatten();
+        let live = seen.filter(move |s| s.kind == Kind::Crash && s.until > now);
+        live.map(move |s| s.until - now)
+    }
+
+    /// The request was answered: nothing that was seen of it counts any more.
+    pub fn clear(&mut self, now: Micros, digest: Digest) {
+        for seen in self.seen.get_mut(&digest).into_iter().flatten() {
+            seen.until = seen.until.min(now);
+        }
+    }
+
     /// Takes a peer's sighting in.
     pub fn merge(&mut self, now: Micros, sighting: &Sighting) {
         let left = sighting.kind.hold() - sighting.age;
--- a/tests/gateway/repeats.rs
+++ b/tests/gateway/repeats.rs
@@ -42,3 +42,25 @@
     }
     assert_eq!(good.count(), 20);
 }
+
+#[tokio::test]
+async fn a_request_that_crashes_its_targets_is_refused_after_the_third() {
+    let mut targets = Vec::new();
+    for _ in 0..7 {
+        targets.push(Target::start(&[Say::Fragile]).await);
+    }
+    let world = World::before(&targets.iter().collect::<Vec<_>>()).await;
+    let mut statuses = Vec::new();
+    for round in 0..4 {
+        statuses.push(world.call("GET", "/read/poison").await.status);
+        for harmless in 0..30 {
+            let reply = world
+                .call("GET", &format!("/read/{round}-{harmless}"))
+                .await;
+            assert_eq!(reply.status, 200, "{reply:?}");
+        }
+    }
+    // Each try may reach two targets, as its route allows.
+    assert_eq!(statuses, [502, 502, 503, 503]);
+    assert_eq!(targets.iter().filter(|target| target.is_down()).count(), 4);
+}
--- a/tests/gateway/target.rs
+++ b/tests/gateway/target.rs
@@ -7,6 +7,7 @@
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
 
 /// How a target answers one request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -35,6 +36,8 @@
     Failed,
     /// The connection is reset.
     Reset,
+    /// A whole answer; a request for poison ends the target instead.
+    Fragile,
     /// Nothing at all.
     Hang,
     /// Events 1 to 3, whole.
@@ -69,6 +72,7 @@
     pub addr: SocketAddr,
     says: Arc<Mutex<VecDeque<Say>>>,
     seen: Arc<Mutex<Seen>>,
+    crash: CancellationToken,
 }
 
 impl Target {
@@ -90,11 +94,24 @@
             addr: listener.local_addr().expect("it is bound"),
             says,
             seen: Arc::default(),
+            crash: CancellationToken::new(),
         };
         let serving = target.clone();
         tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(serving.clone().serve(stream));
+            loop {
+                let crashed = serving.crash.clone().cancelled_owned();
+                let accepted = tokio::select! {
+                    accepted = listener.accept() => accepted,
+                    () = serving.crash.cancelled() => return,
+                };
+                let Ok((stream, _)) = accepted else { return };
+                let answering = serving.clone().serve(stream);
+                tokio::spawn(async {
+                    tokio::select! {
+                        () = answering => {}
+                        () = crashed => {}
+                    }
+                });
             }
         });
         target
@@ -109,6 +126,7 @@
             addr: listener.local_addr().expect("it is bound"),
             says: Arc::default(),
             seen: Arc::default(),
+            crash: CancellationToken::new(),
         }
     }
 
@@ -122,6 +140,18 @@
         self.seen().heads.len()
     }
 
+    /// Whether it crashed.
+    pub fn is_down(&self) -> bool {
+        self.crash.is_cancelled()
+    }
+
+    fn is_poison(&self) -> bool {
+        let seen = self.seen.lock().expect("no holder panics");
+        seen.heads
+            .last()
+            .is_some_and(|head| head.contains("/poison"))
+    }
+
     fn next(&self) -> Say {
         let mut says = self.says.lock().expect("no holder panics");
         match says.len() {
@@ -174,6 +204,12 @@
                 true,
             ),
             Say::Failed => (head("500 Oh No", "Content-Length: 4\r\n") + "oops", true),
+            Say::Fragile if self.is_poison() => {
+                self.crash.cancel();
+                stream.set_zero_linger().expect("it can be reset");
+                return false;
+            }
+            Say::Fragile => (whole, true),
             Say::Reset => {
                 stream.set_zero_linger().expect("it can be reset");
                 return false;
