Listen alike in all processes

Cause: binding with the same message stood five times, and accepting with a pause after a failure three times; the gateway's last pause was written as a timeout of something that never comes, with a bare number. Change: src/listen.rs; a named constant for the pause. An agent's accept that fails now pauses 50 ms instead of a heartbeat period. Ruled out: the accept loops of callers' and operators' servers, which also count connections. Conclusion: no other change in behaviour.

--- a/src/agent/mod.rs
+++ b/src/agent/mod.rs
@@ -10,8 +10,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use anyhow::Context;
-use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 use xtra::{Address, Mailbox};
@@ -26,6 +24,7 @@
 use crate::conn::HEARTBEAT_PERIOD;
 use crate::ids::BootId;
 use crate::kernel::Kernel;
+use crate::listen;
 use crate::settings::AgentSettings;
 use crate::telemetry::{self, Telemetry};
 use crate::units::Clock;
@@ -55,9 +54,7 @@
     telemetry: Telemetry,
     drain: CancellationToken,
 ) -> anyhow::Result<()> {
-    let admin = TcpListener::bind(settings.admin)
-        .await
-        .with_context(|| format!("could not listen for operators on {}", settings.admin))?;
+    let admin = listen::tcp(settings.admin, "operators").await?;
     let kernel = Kernel::new();
     let target = Target::new(settings.target, settings.slots, telemetry.clone());
     let core = Core::new(Clock::start(), target, settings.slots, telemetry.clone());
--- a/src/cmd/standin.rs
+++ b/src/cmd/standin.rs
@@ -10,6 +10,7 @@
 use tokio::net::TcpListener;
 
 use crate::cmd::{Failure, Program, shutdown};
+use crate::listen;
 use crate::standin::log::DEFAULT_RETAIN;
 use crate::standin::{Host, Link, Platform, Target, TargetOptions};
 
@@ -186,7 +187,5 @@
 }
 
 async fn bind(addr: SocketAddr) -> anyhow::Result<TcpListener> {
-    TcpListener::bind(addr)
-        .await
-        .with_context(|| format!("could not listen on {addr}"))
+    listen::tcp(addr, "callers of the stand-in").await
 }
--- a/src/entry/agents.rs
+++ b/src/entry/agents.rs
@@ -10,6 +10,7 @@
 use crate::entry::peers::Answerer;
 use crate::entry::routes::{Event, Routes};
 use crate::ids::{BootId, DispatchId};
+use crate::listen;
 use crate::telemetry::{Event as Count, Gauge, Telemetry};
 use crate::wire::{AgentInfo, Opener, ToEntry};
 
@@ -34,12 +35,8 @@
     /// Accepts agents and other entries until the process ends.
     pub async fn listen(self, listener: TcpListener) {
         loop {
-            match listener.accept().await {
-                Ok((stream, _)) => {
-                    tokio::spawn(self.clone().serve(stream));
-                }
-                Err(_) => tokio::time::sleep(conn::HEARTBEAT_PERIOD).await,
-            }
+            let stream = listen::accept(&listener).await;
+            tokio::spawn(self.clone().serve(stream));
         }
     }
 
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -21,11 +21,9 @@
 pub mod status;
 pub mod trail;
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use anyhow::Context;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
@@ -53,6 +51,7 @@
 use crate::exchange::service::{Exchange, Status};
 use crate::ids::BootId;
 use crate::kernel::{Kernel, ServiceName};
+use crate::listen;
 use crate::log::Client;
 use crate::rules::renew::Timing;
 use crate::rules::service::Handle;
@@ -113,13 +112,11 @@
 
 impl Sockets {
     async fn bind(settings: &EntrySettings) -> anyhow::Result<Self> {
-        let gossip = UdpSocket::bind(settings.peer)
-            .await
-            .with_context(|| format!("could not listen for entries on {}", settings.peer))?;
+        let gossip = listen::udp(settings.peer, "entries").await?;
         Ok(Sockets {
-            callers: listen(settings.listen, "callers").await?,
-            peers: listen(settings.peer, "agents").await?,
-            admin: listen(settings.admin, "operators").await?,
+            callers: listen::tcp(settings.listen, "callers").await?,
+            peers: listen::tcp(settings.peer, "agents").await?,
+            admin: listen::tcp(settings.admin, "operators").await?,
             gossip,
         })
     }
@@ -284,12 +281,6 @@
     tokio::time::sleep(DRAIN_POLL).await;
 }
 
-async fn listen(address: SocketAddr, whom: &str) -> anyhow::Result<TcpListener> {
-    TcpListener::bind(address)
-        .await
-        .with_context(|| format!("could not listen for {whom} on {address}"))
-}
-
 async fn beat(desk: Address<Desk>) {
     let mut ticks = tokio::time::interval(HEARTBEAT_PERIOD);
     loop {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -37,16 +37,13 @@
 pub mod targets;
 pub mod turn_away;
 
-use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 
 use anyhow::Context;
-use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::JoinSet;
-use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
 use crate::gateway::budget::Allowance;
@@ -55,12 +52,15 @@
 use crate::gateway::http::{Http, Open};
 use crate::gateway::peers::Peers;
 use crate::gateway::probe::Probe;
+use crate::listen;
 use crate::platform::Store;
 use crate::settings::GatewaySettings;
 use crate::telemetry::Telemetry;
 use crate::telemetry::logs::{self, Stream};
 use crate::telemetry::scrape::Scrape;
 
+/// Answers that are written need this long to leave the process.
+const LAST_WRITES: Duration = Duration::from_millis(50);
 /// Time between the last moment for requests to finish and the end of the grace.
 const GRACE_MARGIN: Duration = Duration::from_millis(700);
 
@@ -105,13 +105,11 @@
     directory: D,
     drain: CancellationToken,
 ) -> anyhow::Result<()> {
-    let callers = listen(settings.listen, "callers").await?;
-    let ready = listen(settings.ready, "the balancer").await?;
-    let metrics = listen(settings.metrics, "those who fetch metrics").await?;
-    let handover = listen(settings.peer, "other gateways").await?;
-    let gossip = UdpSocket::bind(settings.peer)
-        .await
-        .with_context(|| format!("could not listen for datagrams on {}", settings.peer))?;
+    let callers = listen::tcp(settings.listen, "callers").await?;
+    let ready = listen::tcp(settings.ready, "the balancer").await?;
+    let metrics = listen::tcp(settings.metrics, "those who fetch metrics").await?;
+    let handover = listen::tcp(settings.peer, "other gateways").await?;
+    let gossip = listen::udp(settings.peer, "other gateways").await?;
     let mut services = JoinSet::new();
     gate.with_peers(|peers| *peers = Peers::new(settings.seed_peers(), settings.peer));
     services.spawn(follow::config(directory.clone(), gate.clone()));
@@ -144,14 +142,7 @@
         () = late => spdlog::warn!("requests were still running at the end of the grace"),
     }
     spdlog::info!("stopped", kv: { name: = settings.name.as_str() });
-    // Answers that are written need a moment to leave.
-    let _ = timeout(Duration::from_millis(50), std::future::pending::<()>()).await;
+    tokio::time::sleep(LAST_WRITES).await;
     services.abort_all();
     Ok(())
 }
-
-async fn listen(address: SocketAddr, whom: &str) -> anyhow::Result<TcpListener> {
-    TcpListener::bind(address)
-        .await
-        .with_context(|| format!("could not listen for {whom} on {address}"))
-}
--- a/src/gateway/peers/handover.rs
+++ b/src/gateway/peers/handover.rs
@@ -13,6 +13,7 @@
 use crate::gateway::directory::News;
 use crate::gateway::gate::Gate;
 use crate::gateway::peers::wire::{Question, WireList};
+use crate::listen;
 
 /// Longest time for a hand-over.
 const HANDOVER_TIMEOUT: Duration = Duration::from_millis(800);
@@ -20,16 +21,11 @@
 const MAX_HANDOVER_BYTES: usize = 8 * 1024 * 1024;
 /// Largest question, in bytes.
 const MAX_QUESTION_BYTES: usize = 16;
-/// Pause after the system could not accept a connection.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Answers other gateways, for ever.
 pub async fn serve(listener: TcpListener, gate: Arc<Gate>) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
+        let stream = listen::accept(&listener).await;
         let gate = gate.clone();
         tokio::spawn(async move {
             let answered = timeout(HANDOVER_TIMEOUT, answer(stream, &gate)).await;
--- a/src/gateway/probe.rs
+++ b/src/gateway/probe.rs
@@ -16,13 +16,12 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::gateway::gate::Gate;
+use crate::listen;
 use crate::platform::READY_PATH;
 use crate::telemetry::scrape::{Scrape, TEXT_TYPE};
 
 /// Longest time to read a request, or between two.
 const READ_TIMEOUT: Duration = Duration::from_secs(10);
-/// Pause after the system could not accept a connection.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
 
@@ -41,10 +40,7 @@
     /// Answers on one address, for ever.
     pub async fn serve(self, listener: TcpListener) {
         loop {
-            let Ok((stream, _)) = listener.accept().await else {
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-                continue;
-            };
+            let stream = listen::accept(&listener).await;
             let probe = self.clone();
             let service = service_fn(move |request| {
                 let answer = probe.answer(&request);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod kernel;
 pub mod learn;
 pub mod ledger;
+pub mod listen;
 pub mod local;
 pub mod log;
 pub mod pace;
--- a/src/local.rs
+++ b/src/local.rs
@@ -12,6 +12,7 @@
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
+use crate::listen;
 use crate::log::{Client, Log, RULES};
 use crate::rules::change::Change;
 use crate::rules::record::TextDigest;
@@ -290,10 +291,7 @@
 }
 
 async fn listen(port: u16) -> anyhow::Result<TcpListener> {
-    let address = loopback(port);
-    TcpListener::bind(address)
-        .await
-        .with_context(|| format!("could not listen on {address}"))
+    listen::tcp(loopback(port), "the local fleet").await
 }
 
 fn loopback(port: u16) -> SocketAddr {
