Aim at the timeout on routes that name no aim

Cause: a route without a target latency had an aim of zero; each request that had to wait for an engine would have been refused as late, and a stream that may be resumed given up after a few milliseconds of silence. Found by reading; the sites at hand name an aim on each route. Ruled out: an error for such a route; the operator's other routes would go with it. Change: the adapter takes the route's timeout. Tests: a_route_without_an_aim_aims_at_its_timeout failed before (0 ns).

--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -252,3 +252,15 @@
     assert_eq!(prompt("many", None), None);
     assert_eq!(prompt("12,3", Some("zz:1")).map(|p| p.parts.len()), Some(0));
 }
+
+#[test]
+fn a_route_without_an_aim_aims_at_its_timeout() {
+    let config = config();
+    let route = config.route("b.example", "/1").expect("there is a route");
+    assert_eq!(
+        (route.timeout, route.aim),
+        (Duration::from_millis(800), route.timeout)
+    );
+    let route = config.route("a.example", "/m/1").expect("there is a route");
+    assert_eq!(route.aim, Duration::from_millis(600));
+}
--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -31,8 +31,8 @@
     path_prefix: Box<str>,
     route_class: Box<str>,
     timeout_ms: f64,
-    #[serde(default, rename = "targetLatencyMs")]
-    aim_ms: f64,
+    #[serde(rename = "targetLatencyMs")]
+    aim_ms: Option<f64>,
     backend: Option<Box<str>>,
     #[serde(default)]
     weighted_backends: Vec<WireShare>,
@@ -148,7 +148,7 @@
             services: only.into_iter().chain(shares).collect(),
             kind,
             timeout: millis(wire.timeout_ms),
-            aim: millis(wire.aim_ms),
+            aim: millis(wire.aim_ms.unwrap_or(wire.timeout_ms)),
             attempts: wire.max_attempts,
             anonymous: wire.anonymous_access,
         }
