Let repeats earn no credit for further repeats

Cause: a dispatch after a failure credited the budgets of its service like a first one, so a tenth allowed about a ninth, and a half allowed as many repeats as requests. Ruled out: counting at the arrival: a request that is refused from the queue sends no first copy, and budgets are shares of first copies. Change: a request remembers that it was counted (entry::budgets::Counted).

--- a/src/entry/budgets.rs
+++ b/src/entry/budgets.rs
@@ -15,6 +15,21 @@
     pub retry: Budget,
 }
 
+/// Whether a request's first copy has been counted. Copies after a failure earn nothing: else
+/// repeats would pay for repeats.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Counted(bool);
+
+impl Budgets {
+    /// A copy of a request was sent that is no second one of a hedge.
+    pub fn dispatched(&mut self, counted: &mut Counted) {
+        if !std::mem::replace(&mut counted.0, true) {
+            self.retry.first();
+            self.hedge.first();
+        }
+    }
+}
+
 /// Budgets of all services.
 #[derive(Debug, Default)]
 pub struct BudgetTable {
@@ -34,3 +49,6 @@
         budgets
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/entry/desk.rs
+++ b/src/entry/desk.rs
@@ -17,7 +17,7 @@
 
 use crate::conn::Outbox;
 use crate::dispatches::Dispatches;
-use crate::entry::budgets::{BudgetTable, Budgets};
+use crate::entry::budgets::{BudgetTable, Budgets, Counted};
 use crate::entry::keyed::Keyed;
 use crate::entry::messages::{Arrive, Link, Over, Returned};
 use crate::entry::pool::Pool;
@@ -56,6 +56,8 @@
     sent: Option<(DispatchId, AgentKey)>,
     /// The second copy.
     hedge: Option<(DispatchId, AgentKey)>,
+    /// Whether the budgets have counted it.
+    counted: Counted,
     answering: Arc<AtomicBool>,
 }
 
@@ -144,8 +146,7 @@
             let request = self.jobs[assigned.job.index()].request.clone();
             match self.fence(&request) {
                 Ok(fence) => {
-                    self.budgets(service).retry.first();
-                    self.budgets(service).hedge.first();
+                    self.count(service, assigned.job);
                     self.dispatch(service, assigned, &request, fence, Copy::First);
                 }
                 Err(ClaimExpired) => {
@@ -294,6 +295,13 @@
         }
     }
 
+    /// Counts a copy of a request for the budgets of its service.
+    fn count(&mut self, service: ServiceKey, job: JobKey) {
+        let mut counted = self.jobs[job.index()].counted;
+        self.budgets(service).dispatched(&mut counted);
+        self.jobs[job.index()].counted = counted;
+    }
+
     fn budgets(&mut self, service: ServiceKey) -> &mut Budgets {
         self.budgets
             .of(service, self.rules.borrow().service_at(service))
@@ -320,6 +328,7 @@
             deadline: message.deadline,
             sent: None,
             hedge: None,
+            counted: Counted::default(),
             answering: message.answering,
         };
         let key = JobKey::from(self.jobs.insert(state));
