Count the tries of a resumed stream among those its route allows

With three targets allowed a fourth could run the request. Ruled out: asking one target only, as before; a target that declines would end the stream again. Change: gateway::resume hands the tries back with the stream. Tests: tries_to_go_on_count_among_those_that_the_route_allows failed before (a fourth target was asked), passes now. Conclusion: maxAttempts holds for resumed streams.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -133,7 +133,6 @@
         let Some(choice) = attempts.next() else {
             return false;
         };
-        self.attempts = attempts.clone();
         // The connection ends here, so that the target stops.
         self.state = State::Over;
         self.silence = None;
@@ -203,11 +202,12 @@
         let State::Resuming(resumed) = &mut self.state else {
             return Poll::Ready(true);
         };
-        let upstream = ready!(Pin::new(resumed).poll(context));
-        let Ok(Some(upstream)) = upstream else {
+        let goes_on = ready!(Pin::new(resumed).poll(context));
+        let Ok(Some(goes_on)) = goes_on else {
             return Poll::Ready(false);
         };
-        self.read(upstream);
+        self.attempts = goes_on.attempts;
+        self.read(goes_on.upstream);
         Poll::Ready(true)
     }
 
--- a/src/gateway/resume.rs
+++ b/src/gateway/resume.rs
@@ -6,8 +6,17 @@
 use crate::gateway::place::Choice;
 use crate::gateway::send::{self, Sending, Upstream};
 
+/// A stream that another target goes on with, and the tries until then.
+#[derive(Debug)]
+pub struct GoesOn {
+    /// The target's stream.
+    pub upstream: Upstream,
+    /// All tries before it.
+    pub attempts: Attempts,
+}
+
 /// Tells which target goes on; `None` when none does.
-pub type Resumed = oneshot::Receiver<Option<Upstream>>;
+pub type Resumed = oneshot::Receiver<Option<GoesOn>>;
 
 /// Asks `choice` to go on after the event `after`, and others if it declines. Ends when the
 /// receiver is dropped.
@@ -16,14 +25,14 @@
     tokio::spawn(async move {
         tokio::select! {
             // A caller that is gone needs no stream.
-            upstream = run(attempts, choice, after.as_deref()) => drop(back.send(upstream)),
+            goes_on = run(attempts, choice, after.as_deref()) => drop(back.send(goes_on)),
             () = back.closed() => {}
         }
     });
     resumed
 }
 
-async fn run(mut attempts: Attempts, first: Choice, after: Option<&str>) -> Option<Upstream> {
+async fn run(mut attempts: Attempts, first: Choice, after: Option<&str>) -> Option<GoesOn> {
     let mut choice = first;
     loop {
         let sending = Sending {
@@ -32,7 +41,9 @@
             silence: None,
         };
         let failure = match send::open(&attempts.gate, &attempts.order, sending).await {
-            Ok(upstream) if upstream.head.status.is_success() => return Some(upstream),
+            Ok(upstream) if upstream.head.status.is_success() => {
+                return Some(GoesOn { upstream, attempts });
+            }
             Ok(upstream) => upstream.failure(),
             Err(failure) => failure,
         };
--- a/tests/gateway/streams.rs
+++ b/tests/gateway/streams.rs
@@ -131,3 +131,16 @@
         "{reply:?}"
     );
 }
+
+#[tokio::test]
+async fn tries_to_go_on_count_among_those_that_the_route_allows() {
+    let says = [Say::CutEvents, Say::Reset, Say::CutEvents, Say::Rest];
+    let mut targets = vec![Target::start(&says).await];
+    for _ in 0..4 {
+        targets.push(targets[0].twin().await);
+    }
+    let world = World::before(&targets.iter().collect::<Vec<_>>()).await;
+    let reply = world.call("POST", "/thrice/1").await;
+    assert!(!reply.whole, "{reply:?}");
+    assert_eq!(targets.iter().map(Target::count).sum::<usize>(), 3);
+}
--- a/tests/gateway/world.rs
+++ b/tests/gateway/world.rs
@@ -155,6 +155,10 @@
             route("order", Kind::Once, false),
             route("stream", Kind::Stream, false),
             route("resumed", Kind::ResumableStream, false),
+            Route {
+                attempts: 3,
+                ..route("thrice", Kind::ResumableStream, false)
+            },
             route("open", Kind::Idempotent, true),
         ],
         accounts: vec![(account, keys.iter().map(|&key| key.into()).collect())],
