Look whether a target is there after its connection broke off

A crash was only seen when some request happened to connect to the target; the calls of the test all went to another one, which had answered fastest. In its first runs the test passed by chance. Ruled out: more calls in the test, which would hide that a target which is rarely called tells of its crash late. Change: after a broken connection the gateway connects anew; a refusal counts as before, and the connection is kept for the next request.

--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -9,6 +9,7 @@
 use crate::gateway::place::Choice;
 use crate::gateway::repeat::{Failure, Tries};
 use crate::gateway::request_log;
+use crate::gateway::send;
 use crate::gateway::targets::TargetKey;
 use crate::telemetry::Event;
 
@@ -43,6 +44,7 @@
             let (now, digest) = (self.gate.clock.now(), self.order.digest());
             self.gate
                 .with_suspects(|suspects| suspects.broke(now, target, digest));
+            tokio::spawn(send::look(self.gate.clone(), target));
         }
         request_log::failed(&self.order, &self.gate, target, failure);
     }
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -113,6 +113,18 @@
     })
 }
 
+/// Looks whether a target is still there, after a connection to it broke off. The new connection
+/// is kept for the next request.
+pub async fn look(gate: Arc<Gate>, target: TargetKey) {
+    let Some((_, entry)) = gate.entry(target) else {
+        return;
+    };
+    match links::connect(entry.addr).await {
+        Ok(link) => gate.links.put(target, link, None),
+        Err(_) => fail(&gate, target, false),
+    }
+}
+
 async fn link(
     gate: &Gate,
     target: TargetKey,
