--- a/src/gateway/fair_share.rs
+++ b/src/gateway/fair_share.rs
@@ -20,7 +20,7 @@
 const BUCKETS: u64 = 12;
 /// Length of the sliding window ([`BUCKETS`]) in seconds.
 const WINDOW_S: f64 = 3.0;
-/// Age at which the usage report of a peer (another gateway) is dropped.
+/// Age at which the report of the usage at other gateways is dropped.
 const REPORT_TTL: Micros = Micros::from_ms(1_500);
 /// How long computed shares are cached.
 const SHARES_TTL: Micros = Micros::from_ms(50);
@@ -65,10 +65,11 @@
     }
 }
 
-type UsageMap = HashMap<AccountTag, Usage, FxBuildHasher>;
+/// Usage by client account.
+pub type UsageMap = HashMap<AccountTag, Usage, FxBuildHasher>;
 
-/// The latest usage report of a peer.
-#[derive(Debug, Default)]
+/// The latest report of the usage at all other gateways.
+#[derive(Debug)]
 struct PeerReport {
     received: Micros,
     usage: UsageMap,
@@ -79,7 +80,7 @@
 pub struct FairShare {
     buckets: VecDeque<(u64, UsageMap)>,
     local: UsageMap,
-    reports: HashMap<u64, PeerReport, FxBuildHasher>,
+    others: Option<PeerReport>,
     total: UsageMap,
     /// Maximum amount that one account may get, as computed last.
     level: f64,
@@ -103,17 +104,12 @@
         self.local.iter().map(|(&account, &usage)| (account, usage))
     }
 
-    /// Replaces the usage report of a peer; `boot` identifies the run of the peer's process.
-    pub fn set_peer_usage(
-        &mut self,
-        now: Micros,
-        boot: u64,
-        rows: impl Iterator<Item = (AccountTag, Usage)>,
-    ) {
-        let report = self.reports.entry(boot).or_default();
-        report.received = now;
-        report.usage.clear();
-        report.usage.extend(rows);
+    /// Replaces the usage at all other gateways.
+    pub fn set_peer_usage(&mut self, now: Micros, usage: UsageMap) {
+        self.others = Some(PeerReport {
+            received: now,
+            usage,
+        });
     }
 
     /// Returns whether an account has reached its fair share. `token_rate` is the capacity of all
@@ -171,10 +167,10 @@
             return;
         }
         self.expire(now);
-        self.reports
-            .retain(|_, report| now.saturating_sub(report.received) < REPORT_TTL);
+        let others = self.others.take();
+        self.others = others.filter(|report| now.saturating_sub(report.received) < REPORT_TTL);
         self.total.clone_from(&self.local);
-        for (&account, usage) in self.reports.values().flat_map(|report| &report.usage) {
+        for (&account, usage) in self.others.iter().flat_map(|report| &report.usage) {
             let total = self.total.entry(account).or_default();
             total.requested += usage.requested;
             total.served += usage.served;
--- a/src/gateway/fair_share/tests.rs
+++ b/src/gateway/fair_share/tests.rs
@@ -66,7 +66,7 @@
         requested: 8_000.0,
         served: 6_000.0,
     };
-    shares.set_peer_usage(at(0), 7, [(BURSTING, usage)].into_iter());
+    shares.set_peer_usage(at(0), [(BURSTING, usage)].into_iter().collect());
     assert_eq!(
         shares.status(at(100), BURSTING, TOKEN_RATE),
         ShareStatus::ReachedShare
@@ -84,8 +84,8 @@
         requested: 2_000.0,
         served: 2_000.0,
     };
-    shares.set_peer_usage(at(0), 7, [(BURSTING, usage)].into_iter());
-    shares.set_peer_usage(at(1), 7, [(BURSTING, usage)].into_iter());
+    shares.set_peer_usage(at(0), [(BURSTING, usage)].into_iter().collect());
+    shares.set_peer_usage(at(1), [(BURSTING, usage)].into_iter().collect());
     assert_eq!(
         shares.status(at(100), BURSTING, TOKEN_RATE),
         ShareStatus::BelowShare
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -1,12 +1,17 @@
-//! Reads the configuration and the list of targets from the platform, the operator's infrastructure
-//! service, and applies their changes.
+//! Keeps copies of the configuration and of the list of targets, and applies their changes. They come
+//! from the platform, the operator's infrastructure service, or from another gateway that has read
+//! them there; [`super::source`] decides which.
 
 use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::gateway::copies::ListCopy;
 use crate::gateway::directory::{Change, ChangeBatch, Directory, Topic};
-use crate::gateway::peers::handover;
+use crate::gateway::peers::wire::{Cursor, WireTargets};
+use crate::gateway::peers::{CopyStatus, handover};
+use crate::gateway::source::{self, PeerCopy, Source, SourceContext};
 use crate::gateway::state::GatewayState;
 use crate::gateway::targets;
 use crate::log::ReadError;
@@ -17,8 +22,10 @@
 const CONFIG_WAIT: Duration = Duration::from_millis(800);
 /// Pause between reads of the target list.
 const TARGETS_PAUSE: Duration = Duration::from_millis(400);
-/// Pause after a failed read.
-const RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// Pause after the start, in which the gateway hears from others.
+const START_PAUSE: Duration = Duration::from_millis(200);
+/// Maximum time between two looks at the reports of other gateways.
+const REPORT_WAIT: Duration = Duration::from_millis(250);
 /// Minimum length of an outage of the target list after which missing entries are kept for
 /// [`OUTAGE_GRACE`].
 const MIN_OUTAGE: Micros = Micros::from_ms(900);
@@ -30,25 +37,146 @@
 pub async fn follow_config<D: Directory>(directory: D, gateway: Arc<GatewayState>) {
     let mut next = None;
     let mut dependency = Dependency::new("configuration");
+    let mut follower = Follower::new(&gateway, CONFIG_WAIT.into());
+    tokio::time::sleep(START_PAUSE).await;
     loop {
-        let read = read(&directory, Topic::Config, next, CONFIG_WAIT).await;
-        match read {
-            Ok(batch) => {
-                dependency.record_success(gateway.clock.now());
-                next = Some(batch.next);
-                for change in batch.changes {
-                    apply_config_change(&gateway, change);
+        let confirmed_at = gateway.with_copies(|copies| copies.config_at);
+        match follower.choose(&gateway, confirmed_at, config_copy) {
+            Source::Platform => {
+                let read = read(&directory, Topic::Config, next, CONFIG_WAIT).await;
+                next = apply_config_read(&gateway, &mut dependency, read, next);
+                if dependency.is_lost() {
+                    tokio::time::sleep(follower.pause_after_failure(&gateway)).await;
                 }
             }
-            Err(ReadError::Expired { .. }) => next = None,
-            Err(error) => {
-                dependency.record_failure(gateway.clock.now(), &error);
-                tokio::time::sleep(RETRY_PAUSE).await;
+            Source::Peer(peer) => {
+                next = None;
+                confirm_config(&gateway, peer);
+                await_reports(&gateway).await;
+            }
+            Source::Wait => await_reports(&gateway).await,
+        }
+    }
+}
+
+/// Applies the result of a read of the configuration. Returns the offset of the next read.
+fn apply_config_read(
+    gateway: &GatewayState,
+    dependency: &mut Dependency,
+    read: Result<ChangeBatch, ReadError>,
+    next: Option<u64>,
+) -> Option<u64> {
+    let now = gateway.clock.now();
+    match read {
+        Ok(batch) => {
+            dependency.record_success(now);
+            gateway.with_copies(|copies| copies.config_at = Some(now));
+            for change in batch.changes {
+                apply_config_change(gateway, change);
             }
+            Some(batch.next)
+        }
+        Err(ReadError::Expired { .. }) => None,
+        Err(error) => {
+            dependency.record_failure(now, &error);
+            gateway.with_copies(|copies| copies.config_at = None);
+            next
         }
     }
 }
 
+/// Takes over that the platform has confirmed the configuration of another gateway, if this gateway
+/// has the same one. A newer one is fetched by [`super::peers::service::sync_configs`].
+fn confirm_config(gateway: &GatewayState, peer: SocketAddr) {
+    let version = gateway.config().version;
+    let now = gateway.clock.now();
+    let status = gateway.with_peers(|peers| peers.status(now, peer));
+    if let Some(status) = status.filter(|status| status.version == version) {
+        gateway.with_copies(|copies| copies.config_at = copies.config_at.max(status.config_at));
+    }
+}
+
+/// Another gateway's copy of the configuration.
+fn config_copy(addr: SocketAddr, status: &CopyStatus, aggregates: bool) -> PeerCopy {
+    PeerCopy {
+        addr,
+        confirmed_at: status.config_at,
+        aggregates,
+        exists: status.version > 0,
+    }
+}
+
+/// Another gateway's copy of the list of targets.
+fn list_copy(addr: SocketAddr, status: &CopyStatus, aggregates: bool) -> PeerCopy {
+    PeerCopy {
+        addr,
+        confirmed_at: status.list_at,
+        aggregates,
+        exists: status.version > 0 && status.list_change > 0,
+    }
+}
+
+/// Waits until other gateways have reported, or for [`REPORT_WAIT`].
+async fn await_reports(gateway: &GatewayState) {
+    let _ = tokio::time::timeout(REPORT_WAIT, gateway.reports.notified()).await;
+}
+
+/// Chooses the source of one list for a gateway, and logs when it changes.
+#[derive(Debug)]
+struct Follower {
+    started: Micros,
+    read_wait: Micros,
+    spread: f64,
+    source: Option<Source>,
+}
+
+impl Follower {
+    /// Follows a list whose reads the platform holds for up to `read_wait`.
+    fn new(gateway: &GatewayState, read_wait: Micros) -> Self {
+        Follower {
+            started: gateway.clock.now(),
+            read_wait,
+            spread: rand::random(),
+            source: None,
+        }
+    }
+
+    fn choose(
+        &mut self,
+        gateway: &GatewayState,
+        confirmed_at: Option<Micros>,
+        to_copy: fn(SocketAddr, &CopyStatus, bool) -> PeerCopy,
+    ) -> Source {
+        let now = gateway.clock.now();
+        let source = gateway.with_peers(|peers| {
+            let context = SourceContext {
+                rank: peers.rank(now),
+                confirmed_at: confirmed_at.unwrap_or_default().max(self.started),
+                read_wait: self.read_wait,
+                spread: self.spread,
+            };
+            let copies = peers.copies(now);
+            let copies = copies.map(|(addr, status, near)| to_copy(addr, &status, near));
+            source::choose(now, &context, copies)
+        });
+        self.log_change(source);
+        source
+    }
+
+    fn log_change(&mut self, source: Source) {
+        if source != Source::Wait && self.source != Some(source) {
+            self.source = Some(source);
+            spdlog::info!("source chosen", kv: { source:? = source, held_ms: = self.read_wait.as_ms() });
+        }
+    }
+
+    fn pause_after_failure(&self, gateway: &GatewayState) -> Duration {
+        let now = gateway.clock.now();
+        let rank = gateway.with_peers(|peers| peers.rank(now));
+        source::pause_after_failure(rank, self.spread).into()
+    }
+}
+
 fn apply_config_change(gateway: &GatewayState, change: Change) {
     match change {
         Change::Config(config) => {
@@ -66,53 +194,146 @@
     }
 }
 
-/// Keeps the gateway's targets up to date with the platform's list, or with the list of another
-/// gateway while the platform does not answer. Never returns.
+/// Keeps the gateway's targets up to date with the platform's list, or with the copy of another
+/// gateway. Never returns.
 pub async fn follow_targets<D: Directory>(directory: D, gateway: Arc<GatewayState>) {
-    let mut next = None;
-    let mut dependency = Dependency::new("target list");
-    let mut missing = MissingEntries::default();
+    let mut follower = Follower::new(&gateway, Micros::ZERO);
+    let mut list = ListReader::default();
+    tokio::time::sleep(START_PAUSE).await;
     loop {
-        let read = read(&directory, Topic::Targets, next, Duration::ZERO).await;
+        let confirmed_at = gateway.with_copies(|copies| copies.list.confirmed_at);
+        match follower.choose(&gateway, confirmed_at, list_copy) {
+            Source::Platform => {
+                let pause = match list.read(&directory, &gateway).await {
+                    true => TARGETS_PAUSE,
+                    false => follower.pause_after_failure(&gateway),
+                };
+                tokio::time::sleep(pause).await;
+            }
+            Source::Peer(peer) => {
+                list.copy_from(&gateway, peer).await;
+                await_reports(&gateway).await;
+            }
+            Source::Wait => await_reports(&gateway).await,
+        }
+    }
+}
+
+/// Reads the list of targets from the platform, or copies it from another gateway.
+#[derive(Debug)]
+struct ListReader {
+    /// Whether the whole list has been read or copied.
+    complete: bool,
+    dependency: Dependency,
+    missing: MissingEntries,
+}
+
+impl Default for ListReader {
+    fn default() -> Self {
+        ListReader {
+            complete: false,
+            dependency: Dependency::new("target list"),
+            missing: MissingEntries::default(),
+        }
+    }
+}
+
+impl ListReader {
+    /// Reads what has changed from the platform, or falls back to the copy of another gateway.
+    /// Returns whether the platform answered.
+    async fn read<D: Directory>(&mut self, directory: &D, gateway: &GatewayState) -> bool {
+        let next = gateway.with_copies(|copies| copies.list.next);
+        let from = self.complete.then_some(next);
+        let read = read(directory, Topic::Targets, from, Duration::ZERO).await;
         let now = gateway.clock.now();
         match read {
             Ok(batch) => {
-                if dependency.record_success(now) >= MIN_OUTAGE {
-                    missing.outage_ended(now);
+                if self.dependency.record_success(now) >= MIN_OUTAGE {
+                    self.missing.outage_ended(now);
                 }
-                apply_targets(&gateway, &mut missing, &batch, next.is_none());
-                next = Some(batch.next);
-                gateway.set_list_offset(next);
-                tokio::time::sleep(TARGETS_PAUSE).await;
+                apply_targets(gateway, &mut self.missing, &batch, from.is_none());
+                self.complete = true;
+                gateway.with_copies(|copies| {
+                    copies.list = ListCopy {
+                        confirmed_at: Some(now),
+                        next: batch.next,
+                        cursor: None,
+                    };
+                });
+                true
+            }
+            Err(ReadError::Expired { .. }) => {
+                self.complete = false;
+                true
             }
-            Err(ReadError::Expired { .. }) => next = None,
             Err(error) => {
-                dependency.record_failure(now, &error);
-                gateway.set_list_offset(None);
-                if let Some(batch) = fetch_from_peer(&gateway).await {
-                    next = Some(batch.next);
-                    apply_targets(&gateway, &mut missing, &batch, true);
+                self.dependency.record_failure(now, &error);
+                gateway.with_copies(|copies| copies.list.confirmed_at = None);
+                if let Some(peer) = fallback_peer(gateway) {
+                    self.copy_from(gateway, peer).await;
                 }
-                tokio::time::sleep(RETRY_PAUSE).await;
+                false
             }
         }
     }
-}
 
-/// Fetches the list of targets from another gateway; `None` if no gateway provides it.
-async fn fetch_from_peer(gateway: &GatewayState) -> Option<ChangeBatch> {
-    let has_none = gateway.with_targets(|targets| targets.is_empty());
-    let peer = gateway.with_peers(|peers| peers.list_source(has_none))?;
-    match handover::fetch_targets(peer).await {
-        Ok(batch) => Some(batch),
-        Err(error) => {
-            let error = format!("{error:#}");
-            spdlog::warn!("could not fetch the target list from a peer", kv: {
-                peer: = peer, error: = error,
-            });
-            None
+    /// Copies what has changed in the list of another gateway, unless that is older than this one.
+    async fn copy_from(&mut self, gateway: &GatewayState, peer: SocketAddr) {
+        let now = gateway.clock.now();
+        let Some(status) = gateway.with_peers(|peers| peers.status(now, peer)) else {
+            return;
+        };
+        let copy = gateway.with_copies(|copies| copies.list);
+        let cursor = Cursor {
+            boot: status.boot,
+            change: status.list_change,
+        };
+        if copy.cursor == Some(cursor) {
+            gateway.with_copies(|copies| copies.list.confirm(status.list_at));
+            return;
+        }
+        if status.list_next < copy.next {
+            return;
+        }
+        match handover::fetch_targets(peer, copy.cursor).await {
+            Ok(list) => self.apply_copy(gateway, list, status.list_at),
+            Err(error) => {
+                let error = format!("{error:#}");
+                spdlog::warn!("could not fetch the target list from a peer", kv: {
+                    peer: = peer, error: = error,
+                });
+            }
         }
     }
+
+    fn apply_copy(&mut self, gateway: &GatewayState, list: WireTargets, listed_at: Option<Micros>) {
+        let (cursor, complete) = (list.cursor, list.complete);
+        let batch = ChangeBatch::from(list);
+        let known = gateway.with_copies(|copies| copies.list);
+        if batch.next < known.next {
+            return;
+        }
+        // The other gateway has already waited for entries that went missing in an outage.
+        self.missing = MissingEntries::default();
+        apply_targets(gateway, &mut self.missing, &batch, complete);
+        self.complete = true;
+        gateway.with_copies(|copies| {
+            copies.list.next = batch.next;
+            copies.list.cursor = Some(cursor);
+            copies.list.confirm(listed_at);
+        });
+    }
+}
+
+/// The gateway to copy the list from while the platform does not answer; `None` if there is none.
+fn fallback_peer(gateway: &GatewayState) -> Option<SocketAddr> {
+    let now = gateway.clock.now();
+    let has_none = gateway.with_targets(|targets| targets.is_empty());
+    gateway.with_peers(|peers| {
+        let copies = peers.copies(now);
+        let copies = copies.map(|(addr, status, near)| list_copy(addr, &status, near));
+        source::fallback(now, has_none, copies)
+    })
 }
 
 /// Applies changes of the target list. If `complete`, `batch` is the whole list, and known targets
@@ -281,6 +502,10 @@
         outage
     }
 
+    fn is_lost(&self) -> bool {
+        self.lost_since.is_some()
+    }
+
     fn record_failure(&mut self, now: Micros, error: &ReadError) {
         if self.lost_since.is_none() {
             self.lost_since = Some(now);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,7 +6,7 @@
 //! measured up to the *first event*: the first server-sent event of a streamed response, or the
 //! whole of a response that is not streamed, which is buffered before it is forwarded.
 //!
-//! The decisions ([`selection`], [`admission`], [`fair_share`], [`retry`], [`retry_budget`] and
+//! The decisions ([`selection`], [`source`], [`admission`], [`fair_share`], [`retry`], [`retry_budget`] and
 //! [`health`]) do no I/O. [`state`] holds the state that all modules share; [`follow`] and
 //! [`peers`] keep it up to date. A request arrives at [`http`], is parsed by [`request`], and is
 //! sent to a target by [`forward`] and [`send`]; [`relay`] passes event streams back.
@@ -14,6 +14,7 @@
 pub mod admission;
 pub mod attempts;
 pub mod config;
+pub mod copies;
 pub mod crash_tracker;
 pub mod directory;
 pub mod events;
@@ -39,6 +40,7 @@
 pub mod retry_budget;
 pub mod selection;
 pub mod send;
+pub mod source;
 pub mod state;
 pub mod targets;
 
@@ -117,11 +119,11 @@
     let handover = listen::tcp(settings.peer, "other gateways").await?;
     let gossip = listen::udp(settings.peer, "other gateways").await?;
     let mut services = JoinSet::new();
-    gateway.with_peers(|peers| *peers = Peers::new(settings.seed_peers(), settings.peer));
+    gateway.with_peers(|peers| *peers = Peers::new(settings.member(), settings.seed_peers()));
     services.spawn(follow::follow_config(directory.clone(), gateway.clone()));
     services.spawn(follow::follow_targets(directory.clone(), gateway.clone()));
     services.spawn(peers::handover::serve(handover, gateway.clone()));
-    services.spawn(peers::service::run(gossip, gateway.clone(), settings.peer));
+    services.spawn(peers::service::run(gossip, gateway.clone()));
     services.spawn(peers::service::sync_configs(gateway.clone(), directory));
     let monitoring = MonitoringServer {
         gateway: gateway.clone(),
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -1,167 +1,496 @@
-//! Gossip between gateways: the known peers and their last reported state.
+//! The other gateways (router processes that send client requests directly to targets), and what
+//! they report.
 //!
-//! Each gateway reports its load per target, whether it can read the lists of the platform (the
-//! operator's infrastructure service), and the version of its configuration.
+//! In each availability zone, the gateways with the most processor time aggregate: the others of
+//! the zone report to them, and hear from them what all gateways together cause. The first one is
+//! active; the second one stands by and takes over when it no longer hears the first. Between
+//! zones, only aggregators talk. So the messages of a gateway that does not aggregate are few,
+//! however large the fleet is.
 //!
-//! A gateway learns of peers from its settings and from the messages of other peers. It talks to a
-//! bounded number of them, so that neither its state nor its messages grow with the fleet.
+//! There is no election. Each gateway ranks the gateways of its zone by what it has heard. While
+//! two of them differ, two gateways may be active at once, which does no harm: reports replace
+//! each other, and a gateway uses the newest one.
+//!
+//! Performs no I/O.
 
 pub mod handover;
+pub mod rounds;
 pub mod service;
+pub mod totals;
 pub mod wire;
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 use rand::seq::IteratorRandom;
+use rustc_hash::FxBuildHasher;
 use smallvec::SmallVec;
 
-use crate::gateway::targets::TargetTag;
+use crate::gateway::peers::totals::Totals;
+use crate::gateway::prompts::mix;
 use crate::units::Micros;
 
-/// Maximum number of peers that are tracked.
-const MAX_PEERS: usize = 64;
-/// Number of known peers that a message is sent to in each gossip round.
-const FANOUT: usize = 4;
-/// Maximum number of peer addresses in a message.
-const SAMPLE_SIZE: usize = 4;
-/// Time without a message after which a peer is removed.
-const PEER_TTL: Micros = Micros::from_secs(10);
-/// How long the reported load of a peer is used.
-const LOAD_TTL: Micros = Micros::from_ms(1_200);
-
-/// The part of a target's load that one gateway causes.
+/// Maximum number of gateways that are tracked.
+const MAX_PEERS: usize = 1_024;
+/// Number of gateways of a zone that aggregate: the active one and the one that stands by.
+pub const AGGREGATORS: usize = 2;
+/// Time without a sign of life after which a gateway is assumed to be gone.
+const ALIVE_TTL: Micros = Micros::from_ms(600);
+/// Time without a sign of life after which a gateway is forgotten.
+const PEER_TTL: Micros = Micros::from_secs(60);
+/// How long the reports of a gateway are used.
+const REPORT_TTL: Micros = Micros::from_ms(700);
+/// How long a gateway that does not answer is left out, though others hear it.
+const SHUN_TIME: Micros = Micros::from_secs(3);
+/// Number of gateways to try at once while nothing is heard from them.
+const LOST_TRIES: usize = 3;
+/// Number of gateways that a gateway introduces besides the first ones of each zone.
+const RANDOM_INTRODUCTIONS: usize = 6;
+/// Number of seed addresses that are kept.
+const MAX_SEEDS: usize = 8;
+
+/// Identifies an availability zone in all processes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ZoneTag(pub u32);
+
+impl ZoneTag {
+    /// Derives the tag from a zone's name.
+    pub fn of(name: &str) -> Self {
+        ZoneTag(xxhash_rust::xxh3::xxh3_64(name.as_bytes()) as u32)
+    }
+}
+
+/// A gateway, as it introduces itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Member {
+    /// Address for other gateways.
+    pub addr: SocketAddr,
+    /// Its availability zone.
+    pub zone: ZoneTag,
+    /// Processor time of its host, in hundredths of a core.
+    pub capacity: u32,
+}
+
+impl Member {
+    /// Sort key for the choice of aggregators: the host with the most processor time comes first.
+    fn rank_key(&self) -> (Reverse<u32>, u64, SocketAddr) {
+        let host = match self.addr.ip() {
+            IpAddr::V4(ip) => u64::from(ip.to_bits()),
+            IpAddr::V6(ip) => ip.to_bits() as u64,
+        };
+        let order = mix(host ^ u64::from(self.addr.port()) << 48);
+        (Reverse(self.capacity), order, self.addr)
+    }
+}
+
+/// How recent a gateway's copies of the platform's lists are.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct TargetLoad {
-    /// Number of requests in flight at the target.
-    pub active: u32,
-    /// Prompt tokens of these requests that the target must process before their first event.
-    pub prefill_tokens: u64,
+pub struct CopyStatus {
+    /// Version of its configuration; 0 if it has none.
+    pub version: u64,
+    /// Time at which the platform confirmed the configuration; `None` if it is cut off from the
+    /// platform.
+    pub config_at: Option<Micros>,
+    /// Time at which the platform confirmed the list of targets; `None` if it is cut off from the
+    /// platform.
+    pub list_at: Option<Micros>,
+    /// Offset in the platform's list up to which its list of targets is complete.
+    pub list_next: u64,
+    /// Random id of its process.
+    pub boot: u64,
+    /// Number of the last change in its journal of the list.
+    pub list_change: u64,
+}
+
+/// What a report covers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Scope {
+    /// Nothing; the message is only a sign of life.
+    #[default]
+    Nothing,
+    /// The sender alone.
+    Sender,
+    /// The sender's whole zone.
+    Zone,
+    /// All gateways but the receiver.
+    Others,
+}
+
+#[derive(Clone, Debug)]
+struct Report {
+    received: Micros,
+    totals: Totals,
 }
 
-/// The last reported state of a peer.
 #[derive(Clone, Debug)]
 struct Peer {
-    heard_at: Micros,
-    /// Version of its configuration.
-    version: u64,
-    /// Whether it can read the platform's lists.
-    reads_directory: bool,
-    load: HashMap<TargetTag, TargetLoad>,
+    member: Member,
+    /// Time of the last message from it.
+    heard_at: Option<Micros>,
+    /// Latest time at which another gateway had heard it.
+    vouched_at: Micros,
+    /// Time of the first message to it that it has not answered yet.
+    unanswered: Option<Micros>,
+    /// Time until which it is left out.
+    shunned_until: Micros,
+    /// Whether its last message expects an answer.
+    reports: bool,
+    status: CopyStatus,
+    own: Option<Report>,
+    zone: Option<Report>,
+    others: Option<Report>,
 }
 
-/// The known peers, and the addresses at which others may be.
-#[derive(Debug, Default)]
-pub struct Peers {
-    known: HashMap<SocketAddr, Peer>,
-    seeds: SmallVec<[SocketAddr; 4]>,
+impl Peer {
+    fn new(member: Member) -> Self {
+        Peer {
+            member,
+            heard_at: None,
+            vouched_at: Micros::ZERO,
+            unanswered: None,
+            shunned_until: Micros::ZERO,
+            reports: false,
+            status: CopyStatus::default(),
+            own: None,
+            zone: None,
+            others: None,
+        }
+    }
+
+    fn is_heard(&self, now: Micros) -> bool {
+        self.heard_at
+            .is_some_and(|at| now.saturating_sub(at) < ALIVE_TTL)
+    }
+
+    fn last_sign(&self) -> Micros {
+        self.heard_at.unwrap_or_default().max(self.vouched_at)
+    }
+
+    fn is_alive(&self, now: Micros) -> bool {
+        let vouched = self.vouched_at > Micros::ZERO
+            && now.saturating_sub(self.vouched_at) < ALIVE_TTL
+            && now >= self.shunned_until;
+        self.is_heard(now) || vouched
+    }
 }
 
-/// The state that a gateway reports in a gossip message.
-#[derive(Clone, Debug, Default)]
-pub struct PeerState {
-    /// Version of its configuration.
-    pub version: u64,
-    /// Whether it can read the platform's lists.
-    pub reads_directory: bool,
-    /// Its load by target.
-    pub load: HashMap<TargetTag, TargetLoad>,
+fn fresh(report: Option<&Report>, now: Micros) -> Option<&Report> {
+    report.filter(|report| now.saturating_sub(report.received) < REPORT_TTL)
+}
+
+/// The known gateways, and the addresses at which others may be.
+#[derive(Debug)]
+pub struct Peers {
+    me: Member,
+    known: HashMap<SocketAddr, Peer, FxBuildHasher>,
+    seeds: SmallVec<[SocketAddr; 4]>,
 }
 
 impl Peers {
-    /// Starts with the seed addresses, except this gateway's own address `me`.
-    pub fn new(seeds: impl Iterator<Item = SocketAddr>, me: SocketAddr) -> Self {
+    /// Starts as the gateway `me` with the seed addresses, leaving out its own.
+    pub fn new(me: Member, seeds: impl Iterator<Item = SocketAddr>) -> Self {
+        let seeds = seeds.filter(|&seed| seed != me.addr);
         Peers {
-            known: HashMap::new(),
-            seeds: seeds.filter(|&seed| seed != me).collect(),
+            me,
+            known: HashMap::default(),
+            seeds: seeds.take(MAX_SEEDS).collect(),
         }
     }
 
-    /// Stores the state that a peer reported. Ignores new peers beyond `MAX_PEERS`.
-    pub fn update(&mut self, now: Micros, from: SocketAddr, state: PeerState) {
-        if self.known.len() >= MAX_PEERS && !self.known.contains_key(&from) {
+    /// This gateway, as it introduces itself.
+    pub fn me(&self) -> Member {
+        self.me
+    }
+
+    /// Records a message from a gateway.
+    pub fn record_message(&mut self, now: Micros, from: Member, status: CopyStatus) {
+        let Some(peer) = self.peer_mut(from) else {
             return;
-        }
-        let peer = Peer {
-            heard_at: now,
-            version: state.version,
-            reads_directory: state.reads_directory,
-            load: state.load,
         };
-        self.known.insert(from, peer);
+        peer.member = from;
+        peer.heard_at = Some(now);
+        peer.unanswered = None;
+        peer.shunned_until = Micros::ZERO;
+        peer.reports = false;
+        peer.status = status;
+    }
+
+    /// Records the report of a message. Has to follow [`Peers::record_message`].
+    pub fn record_report(
+        &mut self,
+        now: Micros,
+        from: SocketAddr,
+        scope: Scope,
+        mut totals: Totals,
+        has_usage: bool,
+    ) {
+        let my_zone = self.me.zone;
+        let expects_answer = self.expects_answer(now, from, scope);
+        let Some(peer) = self.known.get_mut(&from) else {
+            return;
+        };
+        peer.reports = expects_answer;
+        let local = peer.member.zone == my_zone;
+        let slot = match scope {
+            Scope::Sender if local => &mut peer.own,
+            Scope::Zone if !local => &mut peer.zone,
+            Scope::Others if local => &mut peer.others,
+            _ => return,
+        };
+        if let (false, Some(last)) = (has_usage, slot.take()) {
+            totals.usage = last.totals.usage;
+        }
+        *slot = Some(Report {
+            received: now,
+            totals,
+        });
+    }
+
+    /// Records that another gateway heard `member` at `heard_at`.
+    pub fn vouch(&mut self, member: Member, heard_at: Micros) {
+        if member.addr == self.me.addr {
+            return;
+        }
+        if let Some(peer) = self.peer_mut(member) {
+            peer.vouched_at = peer.vouched_at.max(heard_at);
+        }
     }
 
-    /// Adds an address that a peer passed on, unless it is known or there are too many.
-    pub fn add_candidate(&mut self, other: SocketAddr, me: SocketAddr) {
-        let new = other != me && !self.known.contains_key(&other);
-        let room = self.seeds.len() < self.seeds.inline_size() + SAMPLE_SIZE;
-        if new && room && !self.seeds.contains(&other) {
-            self.seeds.push(other);
+    /// Records that this gateway has sent a message to `to` that is to be answered.
+    pub fn record_sent(&mut self, now: Micros, to: SocketAddr) {
+        let Some(peer) = self.known.get_mut(&to) else {
+            return;
+        };
+        let since = *peer.unanswered.get_or_insert(now);
+        if now.saturating_sub(since) >= ALIVE_TTL {
+            peer.shunned_until = now + SHUN_TIME;
+            peer.unanswered = None;
         }
     }
 
-    /// Removes the peers that have been silent for longer than `PEER_TTL`.
+    /// Forgets the gateways that have been silent for long.
     pub fn expire(&mut self, now: Micros) {
         self.known
-            .retain(|_, peer| now.saturating_sub(peer.heard_at) < PEER_TTL);
-    }
-
-    /// Chooses the addresses to send to in this round: random known peers, and one seed that has
-    /// not answered yet.
-    pub fn recipients(&self) -> SmallVec<[SocketAddr; 8]> {
-        let mut rng = rand::rng();
-        let known = self.known.keys().copied();
-        let mut round: SmallVec<[SocketAddr; 8]> = known
-            .choose_multiple(&mut rng, FANOUT)
-            .into_iter()
-            .collect();
-        let silent_seeds = self.seeds.iter().filter(|s| !self.known.contains_key(s));
-        round.extend(silent_seeds.copied().choose(&mut rng));
-        round
-    }
-
-    /// Chooses random peer addresses to pass on in a message.
-    pub fn sample(&self) -> Vec<SocketAddr> {
-        let mut rng = rand::rng();
-        self.known
-            .keys()
-            .copied()
-            .choose_multiple(&mut rng, SAMPLE_SIZE)
+            .retain(|_, peer| now.saturating_sub(peer.last_sign()) < PEER_TTL);
+    }
+
+    /// Number of gateways of this zone that are ranked before this one and alive: 0 for the active
+    /// aggregator, 1 for the one that stands by.
+    pub fn rank(&self, now: Micros) -> usize {
+        let mine = self.me.rank_key();
+        self.alive_in(self.me.zone, now)
+            .filter(|peer| peer.member.rank_key() < mine)
+            .count()
+    }
+
+    /// The aggregators of this zone, except this gateway, in the order of their ranks.
+    pub fn aggregators(&self, now: Micros) -> SmallVec<[SocketAddr; 4]> {
+        let itself = usize::from(self.rank(now) < AGGREGATORS);
+        let first = self.best(self.me.zone, AGGREGATORS - itself, now);
+        first.iter().map(|member| member.addr).collect()
+    }
+
+    /// Some gateways of this zone from which nothing is heard, chosen at random, while fewer
+    /// gateways of it are alive than aggregate.
+    pub fn lost_neighbours(&self, now: Micros) -> SmallVec<[SocketAddr; 4]> {
+        if self.alive_in(self.me.zone, now).count() >= AGGREGATORS {
+            return SmallVec::new();
+        }
+        let lost = |peer: &&Peer| peer.member.zone == self.me.zone && !peer.is_alive(now);
+        let lost = self
+            .known
+            .values()
+            .filter(lost)
+            .map(|peer| peer.member.addr);
+        let lost = lost.choose_multiple(&mut rand::rng(), LOST_TRIES);
+        lost.into_iter().collect()
+    }
+
+    /// The first gateways of a zone that are alive, except this one, in the order of their ranks.
+    fn best(&self, zone: ZoneTag, count: usize, now: Micros) -> SmallVec<[Member; 4]> {
+        let mut members: SmallVec<[Member; 4]> = SmallVec::new();
+        for peer in self.alive_in(zone, now) {
+            let key = peer.member.rank_key();
+            let at = members.partition_point(|other| other.rank_key() < key);
+            if at < count {
+                members.insert(at, peer.member);
+                members.truncate(count);
+            }
+        }
+        members
+    }
+
+    /// The aggregators of the other zones. Of a zone in which none is alive, any known gateway,
+    /// chosen at random, so that the zone is found again.
+    pub fn remote_aggregators(&self, now: Micros) -> SmallVec<[SocketAddr; 16]> {
+        let mut zones: SmallVec<[ZoneTag; 8]> = SmallVec::new();
+        for peer in self.known.values() {
+            let zone = peer.member.zone;
+            if zone != self.me.zone && !zones.contains(&zone) {
+                zones.push(zone);
+            }
+        }
+        let mut found: SmallVec<[SocketAddr; 16]> = SmallVec::new();
+        for zone in zones {
+            let best = self.best(zone, AGGREGATORS, now);
+            if best.is_empty() {
+                let lost = self.known.values().filter(|p| p.member.zone == zone);
+                let lost = lost.map(|peer| peer.member.addr);
+                found.extend(lost.choose(&mut rand::rng()));
+            }
+            found.extend(best.iter().map(|member| member.addr));
+        }
+        found
     }
 
-    /// Chooses a peer to fetch the list of targets from: one that can read the platform's lists. A
-    /// process without targets (`has_none`) accepts any peer that has a configuration. `None` if
-    /// there is no such peer.
-    pub fn list_source(&self, has_none: bool) -> Option<SocketAddr> {
-        let is_eligible = |peer: &Peer| peer.reads_directory || has_none && peer.version > 0;
-        let eligible = self.known.iter().filter(|(_, peer)| is_eligible(peer));
-        eligible
-            .max_by_key(|(_, peer)| (peer.reads_directory, peer.heard_at))
-            .map(|(&at, _)| at)
+    /// The gateways whose last message expects an answer.
+    pub fn reporters(&self, now: Micros) -> impl Iterator<Item = Member> + '_ {
+        let reports = move |peer: &&Peer| peer.reports && peer.is_heard(now);
+        self.known.values().filter(reports).map(|peer| peer.member)
     }
 
-    /// The peer with the newest configuration; `None` if that is not newer than `version`.
-    pub fn newer_config_peer(&self, version: u64) -> Option<SocketAddr> {
-        let newest = self.known.iter().max_by_key(|(_, peer)| peer.version)?;
-        (newest.1.version > version).then_some(*newest.0)
+    /// The seed addresses from which nothing has been heard, or not for long.
+    pub fn silent_seeds(&self, now: Micros) -> impl Iterator<Item = SocketAddr> + '_ {
+        let silent = move |seed: &&SocketAddr| {
+            let peer = self.known.get(seed);
+            !peer.is_some_and(|peer| peer.is_alive(now))
+        };
+        self.seeds.iter().filter(silent).copied()
+    }
+
+    /// Whether any gateway is alive.
+    pub fn any_alive(&self, now: Micros) -> bool {
+        self.known.values().any(|peer| peer.is_alive(now))
     }
 
-    /// The total load of all peers by target, from reports newer than `LOAD_TTL`.
-    pub fn total_load(&self, now: Micros) -> HashMap<TargetTag, TargetLoad> {
-        let mut total: HashMap<TargetTag, TargetLoad> = HashMap::new();
-        let fresh = |peer: &&Peer| now.saturating_sub(peer.heard_at) < LOAD_TTL;
-        for (&tag, load) in self.known.values().filter(fresh).flat_map(|p| &p.load) {
-            let sum = total.entry(tag).or_default();
-            sum.active += load.active;
-            sum.prefill_tokens += load.prefill_tokens;
+    /// The gateways to introduce to others, with the time of their last sign of life: the first ones
+    /// of each zone that this one hears, and some others, chosen at random, so that a zone whose
+    /// aggregators are lost at once is found again.
+    pub fn introductions(&self, now: Micros) -> Vec<(Member, Micros)> {
+        let known = self.known.values();
+        let known = known.map(|peer| (peer.member, peer.last_sign()));
+        let others = known.choose_multiple(&mut rand::rng(), RANDOM_INTRODUCTIONS);
+        self.first_heard(now).into_iter().chain(others).collect()
+    }
+
+    /// The first gateways of each zone that this one hears, with the time at which it last did.
+    fn first_heard(&self, now: Micros) -> Vec<(Member, Micros)> {
+        let mut zones: HashMap<ZoneTag, SmallVec<[(Member, Micros); 4]>, FxBuildHasher> =
+            HashMap::default();
+        for peer in self.known.values() {
+            let Some(at) = peer.heard_at.filter(|_| peer.is_heard(now)) else {
+                continue;
+            };
+            let zone = zones.entry(peer.member.zone).or_default();
+            let key = peer.member.rank_key();
+            let index = zone.partition_point(|(other, _)| other.rank_key() < key);
+            if index <= AGGREGATORS {
+                zone.insert(index, (peer.member, at));
+                zone.truncate(AGGREGATORS + 1);
+            }
         }
-        total
+        zones.into_values().flatten().collect()
     }
 
-    /// Whether any peer's report is newer than `LOAD_TTL`.
-    pub fn has_recent(&self, now: Micros) -> bool {
-        let fresh = |peer: &Peer| now.saturating_sub(peer.heard_at) < LOAD_TTL;
-        self.known.values().any(fresh)
+    /// What all gateways of this zone cause together; `own` is what this gateway causes.
+    pub fn zone_totals(&self, now: Micros, own: &Totals) -> Totals {
+        let mut sum = own.clone();
+        let reports = self.known.values().map(|peer| peer.own.as_ref());
+        for report in reports.filter_map(|report| fresh(report, now)) {
+            sum.add(&report.totals);
+        }
+        sum
+    }
+
+    /// What the gateways of all other zones cause together.
+    pub fn remote_totals(&self, now: Micros) -> Totals {
+        let mut newest: HashMap<ZoneTag, &Report, FxBuildHasher> = HashMap::default();
+        for peer in self.known.values() {
+            let Some(report) = fresh(peer.zone.as_ref(), now) else {
+                continue;
+            };
+            let known = newest.entry(peer.member.zone).or_insert(report);
+            if report.received > known.received {
+                *known = report;
+            }
+        }
+        let mut sum = Totals::default();
+        for report in newest.values() {
+            sum.add(&report.totals);
+        }
+        sum
+    }
+
+    /// What a gateway reported on itself.
+    pub fn own_totals(&self, now: Micros, of: SocketAddr) -> Option<&Totals> {
+        let peer = self.known.get(&of)?;
+        fresh(peer.own.as_ref(), now).map(|report| &report.totals)
+    }
+
+    /// What all other gateways cause together, according to the newest report of an aggregator.
+    pub fn others(&self, now: Micros) -> Option<&Totals> {
+        let reports = self.known.values().map(|peer| peer.others.as_ref());
+        let reports = reports.filter_map(|report| fresh(report, now));
+        reports
+            .max_by_key(|report| report.received)
+            .map(|report| &report.totals)
+    }
+
+    /// The copies of the platform's lists at the gateways that are heard, with whether the gateway
+    /// is an aggregator of this zone.
+    pub fn copies(&self, now: Micros) -> impl Iterator<Item = (SocketAddr, CopyStatus, bool)> + '_ {
+        let aggregators = self.aggregators(now);
+        let heard = self.known.values().filter(move |peer| peer.is_heard(now));
+        heard.map(move |peer| {
+            let addr = peer.member.addr;
+            (addr, peer.status, aggregators.contains(&addr))
+        })
+    }
+
+    /// Whether a message expects an answer: a report of the sender on itself does, and so does the
+    /// report of a zone from a gateway that is none of its aggregators, which has to learn of them.
+    fn expects_answer(&self, now: Micros, from: SocketAddr, scope: Scope) -> bool {
+        let Some(peer) = self.known.get(&from) else {
+            return false;
+        };
+        match scope {
+            Scope::Sender => true,
+            Scope::Zone => {
+                let first = self.best(peer.member.zone, AGGREGATORS, now);
+                first.iter().all(|member| member.addr != from)
+            }
+            Scope::Nothing | Scope::Others => false,
+        }
+    }
+
+    /// The status of a gateway's copies, as it last reported it; `None` if it is not heard.
+    pub fn status(&self, now: Micros, of: SocketAddr) -> Option<CopyStatus> {
+        let peer = self.known.get(&of)?;
+        peer.is_heard(now).then_some(peer.status)
+    }
+
+    /// The gateway that is heard and has the newest configuration; `None` if that is not newer than
+    /// `version`.
+    pub fn newer_config_peer(&self, now: Micros, version: u64) -> Option<SocketAddr> {
+        let heard = self.known.values().filter(|peer| peer.is_heard(now));
+        let newest = heard.max_by_key(|peer| (peer.status.version, peer.heard_at))?;
+        (newest.status.version > version).then_some(newest.member.addr)
+    }
+
+    fn alive_in(&self, zone: ZoneTag, now: Micros) -> impl Iterator<Item = &Peer> {
+        let in_zone = move |peer: &&Peer| peer.member.zone == zone && peer.is_alive(now);
+        self.known.values().filter(in_zone)
+    }
+
+    /// Returns the entry of a gateway, adding it unless there are too many.
+    fn peer_mut(&mut self, member: Member) -> Option<&mut Peer> {
+        let full = self.known.len() >= MAX_PEERS;
+        if full && !self.known.contains_key(&member.addr) {
+            return None;
+        }
+        let peer = self.known.entry(member.addr);
+        Some(peer.or_insert_with(|| Peer::new(member)))
     }
 }
 
--- a/src/gateway/peers/handover.rs
+++ b/src/gateway/peers/handover.rs
@@ -13,8 +13,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
 
-use crate::gateway::directory::ChangeBatch;
-use crate::gateway::peers::wire::{HandoverRequest, WireTargets};
+use crate::gateway::peers::wire::{Cursor, HandoverRequest, WireTargets};
 use crate::gateway::state::GatewayState;
 use crate::listen;
 
@@ -23,7 +22,7 @@
 /// Maximum size of a response, in bytes.
 const MAX_HANDOVER_BYTES: usize = 8 * 1024 * 1024;
 /// Maximum size of a request, in bytes.
-const MAX_REQUEST_BYTES: usize = 16;
+const MAX_REQUEST_BYTES: usize = 32;
 
 /// Answers peers' requests for the configuration and the list of targets. Never returns.
 pub async fn serve(listener: TcpListener, gateway: Arc<GatewayState>) {
@@ -51,17 +50,15 @@
     Ok(raw.into())
 }
 
-/// Fetches the list of targets of the gateway at `peer`, as changes that, applied to an empty list,
-/// give the complete one.
+/// Fetches the list of targets of the gateway at `peer`, or only what has changed since the copy
+/// `seen`.
 ///
 /// # Errors
 /// Returns an error if the peer cannot be reached, does not respond in time, or sends an invalid
 /// response.
-pub async fn fetch_targets(peer: SocketAddr) -> anyhow::Result<ChangeBatch> {
-    let raw = fetch(peer, HandoverRequest::Targets).await?;
-    let list: WireTargets =
-        postcard::from_bytes(&raw).context("could not decode the target list")?;
-    Ok(list.into())
+pub async fn fetch_targets(peer: SocketAddr, seen: Option<Cursor>) -> anyhow::Result<WireTargets> {
+    let raw = fetch(peer, HandoverRequest::Targets(seen)).await?;
+    postcard::from_bytes(&raw).context("could not decode the target list")
 }
 
 async fn fetch(peer: SocketAddr, request: HandoverRequest) -> anyhow::Result<Vec<u8>> {
@@ -81,7 +78,7 @@
     let request: HandoverRequest = postcard::from_bytes(&data)?;
     let response = match request {
         HandoverRequest::Config => gateway.config().source.to_vec(),
-        HandoverRequest::Targets => postcard::to_stdvec(&gateway.target_list())?,
+        HandoverRequest::Targets(seen) => postcard::to_stdvec(&gateway.target_list(seen))?,
     };
     send(&mut stream, &response).await
 }
--- a/src/gateway/peers/tests.rs
+++ b/src/gateway/peers/tests.rs
@@ -1,19 +1,19 @@
-use std::collections::HashMap;
 use std::net::SocketAddr;
 
 use proptest::prelude::*;
 
-use super::wire::{GossipMessage, MAX_DATAGRAM_BYTES, WireTargets};
-use super::{FANOUT, MAX_PEERS, PeerState, Peers, TargetLoad};
+use super::totals::{TargetLoad, Totals};
+use super::wire::{Cursor, GossipMessage, MAX_DATAGRAM_BYTES, WireTargets};
+use super::{CopyStatus, MAX_PEERS, Member, Peers, Scope, ZoneTag};
 use crate::claim::Digest;
 use crate::gateway::directory::{Change, ChangeBatch};
 use crate::gateway::fair_share::{AccountTag, Usage};
-use crate::gateway::retry_budget::RetryLimits;
-use crate::gateway::state::GatewayState;
-use crate::gateway::targets::{Entry, TargetTag};
+use crate::gateway::targets::{Entry, TargetTag, Targets};
 use crate::quarantine::{self, EventKind, QuarantineEvent};
 use crate::units::Micros;
 
+const HOME: ZoneTag = ZoneTag(1);
+
 fn addr(host: u16) -> SocketAddr {
     let [high, low] = host.to_be_bytes();
     ([127, 0, high, low], 7_400).into()
@@ -23,164 +23,222 @@
     Micros::from_ms(ms)
 }
 
-fn state(version: u64, reads_directory: bool, prefill_tokens: u64) -> PeerState {
+fn member(host: u16) -> Member {
+    Member {
+        addr: addr(host),
+        zone: HOME,
+        capacity: 9,
+    }
+}
+
+fn status(version: u64) -> CopyStatus {
+    CopyStatus {
+        version,
+        ..CopyStatus::default()
+    }
+}
+
+fn load(prefill_tokens: u64) -> Totals {
     let load = TargetLoad {
         active: 1,
         prefill_tokens,
     };
-    PeerState {
-        version,
-        reads_directory,
-        load: HashMap::from([(TargetTag(1), load)]),
+    Totals {
+        loads: [(TargetTag(1), load)].into_iter().collect(),
+        ..Totals::default()
     }
 }
 
+/// Gateway 1, which has heard from gateways 2 and 3 of its zone.
 fn two_peers() -> Peers {
-    let mut peers = Peers::new([addr(1), addr(2)].into_iter(), addr(1));
-    peers.update(at(0), addr(2), state(5, false, 100));
-    peers.update(at(500), addr(3), state(9, true, 50));
+    let mut peers = Peers::new(member(1), [addr(1), addr(2)].into_iter());
+    for (ms, host, version, tokens) in [(0, 2, 5, 100), (400, 3, 9, 50)] {
+        peers.record_message(at(ms), member(host), status(version));
+        peers.record_report(at(ms), addr(host), Scope::Sender, load(tokens), false);
+    }
     peers
 }
 
 #[test]
-fn peer_loads_add_up_until_they_expire() {
+fn reported_loads_add_up_until_they_expire() {
     let peers = two_peers();
     let reading = |ms| {
-        peers
-            .total_load(at(ms))
-            .get(&TargetTag(1))
-            .map(|load| load.prefill_tokens)
+        let totals = peers.zone_totals(at(ms), &Totals::default());
+        let load = totals.loads.get(&TargetTag(1)).copied();
+        load.map(|load| load.prefill_tokens)
     };
-    assert_eq!(reading(600), Some(150));
-    assert_eq!(reading(1_300), Some(50));
+    assert_eq!(reading(500), Some(150));
+    assert_eq!(reading(900), Some(50));
     assert_eq!(reading(5_000), None);
-    assert!(!peers.has_recent(at(5_000)));
 }
 
 #[test]
 fn only_a_newer_configuration_is_fetched() {
     let peers = two_peers();
-    assert_eq!(peers.newer_config_peer(4), Some(addr(3)));
-    assert_eq!(peers.newer_config_peer(9), None);
+    assert_eq!(peers.newer_config_peer(at(500), 4), Some(addr(3)));
+    assert_eq!(peers.newer_config_peer(at(500), 9), None);
+    assert_eq!(peers.newer_config_peer(at(5_000), 4), None);
 }
 
 #[test]
-fn the_list_comes_from_a_peer_that_reads_the_directory() {
-    assert_eq!(two_peers().list_source(false), Some(addr(3)));
-    assert_eq!(two_peers().list_source(true), Some(addr(3)));
+fn a_report_without_usage_keeps_the_usage_reported_before() {
+    let mut peers = two_peers();
+    let usage = Usage {
+        requested: 64.0,
+        served: 0.0,
+    };
+    let mut totals = load(10);
+    totals.usage.insert(AccountTag(7), usage);
+    peers.record_report(at(500), addr(2), Scope::Sender, totals, true);
+    peers.record_report(at(600), addr(2), Scope::Sender, load(20), false);
+    let known = peers.own_totals(at(600), addr(2)).expect("it has reported");
+    assert_eq!(known.usage.get(&AccountTag(7)), Some(&usage));
+    assert_eq!(known.loads[&TargetTag(1)].prefill_tokens, 20);
 }
 
 #[test]
-fn a_process_without_targets_uses_any_peer_that_has_a_configuration() {
-    let mut peers = Peers::default();
-    peers.update(at(0), addr(2), state(0, false, 0));
-    peers.update(at(0), addr(3), state(5, false, 0));
-    assert_eq!(peers.list_source(false), None);
-    assert_eq!(peers.list_source(true), Some(addr(3)));
+fn a_gateway_that_others_hear_but_that_does_not_answer_is_left_out() {
+    let mut peers = Peers::new(member(1), [].into_iter());
+    for ms in (0..1_000).step_by(100) {
+        peers.vouch(member(2), at(ms + 1));
+        peers.record_sent(at(ms), addr(2));
+    }
+    assert!(peers.aggregators(at(1_000)).is_empty());
+    peers.record_message(at(1_001), member(2), status(1));
+    assert_eq!(peers.aggregators(at(1_001)).as_slice(), [addr(2)]);
 }
 
 #[test]
-fn a_silent_peer_expires() {
+fn a_silent_gateway_is_forgotten() {
     let mut peers = two_peers();
-    peers.expire(at(10_200));
-    assert_eq!(peers.newer_config_peer(0), Some(addr(3)));
-    peers.expire(at(60_000));
-    assert_eq!(peers.newer_config_peer(0), None);
+    peers.expire(at(60_200));
+    assert_eq!(peers.known.len(), 1);
+    peers.expire(at(90_000));
+    assert_eq!(peers.known.len(), 0);
 }
 
 #[test]
-fn a_silent_seed_is_a_recipient() {
-    let peers = Peers::new([addr(1), addr(2)].into_iter(), addr(1));
-    assert_eq!(peers.recipients().as_slice(), [addr(2)]);
-}
-
-#[test]
-fn neither_state_nor_messages_grow_with_the_fleet() {
-    let mut peers = Peers::default();
-    for host in 2..400 {
-        peers.update(at(0), addr(host), state(1, true, 1));
-        peers.add_candidate(addr(1_000 + host), addr(1));
+fn the_number_of_known_gateways_is_bounded() {
+    let mut peers = Peers::new(member(1), [].into_iter());
+    for host in 2..3_000 {
+        peers.record_message(at(0), member(host), status(1));
+        peers.vouch(member(10_000 + host), at(1));
     }
     assert_eq!(peers.known.len(), MAX_PEERS);
-    assert!(peers.seeds.len() < 16);
-    assert!(peers.recipients().len() <= FANOUT + 1);
 }
 
 #[test]
-fn a_full_message_fits_a_datagram_and_decodes() {
-    let load = |tag: u32| {
-        let load = TargetLoad {
-            active: 128,
-            prefill_tokens: 1_000_000,
-        };
-        (TargetTag(u32::MAX - tag), load)
+fn a_full_message_is_bounded_and_decodes() {
+    let load = TargetLoad {
+        active: u32::MAX,
+        prefill_tokens: u64::MAX / 2,
     };
-    let usage = |tag: u32| {
-        let usage = Usage {
-            requested: 9e6 + f64::from(tag),
-            served: 9e6,
-        };
-        (AccountTag(u32::MAX - tag), usage)
+    let usage = Usage {
+        requested: 9e15,
+        served: 9e15,
+    };
+    let totals = Totals {
+        loads: (0..3_000)
+            .map(|tag| (TargetTag(u32::MAX - tag), load))
+            .collect(),
+        usage: (0..3_500)
+            .map(|tag| (AccountTag(u32::MAX - tag), usage))
+            .collect(),
     };
-    let mut message = GossipMessage::new(u64::MAX);
-    message.peers = (0..4).map(addr).collect();
     let crash = |id: u64| QuarantineEvent {
         digest: Digest([255; 16]),
         id: u64::MAX - id,
         kind: EventKind::Crash,
         age: quarantine::CRASH_TTL,
     };
-    let message = message
-        .with_loads((0..500).map(load))
-        .with_usage((0..500).map(usage));
-    let message = message.with_crashes((0..500).map(crash).collect());
+    let introduced = (0..500).map(|host| (member(host), at(0))).collect();
+    let message = GossipMessage::new(at(9), member(1), &status(1))
+        .with_totals(Scope::Zone, &totals, true)
+        .with_crashes((0..500).map(crash).collect())
+        .with_introductions(at(9), introduced);
     let data = message.encode();
     assert!(data.len() <= MAX_DATAGRAM_BYTES, "{}", data.len());
     let read = GossipMessage::decode(&data).expect("it is a valid message");
-    assert_eq!(read.usage().map(Iterator::count), Some(48));
+    assert_eq!(read.totals().loads.len(), 1_024);
+    assert_eq!(read.totals().usage.len(), 512);
+    assert_eq!(read.introductions(at(9)).count(), 32);
     assert_eq!(read.crashes.len(), 6);
-    assert_eq!(PeerState::from(&read).load.len(), 48);
 }
 
 #[test]
-fn a_load_only_message_carries_no_account_usage() {
-    let limits = RetryLimits {
-        ratio: 0.2,
-        slack: 10.0,
-        window: at(10_000),
-    };
-    let gateway = GatewayState::new("a", limits);
-    gateway
-        .with_shares(|shares| shares.record_request(gateway.clock.now(), AccountTag(7), 1_000.0));
-    let (full, _) = gateway.gossip_round(GossipMessage::new(1), true);
-    let (loads, _) = gateway.gossip_round(GossipMessage::new(1), false);
-    let read = |message: &GossipMessage| {
-        GossipMessage::decode(&message.encode()).expect("it is a valid message")
+fn an_idle_gateway_reports_no_targets() {
+    let idle = Totals {
+        loads: [(TargetTag(1), TargetLoad::default())]
+            .into_iter()
+            .collect(),
+        ..Totals::default()
     };
-    assert_eq!(read(&full).usage().map(Iterator::count), Some(1));
-    assert!(read(&loads).usage().is_none());
-    assert!(loads.encode().len() < full.encode().len());
+    let message = GossipMessage::new(at(9), member(1), &status(1));
+    let message = message.with_totals(Scope::Sender, &idle, false);
+    assert!(message.totals().loads.is_empty());
+    assert!(!message.has_usage());
 }
 
-#[test]
-fn a_list_survives_the_transfer() {
-    let entry = Entry {
+fn entry(draining: bool) -> Entry {
+    Entry {
         service: "model".into(),
         addr: addr(9),
         zone: "a".into(),
         slots: 4,
-        draining: true,
+        draining,
         started_at: Some(17),
-    };
-    let list = WireTargets::new(12, [("one", &entry)].into_iter());
+    }
+}
+
+/// Sends a list through its wire format.
+fn transfer(targets: &Targets, seen: Option<Cursor>) -> WireTargets {
+    let list = WireTargets::new(77, 12, targets, seen);
     let data = postcard::to_stdvec(&list).expect("it encodes");
-    let list: WireTargets = postcard::from_bytes(&data).expect("it decodes");
+    postcard::from_bytes(&data).expect("it decodes")
+}
+
+#[test]
+fn a_list_survives_the_transfer() {
+    let mut targets = Targets::default();
+    targets.put("one", entry(true));
+    let list = transfer(&targets, None);
+    assert!(list.complete);
     let batch = ChangeBatch::from(list);
     assert_eq!(batch.next, 12);
     let [Change::Target(id, read)] = batch.changes.as_slice() else {
         panic!("expected exactly one target");
     };
-    assert_eq!((id.as_ref(), read), ("one", &entry));
+    assert_eq!((id.as_ref(), read), ("one", &entry(true)));
+}
+
+#[test]
+fn a_second_transfer_carries_only_what_has_changed() {
+    let mut targets = Targets::default();
+    for id in ["one", "two", "three"] {
+        targets.put(id, entry(false));
+    }
+    let cursor = transfer(&targets, None).cursor;
+    targets.put("two", entry(true));
+    targets.remove("three");
+    let list = transfer(&targets, Some(cursor));
+    assert!(!list.complete);
+    let batch = ChangeBatch::from(list);
+    let changes: Vec<String> = batch.changes.iter().map(|c| format!("{c:?}")).collect();
+    assert_eq!(changes.len(), 2, "{changes:?}");
+    assert!(matches!(&batch.changes[0], Change::Target(id, entry)
+        if id.as_ref() == "two" && entry.draining));
+    assert!(matches!(&batch.changes[1], Change::Removed(id) if id.as_ref() == "three"));
+}
+
+#[test]
+fn the_list_of_another_process_is_copied_whole() {
+    let mut targets = Targets::default();
+    targets.put("one", entry(false));
+    let cursor = Cursor {
+        boot: 76,
+        change: 1,
+    };
+    assert!(transfer(&targets, Some(cursor)).complete);
 }
 
 proptest! {
@@ -188,7 +246,7 @@
     #[test]
     fn decoding_any_datagram_does_not_panic(data in proptest::collection::vec(any::<u8>(), 0..300)) {
         if let Ok(message) = GossipMessage::decode(&data) {
-            prop_assert!(PeerState::from(&message).load.len() <= 48);
+            prop_assert!(message.totals().loads.len() <= 1_024);
         }
     }
 }
--- a/src/gateway/peers/wire.rs
+++ b/src/gateway/peers/wire.rs
@@ -8,41 +8,63 @@
 
 use crate::gateway::directory::{Change, ChangeBatch};
 use crate::gateway::fair_share::{AccountTag, Usage};
-use crate::gateway::peers::{PeerState, TargetLoad};
-use crate::gateway::targets::{Entry, TargetTag};
+use crate::gateway::peers::totals::{TargetLoad, Totals};
+use crate::gateway::peers::{CopyStatus, Member, Scope, ZoneTag};
+use crate::gateway::targets::{Entry, TargetTag, Targets};
 use crate::quarantine::QuarantineEvent;
+use crate::units::Micros;
 
 /// Version of the gossip messages; messages of other versions are dropped.
-pub const VERSION: u8 = 2;
+pub const VERSION: u8 = 3;
 /// Maximum size of a gossip datagram.
-pub const MAX_DATAGRAM_BYTES: usize = 1_400;
+pub const MAX_DATAGRAM_BYTES: usize = 32 * 1024;
 /// Maximum number of targets in a message.
-const MAX_LOADS: usize = 48;
+const MAX_LOADS: usize = 1_024;
 /// Maximum number of client accounts in a message.
-const MAX_USAGE: usize = 48;
+const MAX_USAGE: usize = 512;
 /// Maximum number of crashes in a message.
 const MAX_CRASHES: usize = 6;
+/// Maximum number of gateways that a message introduces.
+const MAX_INTRODUCTIONS: usize = 32;
 /// Token counts are sent in units of this many tokens, rounded up.
 const TOKEN_UNIT: u64 = 64;
 
-/// The message of a gossip round.
+/// A gossip message.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct GossipMessage {
     /// Protocol version, [`VERSION`].
     pub protocol: u8,
     /// Random id of the sender's process, new after each restart.
     pub boot: u64,
-    /// Version of the sender's configuration.
-    pub version: u64,
-    /// Whether the sender can read the platform's lists.
-    pub reads_directory: bool,
-    /// Addresses of some of its peers.
-    pub peers: Vec<SocketAddr>,
+    zone: u32,
+    capacity: u32,
+    status: WireStatus,
+    scope: WireScope,
     load: Vec<WireLoad>,
-    /// Usage of client accounts; absent in rounds that carry load only.
+    /// Usage of client accounts; absent in messages that carry load only.
     usage: Option<Vec<WireUsage>>,
     /// Crashes of targets that the sender knows of.
     pub crashes: Vec<QuarantineEvent>,
+    introductions: Vec<WireMember>,
+}
+
+/// Ages are in milliseconds.
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+struct WireStatus {
+    version: u64,
+    config_age: Option<u32>,
+    list_age: Option<u32>,
+    list_next: u64,
+    list_change: u64,
+}
+
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+enum WireScope {
+    #[default]
+    Nothing,
+    Sender,
+    Zone,
+    Others,
 }
 
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
@@ -59,20 +81,43 @@
     served: u32,
 }
 
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+struct WireMember {
+    addr: SocketAddr,
+    zone: u32,
+    capacity: u32,
+    /// Time since the sender heard it, in milliseconds.
+    age: u32,
+}
+
 /// Request for a copy of a peer's state.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum HandoverRequest {
     /// The configuration.
     Config,
-    /// The list of targets.
-    Targets,
+    /// The list of targets: only its changes if the requester has a copy of that process's list.
+    Targets(Option<Cursor>),
+}
+
+/// A state of a gateway's list of targets.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Cursor {
+    /// Random id of the gateway's process.
+    pub boot: u64,
+    /// Number of the last change in its journal.
+    pub change: u64,
 }
 
-/// The list of targets that a gateway knows.
+/// A gateway's list of targets, or its changes.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct WireTargets {
+    /// State of the list.
+    pub cursor: Cursor,
+    /// Whether this is the complete list.
+    pub complete: bool,
     next: u64,
     targets: Vec<WireTarget>,
+    removed: Vec<String>,
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -92,40 +137,44 @@
 pub struct InvalidMessage;
 
 impl GossipMessage {
-    /// An empty message of the process `boot`.
-    pub fn new(boot: u64) -> Self {
+    /// A message of `sender` that reports nothing but the status of its copies.
+    pub fn new(now: Micros, sender: Member, status: &CopyStatus) -> Self {
         GossipMessage {
             protocol: VERSION,
-            boot,
+            boot: status.boot,
+            zone: sender.zone.0,
+            capacity: sender.capacity,
+            status: WireStatus {
+                version: status.version,
+                config_age: status.config_at.map(|at| age_ms(now, at)),
+                list_age: status.list_at.map(|at| age_ms(now, at)),
+                list_next: status.list_next,
+                list_change: status.list_change,
+            },
             ..GossipMessage::default()
         }
     }
 
-    /// Adds the sender's load by target, up to the bound.
-    pub fn with_loads(mut self, loads: impl Iterator<Item = (TargetTag, TargetLoad)>) -> Self {
-        self.load = loads
-            .take(MAX_LOADS)
-            .map(|(tag, load)| WireLoad {
-                target: tag.0,
-                active: load.active,
-                prefill: load.prefill_tokens.div_ceil(TOKEN_UNIT),
-            })
-            .collect();
-        self
-    }
-
-    /// Adds the usage of client accounts. If there are too many, only those that request most are
-    /// included.
-    pub fn with_usage(mut self, usage: impl Iterator<Item = (AccountTag, Usage)>) -> Self {
-        let mut all: Vec<(AccountTag, Usage)> = usage.collect();
-        all.sort_by(|(_, a), (_, b)| b.requested.total_cmp(&a.requested));
-        all.truncate(MAX_USAGE);
-        let row = |(account, usage): (AccountTag, Usage)| WireUsage {
-            account: account.0,
-            requested: (usage.requested / TOKEN_UNIT as f64).ceil() as u32,
-            served: (usage.served / TOKEN_UNIT as f64).ceil() as u32,
-        };
-        self.usage = Some(all.into_iter().map(row).collect());
+    /// Adds load and, if `with_usage`, usage of client accounts, up to the bounds. If there are too
+    /// many, the busiest targets and the accounts that request most are included.
+    pub fn with_totals(mut self, scope: Scope, totals: &Totals, with_usage: bool) -> Self {
+        self.scope = scope.into();
+        let busy = totals.loads.iter();
+        let busy = busy.filter(|(_, load)| **load != TargetLoad::default());
+        self.load = busy.map(|(&tag, &load)| (tag, load).into()).collect();
+        if self.load.len() > MAX_LOADS {
+            self.load.sort_by_key(|row| std::cmp::Reverse(row.active));
+            self.load.truncate(MAX_LOADS);
+        }
+        self.usage = with_usage.then(|| {
+            let rows = totals.usage.iter();
+            let mut rows: Vec<WireUsage> = rows.map(|(&tag, &usage)| (tag, usage).into()).collect();
+            if rows.len() > MAX_USAGE {
+                rows.sort_by_key(|row| std::cmp::Reverse(row.requested));
+                rows.truncate(MAX_USAGE);
+            }
+            rows
+        });
         self
     }
 
@@ -136,6 +185,20 @@
         self
     }
 
+    /// Adds gateways that the receiver may not know, with the times at which they were heard.
+    pub fn with_introductions(mut self, now: Micros, members: Vec<(Member, Micros)>) -> Self {
+        let members = members.into_iter().take(MAX_INTRODUCTIONS);
+        self.introductions = members
+            .map(|(member, heard_at)| WireMember {
+                addr: member.addr,
+                zone: member.zone.0,
+                capacity: member.capacity,
+                age: age_ms(now, heard_at),
+            })
+            .collect();
+        self
+    }
+
     /// Encodes the message as a datagram.
     pub fn encode(&self) -> Vec<u8> {
         postcard::to_stdvec(self).expect("a message encodes")
@@ -150,46 +213,170 @@
         let accounts = message.usage.as_ref().map_or(0, Vec::len);
         let fits = message.load.len() <= MAX_LOADS
             && accounts <= MAX_USAGE
-            && message.crashes.len() <= MAX_CRASHES;
+            && message.crashes.len() <= MAX_CRASHES
+            && message.introductions.len() <= MAX_INTRODUCTIONS;
         (message.protocol == VERSION && fits)
             .then_some(message)
             .ok_or(InvalidMessage)
     }
 
-    /// Usage of client accounts at the sender; `None` if the message carries load only.
-    pub fn usage(&self) -> Option<impl Iterator<Item = (AccountTag, Usage)> + '_> {
-        let to_usage = |row: &WireUsage| {
-            let usage = Usage {
-                requested: f64::from(row.requested) * TOKEN_UNIT as f64,
-                served: f64::from(row.served) * TOKEN_UNIT as f64,
+    /// The sender, which has the address `addr`.
+    pub fn sender(&self, addr: SocketAddr) -> Member {
+        Member {
+            addr,
+            zone: ZoneTag(self.zone),
+            capacity: self.capacity,
+        }
+    }
+
+    /// The status of the sender's copies, for a message that was received at `now`.
+    pub fn status(&self, now: Micros) -> CopyStatus {
+        CopyStatus {
+            version: self.status.version,
+            config_at: self.status.config_age.map(|age| time_of(now, age)),
+            list_at: self.status.list_age.map(|age| time_of(now, age)),
+            list_next: self.status.list_next,
+            boot: self.boot,
+            list_change: self.status.list_change,
+        }
+    }
+
+    /// What the message reports on.
+    pub fn scope(&self) -> Scope {
+        self.scope.into()
+    }
+
+    /// Whether the message carries the usage of client accounts.
+    pub fn has_usage(&self) -> bool {
+        self.usage.is_some()
+    }
+
+    /// The reported load and usage.
+    pub fn totals(&self) -> Totals {
+        let usage = self.usage.iter().flatten();
+        Totals {
+            loads: self.load.iter().map(|&row| row.into()).collect(),
+            usage: usage.map(|&row| row.into()).collect(),
+        }
+    }
+
+    /// The introduced gateways, with the times at which the sender heard them.
+    pub fn introductions(&self, now: Micros) -> impl Iterator<Item = (Member, Micros)> + '_ {
+        self.introductions.iter().map(move |row| {
+            let member = Member {
+                addr: row.addr,
+                zone: ZoneTag(row.zone),
+                capacity: row.capacity,
             };
-            (AccountTag(row.account), usage)
-        };
-        Some(self.usage.as_ref()?.iter().map(to_usage))
+            (member, time_of(now, row.age))
+        })
     }
 }
 
-impl From<&GossipMessage> for PeerState {
-    fn from(message: &GossipMessage) -> Self {
-        let to_load = |row: &WireLoad| {
-            let load = TargetLoad {
-                active: row.active,
-                prefill_tokens: row.prefill.saturating_mul(TOKEN_UNIT),
-            };
-            (TargetTag(row.target), load)
+fn age_ms(now: Micros, at: Micros) -> u32 {
+    u32::try_from(now.saturating_sub(at).as_ms()).unwrap_or(u32::MAX)
+}
+
+fn time_of(now: Micros, age: u32) -> Micros {
+    now.saturating_sub(Micros::from_ms(age.into()))
+}
+
+impl From<Scope> for WireScope {
+    fn from(scope: Scope) -> Self {
+        match scope {
+            Scope::Nothing => WireScope::Nothing,
+            Scope::Sender => WireScope::Sender,
+            Scope::Zone => WireScope::Zone,
+            Scope::Others => WireScope::Others,
+        }
+    }
+}
+
+impl From<WireScope> for Scope {
+    fn from(scope: WireScope) -> Self {
+        match scope {
+            WireScope::Nothing => Scope::Nothing,
+            WireScope::Sender => Scope::Sender,
+            WireScope::Zone => Scope::Zone,
+            WireScope::Others => Scope::Others,
+        }
+    }
+}
+
+impl From<(TargetTag, TargetLoad)> for WireLoad {
+    fn from((tag, load): (TargetTag, TargetLoad)) -> Self {
+        WireLoad {
+            target: tag.0,
+            active: load.active,
+            prefill: load.prefill_tokens.div_ceil(TOKEN_UNIT),
+        }
+    }
+}
+
+impl From<WireLoad> for (TargetTag, TargetLoad) {
+    fn from(row: WireLoad) -> Self {
+        let load = TargetLoad {
+            active: row.active,
+            prefill_tokens: row.prefill.saturating_mul(TOKEN_UNIT),
         };
-        PeerState {
-            version: message.version,
-            reads_directory: message.reads_directory,
-            load: message.load.iter().map(to_load).collect(),
+        (TargetTag(row.target), load)
+    }
+}
+
+impl From<(AccountTag, Usage)> for WireUsage {
+    fn from((tag, usage): (AccountTag, Usage)) -> Self {
+        WireUsage {
+            account: tag.0,
+            requested: (usage.requested / TOKEN_UNIT as f64).ceil() as u32,
+            served: (usage.served / TOKEN_UNIT as f64).ceil() as u32,
         }
     }
 }
 
+impl From<WireUsage> for (AccountTag, Usage) {
+    fn from(row: WireUsage) -> Self {
+        let usage = Usage {
+            requested: f64::from(row.requested) * TOKEN_UNIT as f64,
+            served: f64::from(row.served) * TOKEN_UNIT as f64,
+        };
+        (AccountTag(row.account), usage)
+    }
+}
+
 impl WireTargets {
-    /// Builds a list that includes the changes before the offset `next` of the platform's list.
-    pub fn new<'a>(next: u64, targets: impl Iterator<Item = (&'a str, &'a Entry)>) -> Self {
-        let targets = targets.map(|(id, entry)| WireTarget {
+    /// Builds the answer to a request for `targets`, the list of the process `boot`, which is
+    /// complete up to the offset `next` of the platform's list. `seen` is the state that the
+    /// requester has copied.
+    pub fn new(boot: u64, next: u64, targets: &Targets, seen: Option<Cursor>) -> Self {
+        let cursor = Cursor {
+            boot,
+            change: targets.journal().last(),
+        };
+        let mut list = WireTargets {
+            cursor,
+            next,
+            ..WireTargets::default()
+        };
+        let seen = seen.filter(|seen| seen.boot == boot);
+        let Some(changed) = seen.and_then(|seen| targets.journal().since(seen.change)) else {
+            list.complete = true;
+            let rows = targets.iter().map(|t| WireTarget::from((&*t.id, &t.entry)));
+            list.targets = rows.collect();
+            return list;
+        };
+        for id in changed {
+            match targets.by_id(id) {
+                Some(target) => list.targets.push((&**id, &target.entry).into()),
+                None => list.removed.push(id.to_string()),
+            }
+        }
+        list
+    }
+}
+
+impl From<(&str, &Entry)> for WireTarget {
+    fn from((id, entry): (&str, &Entry)) -> Self {
+        WireTarget {
             id: id.to_owned(),
             service: entry.service.to_string(),
             addr: entry.addr,
@@ -197,17 +384,13 @@
             slots: entry.slots,
             leaving: entry.draining,
             born: entry.started_at,
-        });
-        WireTargets {
-            next,
-            targets: targets.collect(),
         }
     }
 }
 
 impl From<WireTargets> for ChangeBatch {
     fn from(list: WireTargets) -> Self {
-        let change = |target: WireTarget| {
+        let put = |target: WireTarget| {
             let entry = Entry {
                 service: target.service.into(),
                 addr: target.addr,
@@ -218,9 +401,11 @@
             };
             Change::Target(target.id.into(), entry)
         };
+        let removed = list.removed.into_iter();
+        let removed = removed.map(|id| Change::Removed(id.into()));
         ChangeBatch {
             next: list.next,
-            changes: list.targets.into_iter().map(change).collect(),
+            changes: list.targets.into_iter().map(put).chain(removed).collect(),
         }
     }
 }
--- a/src/gateway/selection/tests.rs
+++ b/src/gateway/selection/tests.rs
@@ -160,7 +160,7 @@
     a_paused_target: |target| target.load.paused_until = NOW + Micros::from_ms(1);
     a_slow_target: |target| (target.load.slowness, target.load.measured_at) = (8.0, NOW);
     a_target_with_a_prefill_backlog: |target| target.load.prefill_tokens = 80_000;
-    a_target_loaded_by_other_gateways: |target| target.load.peer_load = Some(crate::gateway::peers::TargetLoad { active: 9, prefill_tokens: 80_000 });
+    a_target_loaded_by_other_gateways: |target| target.load.peer_load = Some(crate::gateway::peers::totals::TargetLoad { active: 9, prefill_tokens: 80_000 });
 }
 
 #[test]
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -2,18 +2,21 @@
 //! estimated load, peer reports, and retry budgets.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use arc_swap::ArcSwap;
-use smallvec::SmallVec;
+use tokio::sync::Notify;
 
 use crate::gateway::config::Config;
+use crate::gateway::copies::Copies;
 use crate::gateway::crash_tracker::CrashTracker;
 use crate::gateway::fair_share::FairShare;
 use crate::gateway::log_limiter::LogLimiter;
-use crate::gateway::peers::wire::{GossipMessage, WireTargets};
-use crate::gateway::peers::{Peers, TargetLoad};
+use crate::gateway::peers::rounds::{self, Outgoing, RoundInput};
+use crate::gateway::peers::totals::{TargetLoad, Totals};
+use crate::gateway::peers::wire::{Cursor, GossipMessage, WireTargets};
+use crate::gateway::peers::{Member, Peers, Scope, ZoneTag};
 use crate::gateway::pool::ConnectionPool;
 use crate::gateway::request::ClientRequest;
 use crate::gateway::retry_budget::{RetryBudget, RetryLimits};
@@ -41,6 +44,10 @@
     pub zone: Box<str>,
     /// Connections to targets.
     pub pool: ConnectionPool,
+    /// Notified when other gateways have reported their state.
+    pub reports: Notify,
+    /// Random id of this process.
+    pub boot: u64,
     config: ArcSwap<Config>,
     telemetry: Telemetry,
     /// Whether the targets were started together with this process.
@@ -54,8 +61,7 @@
     shares: FairShare,
     log_limiter: LogLimiter,
     peers: Peers,
-    /// Offset from which the target list is followed; `None` while the platform does not answer.
-    list_offset: Option<u64>,
+    copies: Copies,
     crashes: CrashTracker,
     targets: Targets,
     budgets: HashMap<Arc<str>, RetryBudget>,
@@ -68,6 +74,8 @@
             clock: Clock::start(),
             zone: zone.into(),
             pool: ConnectionPool::default(),
+            reports: Notify::new(),
+            boot: rand::random(),
             config: ArcSwap::default(),
             telemetry: Telemetry::disabled(),
             cold: false,
@@ -75,8 +83,8 @@
                 limits,
                 shares: FairShare::default(),
                 log_limiter: LogLimiter::default(),
-                peers: Peers::default(),
-                list_offset: None,
+                peers: Peers::new(unknown_member(zone), [].into_iter()),
+                copies: Copies::default(),
                 crashes: CrashTracker::default(),
                 targets: Targets::default(),
                 budgets: HashMap::new(),
@@ -142,57 +150,62 @@
         act(&mut self.lock().peers)
     }
 
-    /// Sets the offset from which the target list is followed; `None` if the platform does not
-    /// answer.
-    pub fn set_list_offset(&self, next: Option<u64>) {
-        self.lock().list_offset = next;
+    /// Runs `act` on the state of this gateway's copies of the platform's lists.
+    pub fn with_copies<T>(&self, act: impl FnOnce(&mut Copies) -> T) -> T {
+        act(&mut self.lock().copies)
     }
 
-    /// Returns the target list, for a gateway that cannot read it from the platform.
-    pub fn target_list(&self) -> WireTargets {
+    /// Returns the list of targets, or what has changed since the copy `seen`.
+    pub fn target_list(&self, seen: Option<Cursor>) -> WireTargets {
         let state = self.lock();
-        let targets = state.targets.iter();
-        let targets = targets.map(|target| (target.id.as_ref(), &target.entry));
-        WireTargets::new(state.list_offset.unwrap_or_default(), targets)
+        WireTargets::new(self.boot, state.copies.list.next, &state.targets, seen)
     }
 
-    /// Completes the gossip message of this round and picks its recipients. Only if `full`, the
-    /// message also contains account usage, crashes and peer addresses.
-    pub fn gossip_round(
-        &self,
-        message: GossipMessage,
-        full: bool,
-    ) -> (GossipMessage, SmallVec<[SocketAddr; 8]>) {
+    /// Composes the gossip messages of a round, and applies what other gateways have reported.
+    pub fn gossip_round(&self, round: u64) -> Vec<Outgoing> {
         let now = self.clock.now();
+        let version = self.config.load().version;
         let mut state = self.lock();
         let state = &mut *state;
-        state.peers.expire(now);
-        update_peer_load(state, now);
-        let busy = state.targets.iter().filter(|t| t.load.active > 0);
-        let loads = busy.map(|target| {
-            let (active, prefill_tokens) = (target.load.active, target.load.prefill_tokens);
-            (
-                target.tag,
-                TargetLoad {
-                    active,
-                    prefill_tokens,
-                },
-            )
-        });
-        let mut message = message.with_loads(loads);
-        message.version = self.config.load().version;
-        message.reads_directory = state.list_offset.is_some();
-        if full {
-            message = message.with_usage(state.shares.local_usage(now));
-            message = message.with_crashes(state.crashes.events(now));
-            message.peers = state.peers.sample();
+        let own = own_totals(state, now);
+        let change = state.targets.journal().last();
+        let status = state.copies.status(version, self.boot, change);
+        let mut base = GossipMessage::new(now, state.peers.me(), &status);
+        if rounds::is_full(round) {
+            base = base.with_crashes(state.crashes.events(now));
         }
-        (message, state.peers.recipients())
+        let input = RoundInput {
+            round,
+            own: &own,
+            base,
+        };
+        let outgoing = rounds::compose(&mut state.peers, now, &input);
+        apply_others(state, now, &own);
+        outgoing
     }
 
-    /// Updates the targets' peer load from the latest peer reports.
-    pub fn update_peer_load(&self, now: Micros) {
-        update_peer_load(&mut self.lock(), now);
+    /// Processes a message from another gateway.
+    pub fn receive_gossip(&self, from: SocketAddr, message: &GossipMessage) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let state = &mut *state;
+        let sender = message.sender(from);
+        state.peers.record_message(now, sender, message.status(now));
+        let (totals, with_usage) = (message.totals(), message.has_usage());
+        let scope = message.scope();
+        state
+            .peers
+            .record_report(now, from, scope, totals, with_usage);
+        for (member, heard_at) in message.introductions(now) {
+            state.peers.vouch(member, heard_at);
+        }
+        if !message.crashes.is_empty() {
+            state.crashes.merge(now, &message.crashes);
+        }
+        if scope == Scope::Others {
+            let own = own_totals(state, now);
+            apply_others(state, now, &own);
+        }
     }
 
     /// Runs `act` on the record of requests suspected of crashing targets.
@@ -306,11 +319,54 @@
     }
 }
 
-fn update_peer_load(state: &mut State, now: Micros) {
-    let has_peers = state.peers.has_recent(now);
-    let load = state.peers.total_load(now);
+/// The load and usage that this gateway causes.
+fn own_totals(state: &mut State, now: Micros) -> Totals {
+    let busy = state.targets.iter().filter(|target| target.load.active > 0);
+    let loads = busy.map(|target| {
+        let (active, prefill_tokens) = (target.load.active, target.load.prefill_tokens);
+        let load = TargetLoad {
+            active,
+            prefill_tokens,
+        };
+        (target.tag, load)
+    });
+    let loads = loads.collect();
+    Totals {
+        loads,
+        usage: state.shares.local_usage(now).collect(),
+    }
+}
+
+/// Applies what all other gateways cause to the targets' load and the accounts' usage. `own` is
+/// what this gateway causes.
+fn apply_others(state: &mut State, now: Micros, own: &Totals) {
+    let others = match state.peers.rank(now) {
+        0 if state.peers.any_alive(now) => Some(others_of_active(&state.peers, now, own)),
+        0 => None,
+        _ => state.peers.others(now).cloned(),
+    };
     for target in state.targets.iter_mut() {
-        let others = load.get(&target.tag).copied().unwrap_or_default();
-        target.load.peer_load = has_peers.then_some(others);
+        let load = others.as_ref().map(|others| others.loads.get(&target.tag));
+        target.load.peer_load = load.map(|load| load.copied().unwrap_or_default());
+    }
+    if let Some(others) = others {
+        state.shares.set_peer_usage(now, others.usage);
+    }
+}
+
+/// What all other gateways cause, as the active aggregator of a zone has summed it up.
+fn others_of_active(peers: &Peers, now: Micros, own: &Totals) -> Totals {
+    let mut others = peers.zone_totals(now, own);
+    others.subtract(own);
+    others.add(&peers.remote_totals(now));
+    others
+}
+
+/// Stands for this gateway until its address is known.
+fn unknown_member(zone: &str) -> Member {
+    Member {
+        addr: (Ipv4Addr::UNSPECIFIED, 0).into(),
+        zone: ZoneTag::of(zone),
+        capacity: 0,
     }
 }
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -1,13 +1,16 @@
 //! The known targets: their list entries, estimated load and presumably cached prompt parts.
 
+pub mod journal;
+
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use slab::Slab;
 
-use crate::gateway::peers::TargetLoad;
+use crate::gateway::peers::totals::TargetLoad;
 use crate::gateway::prompts::PrefixCache;
+use crate::gateway::targets::journal::Journal;
 use crate::units::Micros;
 
 /// Key of a target in [`Targets`]. `generation` tells apart the targets that have used the same
@@ -106,6 +109,7 @@
     ids: HashMap<Arc<str>, TargetKey>,
     services: HashMap<Arc<str>, Vec<TargetKey>>,
     generation: u32,
+    journal: Journal,
 }
 
 impl Targets {
@@ -121,6 +125,16 @@
         (*generation == key.generation).then_some(target)
     }
 
+    /// Looks up a target by its id.
+    pub fn by_id(&self, id: &str) -> Option<&Target> {
+        self.get(*self.ids.get(id)?)
+    }
+
+    /// The last changes to this list.
+    pub fn journal(&self) -> &Journal {
+        &self.journal
+    }
+
     /// The targets of a service, including draining ones.
     pub fn of_service(&self, service: &str) -> &[TargetKey] {
         self.services.get(service).map_or(&[], Vec::as_slice)
@@ -154,6 +168,14 @@
     /// Adds a target or updates its entry. One that has restarted, or has another address or
     /// service, is replaced, because its load and cache start empty.
     pub fn put(&mut self, id: &str, entry: Entry) -> Change {
+        let change = self.update(id, entry);
+        if change != Change::Same {
+            self.journal.record(&id.into());
+        }
+        change
+    }
+
+    fn update(&mut self, id: &str, entry: Entry) -> Change {
         let Some(&key) = self.ids.get(id) else {
             self.insert(id, entry);
             return Change::New;
@@ -163,7 +185,7 @@
             || known.addr != entry.addr
             || known.service != entry.service;
         if replaced {
-            self.remove(id);
+            self.take(id);
             self.insert(id, entry);
             return Change::New;
         }
@@ -181,6 +203,14 @@
 
     /// Removes a target.
     pub fn remove(&mut self, id: &str) -> Change {
+        let change = self.take(id);
+        if change != Change::Same {
+            self.journal.record(&id.into());
+        }
+        change
+    }
+
+    fn take(&mut self, id: &str) -> Change {
         let Some(key) = self.ids.remove(id) else {
             return Change::Same;
         };
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -12,6 +12,7 @@
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 
+use crate::gateway::peers::{Member, ZoneTag};
 use crate::gateway::retry_budget::RetryLimits;
 use crate::rules::parse::MAX_NAME_BYTES;
 
@@ -92,6 +93,10 @@
     pub grace: f64,
     /// Maximum number of file descriptors of the process.
     pub descriptors: usize,
+    /// Processor time of this host, in cores. Gateways on hosts with more of it aggregate the
+    /// reports of the others.
+    #[serde(default = "one_core")]
+    pub cores: f64,
     /// Limits of the retries of all gateways together.
     pub retries: RetrySettings,
     /// Logs and telemetry.
@@ -100,6 +105,15 @@
 }
 
 impl GatewaySettings {
+    /// This gateway, as it introduces itself to others.
+    pub fn member(&self) -> Member {
+        Member {
+            addr: self.peer,
+            zone: ZoneTag::of(&self.zone),
+            capacity: (self.cores * 100.0) as u32,
+        }
+    }
+
     /// Addresses where other gateways may listen.
     pub fn seed_peers(&self) -> impl Iterator<Item = SocketAddr> + '_ {
         let port = self.peer.port();
@@ -107,6 +121,10 @@
     }
 }
 
+fn one_core() -> f64 {
+    1.0
+}
+
 /// Limits of the retries of all gateways together.
 #[derive(Clone, Copy, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -226,6 +244,7 @@
                 format!("is {}, {expected}", self.descriptors),
             );
         }
+        errors.non_negative("cores", self.cores);
         errors.positive_secs("retries.window", self.retries.window);
         errors.non_negative("retries.ratio", self.retries.ratio);
         errors.non_negative("retries.slack", self.retries.slack);
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -1,7 +1,7 @@
 //! A running gateway with an in-memory directory, and a raw HTTP client for it.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU16, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU16, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -37,14 +37,21 @@
 struct DirectoryState {
     config: Option<Config>,
     targets: Vec<(String, Entry)>,
-    failing: bool,
     changes: u64,
 }
 
-/// In-memory replacement for the platform. Clones share the contents.
+/// One gateway's way to the directory.
+#[derive(Debug, Default)]
+struct Link {
+    failing: AtomicBool,
+    reads: AtomicU64,
+}
+
+/// In-memory replacement for the platform. Clones share the contents and the way to them.
 #[derive(Clone, Debug, Default)]
 pub struct FakeDirectory {
     state: Arc<Mutex<DirectoryState>>,
+    link: Arc<Link>,
 }
 
 impl FakeDirectory {
@@ -81,14 +88,28 @@
 
     /// Sets whether all calls fail.
     pub fn set_failing(&self, failing: bool) {
-        self.with(|state| state.failing = failing);
+        self.link.failing.store(failing, Ordering::Relaxed);
+    }
+
+    /// Another way to the same contents, for another gateway.
+    pub fn another_link(&self) -> FakeDirectory {
+        FakeDirectory {
+            state: self.state.clone(),
+            link: Arc::default(),
+        }
+    }
+
+    /// Number of calls so far.
+    pub fn reads(&self) -> u64 {
+        self.link.reads.load(Ordering::Relaxed)
     }
 
     fn read(&self, topic: Topic) -> Result<ChangeBatch, CallError> {
+        self.link.reads.fetch_add(1, Ordering::Relaxed);
+        if self.link.failing.load(Ordering::Relaxed) {
+            return Err(CallError::Status(503));
+        }
         self.with(|state| {
-            if state.failing {
-                return Err(CallError::Status(503));
-            }
             let config = state
                 .config
                 .iter()
@@ -213,15 +234,29 @@
 
     /// As [`TestGateway::start`], with an address for other gateways and their seed addresses.
     pub async fn start_with_peers(peer: SocketAddr, seeds: &[SocketAddr]) -> TestGateway {
-        TestGateway::launch(peer, seeds, 1_024).await
+        TestGateway::launch(peer, seeds, 1_024, FakeDirectory::default()).await
+    }
+
+    /// As [`TestGateway::start_with_peers`], with a directory that other gateways may also read.
+    pub async fn start_reading(
+        directory: &FakeDirectory,
+        peer: SocketAddr,
+        seeds: &[SocketAddr],
+    ) -> TestGateway {
+        TestGateway::launch(peer, seeds, 1_024, directory.clone()).await
     }
 
     /// As [`TestGateway::start`], with a limit of file descriptors.
     pub async fn start_with_descriptors(descriptors: usize) -> TestGateway {
-        TestGateway::launch(free_address(), &[], descriptors).await
+        TestGateway::launch(free_address(), &[], descriptors, FakeDirectory::default()).await
     }
 
-    async fn launch(peer: SocketAddr, seeds: &[SocketAddr], descriptors: usize) -> TestGateway {
+    async fn launch(
+        peer: SocketAddr,
+        seeds: &[SocketAddr],
+        descriptors: usize,
+        directory: FakeDirectory,
+    ) -> TestGateway {
         let (callers, ready) = (free_address(), free_address());
         let settings = json!({
             "name": "gateway", "listen": callers, "ready": ready, "metrics": free_address(), "peer": peer, "seeds": seeds,
@@ -234,7 +269,7 @@
         let scrape = ScrapeRegistry::default();
         let telemetry = Telemetry::scraped(scrape.meter_provider().expect("it exports"));
         let state = Arc::new(GatewayState::new("a", limits).with_telemetry(telemetry));
-        let (directory, drain) = (FakeDirectory::default(), CancellationToken::new());
+        let drain = CancellationToken::new();
         let run = balsampitch::gateway::run(
             settings,
             state.clone(),
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod common;
 mod diagnosis;
 mod directory;
+mod followers;
 mod harness;
 mod process;
 mod retries;
