Control overload of a gateway's own processor, connections and last look

Cause: clients are spread unevenly. One gateway of 0.09 core got most of a zone's traffic, fell seconds behind, ran out of descriptors and memory, and sent requests whose client or target had left meanwhile (GONE, DRAIN, CONFIG).

Change: (1) overload: the lateness of the gossip rounds measures how far a gateway is behind; it turns new requests away before reading them and, if that does not do, reports not ready and closes connections, so that the balancer moves clients; rests grow when it relapses. (2) connection limits: shares of descriptors and memory for callers and targets; idle ones give way. (3) last look: deadline, target, route and key are checked again right before sending, and a gateway that is behind lets client connections be read first.

Ruled out: shedding alone (refusing 2,000 requests a second takes the whole processor: 44 us each), handing requests to other gateways (relaying costs as much as serving), closing connections without rest (clients hash to the same gateway).

--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -76,7 +76,8 @@
             .counts
             .may_retry(request.route.class, request.route.max_attempts);
         let expired = gateway.clock.now() >= request.deadline();
-        if !retryable || expired || gateway.remaining_quarantine(request).is_some() {
+        let allowed = request.is_allowed_by(&gateway.config());
+        if !retryable || expired || !allowed || gateway.remaining_quarantine(request).is_some() {
             return None;
         }
         let choice = gateway.choose_target(request, &self.tried)?;
--- a/src/gateway/http.rs
+++ b/src/gateway/http.rs
@@ -16,13 +16,15 @@
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
+use crate::gateway::connection_limits::ConnectionLimits;
 use crate::gateway::forward::Forwarder;
+use crate::gateway::overload;
 use crate::gateway::request::ClientRequest;
 use crate::gateway::request_log;
 use crate::gateway::response::{self, ResponseBody};
 use crate::gateway::state::GatewayState;
 use crate::platform::headers::REQUEST_ID;
-use crate::problem::{Execution, Problem};
+use crate::problem::{Execution, Problem, Reason};
 use crate::telemetry::Outcome;
 
 /// How long a draining gateway still accepts connections: the platform needs some seconds to see
@@ -30,9 +32,6 @@
 const DRAIN_DELAY: Duration = Duration::from_millis(2_600);
 /// Pause after a failed `accept`.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-/// Fraction of the process's file descriptors up to which client connections are kept alive. Above
-/// it, each connection is closed after its response.
-const KEEP_ALIVE_SHARE: f64 = 0.5;
 /// The smallest read buffer that hyper supports. Request heads up to this size are accepted even if
 /// the operator's limit is lower.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
@@ -52,7 +51,7 @@
 #[derive(Clone, Debug)]
 pub struct ConnectionCount {
     count: Arc<AtomicUsize>,
-    limit: usize,
+    limits: ConnectionLimits,
 }
 
 /// Counts one client connection until it is dropped.
@@ -66,12 +65,11 @@
 }
 
 impl ConnectionCount {
-    /// Starts with no connections. The limit above which idle ones are closed is derived from
-    /// `descriptors`, the number of file descriptors that the process may open.
-    pub fn new(descriptors: usize) -> Self {
+    /// Starts with no connections.
+    pub fn new(limits: ConnectionLimits) -> Self {
         ConnectionCount {
             count: Arc::default(),
-            limit: (descriptors as f64 * KEEP_ALIVE_SHARE) as usize,
+            limits,
         }
     }
 
@@ -81,8 +79,13 @@
     }
 
     /// Whether there are too many connections to keep idle ones open.
-    fn exceeds_limit(&self) -> bool {
-        self.count.load(Ordering::Relaxed) > self.limit
+    fn too_many_to_keep(&self) -> bool {
+        self.count.load(Ordering::Relaxed) > self.limits.kept_callers
+    }
+
+    /// Whether there are too many connections to serve all of them.
+    fn too_many_to_serve(&self) -> bool {
+        self.count.load(Ordering::Relaxed) > self.limits.callers
     }
 }
 
@@ -141,18 +144,42 @@
         request: Request<Incoming>,
     ) -> Result<Response<ResponseBody>, Infallible> {
         let id = request.headers().get(REQUEST_ID).cloned();
-        let result = self.forward(request).await;
+        let result = match self.shed(id.as_ref()) {
+            Ok(()) => self.forward(request).await,
+            Err(problem) => Err(problem),
+        };
         let mut response = result.unwrap_or_else(|problem| {
             self.record_problem(&problem);
             response::from_problem(problem, id)
         });
-        if self.drain.is_cancelled() || self.connections.exceeds_limit() {
+        if self.should_close() {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(CONNECTION, close);
         }
         Ok(response)
     }
 
+    /// Turns a request away, before anything else is spent on it, if this gateway is overloaded
+    /// or has too many connections.
+    fn shed(&self, id: Option<&HeaderValue>) -> Result<(), Problem> {
+        let overload = self.gateway.overload();
+        let alone = !overload.is_behind() || !self.gateway.has_neighbours();
+        let sheds = overload.sheds(rand::random(), alone);
+        if !sheds && !self.connections.too_many_to_serve() {
+            return Ok(());
+        }
+        let id = id.and_then(|id| id.to_str().ok()).unwrap_or("none");
+        request_log::shed(&self.gateway, id, &overload);
+        let wait = overload::retry_after(rand::random());
+        Err(Problem::not_run(503, Reason::Overloaded).retry_after(wait))
+    }
+
+    /// Whether to close a connection after the present response.
+    fn should_close(&self) -> bool {
+        let leaves = self.drain.is_cancelled() || self.gateway.overload().is_resting();
+        leaves || self.connections.too_many_to_keep()
+    }
+
     fn record_problem(&self, problem: &Problem) {
         let outcome = match problem.execution {
             Execution::NotRun => Outcome::Refused,
@@ -165,7 +192,10 @@
     async fn forward(&self, request: Request<Incoming>) -> Result<Response<ResponseBody>, Problem> {
         let config = self.gateway.config();
         let id = request.headers().get(REQUEST_ID).cloned();
-        let request = ClientRequest::read(request, &config, self.gateway.clock).await;
+        // A gateway that is behind reads a request some time after it arrived.
+        let lag = self.gateway.overload().lag();
+        let arrived = self.gateway.clock.now().saturating_sub(lag);
+        let request = ClientRequest::read(request, &config, arrived).await;
         let request = request.inspect_err(|problem| {
             let id = id.as_ref().and_then(|id| id.to_str().ok());
             request_log::rejected(&self.gateway, id.unwrap_or("none"), problem, config.version);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,7 +6,7 @@
 //! measured up to the *first event*: the first server-sent event of a streamed response, or the
 //! whole of a response that is not streamed, which is buffered before it is forwarded.
 //!
-//! The decisions ([`selection`], [`source`], [`admission`], [`fair_share`], [`retry`], [`retry_budget`] and
+//! The decisions ([`selection`], [`source`], [`overload`], [`admission`], [`fair_share`], [`retry`], [`retry_budget`] and
 //! [`health`]) do no I/O. [`state`] holds the state that all modules share; [`follow`] and
 //! [`peers`] keep it up to date. A request arrives at [`http`], is parsed by [`request`], and is
 //! sent to a target by [`forward`] and [`send`]; [`relay`] passes event streams back.
@@ -14,6 +14,7 @@
 pub mod admission;
 pub mod attempts;
 pub mod config;
+pub mod connection_limits;
 pub mod copies;
 pub mod crash_tracker;
 pub mod directory;
@@ -27,6 +28,7 @@
 pub mod in_flight;
 pub mod log_limiter;
 pub mod monitoring;
+pub mod overload;
 pub mod peers;
 pub mod pool;
 pub mod prompts;
@@ -94,6 +96,7 @@
     let limits = RetryLimits::from(&settings.retries);
     let gateway = GatewayState::new(&settings.zone, limits)
         .cold_start(settings.first)
+        .with_limits(settings.connection_limits())
         .with_telemetry(telemetry);
     let gateway = Arc::new(gateway);
     let reloads = tokio::spawn(reload::follow(path, hangup, gateway.clone()));
@@ -137,7 +140,7 @@
     let server = HttpServer {
         gateway,
         drain: drain.clone(),
-        connections: ConnectionCount::new(settings.descriptors),
+        connections: ConnectionCount::new(settings.connection_limits()),
     };
     let grace = Duration::from_secs_f64(settings.grace).saturating_sub(GRACE_MARGIN);
     let grace_end = async {
--- a/src/gateway/monitoring.rs
+++ b/src/gateway/monitoring.rs
@@ -62,8 +62,12 @@
         }
     }
 
-    /// The gateway is ready while it has a configuration and a target and is not shutting down.
+    /// The gateway is ready while it has a configuration and a target, is not shutting down, and does
+    /// not rest from overload beside others of its zone.
     fn is_ready(&self) -> bool {
+        if self.gateway.overload().is_resting() && self.gateway.has_neighbours() {
+            return false;
+        }
         let configured =
             self.gateway.config().version > 0 && !self.gateway.with_targets(|t| t.is_empty());
         configured && !self.drain.is_cancelled()
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -291,6 +291,11 @@
         first.iter().map(|member| member.addr).collect()
     }
 
+    /// Whether another gateway of this zone is alive.
+    pub fn has_neighbours(&self, now: Micros) -> bool {
+        self.alive_in(self.me.zone, now).next().is_some()
+    }
+
     /// Some gateways of this zone from which nothing is heard, chosen at random, while fewer
     /// gateways of it are alive than aggregate.
     pub fn lost_neighbours(&self, now: Micros) -> SmallVec<[SocketAddr; 4]> {
--- a/src/gateway/peers/service.rs
+++ b/src/gateway/peers/service.rs
@@ -7,25 +7,26 @@
 use tokio::time::MissedTickBehavior;
 
 use crate::gateway::directory::Directory;
+use crate::gateway::overload::SAMPLE_INTERVAL;
 use crate::gateway::peers::handover;
 use crate::gateway::peers::rounds::Outgoing;
 use crate::gateway::peers::wire::{GossipMessage, MAX_DATAGRAM_BYTES};
 use crate::gateway::state::GatewayState;
 
-/// Time between two gossip rounds.
-const ROUND_INTERVAL: Duration = Duration::from_millis(100);
 /// Pause after a newer configuration could not be fetched.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
-/// Exchanges gossip messages with peers. Never returns.
+/// Exchanges gossip messages with peers, in rounds whose lateness is the measure of this process's
+/// overload. Never returns.
 pub async fn run(socket: UdpSocket, gateway: Arc<GatewayState>) {
-    let mut rounds = tokio::time::interval(ROUND_INTERVAL);
+    let mut rounds = tokio::time::interval(SAMPLE_INTERVAL.into());
     rounds.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     let mut round = 0;
     loop {
         tokio::select! {
-            _ = rounds.tick() => {
+            due = rounds.tick() => {
+                gateway.record_lag(due.elapsed().into());
                 round += 1;
                 send_round(&socket, &gateway, round).await;
             }
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -4,7 +4,8 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Mutex, MutexGuard};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -15,6 +16,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout};
 
+use crate::gateway::connection_limits::ConnectionLimits;
 use crate::gateway::targets::TargetKey;
 
 /// Time limit for establishing a connection.
@@ -35,6 +37,24 @@
     /// Whether it has carried a request before.
     pub reused: bool,
     _task: AbortOnDrop,
+    _open: OpenGuard,
+}
+
+/// Counts an open connection until it is dropped.
+#[derive(Debug)]
+struct OpenGuard(Arc<AtomicUsize>);
+
+impl OpenGuard {
+    fn new(count: &Arc<AtomicUsize>) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        OpenGuard(count.clone())
+    }
+}
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 /// Aborts the task that drives a connection when dropped.
@@ -53,6 +73,9 @@
     /// The connection attempt timed out.
     #[error("connection attempt timed out")]
     Timeout,
+    /// All connections that this process may have to targets are in use.
+    #[error("too many connections to targets")]
+    TooMany,
     /// The operating system reported an error.
     #[error("could not connect: {0}")]
     Io(#[from] std::io::Error),
@@ -69,21 +92,60 @@
 
 /// Idle connections by target.
 #[derive(Debug, Default)]
+struct Idle {
+    targets: HashMap<TargetKey, Vec<IdleConnection>>,
+    /// Number of all idle connections.
+    count: usize,
+}
+
+impl Idle {
+    /// Closes the idle connection that expires first; returns `false` if there is none.
+    fn close_one(&mut self) -> bool {
+        let expiry = |kept: &Vec<IdleConnection>| kept.first().map(|idle| idle.expires);
+        let oldest = self
+            .targets
+            .values_mut()
+            .filter(|kept| !kept.is_empty())
+            .min_by_key(|kept| expiry(kept));
+        let Some(kept) = oldest else {
+            return false;
+        };
+        kept.remove(0);
+        self.count -= 1;
+        true
+    }
+}
+
+/// The connections to targets: keeps the idle ones, and limits the number of all.
+#[derive(Debug, Default)]
 pub struct ConnectionPool {
-    idle: Mutex<HashMap<TargetKey, Vec<IdleConnection>>>,
+    idle: Mutex<Idle>,
+    /// Number of open connections, idle or not.
+    open: Arc<AtomicUsize>,
+    limits: ConnectionLimits,
 }
 
 impl ConnectionPool {
+    /// Creates an empty pool with these limits.
+    pub fn new(limits: ConnectionLimits) -> Self {
+        ConnectionPool {
+            limits,
+            ..ConnectionPool::default()
+        }
+    }
+
     /// Takes an idle connection that is still usable; `None` if there is none.
     pub fn take(&self, target: TargetKey) -> Option<Connection> {
         let mut idle = self.lock();
-        let kept = idle.get_mut(&target)?;
+        let Idle { targets, count } = &mut *idle;
+        let kept = targets.get_mut(&target)?;
         let now = Instant::now();
         while let Some(IdleConnection {
             connection,
             expires,
         }) = kept.pop()
         {
+            *count -= 1;
             if now < expires && connection.sender.is_ready() {
                 return Some(connection);
             }
@@ -108,13 +170,17 @@
         }
         connection.reused = true;
         let expires = Instant::now() + span;
-        let mut all = self.lock();
-        let kept = all.entry(target).or_default();
+        let mut idle = self.lock();
+        if idle.count >= self.limits.idle_targets {
+            return;
+        }
+        let kept = idle.targets.entry(target).or_default();
         if kept.len() < MAX_IDLE {
             kept.push(IdleConnection {
                 connection,
                 expires,
             });
+            idle.count += 1;
         }
     }
 
@@ -122,24 +188,36 @@
     /// longer listed.
     pub fn evict(&self, is_listed: impl Fn(TargetKey) -> bool) {
         let now = Instant::now();
-        self.lock().retain(|&target, kept| {
+        let mut idle = self.lock();
+        idle.targets.retain(|&target, kept| {
             kept.retain(|idle| now < idle.expires && !idle.connection.sender.is_closed());
             !kept.is_empty() && is_listed(target)
         });
+        idle.count = idle.targets.values().map(Vec::len).sum();
+    }
+
+    /// Connects to a target. If there are too many connections, an idle one is closed.
+    ///
+    /// # Errors
+    /// Returns an error if all connections are in use, the connection cannot be established in
+    /// time, or its HTTP handshake fails.
+    pub async fn connect(&self, addr: SocketAddr) -> Result<Connection, ConnectError> {
+        let full = self.open.load(Ordering::Relaxed) >= self.limits.targets;
+        if full && !self.lock().close_one() {
+            return Err(ConnectError::TooMany);
+        }
+        let open = OpenGuard::new(&self.open);
+        connect(addr, open).await
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<TargetKey, Vec<IdleConnection>>> {
+    fn lock(&self) -> MutexGuard<'_, Idle> {
         self.idle
             .lock()
             .expect("no code panics while holding the lock")
     }
 }
 
-/// Connects to a target.
-///
-/// # Errors
-/// Returns an error if the connection cannot be established in time or its HTTP handshake fails.
-pub async fn connect(addr: SocketAddr) -> Result<Connection, ConnectError> {
+async fn connect(addr: SocketAddr, open: OpenGuard) -> Result<Connection, ConnectError> {
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(addr))
         .await
         .map_err(|_| ConnectError::Timeout)??;
@@ -151,5 +229,9 @@
         sender,
         reused: false,
         _task: AbortOnDrop(task.abort_handle()),
+        _open: open,
     })
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -16,7 +16,7 @@
 use crate::gateway::prompts::Prompt;
 use crate::platform::headers::{self, AddedHeaders};
 use crate::problem::{Problem, Reason};
-use crate::units::{Clock, Micros};
+use crate::units::Micros;
 
 /// Time limit for reading a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
@@ -40,6 +40,8 @@
     pub route: Arc<Route>,
     /// Service chosen from the route's services.
     pub service: Arc<str>,
+    /// Version of the configuration by which it was routed and authenticated.
+    version: u64,
     /// Name of the client account; `None` for anonymous requests.
     pub account: Option<Box<str>>,
     /// Description of the prompt; `None` unless the request is for a model inference engine.
@@ -51,7 +53,8 @@
 }
 
 impl ClientRequest {
-    /// Reads a request with its body, matches its route and authenticates its client account.
+    /// Reads a request with its body, matches its route and authenticates its client account. It
+    /// arrived at `arrived`.
     ///
     /// # Errors
     /// Returns the error response for the client if no configuration has been loaded, no route
@@ -59,25 +62,31 @@
     pub async fn read(
         request: Request<Incoming>,
         config: &Config,
-        clock: Clock,
+        arrived: Micros,
     ) -> Result<ClientRequest, Problem> {
-        let arrived = clock.now();
         let (parts, body) = request.into_parts();
+        let mut request = ClientRequest::from_head(parts, config, arrived)?;
+        request.body = read_body(body, config.limits.max_body).await?;
+        Ok(request)
+    }
+
+    /// As [`ClientRequest::read`], from the head of a request; the body is left empty.
+    fn from_head(parts: Parts, config: &Config, arrived: Micros) -> Result<Self, Problem> {
         let (route, service) = route(&parts, config)?;
         let meta = headers::parse_request(&parts.headers);
         let id = meta.id.ok_or(Problem::not_run(400, Reason::BadRequest))?;
         let account = account(&route, meta.key, config)?;
         let remaining = meta.remaining.unwrap_or(route.timeout);
         let (id, prompt) = (id.clone(), meta.prompt);
-        let body = read_body(body, config.limits.max_body).await?;
         Ok(ClientRequest {
             id,
             method: parts.method,
             uri: parts.uri,
             headers: parts.headers,
-            body,
+            body: Bytes::new(),
             route,
             service,
+            version: config.version,
             account,
             prompt,
             arrived,
@@ -92,6 +101,21 @@
             .min(self.arrived + self.route.timeout.into())
     }
 
+    /// Whether `config` still sends this request to its service and accepts its key for the same
+    /// client account.
+    pub fn is_allowed_by(&self, config: &Config) -> bool {
+        if config.version == self.version {
+            return true;
+        }
+        let host = host(&self.headers, &self.uri);
+        let Some(route) = config.route(host, self.uri.path()) else {
+            return false;
+        };
+        let key = headers::parse_request(&self.headers).key;
+        let has_service = route.services.iter().any(|(name, _)| *name == self.service);
+        has_service && account(route, key, config).is_ok_and(|account| account == self.account)
+    }
+
     /// Returns the headers to send to `target`. For a resumed stream, `last_event` is the id of the
     /// last event that the client has received.
     pub fn headers(&self, target: &str, now: Micros, last_event: Option<&str>) -> HeaderMap {
@@ -129,17 +153,22 @@
         let problem = Problem::not_run(503, Reason::NoCapacity);
         return Err(problem.retry_after(NO_CONFIG_RETRY));
     }
-    let host = parts.headers.get(hyper::header::HOST);
-    let host = host.and_then(|host| host.to_str().ok());
-    let host = host.or_else(|| parts.uri.authority().map(|a| a.as_str()));
     let route = config
-        .route(host.unwrap_or_default(), parts.uri.path())
+        .route(host(&parts.headers, &parts.uri), parts.uri.path())
         .ok_or(Problem::not_run(404, Reason::NoService))?;
     let service = pick_weighted(route, rand::random::<f64>());
     let service = service.ok_or(Problem::not_run(404, Reason::NoService))?;
     Ok((route.clone(), service.clone()))
 }
 
+/// Returns the authority that a request is for; empty if it names none.
+fn host<'a>(headers: &'a HeaderMap, uri: &'a Uri) -> &'a str {
+    let host = headers.get(hyper::header::HOST);
+    let host = host.and_then(|host| host.to_str().ok());
+    host.or_else(|| uri.authority().map(|authority| authority.as_str()))
+        .unwrap_or_default()
+}
+
 /// Picks a service of the route by weight: the one at `position`, from 0 to 1, of the cumulative
 /// weights. `None` if the route has no services.
 fn pick_weighted(route: &Route, position: f64) -> Option<&Arc<str>> {
@@ -177,3 +206,6 @@
         Err(_) => Err(Problem::not_run(400, Reason::BadRequest)),
     }
 }
+
+#[cfg(test)]
+pub mod tests;
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -4,6 +4,7 @@
 
 use crate::gateway::admission::AdmissionContext;
 use crate::gateway::in_flight::InFlight;
+use crate::gateway::overload::Overload;
 use crate::gateway::pool::ConnectError;
 use crate::gateway::relay::BrokenStream;
 use crate::gateway::request::ClientRequest;
@@ -39,6 +40,20 @@
     });
 }
 
+/// Logs a request that was turned away because this gateway is overloaded. `id` is its id.
+pub fn shed(gateway: &GatewayState, id: &str, overload: &Overload) {
+    let Some(left_out) = gateway.may_log_shed() else {
+        return;
+    };
+    spdlog::info!("turned away", kv: {
+        request: = id,
+        lag_ms: = overload.lag().as_ms(),
+        shed: = overload.shed(),
+        resting: = overload.is_resting(),
+        left_out = left_out,
+    });
+}
+
 /// Logs an attempt that yielded no usable response.
 pub fn failed(
     request: &ClientRequest,
--- a/src/gateway/retry.rs
+++ b/src/gateway/retry.rs
@@ -14,6 +14,9 @@
 pub enum Failure {
     /// The connection could not be established; nothing was sent.
     Unreached,
+    /// The request was not sent after all, because its deadline had passed, or its target, route or
+    /// API key had been removed meanwhile.
+    Withdrawn,
     /// The target reports that it did not run the request.
     Declined,
     /// Another target now uses the address and did not run the request.
@@ -31,7 +34,7 @@
     pub fn not_run(self) -> bool {
         matches!(
             self,
-            Failure::Unreached | Failure::Declined | Failure::Moved
+            Failure::Unreached | Failure::Withdrawn | Failure::Declined | Failure::Moved
         )
     }
 }
@@ -90,7 +93,9 @@
     /// Returns the error response for a request whose last attempt ended with `failure`.
     pub fn problem(&self, failure: Failure) -> Problem {
         let reason = match failure {
-            Failure::Unreached | Failure::Declined | Failure::Moved => Reason::NoCapacity,
+            Failure::Unreached | Failure::Withdrawn | Failure::Declined | Failure::Moved => {
+                Reason::NoCapacity
+            }
             Failure::Broken | Failure::Failed => Reason::TargetFailed,
             Failure::Silent => Reason::OutcomeUnknown,
         };
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -11,7 +11,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::gateway::in_flight::InFlight;
-use crate::gateway::pool::{self, ConnectError, Connection};
+use crate::gateway::pool::{ConnectError, Connection};
 use crate::gateway::request::ClientRequest;
 use crate::gateway::request_log;
 use crate::gateway::retry::Failure;
@@ -79,16 +79,23 @@
     let target = choice.target;
     let in_flight = InFlight::begin(gateway, choice, request.prompt.as_ref());
     let (id, entry) = gateway.target_entry(target).ok_or(Failure::Unreached)?;
+    if gateway.overload().is_behind() {
+        // Lets the client's connection be read first: if it was closed, this task is dropped here.
+        tokio::task::yield_now().await;
+    }
     let time_limit = response_timeout.map(|timeout| gateway.clock.now() + timeout);
     let until = time_limit.map_or(request.deadline(), |at| at.min(request.deadline()));
     let until = instant_at(gateway, until);
     let mut connection = acquire_connection(gateway, target, entry.addr)
         .await
         .map_err(|error| {
-            record_failure(gateway, target, false);
+            if !matches!(error, ConnectError::TooMany) {
+                record_failure(gateway, target, false);
+            }
             request_log::connect_failed(gateway, request, &id, &error);
             Failure::Unreached
         })?;
+    last_look(gateway, request, target)?;
     gateway.metrics().event(Event::Dispatch);
     let outgoing = outgoing_request(request, &id, gateway.clock.now(), last_event);
     let response = match timeout_at(until, connection.sender.send_request(outgoing)).await {
@@ -118,14 +125,31 @@
     })
 }
 
+/// Checks again, right before a request is sent, what may have changed since its target was chosen:
+/// the deadline, the target's entry, and the configuration.
+fn last_look(
+    gateway: &GatewayState,
+    request: &ClientRequest,
+    target: TargetKey,
+) -> Result<(), Failure> {
+    let expired = gateway.clock.now() >= request.deadline();
+    let listed = gateway.target_entry(target);
+    let takes_requests = listed.is_some_and(|(_, entry)| !entry.draining);
+    if expired || !takes_requests || !request.is_allowed_by(&gateway.config()) {
+        return Err(Failure::Withdrawn);
+    }
+    Ok(())
+}
+
 /// Checks that a target still accepts connections, after a connection to it broke off. A new
 /// connection is put into the pool; if there is none, the target is recorded as unreachable.
 pub async fn check_connection(gateway: Arc<GatewayState>, target: TargetKey) {
     let Some((_, entry)) = gateway.target_entry(target) else {
         return;
     };
-    match pool::connect(entry.addr).await {
+    match gateway.pool.connect(entry.addr).await {
         Ok(connection) => gateway.pool.put(target, connection, None),
+        Err(ConnectError::TooMany) => {}
         Err(_) => record_failure(&gateway, target, false),
     }
 }
@@ -137,7 +161,7 @@
 ) -> Result<Connection, ConnectError> {
     match gateway.pool.take(target) {
         Some(connection) => Ok(connection),
-        None => pool::connect(addr).await,
+        None => gateway.pool.connect(addr).await,
     }
 }
 
@@ -191,3 +215,6 @@
     let remaining: Duration = at.saturating_sub(gateway.clock.now()).into();
     Instant::now() + remaining
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -9,10 +9,12 @@
 use tokio::sync::Notify;
 
 use crate::gateway::config::Config;
+use crate::gateway::connection_limits::ConnectionLimits;
 use crate::gateway::copies::Copies;
 use crate::gateway::crash_tracker::CrashTracker;
 use crate::gateway::fair_share::FairShare;
 use crate::gateway::log_limiter::LogLimiter;
+use crate::gateway::overload::Overload;
 use crate::gateway::peers::rounds::{self, Outgoing, RoundInput};
 use crate::gateway::peers::totals::{TargetLoad, Totals};
 use crate::gateway::peers::wire::{Cursor, GossipMessage, WireTargets};
@@ -60,8 +62,10 @@
     limits: RetryLimits,
     shares: FairShare,
     log_limiter: LogLimiter,
+    shed_log: LogLimiter,
     peers: Peers,
     copies: Copies,
+    overload: Overload,
     crashes: CrashTracker,
     targets: Targets,
     budgets: HashMap<Arc<str>, RetryBudget>,
@@ -83,8 +87,10 @@
                 limits,
                 shares: FairShare::default(),
                 log_limiter: LogLimiter::default(),
+                shed_log: LogLimiter::few_lines(),
                 peers: Peers::new(unknown_member(zone), [].into_iter()),
                 copies: Copies::default(),
+                overload: Overload::default(),
                 crashes: CrashTracker::default(),
                 targets: Targets::default(),
                 budgets: HashMap::new(),
@@ -98,6 +104,12 @@
         self
     }
 
+    /// Sets the limits of this process's connections.
+    pub fn with_limits(mut self, limits: ConnectionLimits) -> Self {
+        self.pool = ConnectionPool::new(limits);
+        self
+    }
+
     /// Sets the telemetry to record to.
     pub fn with_telemetry(mut self, telemetry: Telemetry) -> Self {
         self.telemetry = telemetry;
@@ -116,6 +128,12 @@
         self.lock().log_limiter.try_log(now)
     }
 
+    /// As [`GatewayState::may_log`], for requests that are turned away because of overload.
+    pub fn may_log_shed(&self) -> Option<u64> {
+        let now = self.clock.now();
+        self.lock().shed_log.try_log(now)
+    }
+
     /// Returns the active configuration; its version is 0 until one has been loaded.
     pub fn config(&self) -> Arc<Config> {
         self.config.load_full()
@@ -150,6 +168,22 @@
         act(&mut self.lock().peers)
     }
 
+    /// Records how late a periodic task of this process ran.
+    pub fn record_lag(&self, lag: Micros) {
+        self.lock().overload.record_lag(lag);
+    }
+
+    /// Whether another gateway of this zone is alive.
+    pub fn has_neighbours(&self) -> bool {
+        let now = self.clock.now();
+        self.with_peers(|peers| peers.has_neighbours(now))
+    }
+
+    /// How far this process is behind its work.
+    pub fn overload(&self) -> Overload {
+        self.lock().overload
+    }
+
     /// Runs `act` on the state of this gateway's copies of the platform's lists.
     pub fn with_copies<T>(&self, act: impl FnOnce(&mut Copies) -> T) -> T {
         act(&mut self.lock().copies)
--- a/src/problem.rs
+++ b/src/problem.rs
@@ -34,6 +34,8 @@
     QueueFull,
     /// No target can accept the request.
     NoCapacity,
+    /// This process has more work than its processor can do.
+    Overloaded,
     /// The deadline passed, or would pass, before the request is started.
     DeadlinePassed,
     /// The entry is shutting down.
@@ -111,6 +113,7 @@
             Reason::ClaimedElsewhere => "another request holds the idempotency key",
             Reason::QueueFull => "the account's queue is full",
             Reason::NoCapacity => "no target can take the request",
+            Reason::Overloaded => "this host has more work than it can do",
             Reason::DeadlinePassed => "the request's deadline cannot be met",
             Reason::Draining => "this entry is shutting down",
             Reason::LogUnavailable => "the log that must record the request is unavailable",
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -12,6 +12,7 @@
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 
+use crate::gateway::connection_limits::ConnectionLimits;
 use crate::gateway::peers::{Member, ZoneTag};
 use crate::gateway::retry_budget::RetryLimits;
 use crate::rules::parse::MAX_NAME_BYTES;
@@ -93,6 +94,9 @@
     pub grace: f64,
     /// Maximum number of file descriptors of the process.
     pub descriptors: usize,
+    /// Maximum memory of the process, in megabytes.
+    #[serde(default = "default_memory")]
+    pub memory: usize,
     /// Processor time of this host, in cores. Gateways on hosts with more of it aggregate the
     /// reports of the others.
     #[serde(default = "one_core")]
@@ -105,6 +109,11 @@
 }
 
 impl GatewaySettings {
+    /// Limits of the connections of this process.
+    pub fn connection_limits(&self) -> ConnectionLimits {
+        ConnectionLimits::new(self.descriptors, self.memory << 20)
+    }
+
     /// This gateway, as it introduces itself to others.
     pub fn member(&self) -> Member {
         Member {
@@ -121,6 +130,10 @@
     }
 }
 
+fn default_memory() -> usize {
+    DEFAULT_MEMORY_MB
+}
+
 fn one_core() -> f64 {
     1.0
 }
@@ -178,6 +191,10 @@
     Json,
 }
 
+/// Memory of a gateway whose settings do not say how much it has, in megabytes.
+const DEFAULT_MEMORY_MB: usize = 512;
+/// Minimum of `memory`, below which a gateway cannot work, in megabytes.
+const MIN_MEMORY_MB: usize = 64;
 /// Minimum of `descriptors`, below which a gateway cannot work.
 const MIN_DESCRIPTORS: usize = 128;
 /// Maximum of durations in settings, in seconds.
@@ -244,6 +261,10 @@
                 format!("is {}, {expected}", self.descriptors),
             );
         }
+        if self.memory < MIN_MEMORY_MB {
+            let expected = format!("expected at least {MIN_MEMORY_MB}");
+            errors.push("memory", format!("is {}, {expected}", self.memory));
+        }
         errors.non_negative("cores", self.cores);
         errors.positive_secs("retries.window", self.retries.window);
         errors.non_negative("retries.ratio", self.retries.ratio);
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -97,7 +97,7 @@
 );
 
 /// All rejection reasons, in declaration order.
-const REASONS: [Reason; 14] = [
+const REASONS: [Reason; 15] = [
     Reason::BadKey,
     Reason::BadRequest,
     Reason::NoService,
@@ -106,6 +106,7 @@
     Reason::ClaimedElsewhere,
     Reason::QueueFull,
     Reason::NoCapacity,
+    Reason::Overloaded,
     Reason::DeadlinePassed,
     Reason::Draining,
     Reason::LogUnavailable,
@@ -124,6 +125,7 @@
         Reason::ClaimedElsewhere => "claimed_elsewhere",
         Reason::QueueFull => "queue_full",
         Reason::NoCapacity => "no_capacity",
+        Reason::Overloaded => "overloaded",
         Reason::DeadlinePassed => "deadline_passed",
         Reason::Draining => "draining",
         Reason::LogUnavailable => "log_unavailable",
--- a/tests/gateway/followers.rs
+++ b/tests/gateway/followers.rs
@@ -107,7 +107,9 @@
     let directory = FakeDirectory::default();
     let old = TestGateway::start_reading(&directory, one, &[]).await;
     let old = old.list_targets(&[&target]).await;
-    let new = TestGateway::start_with_peers(two, &[one]).await;
+    let cut_off = directory.another_link();
+    cut_off.set_failing(true);
+    let new = TestGateway::start_reading(&cut_off, two, &[one]).await;
     new.wait_until(|state| {
         state.config().version == 1 && state.with_targets(|targets| targets.len()) == 1
     })
