Accept connections no faster than an overloaded gateway can turn them away

Change: while there is too much to turn away, accepts are paced to 0.3 of the processor at 60 us each; callers beyond time out at the platform and try another.

--- a/src/gateway/http.rs
+++ b/src/gateway/http.rs
@@ -30,6 +30,8 @@
 /// How long a draining gateway still accepts connections: the platform needs some seconds to see
 /// that it is not ready.
 const DRAIN_DELAY: Duration = Duration::from_millis(2_600);
+/// Number of connections that are accepted between two pauses under overload.
+const ACCEPT_BATCH: u32 = 8;
 /// Pause after a failed `accept`.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// The smallest read buffer that hyper supports. Request heads up to this size are accepted even if
@@ -45,6 +47,8 @@
     pub drain: CancellationToken,
     /// Number of open client connections.
     pub connections: ConnectionCount,
+    /// Processor time of this host, in cores.
+    pub cores: f64,
 }
 
 /// Counts open client connections. Clones share the count.
@@ -98,11 +102,16 @@
             tokio::time::sleep(DRAIN_DELAY).await;
         };
         tokio::pin!(drained);
+        let mut accepted_count: u32 = 0;
         loop {
             tokio::select! {
                 () = &mut drained => break,
                 accepted = listener.accept() => match accepted {
-                    Ok((stream, _)) => self.serve(stream, &graceful),
+                    Ok((stream, _)) => {
+                        self.serve(stream, &graceful);
+                        accepted_count = accepted_count.wrapping_add(1);
+                        self.pace_accepts(accepted_count).await;
+                    }
                     Err(error) => {
                         spdlog::warn!("could not accept a connection", kv: { error: = error });
                         tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -119,6 +128,17 @@
         graceful.shutdown().await;
     }
 
+    /// Waits after each [`ACCEPT_BATCH`] connections if this gateway is too overloaded to turn all of
+    /// them away. Their clients then try another gateway.
+    async fn pace_accepts(&self, accepted: u32) {
+        if !accepted.is_multiple_of(ACCEPT_BATCH) {
+            return;
+        }
+        if let Some(pause) = self.gateway.overload().accept_pause(self.cores) {
+            tokio::time::sleep(pause * ACCEPT_BATCH).await;
+        }
+    }
+
     fn serve(&self, stream: TcpStream, graceful: &GracefulShutdown) {
         // Failing to set TCP_NODELAY costs latency only.
         let _ = stream.set_nodelay(true);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -141,6 +141,7 @@
         gateway,
         drain: drain.clone(),
         connections: ConnectionCount::new(settings.connection_limits()),
+        cores: settings.cores,
     };
     let grace = Duration::from_secs_f64(settings.grace).saturating_sub(GRACE_MARGIN);
     let grace_end = async {
--- a/src/gateway/overload.rs
+++ b/src/gateway/overload.rs
@@ -5,7 +5,8 @@
 //! after they arrived and notices late that a client has left, for all its clients. It therefore
 //! turns away part of the new requests as soon as it falls behind, which costs it little; their
 //! retries reach other gateways. If that is not enough, it reports that it is not ready, so that the
-//! load balancer sends new connections elsewhere, until it has recovered.
+//! load balancer sends new connections elsewhere, until it has recovered. Meanwhile it accepts no
+//! more connections than it has time to turn away beside the requests that it has taken.
 //!
 //! Performs no I/O.
 
@@ -43,6 +44,12 @@
 const MAX_DOUBLINGS: u32 = 2;
 /// Time after a rest in which another one is longer, because the same clients have come back.
 const RELAPSE_TIME: Micros = Micros::from_secs(10);
+/// Processor time for accepting a connection and turning its request away.
+const REFUSAL_COST: Duration = Duration::from_micros(60);
+/// Least processor time that is assumed, in cores.
+const MIN_CORES: f64 = 0.01;
+/// Fraction of the processor time that may be spent on this.
+const REFUSAL_SHARE: f64 = 0.3;
 /// `Retry-After` of a shed request, before jitter: another gateway may take it at once.
 const RETRY_AFTER: Duration = Duration::from_millis(60);
 /// Maximum jitter added to `Retry-After`.
@@ -104,6 +111,13 @@
         self.lag > NOTICEABLE_LAG
     }
 
+    /// How long to wait before the next connection is accepted, on a host with this many cores;
+    /// `None` unless there is too much to turn away.
+    pub fn accept_pause(&self, cores: f64) -> Option<Duration> {
+        let saturated = self.shed >= SATURATED_SHED;
+        saturated.then(|| REFUSAL_COST.div_f64(REFUSAL_SHARE * cores.max(MIN_CORES)))
+    }
+
     /// Whether new connections should go to other gateways.
     pub fn is_resting(&self) -> bool {
         self.rest.active
--- a/src/gateway/overload/tests.rs
+++ b/src/gateway/overload/tests.rs
@@ -152,3 +152,23 @@
     assert!(!rests_within(&mut processor, 2.0, 2));
     assert!(!rests_within(&mut processor, 0.1, 100));
 }
+
+/// A host with a tenth of a core: the connections that it accepts leave it most of its time.
+#[test]
+fn connections_are_accepted_slowly_only_while_there_is_too_much_to_turn_away() {
+    let mut overload = Overload::default();
+    assert_eq!(overload.accept_pause(0.1), None);
+    for _ in 0..20 {
+        overload.record_lag(Micros::from_ms(500));
+    }
+    let pause = overload.accept_pause(0.1).expect("it is overloaded");
+    let busy = super::REFUSAL_COST.as_secs_f64() / pause.as_secs_f64();
+    assert!(
+        busy <= 0.1 * super::REFUSAL_SHARE + 1e-6,
+        "{busy} of a core"
+    );
+    for _ in 0..20 {
+        overload.record_lag(Micros::ZERO);
+    }
+    assert_eq!(overload.accept_pause(0.1), None);
+}
