--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -5,7 +5,8 @@
 //! the zone report to them, and hear from them what all gateways together cause. The first one is
 //! active; the second one stands by and takes over when it no longer hears the first. Between
 //! zones, only aggregators talk. So the messages of a gateway that does not aggregate are few,
-//! however large the fleet is.
+//! however large the fleet is. A fleet of a few gateways needs no aggregators: all report to all,
+//! which is faster.
 //!
 //! There is no election. Each gateway ranks the gateways of its zone by what it has heard. While
 //! two of them differ, two gateways may be active at once, which does no harm: reports replace
@@ -35,6 +36,8 @@
 const MAX_PEERS: usize = 1_024;
 /// Number of gateways of a zone that aggregate: the active one and the one that stands by.
 pub const AGGREGATORS: usize = 2;
+/// Number of gateways up to which all report to all.
+const SMALL_FLEET: usize = 8;
 /// Time without a sign of life after which a gateway is assumed to be gone.
 const ALIVE_TTL: Micros = Micros::from_ms(600);
 /// Time without a sign of life after which a gateway is forgotten.
@@ -233,7 +236,7 @@
         peer.reports = expects_answer;
         let local = peer.member.zone == my_zone;
         let slot = match scope {
-            Scope::Sender if local => &mut peer.own,
+            Scope::Sender => &mut peer.own,
             Scope::Zone if !local => &mut peer.zone,
             Scope::Others if local => &mut peer.others,
             _ => return,
@@ -275,6 +278,26 @@
             .retain(|_, peer| now.saturating_sub(peer.last_sign()) < PEER_TTL);
     }
 
+    /// Whether the fleet is so small that all gateways report to all.
+    pub fn is_small_fleet(&self) -> bool {
+        self.known.len() < SMALL_FLEET
+    }
+
+    /// All known gateways.
+    pub fn addresses(&self) -> impl Iterator<Item = SocketAddr> + '_ {
+        self.known.keys().copied()
+    }
+
+    /// What all other gateways cause together, from their reports on themselves.
+    pub fn direct_totals(&self, now: Micros) -> Totals {
+        let mut sum = Totals::default();
+        let reports = self.known.values().map(|peer| peer.own.as_ref());
+        for report in reports.filter_map(|report| fresh(report, now)) {
+            sum.add(&report.totals);
+        }
+        sum
+    }
+
     /// Number of gateways of this zone that are ranked before this one and alive: 0 for the active
     /// aggregator, 1 for the one that stands by.
     pub fn rank(&self, now: Micros) -> usize {
@@ -401,8 +424,10 @@
     /// What all gateways of this zone cause together; `own` is what this gateway causes.
     pub fn zone_totals(&self, now: Micros, own: &Totals) -> Totals {
         let mut sum = own.clone();
-        let reports = self.known.values().map(|peer| peer.own.as_ref());
-        for report in reports.filter_map(|report| fresh(report, now)) {
+        let neighbours = self.known.values();
+        let neighbours = neighbours.filter(|peer| peer.member.zone == self.me.zone);
+        let reports = neighbours.filter_map(|peer| fresh(peer.own.as_ref(), now));
+        for report in reports {
             sum.add(&report.totals);
         }
         sum
--- a/src/gateway/peers/rounds.rs
+++ b/src/gateway/peers/rounds.rs
@@ -56,7 +56,9 @@
         peers.record_sent(now, to);
     }
     let mut outgoing = vec![report];
-    if peers.rank(now) == 0 {
+    if peers.is_small_fleet() {
+        // All have got the report.
+    } else if peers.rank(now) == 0 {
         aggregate(peers, now, input, &base, &mut outgoing);
     } else if full {
         let reporters = peers.reporters(now);
@@ -66,16 +68,23 @@
     outgoing
 }
 
-/// The report on this gateway alone, for the aggregators of its zone, and for seeds and gateways of
-/// its zone from which nothing is heard.
+/// The report on this gateway alone, for the aggregators of its zone or, in a small fleet, for all,
+/// and for seeds and gateways of its zone from which nothing is heard.
 fn own_report(
     peers: &Peers,
     now: Micros,
     input: &RoundInput<'_>,
     base: &GossipMessage,
 ) -> Outgoing {
-    let mut to: SmallVec<[SocketAddr; 16]> = peers.aggregators(now).into_iter().collect();
-    to.extend(peers.lost_neighbours(now));
+    let mut to: SmallVec<[SocketAddr; 16]> = match peers.is_small_fleet() {
+        true => peers.addresses().collect(),
+        false => peers.aggregators(now).into_iter().collect(),
+    };
+    let lost = peers.lost_neighbours(now).into_iter();
+    to.extend(
+        lost.filter(|addr| !to.contains(addr))
+            .collect::<SmallVec<[SocketAddr; 4]>>(),
+    );
     let seeds = peers.silent_seeds(now).filter(|seed| !to.contains(seed));
     if !peers.any_alive(now) {
         to.extend(seeds.collect::<SmallVec<[SocketAddr; 4]>>());
--- a/src/gateway/peers/rounds/tests.rs
+++ b/src/gateway/peers/rounds/tests.rs
@@ -117,6 +117,9 @@
     fn believed(&self, index: usize) -> Totals {
         let (peers, own) = &self.gateways[index];
         let now = self.now();
+        if peers.is_small_fleet() {
+            return peers.direct_totals(now);
+        }
         if peers.rank(now) > 0 {
             return peers.others(now).cloned().unwrap_or_default();
         }
@@ -189,6 +192,8 @@
     one_gateway_knows_that_it_is_alone: 1, 1;
     one_gateway_in_each_of_four_zones: 4, 4;
     six_gateways_know_what_the_others_cause: 6, 3;
+    as_many_as_report_to_all: 8, 4;
+    one_more_than_report_to_all: 9, 4;
     twenty_five_gateways_in_five_zones: 25, 5;
     a_hundred_gateways_in_five_zones: 103, 5;
 }
@@ -260,6 +265,22 @@
     assert_eq!(fleet.gateways[24].0.rank(fleet.now()), 0);
 }
 
+/// The fleet is small to some gateways and not to others until all have heard of the new one.
+#[test]
+fn a_fleet_that_grows_past_the_size_of_a_small_one() {
+    let mut fleet = Fleet::start(8, 4);
+    fleet.play(SETTLED);
+    let me = Member {
+        addr: addr(8),
+        zone: ZoneTag(0),
+        capacity: 9,
+    };
+    let peers = Peers::new(me, [addr(0)].into_iter());
+    fleet.gateways.push((peers, own(8)));
+    fleet.play(SETTLED);
+    assert_eq!(fleet.mistaken(), Vec::<usize>::new());
+}
+
 #[test]
 fn only_aggregators_report_on_others() {
     let mut fleet = Fleet::start(20, 2);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -236,7 +236,7 @@
         if !message.crashes.is_empty() {
             state.crashes.merge(now, &message.crashes);
         }
-        if scope == Scope::Others {
+        if scope == Scope::Others || state.peers.is_small_fleet() {
             let own = own_totals(state, now);
             apply_others(state, now, &own);
         }
@@ -375,6 +375,9 @@
 /// what this gateway causes.
 fn apply_others(state: &mut State, now: Micros, own: &Totals) {
     let others = match state.peers.rank(now) {
+        _ if state.peers.is_small_fleet() && state.peers.any_alive(now) => {
+            Some(state.peers.direct_totals(now))
+        }
         0 if state.peers.any_alive(now) => Some(others_of_active(&state.peers, now, own)),
         0 => None,
         _ => state.peers.others(now).cloned(),
