--- a/src/gateway/peers/rounds.rs
+++ b/src/gateway/peers/rounds.rs
@@ -125,10 +125,10 @@
     }
     if full {
         outgoing.push(sign_of_life(base, remote.iter().map(|member| member.addr)));
-        let message = base.clone().with_totals(Scope::Zone, &zone, full);
-        let to = peers.remote_aggregators(now);
-        outgoing.push(Outgoing { message, to });
     }
+    let message = base.clone().with_totals(Scope::Zone, &zone, full);
+    let to = peers.remote_aggregators(now);
+    outgoing.push(Outgoing { message, to });
 }
 
 fn sign_of_life(base: &GossipMessage, to: impl Iterator<Item = SocketAddr>) -> Outgoing {
