--- a/src/gateway/copies.rs
+++ b/src/gateway/copies.rs
@@ -3,7 +3,7 @@
 //!
 //! Performs no I/O.
 
-use crate::gateway::peers::CopyStatus;
+use crate::gateway::peers::member::CopyStatus;
 use crate::gateway::peers::wire::Cursor;
 use crate::units::Micros;
 
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -15,21 +15,23 @@
 //! Performs no I/O.
 
 pub mod handover;
+pub mod member;
+mod peer;
 pub mod rounds;
 pub mod service;
 pub mod totals;
 pub mod wire;
 
-use std::cmp::Reverse;
 use std::collections::HashMap;
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 
 use rand::seq::IteratorRandom;
 use rustc_hash::FxBuildHasher;
 use smallvec::SmallVec;
 
+use crate::gateway::peers::member::{CopyStatus, Member, Scope, ZoneTag};
+use crate::gateway::peers::peer::{ALIVE_TTL, Peer, Report, fresh};
 use crate::gateway::peers::totals::Totals;
-use crate::gateway::prompts::mix;
 use crate::units::Micros;
 
 /// Maximum number of gateways that are tracked.
@@ -38,12 +40,8 @@
 pub const AGGREGATORS: usize = 2;
 /// Number of gateways up to which all report to all.
 const SMALL_FLEET: usize = 8;
-/// Time without a sign of life after which a gateway is assumed to be gone.
-const ALIVE_TTL: Micros = Micros::from_ms(600);
 /// Time without a sign of life after which a gateway is forgotten.
 const PEER_TTL: Micros = Micros::from_secs(60);
-/// How long the reports of a gateway are used.
-const REPORT_TTL: Micros = Micros::from_ms(700);
 /// How long a gateway that does not answer is left out, though others hear it.
 const SHUN_TIME: Micros = Micros::from_secs(3);
 /// Number of gateways to try at once while nothing is heard from them.
@@ -53,135 +51,6 @@
 /// Number of seed addresses that are kept.
 const MAX_SEEDS: usize = 8;
 
-/// Identifies an availability zone in all processes.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct ZoneTag(pub u32);
-
-impl ZoneTag {
-    /// Derives the tag from a zone's name.
-    pub fn of(name: &str) -> Self {
-        ZoneTag(xxhash_rust::xxh3::xxh3_64(name.as_bytes()) as u32)
-    }
-}
-
-/// A gateway, as it introduces itself.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Member {
-    /// Address for other gateways.
-    pub addr: SocketAddr,
-    /// Its availability zone.
-    pub zone: ZoneTag,
-    /// Processor time of its host, in hundredths of a core.
-    pub capacity: u32,
-}
-
-impl Member {
-    /// Sort key for the choice of aggregators: the host with the most processor time comes first.
-    fn rank_key(&self) -> (Reverse<u32>, u64, SocketAddr) {
-        let host = match self.addr.ip() {
-            IpAddr::V4(ip) => u64::from(ip.to_bits()),
-            IpAddr::V6(ip) => ip.to_bits() as u64,
-        };
-        let order = mix(host ^ u64::from(self.addr.port()) << 48);
-        (Reverse(self.capacity), order, self.addr)
-    }
-}
-
-/// How recent a gateway's copies of the platform's lists are.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct CopyStatus {
-    /// Version of its configuration; 0 if it has none.
-    pub version: u64,
-    /// Time at which the platform confirmed the configuration; `None` if it is cut off from the
-    /// platform.
-    pub config_at: Option<Micros>,
-    /// Time at which the platform confirmed the list of targets; `None` if it is cut off from the
-    /// platform.
-    pub list_at: Option<Micros>,
-    /// Offset in the platform's list up to which its list of targets is complete.
-    pub list_next: u64,
-    /// Random id of its process.
-    pub boot: u64,
-    /// Number of the last change in its journal of the list.
-    pub list_change: u64,
-}
-
-/// What a report covers.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Scope {
-    /// Nothing; the message is only a sign of life.
-    #[default]
-    Nothing,
-    /// The sender alone.
-    Sender,
-    /// The sender's whole zone.
-    Zone,
-    /// All gateways but the receiver.
-    Others,
-}
-
-#[derive(Clone, Debug)]
-struct Report {
-    received: Micros,
-    totals: Totals,
-}
-
-#[derive(Clone, Debug)]
-struct Peer {
-    member: Member,
-    /// Time of the last message from it.
-    heard_at: Option<Micros>,
-    /// Latest time at which another gateway had heard it.
-    vouched_at: Micros,
-    /// Time of the first message to it that it has not answered yet.
-    unanswered: Option<Micros>,
-    /// Time until which it is left out.
-    shunned_until: Micros,
-    /// Whether its last message expects an answer.
-    reports: bool,
-    status: CopyStatus,
-    own: Option<Report>,
-    zone: Option<Report>,
-    others: Option<Report>,
-}
-
-impl Peer {
-    fn new(member: Member) -> Self {
-        Peer {
-            member,
-            heard_at: None,
-            vouched_at: Micros::ZERO,
-            unanswered: None,
-            shunned_until: Micros::ZERO,
-            reports: false,
-            status: CopyStatus::default(),
-            own: None,
-            zone: None,
-            others: None,
-        }
-    }
-
-    fn is_heard(&self, now: Micros) -> bool {
-        self.heard_at
-            .is_some_and(|at| now.saturating_sub(at) < ALIVE_TTL)
-    }
-
-    fn last_sign(&self) -> Micros {
-        self.heard_at.unwrap_or_default().max(self.vouched_at)
-    }
-
-    fn is_alive(&self, now: Micros) -> bool {
-        let vouched = self.vouched_at > Micros::ZERO
-            && now.saturating_sub(self.vouched_at) < ALIVE_TTL
-            && now >= self.shunned_until;
-        self.is_heard(now) || vouched
-    }
-}
-
-fn fresh(report: Option<&Report>, now: Micros) -> Option<&Report> {
-    report.filter(|report| now.saturating_sub(report.received) < REPORT_TTL)
-}
-
 /// The known gateways, and the addresses at which others may be.
 #[derive(Debug)]
 pub struct Peers {
--- a/src/gateway/peers/rounds.rs
+++ b/src/gateway/peers/rounds.rs
@@ -7,9 +7,10 @@
 use rand::seq::IteratorRandom;
 use smallvec::SmallVec;
 
+use crate::gateway::peers::Peers;
+use crate::gateway::peers::member::Scope;
 use crate::gateway::peers::totals::Totals;
 use crate::gateway::peers::wire::GossipMessage;
-use crate::gateway::peers::{Peers, Scope};
 use crate::units::Micros;
 
 /// One round in this many is full: its messages also carry the usage of client accounts, crashes
--- a/src/gateway/peers/rounds/tests.rs
+++ b/src/gateway/peers/rounds/tests.rs
@@ -5,9 +5,10 @@
 
 use super::{RoundInput, compose};
 use crate::gateway::fair_share::{AccountTag, Usage};
+use crate::gateway::peers::Peers;
+use crate::gateway::peers::member::{CopyStatus, Member, Scope, ZoneTag};
 use crate::gateway::peers::totals::{TargetLoad, Totals};
 use crate::gateway::peers::wire::GossipMessage;
-use crate::gateway::peers::{CopyStatus, Member, Peers, Scope, ZoneTag};
 use crate::gateway::targets::TargetTag;
 use crate::units::Micros;
 
--- a/src/gateway/peers/tests.rs
+++ b/src/gateway/peers/tests.rs
@@ -2,9 +2,10 @@
 
 use proptest::prelude::*;
 
+use super::member::{CopyStatus, Member, Scope, ZoneTag};
 use super::totals::{TargetLoad, Totals};
 use super::wire::{Cursor, GossipMessage, MAX_DATAGRAM_BYTES, WireTargets};
-use super::{CopyStatus, MAX_PEERS, Member, Peers, Scope, ZoneTag};
+use super::{MAX_PEERS, Peers};
 use crate::claim::Digest;
 use crate::gateway::directory::{Change, ChangeBatch};
 use crate::gateway::fair_share::{AccountTag, Usage};
--- a/src/gateway/peers/wire.rs
+++ b/src/gateway/peers/wire.rs
@@ -8,8 +8,8 @@
 
 use crate::gateway::directory::{Change, ChangeBatch};
 use crate::gateway::fair_share::{AccountTag, Usage};
+use crate::gateway::peers::member::{CopyStatus, Member, Scope, ZoneTag};
 use crate::gateway::peers::totals::{TargetLoad, Totals};
-use crate::gateway::peers::{CopyStatus, Member, Scope, ZoneTag};
 use crate::gateway::targets::{Entry, TargetTag, Targets};
 use crate::quarantine::QuarantineEvent;
 use crate::units::Micros;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -13,7 +13,7 @@
 use serde::de::DeserializeOwned;
 
 use crate::gateway::connection_limits::ConnectionLimits;
-use crate::gateway::peers::{Member, ZoneTag};
+use crate::gateway::peers::member::{Member, ZoneTag};
 use crate::gateway::retry_budget::RetryLimits;
 use crate::rules::parse::MAX_NAME_BYTES;
 
