--- a/src/gateway/http.rs
+++ b/src/gateway/http.rs
@@ -183,6 +183,7 @@
     /// or has too many connections.
     fn shed(&self, id: Option<&HeaderValue>) -> Result<(), Problem> {
         let overload = self.gateway.overload();
+        // Only a gateway that is behind needs to know whether another one can take its requests.
         let alone = !overload.is_behind() || !self.gateway.has_neighbours();
         let sheds = overload.sheds(rand::random(), alone);
         if !sheds && !self.connections.too_many_to_serve() {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod common;
 mod diagnosis;
 mod directory;
+mod endless;
 mod followers;
 mod harness;
 mod process;
