Stay with the first fresh aggregator of a zone

Cause: gateways followed the newest copy.

Change: the first aggregator by rank whose copy is fresh; the second one only when it is not. The case 'a member follows the newest' was wrong for this reason and is replaced by three (stays, waits, turns to the second when the first is stale).

--- a/src/gateway/follow/follower.rs
+++ b/src/gateway/follow/follower.rs
@@ -11,21 +11,21 @@
 /// Maximum time between two looks at the reports of other gateways.
 const REPORT_WAIT: Duration = Duration::from_millis(250);
 /// Another gateway's copy of the configuration.
-pub fn config_copy(addr: SocketAddr, status: &CopyStatus, aggregates: bool) -> PeerCopy {
+pub fn config_copy(addr: SocketAddr, status: &CopyStatus, rank: Option<usize>) -> PeerCopy {
     PeerCopy {
         addr,
         confirmed_at: status.config_at,
-        aggregates,
+        rank,
         exists: status.version > 0,
     }
 }
 
 /// Another gateway's copy of the list of targets.
-pub fn list_copy(addr: SocketAddr, status: &CopyStatus, aggregates: bool) -> PeerCopy {
+pub fn list_copy(addr: SocketAddr, status: &CopyStatus, rank: Option<usize>) -> PeerCopy {
     PeerCopy {
         addr,
         confirmed_at: status.list_at,
-        aggregates,
+        rank,
         exists: status.version > 0 && status.list_change > 0,
     }
 }
@@ -58,12 +58,12 @@
     }
 
     /// Chooses the source. The platform confirmed this gateway's copy at `confirmed_at`; `to_copy`
-    /// tells from a gateway's status and whether it aggregates for this zone what copy it has.
+    /// tells from a gateway's status and its position among the zone's aggregators what copy it has.
     pub fn choose(
         &mut self,
         gateway: &GatewayState,
         confirmed_at: Option<Micros>,
-        to_copy: fn(SocketAddr, &CopyStatus, bool) -> PeerCopy,
+        to_copy: fn(SocketAddr, &CopyStatus, Option<usize>) -> PeerCopy,
     ) -> Source {
         let now = gateway.clock.now();
         let source = gateway.with_peers(|peers| {
@@ -74,7 +74,7 @@
                 spread: self.spread,
             };
             let copies = peers.copies(now);
-            let copies = copies.map(|(addr, status, near)| to_copy(addr, &status, near));
+            let copies = copies.map(|(addr, status, rank)| to_copy(addr, &status, rank));
             source::choose(now, &context, copies)
         });
         self.log_change(source);
--- a/src/gateway/follow/list.rs
+++ b/src/gateway/follow/list.rs
@@ -134,7 +134,7 @@
     let has_none = gateway.with_targets(|targets| targets.is_empty());
     gateway.with_peers(|peers| {
         let copies = peers.copies(now);
-        let copies = copies.map(|(addr, status, near)| list_copy(addr, &status, near));
+        let copies = copies.map(|(addr, status, rank)| list_copy(addr, &status, rank));
         source::fallback(now, has_none, copies)
     })
 }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -336,14 +336,18 @@
             .map(|report| &report.totals)
     }
 
-    /// The copies of the platform's lists at the gateways that are heard, with whether the gateway
-    /// is an aggregator of this zone.
-    pub fn copies(&self, now: Micros) -> impl Iterator<Item = (SocketAddr, CopyStatus, bool)> + '_ {
+    /// The copies of the platform's lists at the gateways that are heard, with their positions among
+    /// the aggregators of this zone.
+    pub fn copies(
+        &self,
+        now: Micros,
+    ) -> impl Iterator<Item = (SocketAddr, CopyStatus, Option<usize>)> + '_ {
         let aggregators = self.aggregators(now);
         let heard = self.known.values().filter(move |peer| peer.is_heard(now));
         heard.map(move |peer| {
             let addr = peer.member.addr;
-            (addr, peer.status, aggregators.contains(&addr))
+            let rank = aggregators.iter().position(|&other| other == addr);
+            (addr, peer.status, rank)
         })
     }
 
--- a/src/gateway/source.rs
+++ b/src/gateway/source.rs
@@ -43,8 +43,9 @@
     pub addr: SocketAddr,
     /// Time at which the platform confirmed the copy; `None` if the gateway is cut off from it.
     pub confirmed_at: Option<Micros>,
-    /// Whether the gateway is an aggregator of this gateway's zone.
-    pub aggregates: bool,
+    /// Position of the gateway among the aggregators of this gateway's zone; `None` if it is none of
+    /// them.
+    pub rank: Option<usize>,
     /// Whether the gateway has any copy of the list.
     pub exists: bool,
 }
@@ -77,10 +78,20 @@
     if now.saturating_sub(context.confirmed_at) >= patience + context.read_wait {
         return Source::Platform;
     }
-    let newest = copies
-        .filter(|copy| copy.aggregates && copy.confirmed_at > Some(context.confirmed_at))
-        .max_by_key(|copy| copy.confirmed_at);
-    newest.map_or(Source::Wait, |copy| Source::Peer(copy.addr))
+    // The first aggregator with a fresh copy, and not the newest copy: each change of the source
+    // costs a copy of the whole list.
+    let max_age = STANDBY_PATIENCE + context.read_wait;
+    let is_fresh = |copy: &PeerCopy| {
+        let confirmed = copy.confirmed_at;
+        confirmed.is_some_and(|at| now.saturating_sub(at) < max_age)
+    };
+    let first = copies
+        .filter(|copy| copy.rank.is_some() && is_fresh(copy))
+        .min_by_key(|copy| copy.rank);
+    match first {
+        Some(copy) if copy.confirmed_at > Some(context.confirmed_at) => Source::Peer(copy.addr),
+        _ => Source::Wait,
+    }
 }
 
 /// Chooses the gateway to copy a list from while the platform does not answer; `None` if there is
--- a/src/gateway/source/tests.rs
+++ b/src/gateway/source/tests.rs
@@ -14,11 +14,12 @@
     NOW.saturating_sub(Micros::from_ms(ms))
 }
 
+/// The copy of a gateway; aggregators are ranked by their numbers.
 fn copy(host: u8, age: Option<u64>, aggregates: bool) -> PeerCopy {
     PeerCopy {
         addr: addr(host),
         confirmed_at: age.map(ago),
-        aggregates,
+        rank: aggregates.then_some(host.into()),
         exists: true,
     }
 }
@@ -43,7 +44,9 @@
 sources! {
     the_first_of_a_zone_reads: 0, 0, [copy(2, Some(0), true)] => Source::Platform;
     the_standby_follows: 1, 300, [copy(1, Some(100), true)] => Source::Peer(addr(1));
-    a_member_follows_the_newest: 5, 300, [copy(1, Some(200), true), copy(2, Some(90), true)] => Source::Peer(addr(2));
+    a_member_stays_with_the_first_though_the_second_is_newer: 5, 300, [copy(2, Some(90), true), copy(1, Some(200), true)] => Source::Peer(addr(1));
+    a_member_waits_for_the_first_though_the_second_is_newer: 5, 200, [copy(2, Some(90), true), copy(1, Some(200), true)] => Source::Wait;
+    a_member_turns_to_the_second_when_the_first_is_stale: 5, 900, [copy(1, Some(800), true), copy(2, Some(90), true)] => Source::Peer(addr(2));
     an_older_copy_is_not_taken: 5, 100, [copy(1, Some(200), true)] => Source::Wait;
     only_aggregators_are_followed: 5, 300, [copy(9, Some(0), false)] => Source::Wait;
     a_gateway_cut_off_is_not_followed: 5, 300, [copy(1, None, true)] => Source::Wait;
