Log each crash of a target with the prompt parts of the requests that waited

Callers saw streams cut and connections refused while requests of one kind ended one engine after the other; the log had the single broken requests, but no line said that a target had crashed or what the requests there had in common, so that the hypotheses could not be told apart.

One line for each crash and gateway now names the target, the requests that broke off, those that had not begun, and the parts of the latter. 'Begun' means a complete event or a whole answer: the head of the answer comes before the crash too, and the relay took any byte for a begin.

--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -5,6 +5,7 @@
 
 use smallvec::SmallVec;
 
+use crate::gateway::crash_tracker::BrokenRequest;
 use crate::gateway::pool::Connection;
 use crate::gateway::request::ClientRequest;
 use crate::gateway::request_log;
@@ -14,6 +15,24 @@
 use crate::gateway::state::GatewayState;
 use crate::gateway::targets::TargetKey;
 use crate::telemetry::{Event, Outcome};
+use crate::units::Micros;
+
+/// How far an attempt got.
+#[derive(Clone, Copy, Debug)]
+pub struct Progress {
+    /// Time at which the request was sent, or a little earlier.
+    pub sent: Micros,
+    /// Whether the target had begun to answer: the first event of a stream, or the whole of another
+    /// answer, had arrived.
+    pub began: bool,
+}
+
+impl Progress {
+    /// Of a request that was sent at `sent` and whose answer had not begun.
+    pub const fn not_begun(sent: Micros) -> Self {
+        Progress { sent, began: false }
+    }
+}
 
 /// A request and the outcomes of its attempts so far.
 #[derive(Clone, Debug)]
@@ -40,13 +59,19 @@
 
     /// Records an attempt that ended without a usable answer. If the connection broke off, checks
     /// in the background whether the target has crashed.
-    pub fn record_failure(&mut self, target: TargetKey, failure: Failure) {
+    pub fn record_failure(&mut self, target: TargetKey, failure: Failure, progress: Progress) {
         self.counts.record(failure);
         self.tried.push(target);
         if failure == Failure::Broken {
-            let (now, digest) = (self.gateway.clock.now(), self.request.digest());
+            let now = self.gateway.clock.now();
+            let broken = BrokenRequest {
+                digest: self.request.digest(),
+                parts: self.request.shared_parts(),
+                sent: progress.sent,
+                began: progress.began,
+            };
             self.gateway
-                .with_crashes(|crashes| crashes.record_broken(now, target, digest));
+                .with_crashes(|crashes| crashes.record_broken(now, target, broken));
             tokio::spawn(send::check_connection(self.gateway.clone(), target));
         }
         request_log::failed(&self.request, &self.gateway, target, failure);
--- a/src/gateway/crash_tracker.rs
+++ b/src/gateway/crash_tracker.rs
@@ -7,9 +7,10 @@
 //!
 //! Performs no I/O.
 
-use std::collections::VecDeque;
+use std::collections::{HashSet, VecDeque};
 
 use crate::claim::Digest;
+use crate::gateway::prompts::PartIds;
 use crate::gateway::targets::TargetKey;
 use crate::quarantine::{Quarantine, QuarantineEvent};
 use crate::units::Micros;
@@ -22,11 +23,23 @@
 const MAX_BROKEN: usize = 512;
 
 /// A request whose connection to its target broke off.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
+pub struct BrokenRequest {
+    /// Digest of the request.
+    pub digest: Digest,
+    /// Shared parts of its prompt.
+    pub parts: PartIds,
+    /// Time at which it was sent.
+    pub sent: Micros,
+    /// Whether the target had begun to answer it.
+    pub began: bool,
+}
+
+#[derive(Clone, Debug)]
 struct Broken {
     at: Micros,
     target: TargetKey,
-    digest: Digest,
+    request: BrokenRequest,
 }
 
 /// Tracks the requests suspected of crashing targets.
@@ -43,7 +56,7 @@
     }
 
     /// Records that the connection to a target broke off after a request was sent.
-    pub fn record_broken(&mut self, now: Micros, target: TargetKey, digest: Digest) {
+    pub fn record_broken(&mut self, now: Micros, target: TargetKey, request: BrokenRequest) {
         self.expire(now);
         if self.broken.len() == MAX_BROKEN {
             self.broken.pop_front();
@@ -51,30 +64,33 @@
         self.broken.push_back(Broken {
             at: now,
             target,
-            digest,
+            request,
         });
     }
 
     /// Records that a target cannot be reached: a crash is counted for each request whose
-    /// connection to it broke off recently. `id` returns a new random event id for each.
+    /// connection to it broke off recently. `id` returns a new random event id for each. Returns
+    /// these requests; there are none if the target has not crashed.
     pub fn record_unreachable(
         &mut self,
         now: Micros,
         target: TargetKey,
         mut id: impl FnMut() -> u64,
-    ) {
+    ) -> Vec<BrokenRequest> {
         self.expire(now);
-        let mut suspects: Vec<Digest> = Vec::new();
+        let mut requests: Vec<BrokenRequest> = Vec::new();
         self.broken.retain(|broken| {
             let same_target = broken.target == target;
-            if same_target && !suspects.contains(&broken.digest) {
-                suspects.push(broken.digest);
+            if same_target {
+                requests.push(broken.request.clone());
             }
             !same_target
         });
-        for digest in suspects {
+        let digests: HashSet<Digest> = requests.iter().map(|request| request.digest).collect();
+        for digest in digests {
             self.crashes.record_crash(now, digest, id());
         }
+        requests
     }
 
     /// Clears a request that was answered: it does not always crash its target.
--- a/src/gateway/crash_tracker/tests.rs
+++ b/src/gateway/crash_tracker/tests.rs
@@ -1,11 +1,22 @@
-use super::{CrashTracker, MAX_BROKEN};
+use super::{BrokenRequest, CrashTracker, MAX_BROKEN};
 use crate::claim::Digest;
+use crate::gateway::prompts::PartIds;
 use crate::gateway::targets::{Entry, TargetKey, Targets};
 use crate::units::Micros;
 
 const CULPRIT: Digest = Digest([1; 16]);
 const BYSTANDER: Digest = Digest([2; 16]);
 
+/// A request that had not begun to be answered.
+fn broken(digest: Digest) -> BrokenRequest {
+    BrokenRequest {
+        digest,
+        parts: PartIds::new(),
+        sent: Micros::ZERO,
+        began: false,
+    }
+}
+
 fn at(ms: u64) -> Micros {
     Micros::from_ms(ms)
 }
@@ -30,8 +41,8 @@
 fn crashed(tracker: &mut CrashTracker, times: u16) {
     for (index, target) in (0..).zip(targets(times)) {
         let now = at(index * 1_000);
-        tracker.record_broken(now, target, CULPRIT);
-        tracker.record_broken(now, target, BYSTANDER);
+        tracker.record_broken(now, target, broken(CULPRIT));
+        tracker.record_broken(now, target, broken(BYSTANDER));
         let mut id = index * 10;
         tracker.record_unreachable(now + at(20), target, || {
             id += 1;
@@ -77,7 +88,7 @@
         CrashTracker::default(),
     ];
     for ((index, target), gateway) in (0..).zip(targets(3)).zip(&mut gateways) {
-        gateway.record_broken(at(0), target, CULPRIT);
+        gateway.record_broken(at(0), target, broken(CULPRIT));
         gateway.record_unreachable(at(10), target, || index);
         assert_eq!(gateway.remaining_quarantine(at(20), CULPRIT), None);
     }
@@ -96,7 +107,7 @@
             let mut tracker = CrashTracker::default();
             let targets = targets(4);
             for index in 0..3 {
-                tracker.record_broken(at($broke_ms), targets[index], CULPRIT);
+                tracker.record_broken(at($broke_ms), targets[index], broken(CULPRIT));
             }
             for index in 0..3 {
                 let target = targets[if $elsewhere { 3 } else { index }];
@@ -117,7 +128,7 @@
     let mut tracker = CrashTracker::default();
     let target = targets(1)[0];
     for index in 0..4 * MAX_BROKEN as u64 {
-        tracker.record_broken(at(0), target, Digest::of(&[&index.to_be_bytes()]));
+        tracker.record_broken(at(0), target, broken(Digest::of(&[&index.to_be_bytes()])));
     }
     assert_eq!(tracker.broken.len(), MAX_BROKEN);
 }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -10,7 +10,7 @@
 use tokio::time::timeout_at;
 
 use crate::gateway::admission::{self, AdmissionContext};
-use crate::gateway::attempts::Attempts;
+use crate::gateway::attempts::{Attempts, Progress};
 use crate::gateway::fair_share::{AccountTag, ShareStatus};
 use crate::gateway::relay::Relay;
 use crate::gateway::request::ClientRequest;
@@ -70,11 +70,13 @@
             .gateway
             .record_first_send(&self.attempts.request.service);
         loop {
+            let progress = Progress::not_begun(self.attempts.gateway.clock.now());
             let failed = match self.attempt(choice).await {
                 Ok(response) => return Ok(response),
                 Err(failed) => failed,
             };
-            self.attempts.record_failure(choice.target, failed.failure);
+            self.attempts
+                .record_failure(choice.target, failed.failure, progress);
             choice = match self.attempts.next_target() {
                 Some(choice) => choice,
                 None => return self.give_up(failed),
--- a/src/gateway/prompts.rs
+++ b/src/gateway/prompts.rs
@@ -26,6 +26,9 @@
 /// The parts of a prompt, in order; the last one belongs to this request only.
 pub type Parts = SmallVec<[Part; 4]>;
 
+/// Ids of parts.
+pub type PartIds = SmallVec<[u64; 4]>;
+
 /// Description of a request to a model inference engine.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Prompt {
@@ -43,13 +46,16 @@
         (self.tokens + 2 * self.output) as f64
     }
 
+    /// Returns the ids of the parts that other requests may share: all but the last.
+    pub fn shared_parts(&self) -> impl Iterator<Item = u64> + '_ {
+        let shared = self.parts.len().saturating_sub(1);
+        self.parts[..shared].iter().map(|part| part.id)
+    }
+
     /// Returns a hash of the shared parts, which is equal for requests with the same shared parts;
     /// 0 if there are none.
     pub fn prefix_hash(&self) -> u64 {
-        let own = self.parts.len().saturating_sub(1);
-        self.parts[..own]
-            .iter()
-            .fold(0, |hash, part| mix(hash ^ part.id))
+        self.shared_parts().fold(0, |hash, id| mix(hash ^ id))
     }
 }
 
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -8,7 +8,7 @@
 use hyper::body::{Body, Frame, Incoming};
 use tokio::time::Sleep;
 
-use crate::gateway::attempts::Attempts;
+use crate::gateway::attempts::{Attempts, Progress};
 use crate::gateway::events::Splitter;
 use crate::gateway::idle_timer::IdleTimer;
 use crate::gateway::in_flight::InFlight;
@@ -44,7 +44,7 @@
     connection: Connection,
     meta: ResponseMeta,
     in_flight: InFlight,
-    /// Whether any data has arrived.
+    /// Whether a complete event has arrived.
     started: bool,
 }
 
@@ -121,9 +121,13 @@
         let State::Reading(stream) = &self.state else {
             return false;
         };
+        let progress = Progress {
+            sent: stream.in_flight.sent,
+            began: stream.started,
+        };
         let target = stream.in_flight.target;
         let mut attempts = self.attempts.clone();
-        attempts.record_failure(target, failure);
+        attempts.record_failure(target, failure, progress);
         let Some(choice) = attempts.next_target() else {
             return false;
         };
@@ -168,18 +172,19 @@
 
     /// Adds bytes of the stream; returns the events that are now complete.
     fn push(&mut self, data: Bytes) -> Result<Bytes, BrokenStream> {
-        if !data.is_empty() {
-            self.record_data();
+        if let (false, Some(idle_timer)) = (data.is_empty(), &mut self.idle_timer) {
+            idle_timer.reset();
+        }
+        let pushed = self.splitter.push(data);
+        let events = pushed.map_err(|_| BrokenStream::Target)?;
+        if !events.is_empty() {
+            self.record_events();
         }
-        self.splitter.push(data).map_err(|_| BrokenStream::Target)
+        Ok(events)
     }
 
-    /// Records that data has arrived: resets the idle timer, and at the first data records the
-    /// latency.
-    fn record_data(&mut self) {
-        if let Some(idle_timer) = &mut self.idle_timer {
-            idle_timer.reset();
-        }
+    /// Records that events have arrived; the first ones give the latency.
+    fn record_events(&mut self) {
         let State::Reading(stream) = &mut self.state else {
             return;
         };
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -13,7 +13,7 @@
 
 use crate::claim::Digest;
 use crate::gateway::config::{Config, Route};
-use crate::gateway::prompts::Prompt;
+use crate::gateway::prompts::{PartIds, Prompt};
 use crate::platform::headers::{self, AddedHeaders};
 use crate::problem::{Problem, Reason};
 use crate::units::Micros;
@@ -141,6 +141,12 @@
         ])
     }
 
+    /// Returns the ids of the shared parts of its prompt; empty unless it is for an engine.
+    pub fn shared_parts(&self) -> PartIds {
+        let prompt = self.prompt.iter();
+        prompt.flat_map(Prompt::shared_parts).collect()
+    }
+
     /// Returns the request id as text, for logs.
     pub fn id_str(&self) -> &str {
         self.id.to_str().unwrap_or("unreadable")
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -1,8 +1,11 @@
 //! Log lines about requests that are rejected, refused, retried, late, cut or given up.
 
+use std::cmp::Reverse;
+use std::collections::HashMap;
 use std::sync::Arc;
 
 use crate::gateway::admission::AdmissionContext;
+use crate::gateway::crash_tracker::BrokenRequest;
 use crate::gateway::in_flight::InFlight;
 use crate::gateway::overload::Overload;
 use crate::gateway::pool::ConnectError;
@@ -14,6 +17,9 @@
 use crate::problem::Problem;
 use crate::telemetry::Outcome;
 
+/// Maximum number of prompt parts in a log line.
+const MAX_LOGGED_PARTS: usize = 24;
+
 /// Logs a request that was refused without being sent to a target.
 pub fn refused(
     gateway: &GatewayState,
@@ -96,6 +102,33 @@
     });
 }
 
+/// Logs a target that crashed, with the requests whose connections broke off: how many they are, how
+/// many of them it had not begun to answer, and the prompt parts that most of the latter share.
+pub fn target_crashed(gateway: &GatewayState, target: TargetKey, crashed: &[BrokenRequest]) {
+    let name = gateway.target_entry(target);
+    let name = name.map_or_else(|| "gone".into(), |(id, _)| id);
+    let waiting = crashed.iter().filter(|request| !request.began);
+    spdlog::info!("target crashed", kv: {
+        target: = name.as_ref(),
+        requests = crashed.len(),
+        waiting = waiting.clone().count(),
+        parts: = common_parts(waiting),
+    });
+}
+
+/// The prompt parts that most of these requests share, each with their number.
+fn common_parts<'a>(requests: impl Iterator<Item = &'a BrokenRequest>) -> String {
+    let mut counts: HashMap<u64, usize> = HashMap::new();
+    for part in requests.flat_map(|request| &request.parts) {
+        *counts.entry(*part).or_default() += 1;
+    }
+    let mut counts: Vec<(u64, usize)> = counts.into_iter().collect();
+    counts.sort_by_key(|&(part, count)| (Reverse(count), part));
+    let shown = counts.iter().take(MAX_LOGGED_PARTS);
+    let shown: Vec<String> = shown.map(|(part, n)| format!("{part:x}x{n}")).collect();
+    shown.join(" ")
+}
+
 /// Logs a stream that was cut before its end, and counts it in the metrics.
 pub fn stream_broken(
     gateway: &GatewayState,
@@ -174,3 +207,6 @@
 fn elapsed_ms(gateway: &GatewayState, request: &ClientRequest) -> u64 {
     gateway.clock.now().saturating_sub(request.arrived).as_ms()
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/gateway/resume.rs
+++ b/src/gateway/resume.rs
@@ -2,7 +2,7 @@
 
 use tokio::sync::oneshot;
 
-use crate::gateway::attempts::Attempts;
+use crate::gateway::attempts::{Attempts, Progress};
 use crate::gateway::selection::Choice;
 use crate::gateway::send::{self, Dispatch, Upstream};
 
@@ -45,6 +45,7 @@
             last_event,
             response_timeout: None,
         };
+        let progress = Progress::not_begun(attempts.gateway.clock.now());
         let failure = match send::dispatch(&attempts.gateway, &attempts.request, sending).await {
             Ok(upstream) if upstream.head.status.is_success() => {
                 return Some(ResumedStream { upstream, attempts });
@@ -52,7 +53,7 @@
             Ok(upstream) => upstream.failure(),
             Err(failure) => failure,
         };
-        attempts.record_failure(choice.target, failure);
+        attempts.record_failure(choice.target, failure, progress);
         choice = attempts.next_target()?;
     }
 }
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -206,7 +206,16 @@
     let now = gateway.clock.now();
     gateway.with_target(target, |target| target.load.record_failure(now, reached));
     if !reached {
+        record_unreachable(gateway, now, target);
+    }
+}
+
+/// Records that a target cannot be reached, which makes connections that broke off before a crash.
+fn record_unreachable(gateway: &GatewayState, now: Micros, target: TargetKey) {
+    let crashed =
         gateway.with_crashes(|crashes| crashes.record_unreachable(now, target, rand::random));
+    if !crashed.is_empty() {
+        request_log::target_crashed(gateway, target, &crashed);
     }
 }
 
