--- a/tests/gateway/target.rs
+++ b/tests/gateway/target.rs
@@ -38,6 +38,9 @@
     Reset,
     /// A complete answer; a request for `/poison` crashes the target instead.
     CrashOnPoison,
+    /// Events 1 to 3; a request with the prompt part `dead` crashes the target once it has sent the
+    /// head and half of an event.
+    CrashOnPart,
     /// No answer.
     Hang,
     /// Events 1 to 3.
@@ -153,6 +156,15 @@
             .is_some_and(|head| head.contains("/poison"))
     }
 
+    fn has_part(&self, id: &str) -> bool {
+        let received = self.received.lock().expect("no holder panics");
+        let parts = received
+            .heads
+            .last()
+            .and_then(|head| header(head, "prompt-prefix"));
+        parts.is_some_and(|parts| parts.contains(&format!("{id}:")))
+    }
+
     fn next(&self) -> Behaviour {
         let mut behaviours = self.behaviours.lock().expect("no holder panics");
         match behaviours.len() {
@@ -217,6 +229,15 @@
                 return false;
             }
             Behaviour::CrashOnPoison => (complete, true),
+            Behaviour::CrashOnPart if self.has_part("dead") => {
+                let text = head("200 OK", events) + "8\r\nid: 1\nda\r\n";
+                // The caller may have left.
+                let _ = stream.write_all(text.as_bytes()).await;
+                tokio::time::sleep(Duration::from_millis(20)).await;
+                self.crash.cancel();
+                stream.set_zero_linger().expect("it can be reset");
+                return false;
+            }
             Behaviour::Reset => {
                 stream.set_zero_linger().expect("it can be reset");
                 return false;
@@ -230,7 +251,7 @@
                 let rest = event(1) + &event(2) + &event(3) + "0\r\n\r\n";
                 (head("200 OK", events) + &rest, true)
             }
-            Behaviour::Events => {
+            Behaviour::Events | Behaviour::CrashOnPart => {
                 let rest = event(1) + &event(2) + &event(3) + "0\r\n\r\n";
                 (head("200 OK", events) + &rest, true)
             }
