Quarantine prompt parts that crash each engine

Cause: crashes were counted by the digest of a whole request, and no two of these requests are alike. Ruled out: crashes not recognised (every one has its log line at each gateway concerned), gossip alone (the evidence of one gateway was enough by the fifth crash, under the right key).

gateway::part_quarantine suspects a part in a crash by the requests that waited there, lets requests that were sent later and begin clear it, quarantines after three crashes, and refuses parts that cannot be told apart only together. Gateways exchange suspicions (gossip version 4). It works because a part that crashes engines never begins, and all others do.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -185,6 +185,10 @@
         } = upstream;
         let body = self.read(body).await?;
         in_flight.record_first_event();
+        let Attempts {
+            gateway, request, ..
+        } = &self.attempts;
+        gateway.record_begin(request, in_flight.sent);
         self.attempts
             .record_success(in_flight.target, connection, meta.idle_timeout);
         let headers = headers::forward_response(&head.headers);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -29,6 +29,7 @@
 pub mod log_limiter;
 pub mod monitoring;
 pub mod overload;
+pub mod part_quarantine;
 pub mod peers;
 pub mod pool;
 pub mod prompts;
--- a/src/gateway/peers/service.rs
+++ b/src/gateway/peers/service.rs
@@ -11,6 +11,7 @@
 use crate::gateway::peers::handover;
 use crate::gateway::peers::rounds::Outgoing;
 use crate::gateway::peers::wire::{GossipMessage, MAX_DATAGRAM_BYTES};
+use crate::gateway::request_log;
 use crate::gateway::state::GatewayState;
 
 /// Pause after a newer configuration could not be fetched.
@@ -29,6 +30,7 @@
                 gateway.record_lag(due.elapsed().into());
                 round += 1;
                 send_round(&socket, &gateway, round).await;
+                request_log::quarantine_changes(&gateway);
             }
             received = socket.recv_from(&mut buffer) => {
                 // An error here concerns an earlier datagram to an unreachable host.
--- a/src/gateway/peers/wire.rs
+++ b/src/gateway/peers/wire.rs
@@ -8,6 +8,7 @@
 
 use crate::gateway::directory::{Change, ChangeBatch};
 use crate::gateway::fair_share::{AccountTag, Usage};
+use crate::gateway::part_quarantine::{CrashTag, Suspicion};
 use crate::gateway::peers::member::{CopyStatus, Member, Scope, ZoneTag};
 use crate::gateway::peers::totals::{TargetLoad, Totals};
 use crate::gateway::targets::{Entry, TargetTag, Targets};
@@ -15,7 +16,7 @@
 use crate::units::Micros;
 
 /// Version of the gossip messages; messages of other versions are dropped.
-pub const VERSION: u8 = 3;
+pub const VERSION: u8 = 4;
 /// Maximum size of a gossip datagram.
 pub const MAX_DATAGRAM_BYTES: usize = 32 * 1024;
 /// Maximum number of targets in a message.
@@ -24,6 +25,8 @@
 const MAX_USAGE: usize = 512;
 /// Maximum number of crashes in a message.
 const MAX_CRASHES: usize = 6;
+/// Maximum number of suspected prompt parts in a message.
+pub const MAX_SUSPICIONS: usize = 256;
 /// Maximum number of gateways that a message introduces.
 const MAX_INTRODUCTIONS: usize = 32;
 /// Token counts are sent in units of this many tokens, rounded up.
@@ -45,6 +48,7 @@
     usage: Option<Vec<WireUsage>>,
     /// Crashes of targets that the sender knows of.
     pub crashes: Vec<QuarantineEvent>,
+    suspicions: Vec<WireSuspicion>,
     introductions: Vec<WireMember>,
 }
 
@@ -81,6 +85,18 @@
     served: u32,
 }
 
+/// A prompt part that is suspected in a crash. Times are in milliseconds.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+struct WireSuspicion {
+    part: u64,
+    crash: u32,
+    /// Time since the crash.
+    age: u32,
+    /// Time from sending the request to the crash.
+    flight: u32,
+    cleared: bool,
+}
+
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 struct WireMember {
     addr: SocketAddr,
@@ -185,6 +201,21 @@
         self
     }
 
+    /// Adds suspected prompt parts, up to the bound.
+    pub fn with_suspicions(mut self, now: Micros, suspicions: &[Suspicion]) -> Self {
+        let rows = suspicions.iter().take(MAX_SUSPICIONS);
+        self.suspicions = rows
+            .map(|suspicion| WireSuspicion {
+                part: suspicion.part,
+                crash: suspicion.crash.0,
+                age: age_ms(now, suspicion.at),
+                flight: age_ms(suspicion.flight, Micros::ZERO),
+                cleared: suspicion.cleared,
+            })
+            .collect();
+        self
+    }
+
     /// Adds gateways that the receiver may not know, with the times at which they were heard.
     pub fn with_introductions(mut self, now: Micros, members: Vec<(Member, Micros)>) -> Self {
         let members = members.into_iter().take(MAX_INTRODUCTIONS);
@@ -214,6 +245,7 @@
         let fits = message.load.len() <= MAX_LOADS
             && accounts <= MAX_USAGE
             && message.crashes.len() <= MAX_CRASHES
+            && message.suspicions.len() <= MAX_SUSPICIONS
             && message.introductions.len() <= MAX_INTRODUCTIONS;
         (message.protocol == VERSION && fits)
             .then_some(message)
@@ -260,6 +292,17 @@
         }
     }
 
+    /// The suspected prompt parts, of a message that was received at `now`.
+    pub fn suspicions(&self, now: Micros) -> impl Iterator<Item = Suspicion> + '_ {
+        self.suspicions.iter().map(move |row| Suspicion {
+            part: row.part,
+            crash: CrashTag(row.crash),
+            at: time_of(now, row.age),
+            flight: Micros::from_ms(row.flight.into()),
+            cleared: row.cleared,
+        })
+    }
+
     /// The introduced gateways, with the times at which the sender heard them.
     pub fn introductions(&self, now: Micros) -> impl Iterator<Item = (Member, Micros)> + '_ {
         self.introductions.iter().map(move |row| {
--- a/src/gateway/prompts.rs
+++ b/src/gateway/prompts.rs
@@ -47,7 +47,7 @@
     }
 
     /// Returns the ids of the parts that other requests may share: all but the last.
-    pub fn shared_parts(&self) -> impl Iterator<Item = u64> + '_ {
+    pub fn shared_parts(&self) -> impl Iterator<Item = u64> + Clone + '_ {
         let shared = self.parts.len().saturating_sub(1);
         self.parts[..shared].iter().map(|part| part.id)
     }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -191,6 +191,11 @@
         if !stream.started {
             stream.started = true;
             stream.in_flight.record_first_event();
+            let sent = stream.in_flight.sent;
+            let Attempts {
+                gateway, request, ..
+            } = &self.attempts;
+            gateway.record_begin(request, sent);
         }
         if !self.started {
             self.started = true;
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -8,6 +8,7 @@
 use crate::gateway::crash_tracker::BrokenRequest;
 use crate::gateway::in_flight::InFlight;
 use crate::gateway::overload::Overload;
+use crate::gateway::part_quarantine::QuarantineChange;
 use crate::gateway::pool::ConnectError;
 use crate::gateway::relay::BrokenStream;
 use crate::gateway::request::ClientRequest;
@@ -116,6 +117,18 @@
     });
 }
 
+/// Logs which prompt parts have been quarantined or released since the last call.
+pub fn quarantine_changes(gateway: &GatewayState) {
+    for change in gateway.take_quarantine_changes() {
+        let (message, parts) = match &change {
+            QuarantineChange::Added(parts) => ("prompt parts quarantined", parts),
+            QuarantineChange::Removed(parts) => ("prompt parts released", parts),
+        };
+        let parts: Vec<String> = parts.iter().map(|part| format!("{part:x}")).collect();
+        spdlog::info!("{}", message, kv: { parts: = parts.join(" ") });
+    }
+}
+
 /// The prompt parts that most of these requests share, each with their number.
 fn common_parts<'a>(requests: impl Iterator<Item = &'a BrokenRequest>) -> String {
     let mut counts: HashMap<u64, usize> = HashMap::new();
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -126,7 +126,7 @@
 }
 
 /// Checks again, right before a request is sent, what may have changed since its target was chosen:
-/// the deadline, the target's entry, and the configuration.
+/// the deadline, the target's entry, the configuration, and the quarantine.
 fn last_look(
     gateway: &GatewayState,
     request: &ClientRequest,
@@ -135,7 +135,8 @@
     let expired = gateway.clock.now() >= request.deadline();
     let listed = gateway.target_entry(target);
     let takes_requests = listed.is_some_and(|(_, entry)| !entry.draining);
-    if expired || !takes_requests || !request.is_allowed_by(&gateway.config()) {
+    let allowed = request.is_allowed_by(&gateway.config());
+    if expired || !takes_requests || !allowed || gateway.remaining_quarantine(request).is_some() {
         return Err(Failure::Withdrawn);
     }
     Ok(())
@@ -206,14 +207,13 @@
     let now = gateway.clock.now();
     gateway.with_target(target, |target| target.load.record_failure(now, reached));
     if !reached {
-        record_unreachable(gateway, now, target);
+        record_unreachable(gateway, target);
     }
 }
 
 /// Records that a target cannot be reached, which makes connections that broke off before a crash.
-fn record_unreachable(gateway: &GatewayState, now: Micros, target: TargetKey) {
-    let crashed =
-        gateway.with_crashes(|crashes| crashes.record_unreachable(now, target, rand::random));
+fn record_unreachable(gateway: &GatewayState, target: TargetKey) {
+    let crashed = gateway.record_unreachable(target);
     if !crashed.is_empty() {
         request_log::target_crashed(gateway, target, &crashed);
     }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -11,15 +11,16 @@
 use crate::gateway::config::Config;
 use crate::gateway::connection_limits::ConnectionLimits;
 use crate::gateway::copies::Copies;
-use crate::gateway::crash_tracker::CrashTracker;
+use crate::gateway::crash_tracker::{BrokenRequest, CrashTracker};
 use crate::gateway::fair_share::FairShare;
 use crate::gateway::log_limiter::LogLimiter;
 use crate::gateway::overload::Overload;
+use crate::gateway::part_quarantine::{PartQuarantine, QuarantineChange};
 use crate::gateway::peers::Peers;
 use crate::gateway::peers::member::{Member, Scope, ZoneTag};
 use crate::gateway::peers::rounds::{self, Outgoing, RoundInput};
 use crate::gateway::peers::totals::{TargetLoad, Totals};
-use crate::gateway::peers::wire::{Cursor, GossipMessage, WireTargets};
+use crate::gateway::peers::wire::{self, Cursor, GossipMessage, WireTargets};
 use crate::gateway::pool::ConnectionPool;
 use crate::gateway::request::ClientRequest;
 use crate::gateway::retry_budget::{RetryBudget, RetryLimits};
@@ -68,6 +69,7 @@
     copies: Copies,
     overload: Overload,
     crashes: CrashTracker,
+    parts: PartQuarantine,
     targets: Targets,
     budgets: HashMap<Arc<str>, RetryBudget>,
 }
@@ -93,6 +95,7 @@
                 copies: Copies::default(),
                 overload: Overload::default(),
                 crashes: CrashTracker::default(),
+                parts: PartQuarantine::default(),
                 targets: Targets::default(),
                 budgets: HashMap::new(),
             }),
@@ -207,7 +210,10 @@
         let status = state.copies.status(version, self.boot, change);
         let mut base = GossipMessage::new(now, state.peers.me(), &status);
         if rounds::is_full(round) {
-            base = base.with_crashes(state.crashes.events(now));
+            let suspicions = state.parts.to_send(now, wire::MAX_SUSPICIONS);
+            base = base
+                .with_crashes(state.crashes.events(now))
+                .with_suspicions(now, &suspicions);
         }
         let input = RoundInput {
             round,
@@ -237,6 +243,7 @@
         if !message.crashes.is_empty() {
             state.crashes.merge(now, &message.crashes);
         }
+        state.parts.merge(now, message.suspicions(now));
         if scope == Scope::Others || state.peers.is_small_fleet() {
             let own = own_totals(state, now);
             apply_others(state, now, &own);
@@ -248,6 +255,34 @@
         act(&mut self.lock().crashes)
     }
 
+    /// Records that a target cannot be reached. Returns the requests that it has crashed with; there
+    /// are none if it has not crashed.
+    pub fn record_unreachable(&self, key: TargetKey) -> Vec<BrokenRequest> {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let state = &mut *state;
+        let crashed = state.crashes.record_unreachable(now, key, rand::random);
+        if let Some(target) = state.targets.get(key) {
+            state.parts.record_crash(now, target.crash_tag(), &crashed);
+        }
+        crashed
+    }
+
+    /// Records that a request, sent at `sent`, has begun to be answered.
+    pub fn record_begin(&self, request: &ClientRequest, sent: Micros) {
+        let Some(prompt) = &request.prompt else {
+            return;
+        };
+        let now = self.clock.now();
+        let parts = prompt.shared_parts();
+        self.lock().parts.record_begin(now, sent, parts);
+    }
+
+    /// Returns the changes of the quarantine of prompt parts since the last call.
+    pub fn take_quarantine_changes(&self) -> Vec<QuarantineChange> {
+        self.lock().parts.take_changes()
+    }
+
     /// Records that a request was answered in full, which clears it of suspected crashes.
     pub fn record_success(&self, request: &ClientRequest) {
         let now = self.clock.now();
@@ -258,14 +293,18 @@
         });
     }
 
-    /// Returns the remaining quarantine of a request that crashes targets; `None` if it may be
-    /// sent.
+    /// Returns the remaining quarantine of a request that crashes targets, or that holds a prompt
+    /// part which does; `None` if it may be sent.
     pub fn remaining_quarantine(&self, request: &ClientRequest) -> Option<Micros> {
         let now = self.clock.now();
-        self.with_crashes(|crashes| match crashes.is_empty() {
-            true => None,
-            false => crashes.remaining_quarantine(now, request.digest()),
-        })
+        let mut state = self.lock();
+        let prompt = request.prompt.as_ref();
+        let parts = prompt.and_then(|prompt| state.parts.remaining(now, prompt.shared_parts()));
+        if state.crashes.is_empty() {
+            return parts;
+        }
+        let whole = state.crashes.remaining_quarantine(now, request.digest());
+        parts.max(whole)
     }
 
     /// Returns the token rate of all engines together, in tokens per second; `None` if it is not
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -8,8 +8,9 @@
 
 use slab::Slab;
 
+use crate::gateway::part_quarantine::CrashTag;
 use crate::gateway::peers::totals::TargetLoad;
-use crate::gateway::prompts::PrefixCache;
+use crate::gateway::prompts::{PrefixCache, mix};
 use crate::gateway::targets::journal::Journal;
 use crate::units::Micros;
 
@@ -89,6 +90,14 @@
     pub cache: PrefixCache,
 }
 
+impl Target {
+    /// Tag of the crash that ends this run of the target.
+    pub fn crash_tag(&self) -> CrashTag {
+        let run = u64::from(self.tag.0) << 32 ^ self.entry.started_at.unwrap_or_default();
+        CrashTag(mix(run) as u32)
+    }
+}
+
 /// The effect of a list change.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Change {
