Read the limits that targets name, and log when they begin and end

The header was passed on to callers and read by nothing, so that no log told of a limit. It is parsed with the load report, kept with the target, no longer forwarded, and has a line when a target begins or ends to name one. Nothing acts on it yet.

--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -117,6 +117,18 @@
     });
 }
 
+/// Logs that a target has named a limit on its requests, or names none any more.
+pub fn limit_changed(gateway: &GatewayState, target: TargetKey, limit: Option<f64>) {
+    let name = gateway.target_entry(target);
+    let name = name.map_or_else(|| "gone".into(), |(id, _)| id);
+    match limit {
+        Some(limit) => spdlog::info!("target names a limit", kv: {
+            target: = name.as_ref(), per_second = limit,
+        }),
+        None => spdlog::info!("target names no limit", kv: { target: = name.as_ref() }),
+    }
+}
+
 /// Logs which prompt parts have been quarantined or released since the last call.
 pub fn quarantine_changes(gateway: &GatewayState) {
     for change in gateway.take_quarantine_changes() {
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -192,7 +192,7 @@
     let now = gateway.clock.now();
     let moved = head.status == StatusCode::MISDIRECTED_REQUEST;
     let failed = head.status.is_server_error() && !meta.declined;
-    gateway.with_target(target, |target| {
+    let before = gateway.with_target(target, |target| {
         if let Some(report) = meta.load {
             target.load.apply_report(report);
         }
@@ -200,7 +200,14 @@
             true => target.load.record_failure(now, !moved),
             false => target.load.record_success(),
         }
+        match moved {
+            true => meta.limit,
+            false => std::mem::replace(&mut target.load.limit, meta.limit),
+        }
     });
+    if before.is_some_and(|before| before.is_some() != meta.limit.is_some()) {
+        request_log::limit_changed(gateway, target, meta.limit);
+    }
 }
 
 fn record_failure(gateway: &GatewayState, target: TargetKey, reached: bool) {
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -73,6 +73,9 @@
     pub failures: u32,
     /// Time until which the target gets no requests, unless no other target is available.
     pub paused_until: Micros,
+    /// Requests a second that the target takes from all gateways together, as it last said; `None`
+    /// if it names no limit.
+    pub limit: Option<f64>,
 }
 
 /// A listed target.
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -23,6 +23,7 @@
 const NOT_RUN: HeaderName = HeaderName::from_static("not-executed");
 const SIGNATURE: HeaderName = HeaderName::from_static("server-stamp");
 const LOAD: HeaderName = HeaderName::from_static("server-load");
+const LIMIT: HeaderName = HeaderName::from_static("server-limit");
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
 /// Request headers that clients may not set. They are removed; the gateway sets some of them
@@ -114,6 +115,9 @@
     pub signed: bool,
     /// Load of the target, if it reports a valid one.
     pub load: Option<LoadReport>,
+    /// Requests a second that the target takes from all gateways together; `None` if it names no
+    /// limit.
+    pub limit: Option<f64>,
     /// How long the connection may be idle; zero if it closes after this response, `None` if the
     /// target does not say.
     pub idle_timeout: Option<Duration>,
@@ -127,13 +131,16 @@
         declined: headers.contains_key(NOT_RUN),
         signed: headers.contains_key(SIGNATURE),
         load: header_text(headers, &LOAD).and_then(parse_load),
+        limit: header_text(headers, &LIMIT).and_then(parse_limit),
         idle_timeout: parse_idle(headers),
     }
 }
 
 /// Builds the headers of the response to the client.
 pub fn forward_response(headers: &HeaderMap) -> HeaderMap {
-    filter_headers(headers, |name| name != NOT_RUN && name != LOAD)
+    filter_headers(headers, |name| {
+        name != NOT_RUN && name != LOAD && name != LIMIT
+    })
 }
 
 fn filter_headers(headers: &HeaderMap, keep: impl Fn(&str) -> bool) -> HeaderMap {
@@ -164,6 +171,12 @@
     })
 }
 
+/// Parses a rate limit, in requests a second. `None` if it is malformed or negative.
+fn parse_limit(text: &str) -> Option<f64> {
+    let limit: f64 = text.trim().parse().ok()?;
+    (limit.is_finite() && limit >= 0.0).then_some(limit)
+}
+
 fn parse_idle(headers: &HeaderMap) -> Option<Duration> {
     let closes = header_text(headers, &CONNECTION).is_some_and(|v| v.eq_ignore_ascii_case("close"));
     if closes {
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -268,3 +268,31 @@
     let route = config.route("a.example", "/m/1").expect("there is a route");
     assert_eq!(route.latency_objective, Duration::from_millis(600));
 }
+
+macro_rules! limits {
+    ($($name:ident: $rows:expr => $limit:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let meta = headers::parse_response(&header_map(&$rows), None);
+            assert_eq!(meta.limit, $limit);
+        }
+    )*};
+}
+
+limits! {
+    a_target_without_a_limit: [("server-load", "3,1,8")] => None;
+    a_limit_is_a_decimal_number: [("server-limit", " 5.25 ")] => Some(5.25);
+    a_limit_of_zero: [("server-limit", "0")] => Some(0.0);
+    a_negative_limit_is_none: [("server-limit", "-1")] => None;
+    a_limit_that_is_no_number_is_none: [("server-limit", "NaN")] => None;
+    an_infinite_limit_is_none: [("server-limit", "inf")] => None;
+    a_malformed_limit_is_none: [("server-limit", "5 a second")] => None;
+}
+
+#[test]
+fn a_limit_is_not_forwarded_to_the_client() {
+    let rows = header_map(&[("server-limit", "5"), ("server-stamp", "s")]);
+    let forwarded = headers::forward_response(&rows);
+    assert!(!forwarded.contains_key("server-limit"));
+    assert!(forwarded.contains_key("server-stamp"));
+}
