Add failing tests for targets that name a limit

Both fail on this code, each time: a target that names 4 requests a second gets 322 in 4 s from two gateways (29 are allowed).

--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod endless;
 mod followers;
 mod harness;
+mod named_limit;
 mod process;
 mod retries;
 mod streams;
--- a/tests/gateway/target.rs
+++ b/tests/gateway/target.rs
@@ -14,6 +14,8 @@
 pub enum Behaviour {
     /// A complete answer.
     Complete,
+    /// A complete answer that names a limit of 4 requests a second.
+    Limited,
     /// A complete answer, followed by one that belongs to no request.
     CompleteAndStray,
     /// A complete answer with the id of another request.
@@ -196,6 +198,10 @@
         let events = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n";
         let (text, keep) = match behaviour {
             Behaviour::Complete => (complete, true),
+            Behaviour::Limited => {
+                let rest = "Server-Limit: 4\r\nContent-Length: 4\r\n";
+                (head("200 OK", rest) + "body", true)
+            }
             Behaviour::CompleteAndStray => {
                 (complete.clone() + &complete.replace(id, "stray"), true)
             }
