Admit an account that asks for more than its share in part, at random

Cause: an account below its level was admitted whole, at all gateways at once, until they heard of each other 0.2 to 0.4 s later; one that asks for 20 times its share overshot by several shares, and the level swung. Ruled out: lost reports (sums agree to 2 %), a wrong rate of the engines.

Now about as many of its requests as the share holds count as below it.

--- a/src/gateway/fair_share.rs
+++ b/src/gateway/fair_share.rs
@@ -25,6 +25,10 @@
 /// How long computed shares are cached.
 const SHARES_TTL: Micros = Micros::from_ms(50);
 
+/// Part of its share that an account which requests more is admitted, so that the share is used up
+/// although the requests are chosen at random.
+const EXCESS_ADMITTED: f64 = 1.25;
+
 /// Identifies a client account in all processes and in all versions of the configuration.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct AccountTag(pub u32);
@@ -114,10 +118,21 @@
 
     /// Returns whether an account has reached its fair share. `token_rate` is the capacity of all
     /// targets together, in tokens per second.
-    pub fn status(&mut self, now: Micros, account: AccountTag, token_rate: f64) -> ShareStatus {
+    ///
+    /// Of an account that requests more than its share, only about as many requests as the share
+    /// holds are below it, chosen by `random`, from 0 to 1. Otherwise all gateways would admit all of
+    /// them at once whenever the share is not used up, before they hear of each other.
+    pub fn status(
+        &mut self,
+        now: Micros,
+        account: AccountTag,
+        token_rate: f64,
+        random: f64,
+    ) -> ShareStatus {
         self.update_level(now, token_rate);
-        let served = self.total.get(&account).map_or(0.0, |usage| usage.served);
-        match served >= self.level {
+        let usage = self.total.get(&account).copied().unwrap_or_default();
+        let admitted = EXCESS_ADMITTED * self.level / usage.requested.max(1.0);
+        match usage.served >= self.level || random > admitted {
             true => ShareStatus::ReachedShare,
             false => ShareStatus::BelowShare,
         }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -128,7 +128,7 @@
         let tag = AccountTag::of(account);
         self.attempts.gateway.with_shares(|shares| {
             shares.record_request(now, tag, prompt.cost());
-            shares.status(now, tag, token_rate)
+            shares.status(now, tag, token_rate, rand::random())
         })
     }
 
