Keep to the rates that targets name for all gateways together

Cause: nothing read the header; beneath it, a bound for the whole fleet that no gateway can keep alone (2 a second before 103 gateways).

gateway::target_limit gives each gateway its part by its part of the demand for the service, as tokens at random phases; what all have sent in 4 s closes the target in addition. It works because the parts add up to the rate at any size, and reports 0.4 s late can err only by what is demanded in that time. Targets without room are passed over; without any, requests are refused with the time of the next room.

--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -17,6 +17,10 @@
 
 /// Minimum `Retry-After` of a refusal, before jitter.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
+/// `Retry-After` if there is no target, before jitter.
+const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(200);
+/// Maximum `Retry-After` if all targets have used up the limits that they name, before jitter.
+const MAX_ROOM_RETRY_AFTER: Duration = Duration::from_secs(2);
 /// Maximum jitter that is added to `Retry-After`, as a fraction of it, so that clients do not all
 /// retry at the same time.
 const RETRY_JITTER: f64 = 0.5;
@@ -39,6 +43,9 @@
 pub struct AdmissionContext {
     /// Target selected for the request; `None` if the service has none left to try.
     pub choice: Option<Choice>,
+    /// Mean time between two requests for which there is room at this gateway within the limits that
+    /// targets name; `None` if no target names one.
+    pub room_interval: Option<Micros>,
     /// Time since the request arrived.
     pub elapsed: Micros,
     /// Time left until the request's deadline.
@@ -58,7 +65,7 @@
 ///
 /// # Errors
 /// Returns a 503 problem with `Retry-After` if
-/// - there is no target,
+/// - there is no target, or none with room within the limit that it names,
 /// - the response is not expected to start before the deadline,
 /// - the client account has reached its fair share while the selected target or the engines are
 ///   busy, or
@@ -66,7 +73,9 @@
 ///   requests.
 pub fn admit(context: &AdmissionContext, random: f64) -> Result<Choice, Problem> {
     let Some(choice) = context.choice else {
-        return Err(refuse(Reason::NoCapacity, MIN_RETRY_AFTER * 2, random));
+        let room = context.room_interval.map(Duration::from);
+        let wait = room.map_or(NO_TARGET_RETRY_AFTER, |room| room.min(MAX_ROOM_RETRY_AFTER));
+        return Err(refuse(Reason::NoCapacity, wait, random));
     };
     let needed = choice.expected + ROUND_TRIP;
     if needed > context.remaining {
--- a/src/gateway/admission/tests.rs
+++ b/src/gateway/admission/tests.rs
@@ -29,6 +29,7 @@
             wait: Micros::from_ms(wait),
             prefill_tokens: 0,
         }),
+        room_interval: None,
         elapsed: Micros::ZERO,
         remaining: Micros::from_secs(8),
         latency_objective: OBJECTIVE,
@@ -85,3 +86,27 @@
     let not_run = with_retry_after(Problem::not_run(503, Reason::NoCapacity), 0.0);
     assert!(not_run.retry_after.is_some());
 }
+
+/// `Retry-After` of a request that finds no target.
+macro_rules! waits_without_target {
+    ($($name:ident: $interval:expr => $wait_ms:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let interval: Option<u64> = $interval;
+            let context = AdmissionContext {
+                choice: None,
+                room_interval: interval.map(Micros::from_ms),
+                ..context(0, 0)
+            };
+            let refused = admit(&context, 0.0).expect_err("there is no target");
+            assert_eq!(refused.retry_after, Some(Duration::from_millis($wait_ms)));
+        }
+    )*};
+}
+
+waits_without_target! {
+    there_is_none_at_all: None => 200;
+    room_is_expected_soon: Some(30) => 100;
+    room_is_expected_later: Some(700) => 700;
+    room_is_expected_much_later: Some(60_000) => 2_000;
+}
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -92,11 +92,13 @@
             request_log::given_up(&self.attempts.gateway, request, &problem);
             return Err(problem);
         }
+        self.attempts.gateway.record_demand(&request.service);
         let prompt = request.prompt.as_ref();
         let choice = self.attempts.gateway.choose_target(request, &[]);
         let now = self.attempts.gateway.clock.now();
         let context = AdmissionContext {
             choice,
+            room_interval: self.attempts.gateway.room_interval(&request.service),
             elapsed: now.saturating_sub(request.arrived),
             remaining: request.deadline().saturating_sub(now),
             latency_objective: request.route.latency_objective.into(),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -43,8 +43,11 @@
 pub mod retry_budget;
 pub mod selection;
 pub mod send;
+pub mod service_demand;
+pub mod sliding_count;
 pub mod source;
 pub mod state;
+pub mod target_limit;
 pub mod targets;
 
 use std::path::PathBuf;
--- a/src/gateway/peers/rounds.rs
+++ b/src/gateway/peers/rounds.rs
@@ -95,7 +95,7 @@
     }
     let message = base
         .clone()
-        .with_totals(Scope::Sender, input.own, is_full(input.round));
+        .with_totals(now, Scope::Sender, input.own, is_full(input.round));
     Outgoing { message, to }
 }
 
@@ -120,14 +120,14 @@
         if let Some(own) = peers.own_totals(now, member.addr) {
             others.subtract(own);
         }
-        let message = base.clone().with_totals(Scope::Others, &others, full);
+        let message = base.clone().with_totals(now, Scope::Others, &others, full);
         let to = [member.addr].into_iter().collect();
         outgoing.push(Outgoing { message, to });
     }
     if full {
         outgoing.push(sign_of_life(base, remote.iter().map(|member| member.addr)));
     }
-    let message = base.clone().with_totals(Scope::Zone, &zone, full);
+    let message = base.clone().with_totals(now, Scope::Zone, &zone, full);
     let to = peers.remote_aggregators(now);
     outgoing.push(Outgoing { message, to });
 }
--- a/src/gateway/peers/rounds/tests.rs
+++ b/src/gateway/peers/rounds/tests.rs
@@ -107,7 +107,7 @@
         }
         let message = GossipMessage::decode(data).expect("it is a valid message");
         peers.record_message(now, message.sender(from.addr), message.status(now));
-        let (totals, usage) = (message.totals(), message.has_usage());
+        let (totals, usage) = (message.totals(now), message.has_usage());
         peers.record_report(now, from.addr, message.scope(), totals, usage);
         for (member, heard_at) in message.introductions(now) {
             peers.vouch(member, heard_at);
@@ -175,6 +175,7 @@
         usage: [(AccountTag(index as u32 % 60), usage)]
             .into_iter()
             .collect(),
+        ..Totals::default()
     }
 }
 
--- a/src/gateway/peers/totals.rs
+++ b/src/gateway/peers/totals.rs
@@ -1,10 +1,13 @@
-//! The load of targets and the usage of client accounts, of one gateway or summed over several.
+//! What one or several gateways cause and know: the load of targets, the use of their limits, the
+//! usage of client accounts, and the demand for services.
 
 use std::collections::HashMap;
 
 use rustc_hash::FxBuildHasher;
 
 use crate::gateway::fair_share::{AccountTag, Usage};
+use crate::gateway::service_demand::DemandMap;
+use crate::gateway::target_limit::LimitedUse;
 use crate::gateway::targets::TargetTag;
 
 /// The part of a target's load that one or several gateways cause.
@@ -16,13 +19,17 @@
     pub prefill_tokens: u64,
 }
 
-/// Load by target and usage by client account.
+/// Load and limits by target, usage by client account, and demand by service.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Totals {
     /// Load by target; idle targets may be absent.
     pub loads: HashMap<TargetTag, TargetLoad, FxBuildHasher>,
     /// Usage by client account; idle accounts may be absent.
     pub usage: HashMap<AccountTag, Usage, FxBuildHasher>,
+    /// Requests sent to the targets that name a limit, with their newest answers.
+    pub limited: HashMap<TargetTag, LimitedUse, FxBuildHasher>,
+    /// Requests by service; idle services may be absent.
+    pub demand: DemandMap,
 }
 
 impl Totals {
@@ -38,6 +45,13 @@
             sum.requested += usage.requested;
             sum.served += usage.served;
         }
+        for (&tag, used) in &other.limited {
+            self.limited.entry(tag).or_default().add(used);
+        }
+        for (&service, count) in &other.demand {
+            let sum = self.demand.entry(service).or_default();
+            *sum = sum.saturating_add(*count);
+        }
     }
 
     /// Removes what one of the gateways in this sum causes.
@@ -54,5 +68,15 @@
                 sum.served = (sum.served - usage.served).max(0.0);
             }
         }
+        for (tag, used) in &part.limited {
+            if let Some(sum) = self.limited.get_mut(tag) {
+                sum.sent = sum.sent.saturating_sub(used.sent);
+            }
+        }
+        for (service, count) in &part.demand {
+            if let Some(sum) = self.demand.get_mut(service) {
+                *sum = sum.saturating_sub(*count);
+            }
+        }
     }
 }
--- a/src/gateway/peers/wire.rs
+++ b/src/gateway/peers/wire.rs
@@ -11,18 +11,26 @@
 use crate::gateway::part_quarantine::{CrashTag, Suspicion};
 use crate::gateway::peers::member::{CopyStatus, Member, Scope, ZoneTag};
 use crate::gateway::peers::totals::{TargetLoad, Totals};
+use crate::gateway::service_demand::ServiceTag;
+use crate::gateway::target_limit::{LimitedUse, Observation};
 use crate::gateway::targets::{Entry, TargetTag, Targets};
 use crate::quarantine::QuarantineEvent;
 use crate::units::Micros;
 
 /// Version of the gossip messages; messages of other versions are dropped.
-pub const VERSION: u8 = 4;
+pub const VERSION: u8 = 5;
 /// Maximum size of a gossip datagram.
-pub const MAX_DATAGRAM_BYTES: usize = 32 * 1024;
+pub const MAX_DATAGRAM_BYTES: usize = 48 * 1024;
 /// Maximum number of targets in a message.
 const MAX_LOADS: usize = 1_024;
 /// Maximum number of client accounts in a message.
 const MAX_USAGE: usize = 512;
+/// Maximum number of targets with a limit in a message.
+const MAX_LIMITED: usize = 512;
+/// Maximum number of services in a message.
+const MAX_SERVICES: usize = 64;
+/// Limits are sent in units of this many requests a second.
+const LIMIT_UNIT: f64 = 0.01;
 /// Maximum number of crashes in a message.
 const MAX_CRASHES: usize = 6;
 /// Maximum number of suspected prompt parts in a message.
@@ -44,6 +52,8 @@
     status: WireStatus,
     scope: WireScope,
     load: Vec<WireLoad>,
+    limited: Vec<WireLimited>,
+    demand: Vec<WireDemand>,
     /// Usage of client accounts; absent in messages that carry load only.
     usage: Option<Vec<WireUsage>>,
     /// Crashes of targets that the sender knows of.
@@ -78,6 +88,29 @@
     prefill: u64,
 }
 
+/// What the sender knows of a target with a limit.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+struct WireLimited {
+    target: u32,
+    sent: u32,
+    answer: Option<WireAnswer>,
+}
+
+/// What a target's newest answer said.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+struct WireAnswer {
+    /// In units of [`LIMIT_UNIT`].
+    limit: Option<u32>,
+    /// Time since the answer, in milliseconds.
+    age: u32,
+}
+
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+struct WireDemand {
+    service: u32,
+    requests: u32,
+}
+
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 struct WireUsage {
     account: u32,
@@ -171,10 +204,25 @@
         }
     }
 
-    /// Adds load and, if `with_usage`, usage of client accounts, up to the bounds. If there are too
-    /// many, the busiest targets and the accounts that request most are included.
-    pub fn with_totals(mut self, scope: Scope, totals: &Totals, with_usage: bool) -> Self {
+    /// Adds load, limits, demand and, if `with_usage`, usage of client accounts, up to the bounds.
+    /// If there are too many, the busiest targets and the accounts that request most are included.
+    pub fn with_totals(
+        mut self,
+        now: Micros,
+        scope: Scope,
+        totals: &Totals,
+        with_usage: bool,
+    ) -> Self {
         self.scope = scope.into();
+        let limited = totals.limited.iter().take(MAX_LIMITED);
+        let limited = limited.map(|(&tag, used)| WireLimited::new(now, tag, used));
+        self.limited = limited.collect();
+        let demand = totals.demand.iter().take(MAX_SERVICES);
+        let demand = demand.map(|(service, &requests)| WireDemand {
+            service: service.0,
+            requests,
+        });
+        self.demand = demand.collect();
         let busy = totals.loads.iter();
         let busy = busy.filter(|(_, load)| **load != TargetLoad::default());
         self.load = busy.map(|(&tag, &load)| (tag, load).into()).collect();
@@ -244,6 +292,8 @@
         let accounts = message.usage.as_ref().map_or(0, Vec::len);
         let fits = message.load.len() <= MAX_LOADS
             && accounts <= MAX_USAGE
+            && message.limited.len() <= MAX_LIMITED
+            && message.demand.len() <= MAX_SERVICES
             && message.crashes.len() <= MAX_CRASHES
             && message.suspicions.len() <= MAX_SUSPICIONS
             && message.introductions.len() <= MAX_INTRODUCTIONS;
@@ -283,10 +333,16 @@
         self.usage.is_some()
     }
 
-    /// The reported load and usage.
-    pub fn totals(&self) -> Totals {
+    /// What is reported, in a message that was received at `now`.
+    pub fn totals(&self, now: Micros) -> Totals {
         let usage = self.usage.iter().flatten();
+        let limited = self.limited.iter();
+        let demand = self.demand.iter();
         Totals {
+            limited: limited.map(|row| row.decode(now)).collect(),
+            demand: demand
+                .map(|row| (ServiceTag(row.service), row.requests))
+                .collect(),
             loads: self.load.iter().map(|&row| row.into()).collect(),
             usage: usage.map(|&row| row.into()).collect(),
         }
@@ -346,6 +402,32 @@
     }
 }
 
+impl WireLimited {
+    fn new(now: Micros, target: TargetTag, used: &LimitedUse) -> Self {
+        let answer = used.answer.map(|answer| WireAnswer {
+            limit: answer.limit.map(|limit| (limit / LIMIT_UNIT) as u32),
+            age: age_ms(now, answer.at),
+        });
+        WireLimited {
+            target: target.0,
+            sent: used.sent,
+            answer,
+        }
+    }
+
+    fn decode(&self, now: Micros) -> (TargetTag, LimitedUse) {
+        let answer = self.answer.map(|answer| Observation {
+            limit: answer.limit.map(|limit| f64::from(limit) * LIMIT_UNIT),
+            at: time_of(now, answer.age),
+        });
+        let used = LimitedUse {
+            sent: self.sent,
+            answer,
+        };
+        (TargetTag(self.target), used)
+    }
+}
+
 impl From<(TargetTag, TargetLoad)> for WireLoad {
     fn from((tag, load): (TargetTag, TargetLoad)) -> Self {
         WireLoad {
--- a/src/gateway/retry.rs
+++ b/src/gateway/retry.rs
@@ -14,8 +14,8 @@
 pub enum Failure {
     /// The connection could not be established; nothing was sent.
     Unreached,
-    /// The request was not sent after all, because its deadline had passed, or its target, route or
-    /// API key had been removed meanwhile.
+    /// The request was not sent after all, because its deadline had passed, its target, route or API
+    /// key had been removed meanwhile, or its target has no room left within its limit.
     Withdrawn,
     /// The target reports that it did not run the request.
     Declined,
--- a/src/gateway/selection.rs
+++ b/src/gateway/selection.rs
@@ -73,11 +73,12 @@
     pub prefill_tokens: u64,
 }
 
-/// Chooses the target with the lowest cost; `None` if the service has none left to try.
+/// Chooses the target with the lowest cost among those that have room within the limits that they
+/// name; `None` if the service has none left to try.
 pub fn choose(targets: &Targets, now: Micros, criteria: &Criteria<'_>) -> Option<Choice> {
     let keys = targets.of_service(criteria.service);
     let available = cheapest(targets, keys, criteria, now, |t| t.load.paused_until <= now);
-    // If all targets are paused after failures, choose among all of them.
+    // If all targets with room are paused after failures, choose among all of them.
     available.or_else(|| cheapest(targets, keys, criteria, now, |_| true))
 }
 
@@ -95,7 +96,8 @@
     };
     let preferred = preferred_targets(keys.iter().filter_map(|&k| usable(k)), criteria.prompt);
     let mut best: Option<(f64, u64, Choice)> = None;
-    for (key, target) in keys.iter().filter_map(|&k| usable(k)) {
+    let with_room = keys.iter().filter_map(|&k| usable(k));
+    for (key, target) in with_room.filter(|(_, target)| target.limit.has_room()) {
         let rank = preferred.iter().position(|&(_, other)| other == key);
         let cost = match criteria.prompt {
             Some(prompt) => engine_cost(target, now, prompt, rank, criteria),
--- a/src/gateway/selection/tests.rs
+++ b/src/gateway/selection/tests.rs
@@ -206,3 +206,39 @@
     assert_eq!(chosen(NOW), Some(busy));
     assert_eq!(chosen(NOW + Micros::from_secs(20)), Some(slow));
 }
+
+/// Names a limit for a target, with no room left.
+fn close(targets: &mut Targets, key: TargetKey) {
+    let target = targets.get_mut(key).expect("it is listed");
+    target.limit.observe(NOW, Some(1.0));
+    target.limit.refill(NOW, 1.0, 0.0);
+}
+
+#[test]
+fn a_target_without_room_within_its_limit_gets_nothing() {
+    let mut targets = fleet(4, "model");
+    let preferred = select(&targets, Some(&prompt(5, 100)), 1).expect("there are targets");
+    close(&mut targets, preferred.target);
+    let other = select(&targets, Some(&prompt(5, 100)), 1).expect("others have room");
+    assert_ne!(other.target, preferred.target);
+}
+
+#[test]
+fn a_target_without_room_is_not_chosen_although_all_others_are_paused() {
+    let mut targets = fleet(2, "model");
+    let keys = targets.of_service("model").to_vec();
+    close(&mut targets, keys[0]);
+    let paused = targets.get_mut(keys[1]).expect("it is listed");
+    paused.load.paused_until = Micros::from_secs(9);
+    let chosen = select(&targets, None, 1).map(|choice| choice.target);
+    assert_eq!(chosen, Some(keys[1]));
+}
+
+#[test]
+fn nothing_is_chosen_while_no_target_has_room() {
+    let mut targets = fleet(2, "model");
+    for key in targets.of_service("model").to_vec() {
+        close(&mut targets, key);
+    }
+    assert_eq!(select(&targets, None, 1), None);
+}
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -77,6 +77,9 @@
         response_timeout,
     } = sending;
     let target = choice.target;
+    if !gateway.take_room(target) {
+        return Err(Failure::Withdrawn);
+    }
     let in_flight = InFlight::begin(gateway, choice, request.prompt.as_ref());
     let (id, entry) = gateway.target_entry(target).ok_or(Failure::Unreached)?;
     if gateway.overload().is_behind() {
@@ -192,7 +195,7 @@
     let now = gateway.clock.now();
     let moved = head.status == StatusCode::MISDIRECTED_REQUEST;
     let failed = head.status.is_server_error() && !meta.declined;
-    let before = gateway.with_target(target, |target| {
+    let changed = gateway.with_target(target, |target| {
         if let Some(report) = meta.load {
             target.load.apply_report(report);
         }
@@ -200,12 +203,9 @@
             true => target.load.record_failure(now, !moved),
             false => target.load.record_success(),
         }
-        match moved {
-            true => meta.limit,
-            false => std::mem::replace(&mut target.load.limit, meta.limit),
-        }
+        !moved && target.limit.observe(now, meta.limit)
     });
-    if before.is_some_and(|before| before.is_some() != meta.limit.is_some()) {
+    if changed == Some(true) {
         request_log::limit_changed(gateway, target, meta.limit);
     }
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -25,6 +25,7 @@
 use crate::gateway::request::ClientRequest;
 use crate::gateway::retry_budget::{RetryBudget, RetryLimits};
 use crate::gateway::selection::{self, Choice, Criteria};
+use crate::gateway::service_demand::{ServiceDemand, ServiceTag};
 use crate::gateway::targets::{Entry, Target, TargetKey, Targets};
 use crate::telemetry::{Metrics, Telemetry};
 use crate::units::{Clock, Micros};
@@ -70,6 +71,7 @@
     overload: Overload,
     crashes: CrashTracker,
     parts: PartQuarantine,
+    demand: ServiceDemand,
     targets: Targets,
     budgets: HashMap<Arc<str>, RetryBudget>,
 }
@@ -96,6 +98,7 @@
                 overload: Overload::default(),
                 crashes: CrashTracker::default(),
                 parts: PartQuarantine::default(),
+                demand: ServiceDemand::default(),
                 targets: Targets::default(),
                 budgets: HashMap::new(),
             }),
@@ -222,6 +225,7 @@
         };
         let outgoing = rounds::compose(&mut state.peers, now, &input);
         apply_others(state, now, &own);
+        refill_limits(state, now);
         outgoing
     }
 
@@ -232,7 +236,7 @@
         let state = &mut *state;
         let sender = message.sender(from);
         state.peers.record_message(now, sender, message.status(now));
-        let (totals, with_usage) = (message.totals(), message.has_usage());
+        let (totals, with_usage) = (message.totals(now), message.has_usage());
         let scope = message.scope();
         state
             .peers
@@ -342,6 +346,31 @@
         selection::choose(&state.targets, self.clock.now(), &criteria)
     }
 
+    /// Records a client's request in the demand for its service.
+    pub fn record_demand(&self, service: &str) {
+        let now = self.clock.now();
+        self.lock().demand.record(now, ServiceTag::of(service));
+    }
+
+    /// Returns the mean time between two requests for which this gateway has room at a service's
+    /// targets within the limits that they name; `None` if none names a limit.
+    pub fn room_interval(&self, service: &str) -> Option<Micros> {
+        let state = self.lock();
+        let keys = state.targets.of_service(service).iter();
+        let targets = keys.filter_map(|&key| state.targets.get(key));
+        let rates = targets.filter_map(|target| target.limit.own_rate());
+        let rate = rates.reduce(|a, b| a + b)?;
+        Some(Micros((1e6 / rate) as u64))
+    }
+
+    /// Takes the room for one request at a target within the limit that it names. Returns `false`
+    /// if there is none, or the target is no longer listed.
+    pub fn take_room(&self, key: TargetKey) -> bool {
+        let now = self.clock.now();
+        let taken = self.with_target(key, |target| target.limit.take(now));
+        taken == Some(true)
+    }
+
     /// Returns the mean prefill backlog per engine of a service, as the time needed to work it off.
     pub fn mean_backlog(&self, service: &str) -> Micros {
         let state = self.lock();
@@ -405,9 +434,13 @@
         (target.tag, load)
     });
     let loads = loads.collect();
+    let limited = state.targets.iter_mut();
+    let limited = limited.filter_map(|target| Some((target.tag, target.limit.report(now)?)));
     Totals {
         loads,
+        limited: limited.collect(),
         usage: state.shares.local_usage(now).collect(),
+        demand: state.demand.own(now),
     }
 }
 
@@ -425,12 +458,33 @@
     for target in state.targets.iter_mut() {
         let load = others.as_ref().map(|others| others.loads.get(&target.tag));
         target.load.peer_load = load.map(|load| load.copied().unwrap_or_default());
-    }
+        let used = others
+            .as_ref()
+            .map(|others| others.limited.get(&target.tag));
+        target
+            .limit
+            .set_others(used.flatten().copied().unwrap_or_default());
+    }
+    let known = state.peers.addresses().count();
+    let demand = others.as_ref().map(|others| others.demand.clone());
+    state.demand.set_others(demand, known);
     if let Some(others) = others {
         state.shares.set_peer_usage(now, others.usage);
     }
 }
 
+/// Gives this gateway its part of the limits that targets name.
+fn refill_limits(state: &mut State, now: Micros) {
+    for target in state.targets.iter_mut() {
+        let service = ServiceTag::of(&target.entry.service);
+        let part = match target.limit.rate(now) {
+            Some(_) => state.demand.part(now, service),
+            None => 0.0,
+        };
+        target.limit.refill(now, part, rand::random());
+    }
+}
+
 /// What all other gateways cause, as the active aggregator of a zone has summed it up.
 fn others_of_active(peers: &Peers, now: Micros, own: &Totals) -> Totals {
     let mut others = peers.zone_totals(now, own);
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -11,6 +11,7 @@
 use crate::gateway::part_quarantine::CrashTag;
 use crate::gateway::peers::totals::TargetLoad;
 use crate::gateway::prompts::{PrefixCache, mix};
+use crate::gateway::target_limit::TargetLimit;
 use crate::gateway::targets::journal::Journal;
 use crate::units::Micros;
 
@@ -73,9 +74,6 @@
     pub failures: u32,
     /// Time until which the target gets no requests, unless no other target is available.
     pub paused_until: Micros,
-    /// Requests a second that the target takes from all gateways together, as it last said; `None`
-    /// if it names no limit.
-    pub limit: Option<f64>,
 }
 
 /// A listed target.
@@ -91,6 +89,8 @@
     pub load: Load,
     /// Prompt parts that it presumably has cached.
     pub cache: PrefixCache,
+    /// The limit that it names on the requests of all gateways together.
+    pub limit: TargetLimit,
 }
 
 impl Target {
@@ -248,6 +248,7 @@
             entry,
             load,
             cache: PrefixCache::default(),
+            limit: TargetLimit::default(),
         };
         let slot = self.arena.insert((self.generation, target));
         let key = TargetKey {
