--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -14,3 +14,4 @@
 mod retries;
 mod streams;
 mod target;
+mod unframed;
--- a/tests/gateway/target.rs
+++ b/tests/gateway/target.rs
@@ -49,6 +49,18 @@
     Events,
     /// Event 1 and a part of event 2, then the connection is closed.
     TruncatedEvents,
+    /// Events 1 to 3 without length or chunks, delimited by the end of the connection.
+    UnframedEvents,
+    /// Event 1 and a part of event 2 without length or chunks, then the connection is closed.
+    UnframedEventsCut,
+    /// Event 1 without length or chunks, then the connection is reset.
+    UnframedEventsReset,
+    /// Events 2 and 3 without length or chunks, as resumed after event 1.
+    UnframedEventsResumed,
+    /// A 204 without length.
+    NoContent,
+    /// A complete answer to a HEAD request: the length of a body that does not follow.
+    HeadOnly,
     /// Events 1 to 3 after 400 ms.
     LateEvents,
     /// Event 1, then the stream stalls.
@@ -196,6 +208,7 @@
         };
         let complete = head("200 OK", "Content-Length: 4\r\n") + "body";
         let events = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n";
+        let unframed = "Content-Type: text/event-stream\r\nConnection: close\r\n";
         let (text, keep) = match behaviour {
             Behaviour::Complete => (complete, true),
             Behaviour::Limited => {
@@ -252,6 +265,27 @@
                 self.wait_for_end(stream).await;
                 return false;
             }
+            Behaviour::UnframedEvents => {
+                let text = [1, 2, 3].map(event_text).concat();
+                (head("200 OK", unframed) + &text, false)
+            }
+            Behaviour::UnframedEventsCut => {
+                let text = event_text(1) + "id: 2\nda";
+                (head("200 OK", unframed) + &text, false)
+            }
+            Behaviour::UnframedEventsReset => {
+                let text = head("200 OK", unframed) + &event_text(1);
+                stream.write_all(text.as_bytes()).await.expect("it is read");
+                tokio::time::sleep(Duration::from_millis(50)).await;
+                stream.set_zero_linger().expect("it can be reset");
+                return false;
+            }
+            Behaviour::UnframedEventsResumed => {
+                let text = [2, 3].map(event_text).concat();
+                (head("200 OK", unframed) + &text, false)
+            }
+            Behaviour::NoContent => (head("204 No Content", ""), true),
+            Behaviour::HeadOnly => (head("200 OK", "Content-Length: 4\r\n"), true),
             Behaviour::LateEvents => {
                 tokio::time::sleep(Duration::from_millis(400)).await;
                 let rest = event(1) + &event(2) + &event(3) + "0\r\n\r\n";
@@ -309,9 +343,13 @@
     }
 }
 
+fn event_text(number: u32) -> String {
+    format!("id: {number}\ndata: {number}\n\n")
+}
+
 /// Encodes an event as an HTTP chunk.
 fn event(number: u32) -> String {
-    let text = format!("id: {number}\ndata: {number}\n\n");
+    let text = event_text(number);
     format!("{:x}\r\n{text}\r\n", text.len())
 }
 
