Divide the retry slack among all known gateways

On fleets of more than 16 gateways the callers' retries may together go beyond the operator's slack, several times over: at 103 gateways 309 where 48 are allowed. Same class as the named limits: a bound for the fleet that each gateway divides by a constant.

The slack is divided by the number of known gateways, by 16 at least, so that fleets up to that size keep what they had.

--- a/src/gateway/retry_budget.rs
+++ b/src/gateway/retry_budget.rs
@@ -1,7 +1,7 @@
 //! Retry budgets.
 //!
 //! The operator limits the retries of all gateways together. Each gateway keeps to its own part
-//! without coordination: the ratio applied to its own first attempts, plus a fixed fraction of the
+//! without coordination: the ratio applied to its own first attempts, plus an equal part of the
 //! slack.
 
 use std::collections::VecDeque;
@@ -10,8 +10,9 @@
 
 /// Fraction of the ratio that is used; the rest covers requests that are counted elsewhere.
 const RATIO_USED: f64 = 0.8;
-/// Assumed number of gateways among which the slack is divided.
-const SLACK_DIVISOR: f64 = 16.0;
+/// Number of gateways among which the slack is divided at least: a gateway that has just started
+/// knows few others.
+const MIN_GATEWAYS: usize = 16;
 /// Length of one bucket of the sliding window.
 const BUCKET: Micros = Micros::from_ms(250);
 
@@ -45,8 +46,9 @@
         self.current(now, limits).first_attempts += 1;
     }
 
-    /// Takes one retry; returns `false` if none is left.
-    pub fn try_take(&mut self, now: Micros, limits: &RetryLimits) -> bool {
+    /// Takes one retry; returns `false` if none is left. `gateways` is the number of all known
+    /// gateways.
+    pub fn try_take(&mut self, now: Micros, limits: &RetryLimits, gateways: usize) -> bool {
         self.current(now, limits);
         let first_attempts: u64 = self
             .buckets
@@ -54,8 +56,8 @@
             .map(|bucket| bucket.first_attempts)
             .sum();
         let retries: u64 = self.buckets.iter().map(|bucket| bucket.retries).sum();
-        let limit =
-            first_attempts as f64 * limits.ratio * RATIO_USED + limits.slack / SLACK_DIVISOR;
+        let slack = limits.slack / gateways.max(MIN_GATEWAYS) as f64;
+        let limit = first_attempts as f64 * limits.ratio * RATIO_USED + slack;
         let available = (retries + 1) as f64 <= limit;
         if available {
             self.current(now, limits).retries += 1;
--- a/src/gateway/retry_budget/tests.rs
+++ b/src/gateway/retry_budget/tests.rs
@@ -15,7 +15,7 @@
 fn a_gateway_without_traffic_has_a_few_retries() {
     let mut budget = RetryBudget::default();
     let taken = (0..100)
-        .filter(|_| budget.try_take(Micros::ZERO, &LIMITS))
+        .filter(|_| budget.try_take(Micros::ZERO, &LIMITS, GATEWAYS))
         .count();
     assert_eq!(taken, 3);
 }
@@ -23,9 +23,33 @@
 #[test]
 fn retries_are_available_again_after_the_window() {
     let mut budget = RetryBudget::default();
-    while budget.try_take(Micros::ZERO, &LIMITS) {}
-    assert!(!budget.try_take(Micros::from_secs(9), &LIMITS));
-    assert!(budget.try_take(Micros::from_secs(11), &LIMITS));
+    while budget.try_take(Micros::ZERO, &LIMITS, GATEWAYS) {}
+    assert!(!budget.try_take(Micros::from_secs(9), &LIMITS, GATEWAYS));
+    assert!(budget.try_take(Micros::from_secs(11), &LIMITS, GATEWAYS));
+}
+
+/// The retries of a fleet without traffic, all of them at once.
+macro_rules! fleets {
+    ($($name:ident: $gateways:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut budgets: Vec<RetryBudget> =
+                (0..$gateways).map(|_| RetryBudget::default()).collect();
+            let mut taken = 0;
+            for budget in &mut budgets {
+                while budget.try_take(Micros::ZERO, &LIMITS, $gateways) {
+                    taken += 1;
+                }
+            }
+            assert!(f64::from(taken) <= LIMITS.slack, "{taken}");
+        }
+    )*};
+}
+
+fleets! {
+    one_gateway_stays_within_the_slack: 1;
+    twenty_five_gateways_stay_within_the_slack: 25;
+    a_hundred_gateways_stay_within_the_slack: 103;
 }
 
 proptest! {
@@ -42,7 +66,7 @@
             if !is_retry {
                 budgets[gateway].record_first(now, &LIMITS);
                 first_attempts.push(now);
-            } else if budgets[gateway].try_take(now, &LIMITS) {
+            } else if budgets[gateway].try_take(now, &LIMITS, GATEWAYS) {
                 retries.push(now);
             }
         }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -388,7 +388,10 @@
 
     /// Takes one retry from the service's budget. Returns whether one was available.
     pub fn take_retry(&self, service: &Arc<str>) -> bool {
-        self.with_budget(service, RetryBudget::try_take)
+        let gateways = self.with_peers(|peers| peers.addresses().count()) + 1;
+        self.with_budget(service, |budget, now, limits| {
+            budget.try_take(now, limits, gateways)
+        })
     }
 
     fn with_budget<T>(
