Split the state's exchange and the copies' messages, sum reports in one place

Moved and renamed, the same behaviour; the time of the next room is worked out only where no target was found.

--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -44,7 +44,7 @@
     /// Target selected for the request; `None` if the service has none left to try.
     pub choice: Option<Choice>,
     /// Mean time between two requests for which there is room at this gateway within the limits that
-    /// targets name; `None` if no target names one.
+    /// targets name; `None` if no target names one, or there is a choice.
     pub room_interval: Option<Micros>,
     /// Time since the request arrived.
     pub elapsed: Micros,
--- a/src/gateway/copies.rs
+++ b/src/gateway/copies.rs
@@ -4,7 +4,7 @@
 //! Performs no I/O.
 
 use crate::gateway::peers::member::CopyStatus;
-use crate::gateway::peers::wire::Cursor;
+use crate::gateway::peers::wire_targets::Cursor;
 use crate::units::Micros;
 
 /// The copy of the list of targets.
--- a/src/gateway/follow/list.rs
+++ b/src/gateway/follow/list.rs
@@ -12,7 +12,7 @@
 use crate::gateway::follow::follower::list_copy;
 use crate::gateway::follow::missing::MissingEntries;
 use crate::gateway::peers::handover;
-use crate::gateway::peers::wire::{Cursor, WireTargets};
+use crate::gateway::peers::wire_targets::{Cursor, WireTargets};
 use crate::gateway::source;
 use crate::gateway::state::GatewayState;
 use crate::gateway::targets;
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -95,10 +95,14 @@
         self.attempts.gateway.record_demand(&request.service);
         let prompt = request.prompt.as_ref();
         let choice = self.attempts.gateway.choose_target(request, &[]);
+        let room_interval = match choice {
+            Some(_) => None,
+            None => self.attempts.gateway.room_interval(&request.service),
+        };
         let now = self.attempts.gateway.clock.now();
         let context = AdmissionContext {
             choice,
-            room_interval: self.attempts.gateway.room_interval(&request.service),
+            room_interval,
             elapsed: now.saturating_sub(request.arrived),
             remaining: request.deadline().saturating_sub(now),
             latency_objective: request.route.latency_objective.into(),
--- a/src/gateway/overload.rs
+++ b/src/gateway/overload.rs
@@ -21,7 +21,7 @@
 /// Lag beyond which a gateway looks again before it acts on what it has read.
 const NOTICEABLE_LAG: Micros = Micros::from_ms(20);
 /// Lag beyond which a gateway takes nothing new: it would be late for whatever it takes.
-const HOPELESS_LAG: Micros = Micros::from_ms(250);
+const MAX_LAG: Micros = Micros::from_ms(250);
 /// Increase of the shed fraction in one sample interval at twice the target.
 const STEP_UP: f64 = 0.08;
 /// Largest increase in one sample interval, as a multiple of [`STEP_UP`].
@@ -102,8 +102,8 @@
     /// Whether to turn away a new request; `random` is from 0 to 1, and `alone` says that no other
     /// gateway can take it.
     pub fn sheds(&self, random: f64, alone: bool) -> bool {
-        let hopeless = self.lag > HOPELESS_LAG && !alone;
-        hopeless || random < self.shed
+        let is_too_far_behind = self.lag > MAX_LAG && !alone;
+        is_too_far_behind || random < self.shed
     }
 
     /// Whether clients may have left, or targets changed, since the last look.
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -21,6 +21,7 @@
 pub mod service;
 pub mod totals;
 pub mod wire;
+pub mod wire_targets;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -43,7 +44,7 @@
 /// Time without a sign of life after which a gateway is forgotten.
 const PEER_TTL: Micros = Micros::from_secs(60);
 /// How long a gateway that does not answer is left out, though others hear it.
-const SHUN_TIME: Micros = Micros::from_secs(3);
+const EXCLUSION_TIME: Micros = Micros::from_secs(3);
 /// Number of gateways to try at once while nothing is heard from them.
 const LOST_TRIES: usize = 3;
 /// Number of gateways that a gateway introduces besides the first ones of each zone.
@@ -83,7 +84,7 @@
         peer.member = from;
         peer.heard_at = Some(now);
         peer.unanswered = None;
-        peer.shunned_until = Micros::ZERO;
+        peer.excluded_until = Micros::ZERO;
         peer.reports = false;
         peer.status = status;
     }
@@ -120,12 +121,12 @@
     }
 
     /// Records that another gateway heard `member` at `heard_at`.
-    pub fn vouch(&mut self, member: Member, heard_at: Micros) {
+    pub fn record_heard_elsewhere(&mut self, member: Member, heard_at: Micros) {
         if member.addr == self.me.addr {
             return;
         }
         if let Some(peer) = self.peer_mut(member) {
-            peer.vouched_at = peer.vouched_at.max(heard_at);
+            peer.heard_elsewhere = peer.heard_elsewhere.max(heard_at);
         }
     }
 
@@ -136,7 +137,7 @@
         };
         let since = *peer.unanswered.get_or_insert(now);
         if now.saturating_sub(since) >= ALIVE_TTL {
-            peer.shunned_until = now + SHUN_TIME;
+            peer.excluded_until = now + EXCLUSION_TIME;
             peer.unanswered = None;
         }
     }
@@ -159,12 +160,8 @@
 
     /// What all other gateways cause together, from their reports on themselves.
     pub fn direct_totals(&self, now: Micros) -> Totals {
-        let mut sum = Totals::default();
         let reports = self.known.values().map(|peer| peer.own.as_ref());
-        for report in reports.filter_map(|report| fresh(report, now)) {
-            sum.add(&report.totals);
-        }
-        sum
+        sum_of(reports.filter_map(|report| fresh(report, now)))
     }
 
     /// Number of gateways of this zone that are ranked before this one and alive: 0 for the active
@@ -292,13 +289,10 @@
 
     /// What all gateways of this zone cause together; `own` is what this gateway causes.
     pub fn zone_totals(&self, now: Micros, own: &Totals) -> Totals {
-        let mut sum = own.clone();
         let neighbours = self.known.values();
         let neighbours = neighbours.filter(|peer| peer.member.zone == self.me.zone);
-        let reports = neighbours.filter_map(|peer| fresh(peer.own.as_ref(), now));
-        for report in reports {
-            sum.add(&report.totals);
-        }
+        let mut sum = sum_of(neighbours.filter_map(|peer| fresh(peer.own.as_ref(), now)));
+        sum.add(own);
         sum
     }
 
@@ -314,11 +308,7 @@
                 *known = report;
             }
         }
-        let mut sum = Totals::default();
-        for report in newest.values() {
-            sum.add(&report.totals);
-        }
-        sum
+        sum_of(newest.into_values())
     }
 
     /// What a gateway reported on itself.
@@ -397,5 +387,14 @@
     }
 }
 
+/// What these reports add up to.
+fn sum_of<'a>(reports: impl Iterator<Item = &'a Report>) -> Totals {
+    let mut sum = Totals::default();
+    for report in reports {
+        sum.add(&report.totals);
+    }
+    sum
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/gateway/peers/handover.rs
+++ b/src/gateway/peers/handover.rs
@@ -13,7 +13,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
 
-use crate::gateway::peers::wire::{Cursor, HandoverRequest, WireTargets};
+use crate::gateway::peers::wire_targets::{Cursor, HandoverRequest, WireTargets};
 use crate::gateway::state::GatewayState;
 use crate::listen;
 
--- a/src/gateway/peers/peer.rs
+++ b/src/gateway/peers/peer.rs
@@ -26,11 +26,11 @@
     /// Time of the last message from it.
     pub heard_at: Option<Micros>,
     /// Latest time at which another gateway had heard it.
-    pub vouched_at: Micros,
+    pub heard_elsewhere: Micros,
     /// Time of the first message to it that it has not answered yet.
     pub unanswered: Option<Micros>,
     /// Time until which it is left out.
-    pub shunned_until: Micros,
+    pub excluded_until: Micros,
     /// Whether its last message expects an answer.
     pub reports: bool,
     /// How recent its copies of the platform's lists are.
@@ -49,9 +49,9 @@
         Peer {
             member,
             heard_at: None,
-            vouched_at: Micros::ZERO,
+            heard_elsewhere: Micros::ZERO,
             unanswered: None,
-            shunned_until: Micros::ZERO,
+            excluded_until: Micros::ZERO,
             reports: false,
             status: CopyStatus::default(),
             own: None,
@@ -68,15 +68,15 @@
 
     /// Time of the last sign of life; zero if there was none.
     pub fn last_sign(&self) -> Micros {
-        self.heard_at.unwrap_or_default().max(self.vouched_at)
+        self.heard_at.unwrap_or_default().max(self.heard_elsewhere)
     }
 
     /// Whether this gateway hears it, or another one does and it is not left out.
     pub fn is_alive(&self, now: Micros) -> bool {
-        let vouched = self.vouched_at > Micros::ZERO
-            && now.saturating_sub(self.vouched_at) < ALIVE_TTL
-            && now >= self.shunned_until;
-        self.is_heard(now) || vouched
+        let heard_by_others = self.heard_elsewhere > Micros::ZERO
+            && now.saturating_sub(self.heard_elsewhere) < ALIVE_TTL
+            && now >= self.excluded_until;
+        self.is_heard(now) || heard_by_others
     }
 }
 
--- a/src/gateway/peers/rounds/tests.rs
+++ b/src/gateway/peers/rounds/tests.rs
@@ -110,7 +110,7 @@
         let (totals, usage) = (message.totals(now), message.has_usage());
         peers.record_report(now, from.addr, message.scope(), totals, usage);
         for (member, heard_at) in message.introductions(now) {
-            peers.vouch(member, heard_at);
+            peers.record_heard_elsewhere(member, heard_at);
         }
     }
 
--- a/src/gateway/peers/tests.rs
+++ b/src/gateway/peers/tests.rs
@@ -4,7 +4,8 @@
 
 use super::member::{CopyStatus, Member, Scope, ZoneTag};
 use super::totals::{TargetLoad, Totals};
-use super::wire::{Cursor, GossipMessage, MAX_DATAGRAM_BYTES, WireTargets};
+use super::wire::{GossipMessage, MAX_DATAGRAM_BYTES};
+use super::wire_targets::{Cursor, WireTargets};
 use super::{MAX_PEERS, Peers};
 use crate::claim::Digest;
 use crate::gateway::directory::{Change, ChangeBatch};
@@ -104,7 +105,7 @@
 fn a_gateway_that_others_hear_but_that_does_not_answer_is_left_out() {
     let mut peers = Peers::new(member(1), [].into_iter());
     for ms in (0..1_000).step_by(100) {
-        peers.vouch(member(2), at(ms + 1));
+        peers.record_heard_elsewhere(member(2), at(ms + 1));
         peers.record_sent(at(ms), addr(2));
     }
     assert!(peers.aggregators(at(1_000)).is_empty());
@@ -126,7 +127,7 @@
     let mut peers = Peers::new(member(1), [].into_iter());
     for host in 2..3_000 {
         peers.record_message(at(0), member(host), status(1));
-        peers.vouch(member(10_000 + host), at(1));
+        peers.record_heard_elsewhere(member(10_000 + host), at(1));
     }
     assert_eq!(peers.known.len(), MAX_PEERS);
 }
--- a/src/gateway/peers/wire.rs
+++ b/src/gateway/peers/wire.rs
@@ -6,14 +6,13 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::gateway::directory::{Change, ChangeBatch};
 use crate::gateway::fair_share::{AccountTag, Usage};
 use crate::gateway::part_quarantine::{CrashTag, Suspicion};
 use crate::gateway::peers::member::{CopyStatus, Member, Scope, ZoneTag};
 use crate::gateway::peers::totals::{TargetLoad, Totals};
 use crate::gateway::service_demand::ServiceTag;
 use crate::gateway::target_limit::{LimitedUse, Observation};
-use crate::gateway::targets::{Entry, TargetTag, Targets};
+use crate::gateway::targets::TargetTag;
 use crate::quarantine::QuarantineEvent;
 use crate::units::Micros;
 
@@ -139,47 +138,6 @@
     age: u32,
 }
 
-/// Request for a copy of a peer's state.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum HandoverRequest {
-    /// The configuration.
-    Config,
-    /// The list of targets: only its changes if the requester has a copy of that process's list.
-    Targets(Option<Cursor>),
-}
-
-/// A state of a gateway's list of targets.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Cursor {
-    /// Random id of the gateway's process.
-    pub boot: u64,
-    /// Number of the last change in its journal.
-    pub change: u64,
-}
-
-/// A gateway's list of targets, or its changes.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
-pub struct WireTargets {
-    /// State of the list.
-    pub cursor: Cursor,
-    /// Whether this is the complete list.
-    pub complete: bool,
-    next: u64,
-    targets: Vec<WireTarget>,
-    removed: Vec<String>,
-}
-
-#[derive(Clone, Debug, Serialize, Deserialize)]
-struct WireTarget {
-    id: String,
-    service: String,
-    addr: SocketAddr,
-    zone: String,
-    slots: u32,
-    leaving: bool,
-    born: Option<u64>,
-}
-
 /// Error for a datagram that is not a gossip message of this version, or that exceeds a bound.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("not a valid gossip message")]
@@ -467,70 +425,3 @@
         (AccountTag(row.account), usage)
     }
 }
-
-impl WireTargets {
-    /// Builds the answer to a request for `targets`, the list of the process `boot`, which is
-    /// complete up to the offset `next` of the platform's list. `seen` is the state that the
-    /// requester has copied.
-    pub fn new(boot: u64, next: u64, targets: &Targets, seen: Option<Cursor>) -> Self {
-        let cursor = Cursor {
-            boot,
-            change: targets.journal().last(),
-        };
-        let mut list = WireTargets {
-            cursor,
-            next,
-            ..WireTargets::default()
-        };
-        let seen = seen.filter(|seen| seen.boot == boot);
-        let Some(changed) = seen.and_then(|seen| targets.journal().since(seen.change)) else {
-            list.complete = true;
-            let rows = targets.iter().map(|t| WireTarget::from((&*t.id, &t.entry)));
-            list.targets = rows.collect();
-            return list;
-        };
-        for id in changed {
-            match targets.by_id(id) {
-                Some(target) => list.targets.push((&**id, &target.entry).into()),
-                None => list.removed.push(id.to_string()),
-            }
-        }
-        list
-    }
-}
-
-impl From<(&str, &Entry)> for WireTarget {
-    fn from((id, entry): (&str, &Entry)) -> Self {
-        WireTarget {
-            id: id.to_owned(),
-            service: entry.service.to_string(),
-            addr: entry.addr,
-            zone: entry.zone.to_string(),
-            slots: entry.slots,
-            leaving: entry.draining,
-            born: entry.started_at,
-        }
-    }
-}
-
-impl From<WireTargets> for ChangeBatch {
-    fn from(list: WireTargets) -> Self {
-        let put = |target: WireTarget| {
-            let entry = Entry {
-                service: target.service.into(),
-                addr: target.addr,
-                zone: target.zone.into(),
-                slots: target.slots,
-                draining: target.leaving,
-                started_at: target.born,
-            };
-            Change::Target(target.id.into(), entry)
-        };
-        let removed = list.removed.into_iter();
-        let removed = removed.map(|id| Change::Removed(id.into()));
-        ChangeBatch {
-            next: list.next,
-            changes: list.targets.into_iter().map(put).chain(removed).collect(),
-        }
-    }
-}
--- /dev/null
+++ b/src/gateway/state/exchange.rs
@@ -0,0 +1,137 @@
+//! What a gateway reports to others, and how it applies what they report.
+
+use std::net::SocketAddr;
+
+use crate::gateway::peers::Peers;
+use crate::gateway::peers::member::Scope;
+use crate::gateway::peers::rounds::{self, Outgoing, RoundInput};
+use crate::gateway::peers::totals::{TargetLoad, Totals};
+use crate::gateway::peers::wire::{self, GossipMessage};
+use crate::gateway::service_demand::ServiceTag;
+use crate::gateway::state::{GatewayState, State};
+use crate::units::Micros;
+
+impl GatewayState {
+    /// Composes the gossip messages of a round, and applies what other gateways have reported.
+    pub fn gossip_round(&self, round: u64) -> Vec<Outgoing> {
+        let now = self.clock.now();
+        let version = self.config.load().version;
+        let mut state = self.lock();
+        let state = &mut *state;
+        let own = own_totals(state, now);
+        let change = state.targets.journal().last();
+        let status = state.copies.status(version, self.boot, change);
+        let mut base = GossipMessage::new(now, state.peers.me(), &status);
+        if rounds::is_full(round) {
+            let suspicions = state.parts.to_send(now, wire::MAX_SUSPICIONS);
+            base = base
+                .with_crashes(state.crashes.events(now))
+                .with_suspicions(now, &suspicions);
+        }
+        let input = RoundInput {
+            round,
+            own: &own,
+            base,
+        };
+        let outgoing = rounds::compose(&mut state.peers, now, &input);
+        apply_others(state, now, &own);
+        refill_limits(state, now);
+        outgoing
+    }
+
+    /// Processes a message from another gateway.
+    pub fn receive_gossip(&self, from: SocketAddr, message: &GossipMessage) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let state = &mut *state;
+        let sender = message.sender(from);
+        state.peers.record_message(now, sender, message.status(now));
+        let (totals, with_usage) = (message.totals(now), message.has_usage());
+        let scope = message.scope();
+        state
+            .peers
+            .record_report(now, from, scope, totals, with_usage);
+        for (member, heard_at) in message.introductions(now) {
+            state.peers.record_heard_elsewhere(member, heard_at);
+        }
+        if !message.crashes.is_empty() {
+            state.crashes.merge(now, &message.crashes);
+        }
+        state.parts.merge(now, message.suspicions(now));
+        if scope == Scope::Others || state.peers.is_small_fleet() {
+            let own = own_totals(state, now);
+            apply_others(state, now, &own);
+        }
+    }
+}
+
+/// The load and usage that this gateway causes.
+fn own_totals(state: &mut State, now: Micros) -> Totals {
+    let busy = state.targets.iter().filter(|target| target.load.active > 0);
+    let loads = busy.map(|target| {
+        let (active, prefill_tokens) = (target.load.active, target.load.prefill_tokens);
+        let load = TargetLoad {
+            active,
+            prefill_tokens,
+        };
+        (target.tag, load)
+    });
+    let loads = loads.collect();
+    let limited = state.targets.iter_mut();
+    let limited = limited.filter_map(|target| Some((target.tag, target.limit.report(now)?)));
+    Totals {
+        loads,
+        limited: limited.collect(),
+        usage: state.shares.local_usage(now).collect(),
+        demand: state.demand.own(now),
+    }
+}
+
+/// Applies what all other gateways cause to the targets' load and the accounts' usage. `own` is
+/// what this gateway causes.
+fn apply_others(state: &mut State, now: Micros, own: &Totals) {
+    let others = match state.peers.rank(now) {
+        _ if state.peers.is_small_fleet() && state.peers.any_alive(now) => {
+            Some(state.peers.direct_totals(now))
+        }
+        0 if state.peers.any_alive(now) => Some(others_of_active(&state.peers, now, own)),
+        0 => None,
+        _ => state.peers.others(now).cloned(),
+    };
+    for target in state.targets.iter_mut() {
+        let load = others.as_ref().map(|others| others.loads.get(&target.tag));
+        target.load.peer_load = load.map(|load| load.copied().unwrap_or_default());
+        let used = others
+            .as_ref()
+            .map(|others| others.limited.get(&target.tag));
+        target
+            .limit
+            .set_others(used.flatten().copied().unwrap_or_default());
+    }
+    let known = state.peers.addresses().count();
+    let demand = others.as_ref().map(|others| others.demand.clone());
+    state.demand.set_others(demand, known);
+    if let Some(others) = others {
+        state.shares.set_peer_usage(now, others.usage);
+    }
+}
+
+/// Gives this gateway its part of the limits that targets name.
+fn refill_limits(state: &mut State, now: Micros) {
+    for target in state.targets.iter_mut() {
+        let service = ServiceTag::of(&target.entry.service);
+        let part = match target.limit.rate(now) {
+            Some(_) => state.demand.part(now, service),
+            None => 0.0,
+        };
+        target.limit.refill(now, part, rand::random());
+    }
+}
+
+/// What all other gateways cause, as the active aggregator of a zone has summed it up.
+fn others_of_active(peers: &Peers, now: Micros, own: &Totals) -> Totals {
+    let mut others = peers.zone_totals(now, own);
+    others.subtract(own);
+    others.add(&peers.remote_totals(now));
+    others
+}
