Let the end of a quarantine not depend on the order of reports

The property test of merging failed once in some 30 runs: parts suspected in the same crashes, reported with times 1 ms apart, left the quarantine at the time of whichever part the hash map gave first. Callers would have seen gateways that let the part through 1 ms apart; harmless, but wrong.

The latest end of the parts counts.

--- a/src/gateway/part_quarantine/tests.rs
+++ b/src/gateway/part_quarantine/tests.rs
@@ -171,6 +171,28 @@
     assert!(!is_refused(&mut quarantine, 8_000, &[COMMON, SOUND]));
 }
 
+/// Parts of the same crashes may be reported with different times; the later one counts, in
+/// whatever order they come.
+#[test]
+fn the_end_of_a_quarantine_does_not_depend_on_the_order_of_reports() {
+    for order in [[0, 1], [1, 0]] {
+        let mut quarantine = PartQuarantine::default();
+        for part in order {
+            let rows = (0..3).map(|crash| Suspicion {
+                part,
+                crash: CrashTag(crash),
+                at: at(1_000 * u64::from(crash) + 1_000 + part),
+                flight: at(300),
+                cleared: false,
+            });
+            quarantine.merge(at(4_000), rows);
+        }
+        let end = 1_001 + CRASH_TTL.as_ms();
+        assert!(is_refused(&mut quarantine, end - 1, &[0, 1]));
+        assert!(!is_refused(&mut quarantine, end, &[0, 1]));
+    }
+}
+
 #[test]
 fn a_crash_that_several_gateways_report_counts_once() {
     let mut quarantine = PartQuarantine::default();
--- a/src/gateway/part_quarantine/verdict.rs
+++ b/src/gateway/part_quarantine/verdict.rs
@@ -14,7 +14,7 @@
 pub type OfPart = SmallVec<[Suspicion; 4]>;
 
 /// Parts that are suspected in the same crashes.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 struct Group {
     parts: Vec<u64>,
     until: Micros,
@@ -34,10 +34,8 @@
         for of_part in suspected {
             let mut crashes: Vec<CrashTag> = of_part.iter().map(|s| s.crash).collect();
             crashes.sort_unstable();
-            let group = by_crashes.entry(crashes).or_insert_with(|| Group {
-                parts: Vec::new(),
-                until: expiry(&of_part) + ttl,
-            });
+            let group = by_crashes.entry(crashes).or_default();
+            group.until = group.until.max(expiry(&of_part) + ttl);
             group.parts.push(of_part[0].part);
             group.parts.sort_unstable();
         }
