Tell an account at its fair share with 429 that it is the one to wait

Callers of an account beyond its share were told 503, that the targets cannot take the request, and could not tell it from a lack of capacity.

Cause: gateway::admission used 503 for both. Ruled out: a sound part in quarantine (25 of 25 gateways held back one part). Now 429 with the reason share_reached, 'not run' as before; entries already answer 429 where an account's own queue is full.

--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -64,11 +64,10 @@
 /// `Retry-After`.
 ///
 /// # Errors
-/// Returns a 503 problem with `Retry-After` if
+/// Returns a 429 problem with `Retry-After` if the client account has reached its fair share while
+/// the selected target or the engines are busy. Returns a 503 problem with `Retry-After` if
 /// - there is no target, or none with room within the limit that it names,
-/// - the response is not expected to start before the deadline,
-/// - the client account has reached its fair share while the selected target or the engines are
-///   busy, or
+/// - the response is not expected to start before the deadline, or
 /// - a request to an engine would miss its latency objective and would have to wait long for other
 ///   requests.
 pub fn admit(context: &AdmissionContext, random: f64) -> Result<Choice, Problem> {
@@ -85,11 +84,8 @@
     let busy = choice.wait > fraction(context.latency_objective, MAX_WAIT_AT_FAIR_SHARE)
         || context.backlog > fraction(context.latency_objective, MAX_BACKLOG_AT_FAIR_SHARE);
     if context.share == ShareStatus::ReachedShare && busy {
-        return Err(refuse(
-            Reason::NoCapacity,
-            RETRY_AFTER_AT_FAIR_SHARE,
-            random,
-        ));
+        let wait = jittered(RETRY_AFTER_AT_FAIR_SHARE, random);
+        return Err(Problem::not_run(429, Reason::ShareReached).retry_after(wait));
     }
     let late = (context.elapsed + needed).saturating_sub(context.latency_objective);
     // A request that is late because of its own size is admitted: a retry would take as long.
--- a/src/problem.rs
+++ b/src/problem.rs
@@ -32,6 +32,8 @@
     ClaimedElsewhere,
     /// The account's own queue is full.
     QueueFull,
+    /// The account has reached its fair share while targets are busy.
+    ShareReached,
     /// No target can accept the request.
     NoCapacity,
     /// This process has more work than its processor can do.
@@ -112,6 +114,7 @@
             Reason::KeyReused => "the idempotency key was used with another request",
             Reason::ClaimedElsewhere => "another request holds the idempotency key",
             Reason::QueueFull => "the account's queue is full",
+            Reason::ShareReached => "the account has reached its fair share of busy targets",
             Reason::NoCapacity => "no target can take the request",
             Reason::Overloaded => "this host has more work than it can do",
             Reason::DeadlinePassed => "the request's deadline cannot be met",
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -97,7 +97,7 @@
 );
 
 /// All rejection reasons, in declaration order.
-const REASONS: [Reason; 15] = [
+const REASONS: [Reason; 16] = [
     Reason::BadKey,
     Reason::BadRequest,
     Reason::NoService,
@@ -105,6 +105,7 @@
     Reason::KeyReused,
     Reason::ClaimedElsewhere,
     Reason::QueueFull,
+    Reason::ShareReached,
     Reason::NoCapacity,
     Reason::Overloaded,
     Reason::DeadlinePassed,
@@ -124,6 +125,7 @@
         Reason::KeyReused => "key_reused",
         Reason::ClaimedElsewhere => "claimed_elsewhere",
         Reason::QueueFull => "queue_full",
+        Reason::ShareReached => "share_reached",
         Reason::NoCapacity => "no_capacity",
         Reason::Overloaded => "overloaded",
         Reason::DeadlinePassed => "deadline_passed",
