--- a/src/gateway/target_limit.rs
+++ b/src/gateway/target_limit.rs
@@ -8,11 +8,11 @@
 //! - Each gateway's part of the rate is its part of the demand for the service, which gateways
 //!   report to each other. The parts add up to the whole rate, however many gateways there are.
 //! - The part fills a token bucket, which starts at a random level: the gateways' turns are spread
-//!   evenly in time. A token that is not used within [`TOKEN_TTL`] is lost, so that idle gateways
+//!   evenly in time. A token that is not used within `TOKEN_TTL` is lost, so that idle gateways
 //!   do not all hold one when demand rises.
 //! - What all gateways have sent of late closes the target in addition when it reaches the rate,
 //!   which makes up for reports that differ from each other. While it is below the rate, the parts
-//!   are larger by up to [`MAX_EXCESS`], which makes up for lost tokens.
+//!   are larger by up to `MAX_EXCESS`, which makes up for lost tokens.
 //! - The newest answer of the target that any gateway has seen gives the rate, or ends it.
 //! - A gateway that hears no other one takes as its part one of the gateways that it knows.
 //!
