Name the crashing part in tests plainly, and say what the factors are factors of

Read again as a newcomer: 'deadly' was the users' word, two constants did not say what they are a factor of, and a window stood twice.

--- a/src/gateway/fair_share.rs
+++ b/src/gateway/fair_share.rs
@@ -25,8 +25,8 @@
 /// How long computed shares are cached.
 const SHARES_TTL: Micros = Micros::from_ms(50);
 
-/// Part of its share that an account which requests more is admitted, so that the share is used up
-/// although the requests are chosen at random.
+/// What is admitted of an account that requests more than its share, as a factor of the share: above
+/// 1, so that the share is used up although the requests are chosen at random.
 const EXCESS_ADMITTED: f64 = 1.25;
 
 /// Identifies a client account in all processes and in all versions of the configuration.
--- a/src/gateway/part_quarantine/tests/fleet.rs
+++ b/src/gateway/part_quarantine/tests/fleet.rs
@@ -33,7 +33,7 @@
     /// Requests a second.
     rate: f64,
     /// Share of requests with a culprit.
-    deadly: f64,
+    crashing: f64,
     /// Number of parts that crash engines.
     culprits: u64,
     /// Number of other parts, each as likely as the others.
@@ -52,7 +52,7 @@
     sent: u64,
     begins: u64,
     parts: [u64; 2],
-    deadly: bool,
+    crashing: bool,
 }
 
 /// What came of a load.
@@ -121,8 +121,8 @@
             return;
         };
         let gateway = self.random.random_range(0..self.load.gateways);
-        let deadly = self.random.random_bool(self.load.deadly);
-        let part = match deadly {
+        let crashing = self.random.random_bool(self.load.crashing);
+        let part = match crashing {
             true => CULPRIT + self.random.random_range(0..self.load.culprits),
             false => 0x10_0000 + self.random.random_range(0..self.load.parts),
         };
@@ -130,7 +130,7 @@
         let refused = self.gateways[gateway]
             .remaining(at(now), parts.into_iter())
             .is_some();
-        if !deadly {
+        if !crashing {
             self.outcome.sound += 1;
             self.outcome.sound_refused += usize::from(refused);
         }
@@ -138,7 +138,7 @@
             return;
         }
         let counts = self.fifth_at.is_some_and(|fifth| now > fifth + CONTACT_MS);
-        self.outcome.too_late += usize::from(deadly && counts);
+        self.outcome.too_late += usize::from(crashing && counts);
         let flight = self.random.random_range(STEP_MS..=self.load.flight_ms);
         self.waiting.push(Waiting {
             gateway,
@@ -146,14 +146,14 @@
             sent: now,
             begins: now + flight,
             parts,
-            deadly,
+            crashing,
         });
     }
 
     fn begin(&mut self, now: u64) {
         while let Some(index) = self.waiting.iter().position(|w| w.begins <= now) {
             let request = self.waiting.swap_remove(index);
-            if request.deadly {
+            if request.crashing {
                 let engine = request.engine;
                 self.waiting.push(request);
                 self.crash(now, engine);
@@ -215,7 +215,7 @@
     gateways: 4,
     engines: 18,
     rate: 120.0,
-    deadly: 0.015,
+    crashing: 0.015,
     culprits: 1,
     parts: 700,
     flight_ms: 1_000,
@@ -241,12 +241,12 @@
 
 fleets! {
     one_culprit_before_a_small_fleet: SMALL;
-    one_rare_culprit: Load { deadly: 0.004, ..SMALL };
-    one_frequent_culprit: Load { deadly: 0.06, ..SMALL };
+    one_rare_culprit: Load { crashing: 0.004, ..SMALL };
+    one_frequent_culprit: Load { crashing: 0.06, ..SMALL };
     one_culprit_with_long_queues: Load { flight_ms: 3_000, ..SMALL };
-    two_culprits_at_once: Load { culprits: 2, deadly: 0.03, ..SMALL };
+    two_culprits_at_once: Load { culprits: 2, crashing: 0.03, ..SMALL };
     few_other_parts: Load { parts: 5, ..SMALL };
-    outages_without_a_culprit: Load { deadly: 0.0, outages: &[5_000, 9_000, 9_500, 14_000], ..SMALL };
+    outages_without_a_culprit: Load { crashing: 0.0, outages: &[5_000, 9_000, 9_500, 14_000], ..SMALL };
     outages_with_a_culprit: Load { outages: &[5_000, 9_000, 9_500, 14_000], ..SMALL };
     a_larger_fleet: Load { gateways: 31, engines: 50, rate: 400.0, parts: 2_000, ..SMALL };
 }
--- a/src/gateway/state/exchange.rs
+++ b/src/gateway/state/exchange.rs
@@ -65,7 +65,7 @@
     }
 }
 
-/// The load and usage that this gateway causes.
+/// What this gateway causes and knows.
 fn own_totals(state: &mut State, now: Micros) -> Totals {
     let busy = state.targets.iter().filter(|target| target.load.active > 0);
     let loads = busy.map(|target| {
--- a/src/gateway/target_limit.rs
+++ b/src/gateway/target_limit.rs
@@ -24,11 +24,11 @@
 /// Length of the window in which the requests of all gateways are counted, in milliseconds.
 const WINDOW_MS: u64 = 4_000;
 /// [`WINDOW_MS`] in seconds.
-const WINDOW_S: f64 = 4.0;
+const WINDOW_S: f64 = WINDOW_MS as f64 / 1_000.0;
 /// Time for which a gateway may use a token.
 const TOKEN_TTL: Micros = Micros::from_secs(2);
-/// Most by which the gateways' parts together may exceed the rate while it is not used up, to make
-/// up for lost tokens.
+/// Maximum sum of the gateways' parts while the rate is not used up, as a factor of the rate. What
+/// exceeds 1 makes up for lost tokens.
 const MAX_EXCESS: f64 = 1.5;
 /// Time without a newer answer after which a limit no longer holds.
 const LIMIT_TTL: Micros = Micros::from_secs(30);
@@ -142,8 +142,8 @@
             self.tokens = Some(random);
             return;
         };
-        let unused = rate * WINDOW_S / sent.max(1.0);
-        self.own_rate = rate * part * unused.clamp(1.0, MAX_EXCESS);
+        let excess = rate * WINDOW_S / sent.max(1.0);
+        self.own_rate = rate * part * excess.clamp(1.0, MAX_EXCESS);
         *tokens += self.own_rate * elapsed;
         let most = 1.0 + self.own_rate * TOKEN_TTL.as_secs_f64();
         if *tokens > most {
--- a/tests/gateway/deadly_part.rs
+++ b/tests/gateway/crashing_part.rs
@@ -35,7 +35,7 @@
 async fn send_round(gateway: &TestGateway, round: usize) -> (u16, usize) {
     let path = format!("/stream/{round}");
     let headers = prompt("5c1e:800,dead:410", 1_000 + round);
-    let deadly = gateway.call_with("POST", &path, &headers).await;
+    let crashing = gateway.call_with("POST", &path, &headers).await;
     let mut served = 0;
     for own in 0..3 {
         let path = format!("/stream/{round}-{own}");
@@ -43,7 +43,7 @@
         let reply = gateway.call_with("POST", &path, &headers).await;
         served += usize::from(reply.status == 200 && reply.complete);
     }
-    (deadly.status, served)
+    (crashing.status, served)
 }
 
 #[tokio::test]
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -3,7 +3,7 @@
 mod answers;
 #[path = "../common/mod.rs"]
 mod common;
-mod deadly_part;
+mod crashing_part;
 mod diagnosis;
 mod directory;
 mod endless;
