--- a/review/rig/fleet.rs
+++ b/review/rig/fleet.rs
@@ -365,7 +365,7 @@
         let mixed = seed.wrapping_mul(2_654_435_761).wrapping_add(attempt * 7_919);
         let (host, port) = ((mixed >> 8) as u8, 20_000 + (mixed >> 16) as u16 % 10_000);
         let free = |machine: u8, port: u16| TcpListener::bind(address(host, machine, port)).is_ok();
-        let machines = [1, 2, 3, 4, 250];
+        let machines = [1, 2, 3, 4, 5, 6, 250];
         let all = machines.iter().all(|&machine| (0..PORTS).all(|offset| free(machine, port + offset)));
         all.then_some((host, port))
     })
--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -4,6 +4,7 @@
 mod fleet;
 mod http;
 mod goes_on;
+mod memory;
 mod poison;
 mod store;
 mod worker;
@@ -17,9 +18,10 @@
             0
         }
         Some("goes-on") => goes_on::main(trouble),
+        Some("memory") => memory::main(trouble),
         Some("poison") => poison::main(trouble),
         _ => {
-            eprintln!("usage: rig worker|poison|goes-on");
+            eprintln!("usage: rig worker|poison|goes-on|memory");
             2
         }
     };
--- a/review/rig/poison.rs
+++ b/review/rig/poison.rs
@@ -1,4 +1,4 @@
-//! A request that crashes its workers, beside ordinary streams, at four gateways.
+//! A request that crashes its workers, beside ordinary streams, at five gateways.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -10,19 +10,21 @@
 
 const HOST: &str = "ficu95.example";
 const KEY: &str = "asnmgkcuyj8pjbvk9m68";
-const GATEWAYS: usize = 4;
-const WORKERS: usize = 8;
+const GATEWAYS: usize = 5;
+const WORKERS: usize = 12;
 /// Slots of a worker, as on the sheet.
 const SLOTS: usize = 96;
 /// Time for which a crashed worker is down.
 const DOWN: Duration = Duration::from_millis(2_500);
-/// Ordinary streams that each gateway has open: 75 a worker, from all gateways together.
-const STREAMS: usize = 150;
+/// Ordinary streams that each gateway has open: 58 a worker, from all gateways together.
+const STREAMS: usize = 140;
 /// Ids of shared parts, as many as the sheet's smallest set.
 const SHARED: u64 = 40;
-/// Time between two requests that crash; one gateway gets them in turn.
-const PAUSE: Duration = Duration::from_millis(3_200);
-const POISONS: usize = 18;
+/// Time between two rounds, in each of which the client sends the request and repeats it at once, as
+/// often as `retry_abuse` says (x 3), each time at another gateway.
+const PAUSE: Duration = Duration::from_millis(3_400);
+const ROUNDS: usize = 8;
+const REPEATS: usize = 3;
 /// `contactMs` of the sheet, in seconds.
 const CONTACT: f64 = 3.0;
 /// Retries that the rule allows.
@@ -102,19 +104,20 @@
         })
     }).collect();
     thread::sleep(Duration::from_secs(6));
-    for round in 0..POISONS {
-        let gateway = &fleet.gateways[round % GATEWAYS];
-        let (front, name) = (gateway.front, gateway.name.clone());
-        let record = fleet.record.clone();
-        // The same path, caller and body each time; each client attempt has its own id.
-        let id = format!("ffff{round:012x}");
-        let bytes = request("/lohu930/stream/again", &id, 3, 0x8000_0001, "events=3;gap=60;this one CRASHES a worker");
-        record.add(format!("again: {id} to {name}"));
-        thread::spawn(move || {
-            let answer = http::call(front, &bytes, Duration::from_secs(11));
+    for round in 0..ROUNDS {
+        for attempt in 0..=REPEATS {
+            let gateway = &fleet.gateways[(round + attempt) % GATEWAYS];
+            // The same path, caller and body each time; each client attempt has its own id.
+            let id = format!("ffff{:012x}", round * 16 + attempt);
+            let bytes = request("/lohu930/stream/again", &id, 3, 0x8000_0001, "events=3;gap=60;this one CRASHES a worker");
+            fleet.record.add(format!("again: {id} to {}", gateway.name));
+            let answer = http::call(gateway.front, &bytes, Duration::from_secs(11));
             let text = answer.map_or_else(|error| error.to_string(), |a| format!("{} {}", a.status, a.complete));
-            record.add(format!("again: {id} answered {text}"));
-        });
+            fleet.record.add(format!("again: {id} answered {text}"));
+            if text.starts_with("200") {
+                break;
+            }
+        }
         thread::sleep(PAUSE);
     }
     stop.store(true, Ordering::SeqCst);
