--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Four gateways, eight workers; a request that crashes its workers comes again and again.
+# Five gateways, twelve workers; a request that crashes its workers comes again and again.
 # Exit status: 1 broken, 0 held, 2 could not run. TROUBLE=0: the request crashes nothing.
 cd "$(dirname "$0")/../.." || exit 2
 here=review/1
--- a/review/rig/goes_on.rs
+++ b/review/rig/goes_on.rs
@@ -143,7 +143,7 @@
             }
         }
     }
-    record.add(format!("streams served whole: {served}; gone on at another worker: {moved}; of these, the worker before still at work {STOPPED} s later: {both}"));
+    record.add(format!("summary: streams served whole: {served}; gone on at another worker: {moved}; of these, the worker before still at work {STOPPED} s later: {both}"));
     if served < 50 {
         return Err(format!("too little was served: {served}"));
     }
