--- a/review/rig/fleet.rs
+++ b/review/rig/fleet.rs
@@ -29,7 +29,10 @@
 
 impl Record {
     pub fn new() -> Record {
-        Record { start: Instant::now(), lines: Arc::default() }
+        Record {
+            start: Instant::now(),
+            lines: Arc::default(),
+        }
     }
 
     pub fn now(&self) -> f64 {
@@ -47,7 +50,10 @@
 
     pub fn write(&self, path: &Path) {
         let lines = self.lines();
-        let text: Vec<String> = lines.iter().map(|(at, line)| format!("{at:8.3} {line}")).collect();
+        let text: Vec<String> = lines
+            .iter()
+            .map(|(at, line)| format!("{at:8.3} {line}"))
+            .collect();
         let _ = fs::write(path, text.join("\n") + "\n");
     }
 }
@@ -60,7 +66,9 @@
     thread::spawn(move || {
         thread::sleep(time);
         for pid in RUNNING.lock().unwrap().iter() {
-            let _ = Command::new("kill").args(["-KILL", &pid.to_string()]).status();
+            let _ = Command::new("kill")
+                .args(["-KILL", &pid.to_string()])
+                .status();
         }
         eprintln!("the case took too long");
         std::process::exit(2);
@@ -77,10 +85,6 @@
         running.push(child.id());
         Ok(Process(child))
     }
-
-    pub fn signal(&self, name: &str) {
-        let _ = Command::new("kill").arg(format!("-{name}")).arg(self.0.id().to_string()).status();
-    }
 }
 
 impl Drop for Process {
@@ -140,7 +144,11 @@
 impl Fleet {
     /// Starts the store and writes the configuration into it.
     pub fn start(plan: &Plan) -> Result<Fleet, String> {
-        let seed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().subsec_nanos() ^ std::process::id();
+        let seed = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap()
+            .subsec_nanos()
+            ^ std::process::id();
         let dir = std::env::temp_dir().join(format!("review-{}-{seed:x}", std::process::id()));
         fs::create_dir_all(&dir).map_err(|error| error.to_string())?;
         let (host, port) = free_ports(seed).ok_or("no free ports")?;
@@ -148,8 +156,15 @@
         let store = Store::start(store_addr).map_err(|error| error.to_string())?;
         store.append("keyed.op", "config", &plan.config);
         let deploy = fs::read_to_string("deploy/system.toml").map_err(|error| error.to_string())?;
-        let run = deploy.lines().find_map(|line| line.strip_prefix("run = ")).ok_or("no run line")?;
-        let run = run.trim_matches('"').split(' ').map(str::to_owned).collect();
+        let run = deploy
+            .lines()
+            .find_map(|line| line.strip_prefix("run = "))
+            .ok_or("no run line")?;
+        let run = run
+            .trim_matches('"')
+            .split(' ')
+            .map(str::to_owned)
+            .collect();
         let mut fleet = Fleet {
             record: Record::new(),
             store,
@@ -169,8 +184,11 @@
     }
 
     fn add_gateway(&mut self, index: usize, count: usize) -> Result<(), String> {
-        let at = |machine: usize, port: u16| address(self.host, machine as u8 + 1, self.port + port);
-        let seeds: Vec<String> = (0..count.min(3)).map(|seed| format!("\"{}\"", at(seed, 2))).collect();
+        let at =
+            |machine: usize, port: u16| address(self.host, machine as u8 + 1, self.port + port);
+        let seeds: Vec<String> = (0..count.min(3))
+            .map(|seed| format!("\"{}\"", at(seed, 2)))
+            .collect();
         let zone = format!("zone-{}", (b'a' + index as u8) as char);
         let ip = at(index, 0).ip().to_string();
         let values = HashMap::from([
@@ -182,7 +200,10 @@
             ("seeds|json", format!("[{}]", seeds.join(","))),
             ("bootstrap", "true".to_owned()),
             ("zone", zone),
-            ("provider.address", address(self.host, 250, self.port).to_string()),
+            (
+                "provider.address",
+                address(self.host, 250, self.port).to_string(),
+            ),
             ("limits.maxFds", "4200".to_owned()),
             ("limits.memoryMb", "260".to_owned()),
             ("limits.cpuShare", "0.19".to_owned()),
@@ -191,7 +212,8 @@
             ("bounds.retrySlack", "54".to_owned()),
             ("bounds.retryWindowS", "10".to_owned()),
         ]);
-        let mut text = fs::read_to_string("deploy/gateway.json").map_err(|error| error.to_string())?;
+        let mut text =
+            fs::read_to_string("deploy/gateway.json").map_err(|error| error.to_string())?;
         for (name, value) in &values {
             text = text.replace(&format!("{{{{{name}}}}}"), value);
         }
@@ -214,7 +236,11 @@
     /// Starts a gateway with the command of the deploy file.
     pub fn start_gateway(&mut self, index: usize) -> Result<(), String> {
         let gateway = &mut self.gateways[index];
-        let log = File::options().create(true).append(true).open(&gateway.log).map_err(|e| e.to_string())?;
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(&gateway.log)
+            .map_err(|e| e.to_string())?;
         let mut command = Command::new(&self.run[0]);
         for word in &self.run[1..] {
             match word.starts_with("/etc/") {
@@ -223,18 +249,17 @@
             };
         }
         command.env("BALSAMPITCH_CONFIG", &gateway.settings);
-        command.stdin(Stdio::null()).stdout(log.try_clone().map_err(|e| e.to_string())?).stderr(log);
-        let process = Process::spawn(&mut command).map_err(|error| format!("{:?}: {error}", self.run))?;
+        command
+            .stdin(Stdio::null())
+            .stdout(log.try_clone().map_err(|e| e.to_string())?)
+            .stderr(log);
+        let process =
+            Process::spawn(&mut command).map_err(|error| format!("{:?}: {error}", self.run))?;
         self.record.add(format!("start {}", gateway.name));
         gateway.process = Some(process);
         Ok(())
     }
 
-    /// Text that a gateway has logged.
-    pub fn log(&self, index: usize) -> String {
-        fs::read_to_string(&self.gateways[index].log).unwrap_or_default()
-    }
-
     /// Waits until all gateways are ready.
     pub fn await_ready(&self, limit: Duration) -> Result<(), String> {
         let until = Instant::now() + limit;
@@ -250,7 +275,14 @@
 
     /// Keeps a worker running at a new address: it checks in every 1.2 s; when it ends, it is back
     /// `down` later as a new lifetime, and its old entry is removed after three check-ins.
-    pub fn add_worker(&mut self, service: &str, slots: usize, zone: &str, options: &[&'static str], down: Duration) -> Arc<WorkerControl> {
+    pub fn add_worker(
+        &mut self,
+        service: &str,
+        slots: usize,
+        zone: &str,
+        options: &[&'static str],
+        down: Duration,
+    ) -> Arc<WorkerControl> {
         let addr = address(self.host, 100 + self.next_worker, self.port);
         self.next_worker += 1;
         let number = self.next_worker;
@@ -264,7 +296,10 @@
             while !stop.load(Ordering::SeqCst) {
                 lifetime += 1;
                 let id = format!("i-{number:02x}{lifetime:06x}");
-                let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis();
+                let born = SystemTime::now()
+                    .duration_since(UNIX_EPOCH)
+                    .unwrap()
+                    .as_millis();
                 let entry = |seq: u64| {
                     format!(
                         "{{\"backend\":\"{service}\",\"address\":\"{addr}\",\"zone\":\"{zone}\",\"version\":\"v1\",\
@@ -272,7 +307,17 @@
                          \"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],\"callSeq\":{seq},\"born\":{born}}}"
                     )
                 };
-                run_worker(&record, &store, &stop, addr, &id, slots, &options, &own_control, &entry);
+                run_worker(
+                    &record,
+                    &store,
+                    &stop,
+                    addr,
+                    &id,
+                    slots,
+                    &options,
+                    &own_control,
+                    &entry,
+                );
                 let (store, gone) = (store.clone(), id);
                 let gone_record = record.clone();
                 thread::spawn(move || {
@@ -317,7 +362,15 @@
     entry: &dyn Fn(u64) -> String,
 ) {
     let mut command = Command::new(std::env::current_exe().expect("the program has a path"));
-    command.args(["worker", "--listen", &addr.to_string(), "--id", id, "--slots", &slots.to_string()]);
+    command.args([
+        "worker",
+        "--listen",
+        &addr.to_string(),
+        "--id",
+        id,
+        "--slots",
+        &slots.to_string(),
+    ]);
     command.args(options);
     command.stdin(Stdio::piped()).stdout(Stdio::piped());
     let Ok(mut process) = Process::spawn(&mut command) else {
@@ -362,11 +415,15 @@
 /// A loopback network and a first port at which nothing listens.
 fn free_ports(seed: u32) -> Option<(u8, u16)> {
     (0..200u32).find_map(|attempt| {
-        let mixed = seed.wrapping_mul(2_654_435_761).wrapping_add(attempt * 7_919);
+        let mixed = seed
+            .wrapping_mul(2_654_435_761)
+            .wrapping_add(attempt * 7_919);
         let (host, port) = ((mixed >> 8) as u8, 20_000 + (mixed >> 16) as u16 % 10_000);
         let free = |machine: u8, port: u16| TcpListener::bind(address(host, machine, port)).is_ok();
         let machines = [1, 2, 3, 4, 5, 6, 250];
-        let all = machines.iter().all(|&machine| (0..PORTS).all(|offset| free(machine, port + offset)));
+        let all = machines
+            .iter()
+            .all(|&machine| (0..PORTS).all(|offset| free(machine, port + offset)));
         all.then_some((host, port))
     })
 }
--- a/review/rig/goes_on.rs
+++ b/review/rig/goes_on.rs
@@ -2,12 +2,12 @@
 //! connection closes.
 
 use std::collections::HashMap;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 
-use crate::fleet::{self, Fleet, Plan, Record, finish};
+use crate::fleet::{self, finish, Fleet, Plan, Record};
 use crate::http;
 
 const HOST: &str = "ficu95.example";
@@ -39,7 +39,10 @@
 
 pub fn main(trouble: bool) -> i32 {
     fleet::limit(Duration::from_secs(60));
-    let plan = Plan { gateways: GATEWAYS, config: config() };
+    let plan = Plan {
+        gateways: GATEWAYS,
+        config: config(),
+    };
     let mut fleet = match Fleet::start(&plan) {
         Ok(fleet) => fleet,
         Err(error) => return finish(&Record::new(), Err(error)),
@@ -50,47 +53,64 @@
 }
 
 fn play(fleet: &mut Fleet, trouble: bool) -> Result<bool, String> {
-    let workers: Vec<_> = (0..WORKERS).map(|worker| {
-        let zone = format!("zone-{}", (b'a' + (worker % GATEWAYS) as u8) as char);
-        fleet.add_worker("huvo11a", SLOTS, &zone, &["--keep"], Duration::from_secs(3))
-    }).collect();
+    let workers: Vec<_> = (0..WORKERS)
+        .map(|worker| {
+            let zone = format!("zone-{}", (b'a' + (worker % GATEWAYS) as u8) as char);
+            fleet.add_worker("huvo11a", SLOTS, &zone, &["--keep"], Duration::from_secs(3))
+        })
+        .collect();
     fleet.await_ready(Duration::from_secs(15))?;
     thread::sleep(Duration::from_secs(1));
     let stop = Arc::new(AtomicBool::new(false));
     let next = Arc::new(AtomicU64::new(1));
-    let clients: Vec<_> = (0..GATEWAYS * STREAMS).map(|client| {
-        let front = fleet.gateways[client % GATEWAYS].front;
-        let (record, stop, next) = (fleet.record.clone(), stop.clone(), next.clone());
-        thread::spawn(move || {
-            thread::sleep(Duration::from_millis(client as u64 * 60));
-            while !stop.load(Ordering::SeqCst) {
-                let number = next.fetch_add(1, Ordering::SeqCst);
-                let id = format!("{number:016x}");
-                let headers = [
-                    ("Host", HOST.to_owned()),
-                    ("Attempt-Id", id.clone()),
-                    ("Model", "m".to_owned()),
-                    ("Token-Count", "460,50".to_owned()),
-                    ("Prompt-Prefix", format!("{:x}:210,{:x}:250", 0x5c1e_0000 + number % 40, 0x9000_0000 + number)),
-                    ("Deadline-Remaining", "8000".to_owned()),
-                    ("Authorization", format!("Bearer {KEY}")),
-                    ("Connection", "close".to_owned()),
-                ];
-                let body = format!("events=10;gap={GAP_MS};report {number}");
-                let bytes = http::request_text("POST", "/pufi791/stream/r", &headers, body.as_bytes());
-                record.add(format!("client: {id} sent"));
-                let answer = http::call(front, &bytes, Duration::from_secs(10));
-                let text = match answer {
-                    Ok(answer) => {
-                        let events = String::from_utf8_lossy(&answer.body).matches("id: ").count();
-                        format!("{} complete={} events={events}", answer.status, answer.complete)
-                    }
-                    Err(error) => format!("no answer: {error}"),
-                };
-                record.add(format!("client: {id} answered {text}"));
-            }
+    let clients: Vec<_> = (0..GATEWAYS * STREAMS)
+        .map(|client| {
+            let front = fleet.gateways[client % GATEWAYS].front;
+            let (record, stop, next) = (fleet.record.clone(), stop.clone(), next.clone());
+            thread::spawn(move || {
+                thread::sleep(Duration::from_millis(client as u64 * 60));
+                while !stop.load(Ordering::SeqCst) {
+                    let number = next.fetch_add(1, Ordering::SeqCst);
+                    let id = format!("{number:016x}");
+                    let headers = [
+                        ("Host", HOST.to_owned()),
+                        ("Attempt-Id", id.clone()),
+                        ("Model", "m".to_owned()),
+                        ("Token-Count", "460,50".to_owned()),
+                        (
+                            "Prompt-Prefix",
+                            format!(
+                                "{:x}:210,{:x}:250",
+                                0x5c1e_0000 + number % 40,
+                                0x9000_0000 + number
+                            ),
+                        ),
+                        ("Deadline-Remaining", "8000".to_owned()),
+                        ("Authorization", format!("Bearer {KEY}")),
+                        ("Connection", "close".to_owned()),
+                    ];
+                    let body = format!("events=10;gap={GAP_MS};report {number}");
+                    let bytes =
+                        http::request_text("POST", "/pufi791/stream/r", &headers, body.as_bytes());
+                    record.add(format!("client: {id} sent"));
+                    let answer = http::call(front, &bytes, Duration::from_secs(10));
+                    let text = match answer {
+                        Ok(answer) => {
+                            let events = String::from_utf8_lossy(&answer.body)
+                                .matches("id: ")
+                                .count();
+                            format!(
+                                "{} complete={} events={events}",
+                                answer.status, answer.complete
+                            )
+                        }
+                        Err(error) => format!("no answer: {error}"),
+                    };
+                    record.add(format!("client: {id} answered {text}"));
+                }
+            })
         })
-    }).collect();
+        .collect();
     thread::sleep(Duration::from_secs(6));
     if trouble {
         workers[0].send(SLOW);
@@ -110,12 +130,16 @@
 /// it 0.4 s later.
 fn judge(record: &Record) -> Result<bool, String> {
     let lines = record.lines();
-    let served = lines.iter().filter(|(_, line)| line.contains("answered 200 complete=true events=10")).count();
+    let served = lines
+        .iter()
+        .filter(|(_, line)| line.contains("answered 200 complete=true events=10"))
+        .count();
     // For each request, its runs in order: worker, start, time of its last event.
     let mut runs: HashMap<&str, Vec<(&str, f64, f64)>> = HashMap::new();
     for (at, line) in &lines {
         let mut words = line.split(' ');
-        let (Some(worker), Some(what), Some(id)) = (words.next(), words.next(), words.next()) else {
+        let (Some(worker), Some(what), Some(id)) = (words.next(), words.next(), words.next())
+        else {
             continue;
         };
         let of_request = runs.entry(id).or_default();
--- a/review/rig/http.rs
+++ b/review/rig/http.rs
@@ -9,7 +9,6 @@
 /// A request as a server reads it.
 #[derive(Clone, Debug, Default)]
 pub struct Request {
-    pub method: String,
     pub path: String,
     pub headers: Headers,
     pub body: Vec<u8>,
@@ -70,8 +69,7 @@
 pub fn read_request(reader: &mut impl BufRead) -> io::Result<Request> {
     let line = read_line(reader)?;
     let mut words = line.split(' ');
-    let method = words.next().unwrap_or_default().to_owned();
-    let path = words.next().unwrap_or_default().to_owned();
+    let path = words.nth(1).unwrap_or_default().to_owned();
     let headers = read_headers(reader)?;
     let mut body = Vec::new();
     if header(&headers, "transfer-encoding").is_some() {
@@ -80,7 +78,11 @@
         body.resize(length.parse().unwrap_or(0), 0);
         reader.read_exact(&mut body)?;
     }
-    Ok(Request { method, path, headers, body })
+    Ok(Request {
+        path,
+        headers,
+        body,
+    })
 }
 
 /// Reads a response; one that breaks off after its head is returned as incomplete.
@@ -88,7 +90,11 @@
     let line = read_line(reader)?;
     let status = line.split(' ').nth(1).and_then(|word| word.parse().ok());
     let headers = read_headers(reader)?;
-    let mut response = Response { status: status.unwrap_or(0), headers, ..Response::default() };
+    let mut response = Response {
+        status: status.unwrap_or(0),
+        headers,
+        ..Response::default()
+    };
     let read = if header(&response.headers, "transfer-encoding").is_some() {
         read_chunks(reader, &mut response.body)
     } else if let Some(length) = header(&response.headers, "content-length") {
--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -2,8 +2,8 @@
 //! `rig worker ...` is a worker; `rig CASE` plays a case. TROUBLE=0 leaves the disruption out.
 
 mod fleet;
-mod http;
 mod goes_on;
+mod http;
 mod memory;
 mod poison;
 mod store;
--- a/review/rig/memory.rs
+++ b/review/rig/memory.rs
@@ -1,13 +1,13 @@
 //! More users than usual, whose requests have bodies of the size that the configuration allows. The
 //! platform ends a process that uses more memory than its machine's limit, and starts it again.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::mpsc;
+use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::fleet::{self, Fleet, Plan, Record, finish};
+use crate::fleet::{self, finish, Fleet, Plan, Record};
 use crate::http;
 
 const HOST: &str = "ficu95.example";
@@ -54,7 +54,10 @@
 
 pub fn main(trouble: bool) -> i32 {
     fleet::limit(Duration::from_secs(112));
-    let plan = Plan { gateways: GATEWAYS, config: config() };
+    let plan = Plan {
+        gateways: GATEWAYS,
+        config: config(),
+    };
     let mut fleet = match Fleet::start(&plan) {
         Ok(fleet) => fleet,
         Err(error) => return finish(&Record::new(), Err(error)),
@@ -112,12 +115,16 @@
     let mut most = 0;
     while !stop.load(Ordering::SeqCst) {
         for index in 0..GATEWAYS {
-            let Some(process) = &fleet.gateways[index].process else { continue };
+            let Some(process) = &fleet.gateways[index].process else {
+                continue;
+            };
             let used = memory(process.0.id());
             most = most.max(used);
             if used > MEMORY_MB {
                 let name = fleet.gateways[index].name.clone();
-                fleet.record.add(format!("{name} uses {used} MB: ended by the platform"));
+                fleet
+                    .record
+                    .add(format!("{name} uses {used} MB: ended by the platform"));
                 fleet.gateways[index].process = None;
                 ends[index] += 1;
                 thread::sleep(RESTART);
@@ -129,7 +136,10 @@
     let _ = finished.recv();
     let lines = fleet.record.lines();
     let count = |text: &str| lines.iter().filter(|(_, line)| line.contains(text)).count();
-    let (served, broken) = (count("answered 200 complete=true"), count("no answer") + count("complete=false"));
+    let (served, broken) = (
+        count("answered 200 complete=true"),
+        count("no answer") + count("complete=false"),
+    );
     fleet.record.add(format!(
         "summary: ends by memory at each gateway: {ends:?} (from {ENDS} on at two machines the rule is broken); most memory seen: {most} MB of {MEMORY_MB}; requests served: {served}; without a whole answer: {broken}"
     ));
@@ -146,7 +156,14 @@
         ("Attempt-Id", id.clone()),
         ("Model", "m".to_owned()),
         ("Token-Count", "460,120".to_owned()),
-        ("Prompt-Prefix", format!("{:x}:210,{:x}:250", 0x5c1e_0000 + number % 40, 0x9000_0000 + number)),
+        (
+            "Prompt-Prefix",
+            format!(
+                "{:x}:210,{:x}:250",
+                0x5c1e_0000 + number % 40,
+                0x9000_0000 + number
+            ),
+        ),
         ("Deadline-Remaining", "8000".to_owned()),
         ("Authorization", format!("Bearer {KEY}")),
         ("Connection", "close".to_owned()),
--- a/review/rig/poison.rs
+++ b/review/rig/poison.rs
@@ -1,11 +1,11 @@
 //! A request that crashes its workers, beside ordinary streams, at five gateways.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 
-use crate::fleet::{self, Fleet, Plan, Record, finish};
+use crate::fleet::{self, finish, Fleet, Plan, Record};
 use crate::http;
 
 const HOST: &str = "ficu95.example";
@@ -49,7 +49,10 @@
         ("Attempt-Id", id.to_owned()),
         ("Model", "m".to_owned()),
         ("Token-Count", "460,170".to_owned()),
-        ("Prompt-Prefix", format!("{:x}:210,{own:x}:250", 0x5c1e_0000 + shared)),
+        (
+            "Prompt-Prefix",
+            format!("{:x}:210,{own:x}:250", 0x5c1e_0000 + shared),
+        ),
         ("Deadline-Remaining", "10000".to_owned()),
         ("Authorization", format!("Bearer {KEY}")),
         ("Connection", "close".to_owned()),
@@ -59,7 +62,10 @@
 
 pub fn main(trouble: bool) -> i32 {
     fleet::limit(Duration::from_secs(112));
-    let plan = Plan { gateways: GATEWAYS, config: config() };
+    let plan = Plan {
+        gateways: GATEWAYS,
+        config: config(),
+    };
     let mut fleet = match Fleet::start(&plan) {
         Ok(fleet) => fleet,
         Err(error) => return finish(&Record::new(), Err(error)),
@@ -79,40 +85,59 @@
     let stop = Arc::new(AtomicBool::new(false));
     let next = Arc::new(AtomicU64::new(1));
     // STREAMS=2 shows that the rule holds where few ordinary streams are open.
-    let streams = std::env::var("STREAMS").ok().and_then(|value| value.parse().ok());
-    let clients: Vec<_> = (0..GATEWAYS * streams.unwrap_or(STREAMS)).map(|client| {
-        let gateway = &fleet.gateways[client % GATEWAYS];
-        let (front, name) = (gateway.front, gateway.name.clone());
-        let (record, stop, next) = (fleet.record.clone(), stop.clone(), next.clone());
-        thread::spawn(move || {
-            thread::sleep(Duration::from_millis(client as u64 * 7));
-            while !stop.load(Ordering::SeqCst) {
-                let number = next.fetch_add(1, Ordering::SeqCst);
-                let id = format!("{number:016x}");
-                let body = format!("events=34;gap=60;question {number}");
-                let bytes = request("/lohu930/stream/q", &id, number % SHARED, 0x9000_0000 + number, &body);
-                let answer = http::call(front, &bytes, Duration::from_secs(11));
-                let text = match answer {
-                    Ok(answer) => format!("{} complete={}", answer.status, answer.complete),
-                    Err(error) => format!("no answer: {error}"),
-                };
-                record.add(format!("client of {name}: {id} {text}"));
-                if !text.starts_with("200 complete=true") {
-                    thread::sleep(Duration::from_millis(200));
+    let streams = std::env::var("STREAMS")
+        .ok()
+        .and_then(|value| value.parse().ok());
+    let clients: Vec<_> = (0..GATEWAYS * streams.unwrap_or(STREAMS))
+        .map(|client| {
+            let gateway = &fleet.gateways[client % GATEWAYS];
+            let (front, name) = (gateway.front, gateway.name.clone());
+            let (record, stop, next) = (fleet.record.clone(), stop.clone(), next.clone());
+            thread::spawn(move || {
+                thread::sleep(Duration::from_millis(client as u64 * 7));
+                while !stop.load(Ordering::SeqCst) {
+                    let number = next.fetch_add(1, Ordering::SeqCst);
+                    let id = format!("{number:016x}");
+                    let body = format!("events=34;gap=60;question {number}");
+                    let bytes = request(
+                        "/lohu930/stream/q",
+                        &id,
+                        number % SHARED,
+                        0x9000_0000 + number,
+                        &body,
+                    );
+                    let answer = http::call(front, &bytes, Duration::from_secs(11));
+                    let text = match answer {
+                        Ok(answer) => format!("{} complete={}", answer.status, answer.complete),
+                        Err(error) => format!("no answer: {error}"),
+                    };
+                    record.add(format!("client of {name}: {id} {text}"));
+                    if !text.starts_with("200 complete=true") {
+                        thread::sleep(Duration::from_millis(200));
+                    }
                 }
-            }
+            })
         })
-    }).collect();
+        .collect();
     thread::sleep(Duration::from_secs(6));
     for round in 0..ROUNDS {
         for attempt in 0..=REPEATS {
             let gateway = &fleet.gateways[(round + attempt) % GATEWAYS];
             // The same path, caller and body each time; each client attempt has its own id.
             let id = format!("ffff{:012x}", round * 16 + attempt);
-            let bytes = request("/lohu930/stream/again", &id, 3, 0x8000_0001, "events=3;gap=60;this one CRASHES a worker");
+            let bytes = request(
+                "/lohu930/stream/again",
+                &id,
+                3,
+                0x8000_0001,
+                "events=3;gap=60;this one CRASHES a worker",
+            );
             fleet.record.add(format!("again: {id} to {}", gateway.name));
             let answer = http::call(gateway.front, &bytes, Duration::from_secs(11));
-            let text = answer.map_or_else(|error| error.to_string(), |a| format!("{} {}", a.status, a.complete));
+            let text = answer.map_or_else(
+                |error| error.to_string(),
+                |a| format!("{} {}", a.status, a.complete),
+            );
             fleet.record.add(format!("again: {id} answered {text}"));
             if text.starts_with("200") {
                 break;
@@ -130,23 +155,36 @@
 /// The rule as written: after the third crash and `contactMs`, more than three arrivals.
 fn judge(record: &Record) -> Result<bool, String> {
     let lines = record.lines();
-    let served = lines.iter().filter(|(_, line)| line.ends_with("200 complete=true")).count();
+    let served = lines
+        .iter()
+        .filter(|(_, line)| line.ends_with("200 complete=true"))
+        .count();
     let at = |word: &str| -> Vec<f64> {
         let word = format!(" {word} ffff");
-        lines.iter().filter(|(_, line)| line.contains(&word)).map(|(at, _)| *at).collect()
+        lines
+            .iter()
+            .filter(|(_, line)| line.contains(&word))
+            .map(|(at, _)| *at)
+            .collect()
     };
     let (arrivals, crashes) = (at("run"), at("crash"));
     let broken = lines.iter().filter(|(at, line)| {
-        line.ends_with("200 complete=false") && crashes.get(2).is_some_and(|third| *at > third + CONTACT)
+        line.ends_with("200 complete=false")
+            && crashes.get(2).is_some_and(|third| *at > third + CONTACT)
     });
     let broken = broken.count();
-    let late = crashes.get(2).map_or(0, |third| arrivals.iter().filter(|&&at| at > third + CONTACT).count());
+    let late = crashes.get(2).map_or(0, |third| {
+        arrivals.iter().filter(|&&at| at > third + CONTACT).count()
+    });
     record.add(format!(
         "ordinary streams served: {served}; arrivals of the request: {}; crashes: {}; arrivals later than {CONTACT} s after the third crash: {late} (allowed: {ALLOWED}); ordinary streams that broke off since: {broken}",
         arrivals.len(), crashes.len()
     ));
     if served < 100 || arrivals.is_empty() {
-        return Err(format!("too little was served: {served}, {}", arrivals.len()));
+        return Err(format!(
+            "too little was served: {served}, {}",
+            arrivals.len()
+        ));
     }
     Ok(late > ALLOWED)
 }
--- a/review/rig/store.rs
+++ b/review/rig/store.rs
@@ -41,8 +41,14 @@
                     while let Ok(request) = http::read_request(&mut reader) {
                         let (status, body) = server.answer(&request);
                         thread::sleep(ANSWER);
-                        let head = format!("HTTP/1.1 {status} X\r\nContent-Length: {}\r\n\r\n", body.len());
-                        if writer.write_all(&[head.as_bytes(), &body].concat()).is_err() {
+                        let head = format!(
+                            "HTTP/1.1 {status} X\r\nContent-Length: {}\r\n\r\n",
+                            body.len()
+                        );
+                        if writer
+                            .write_all(&[head.as_bytes(), &body].concat())
+                            .is_err()
+                        {
                             return;
                         }
                     }
@@ -63,9 +69,15 @@
 
     fn answer(&self, request: &http::Request) -> (u16, Vec<u8>) {
         let (path, query) = request.path.split_once('?').unwrap_or((&request.path, ""));
-        let query: HashMap<&str, &str> = query.split('&').filter_map(|p| p.split_once('=')).collect();
+        let query: HashMap<&str, &str> =
+            query.split('&').filter_map(|p| p.split_once('=')).collect();
         let topic = query.get("topic").copied().unwrap_or_default();
-        let number = |name: &str| query.get(name).and_then(|v| v.parse::<u64>().ok()).unwrap_or(0);
+        let number = |name: &str| {
+            query
+                .get(name)
+                .and_then(|v| v.parse::<u64>().ok())
+                .unwrap_or(0)
+        };
         match path {
             "/v1/log-newest" => (200, self.newest(topic, query.get("after").copied())),
             "/v1/log-read" => (200, self.read(topic, number("from"), number("waitMs"))),
@@ -83,13 +95,19 @@
         let listed = newest.iter().filter(|(key, (_, value))| {
             !value.is_empty() && after.is_none_or(|after| **key > after)
         });
-        let items: Vec<String> = listed.map(|(key, (offset, value))| {
-            let value = base64(value);
-            format!("{{\"key\":\"{key}\",\"value\":\"{value}\",\"offset\":{offset}}}")
-        }).collect();
+        let items: Vec<String> = listed
+            .map(|(key, (offset, value))| {
+                let value = base64(value);
+                format!("{{\"key\":\"{key}\",\"value\":\"{value}\",\"offset\":{offset}}}")
+            })
+            .collect();
         let more = items.len() > PAGE;
         let items = items[..items.len().min(PAGE)].join(",");
-        format!("{{\"items\":[{items}],\"hasMore\":{more},\"end\":{}}}", records.len()).into_bytes()
+        format!(
+            "{{\"items\":[{items}],\"hasMore\":{more},\"end\":{}}}",
+            records.len()
+        )
+        .into_bytes()
     }
 
     fn read(&self, topic: &str, from: u64, wait_ms: u64) -> Vec<u8> {
@@ -120,7 +138,10 @@
     const DIGITS: &[u8] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
     for group in data.chunks(3) {
-        let bits = group.iter().fold(0u32, |bits, &byte| bits << 8 | u32::from(byte)) << (8 * (3 - group.len()));
+        let bits = group
+            .iter()
+            .fold(0u32, |bits, &byte| bits << 8 | u32::from(byte))
+            << (8 * (3 - group.len()));
         for digit in 0..4 {
             match digit <= group.len() {
                 true => text.push(DIGITS[(bits >> (18 - 6 * digit) & 63) as usize] as char),
--- a/review/rig/worker.rs
+++ b/review/rig/worker.rs
@@ -8,12 +8,12 @@
 
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 
-use crate::http::{self, Request, header};
+use crate::http::{self, header, Request};
 
 struct Worker {
     id: String,
@@ -29,7 +29,9 @@
 pub fn main(args: &[String]) {
     let value = |name: &str| {
         let at = args.iter().position(|arg| arg == name);
-        at.and_then(|at| args.get(at + 1)).cloned().unwrap_or_default()
+        at.and_then(|at| args.get(at + 1))
+            .cloned()
+            .unwrap_or_default()
     };
     let addr: SocketAddr = value("--listen").parse().expect("an address");
     let worker = Arc::new(Worker {
@@ -56,7 +58,10 @@
         }
     });
     for line in std::io::stdin().lock().lines().map_while(Result::ok) {
-        if let Some(factor) = line.strip_prefix("slow ").and_then(|word| word.parse::<f64>().ok()) {
+        if let Some(factor) = line
+            .strip_prefix("slow ")
+            .and_then(|word| word.parse::<f64>().ok())
+        {
             worker.slow.store((factor * 100.0) as u64, Ordering::SeqCst);
             tell(&format!("slow {factor}"));
         }
@@ -65,7 +70,9 @@
 
 fn tell(line: &str) {
     // One write a line, so that lines of several threads don't mix.
-    let _ = std::io::stdout().lock().write_all(format!("{line}\n").as_bytes());
+    let _ = std::io::stdout()
+        .lock()
+        .write_all(format!("{line}\n").as_bytes());
 }
 
 fn number(body: &str, name: &str) -> Option<u64> {
@@ -75,7 +82,9 @@
 
 impl Worker {
     fn work(&self, ms: u64) {
-        thread::sleep(Duration::from_millis(ms * self.slow.load(Ordering::SeqCst) / 100));
+        thread::sleep(Duration::from_millis(
+            ms * self.slow.load(Ordering::SeqCst) / 100,
+        ));
     }
 
     fn serve(&self, stream: TcpStream) {
@@ -92,7 +101,10 @@
     fn answer(&self, writer: &mut TcpStream, request: &Request) -> std::io::Result<()> {
         let id = header(&request.headers, "attempt-id").unwrap_or_default();
         if request.path == "/health" {
-            let head = format!("HTTP/1.1 200 OK\r\nInstance-Id: {}\r\nContent-Length: 0\r\n\r\n", self.id);
+            let head = format!(
+                "HTTP/1.1 200 OK\r\nInstance-Id: {}\r\nContent-Length: 0\r\n\r\n",
+                self.id
+            );
             return writer.write_all(head.as_bytes());
         }
         let expected = header(&request.headers, "expect-instance");
@@ -114,11 +126,20 @@
         result
     }
 
-    fn run(&self, writer: &mut TcpStream, request: &Request, id: &str, running: usize) -> std::io::Result<()> {
+    fn run(
+        &self,
+        writer: &mut TcpStream,
+        request: &Request,
+        id: &str,
+        running: usize,
+    ) -> std::io::Result<()> {
         let body = String::from_utf8_lossy(&request.body);
         let tenant = header(&request.headers, "tenant").unwrap_or("-");
         let after = header(&request.headers, "last-event-id").unwrap_or("-");
-        tell(&format!("run {id} {} tenant={tenant} after={after}", request.path));
+        tell(&format!(
+            "run {id} {} tenant={tenant} after={after}",
+            request.path
+        ));
         if self.crash && body.contains("CRASHES") {
             tell(&format!("crash {id}"));
             std::process::exit(9);
@@ -128,8 +149,16 @@
             self.id, self.slots
         );
         if request.path.contains("/stream/") {
-            writer.write_all(format!("{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n").as_bytes())?;
-            let (events, gap) = (number(&body, "events").unwrap_or(3), number(&body, "gap").unwrap_or(50));
+            writer.write_all(
+                format!(
+                    "{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+                )
+                .as_bytes(),
+            )?;
+            let (events, gap) = (
+                number(&body, "events").unwrap_or(3),
+                number(&body, "gap").unwrap_or(50),
+            );
             let first = after.parse().map_or(1, |after: u64| after + 1);
             for event in first..=events {
                 self.work(gap);
@@ -144,7 +173,9 @@
         } else {
             self.work(number(&body, "work").unwrap_or(30));
             let text = format!("answer to {id}");
-            writer.write_all(format!("{head}Content-Length: {}\r\n\r\n{text}", text.len()).as_bytes())?;
+            writer.write_all(
+                format!("{head}Content-Length: {}\r\n\r\n{text}", text.len()).as_bytes(),
+            )?;
         }
         tell(&format!("end {id}"));
         Ok(())
