--- a/review/rig/fleet.rs
+++ b/review/rig/fleet.rs
@@ -99,10 +99,19 @@
 #[derive(Default)]
 pub struct WorkerControl {
     input: Mutex<Option<std::process::ChildStdin>>,
-    pub id: Mutex<String>,
+    pid: Mutex<Option<u32>>,
 }
 
 impl WorkerControl {
+    /// Ends the worker's process with SIGKILL.
+    pub fn kill(&self) {
+        if let Some(pid) = *self.pid.lock().unwrap() {
+            let _ = Command::new("kill")
+                .args(["-KILL", &pid.to_string()])
+                .status();
+        }
+    }
+
     pub fn send(&self, line: &str) {
         if let Some(input) = &mut *self.input.lock().unwrap() {
             let _ = input.write_all(format!("{line}\n").as_bytes());
@@ -379,7 +388,7 @@
     };
     let output = process.0.stdout.take().expect("it is piped");
     *control.input.lock().unwrap() = process.0.stdin.take();
-    *control.id.lock().unwrap() = id.to_owned();
+    *control.pid.lock().unwrap() = Some(process.0.id());
     let (lines, name) = (record.clone(), id.to_owned());
     let reader = thread::spawn(move || {
         for line in BufReader::new(output).lines().map_while(Result::ok) {
@@ -398,6 +407,7 @@
         ended = !matches!(process.0.try_wait(), Ok(None));
     }
     *control.input.lock().unwrap() = None;
+    *control.pid.lock().unwrap() = None;
     drop(process);
     let _ = reader.join();
     record.add(format!("worker {id} ended"));
--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -1,6 +1,7 @@
 //! Stand-ins and scripts of the review. One program, so that nothing but the compiler is needed:
 //! `rig worker ...` is a worker; `rig CASE` plays a case. TROUBLE=0 leaves the disruption out.
 
+mod empty;
 mod fleet;
 mod goes_on;
 mod http;
@@ -17,11 +18,12 @@
             worker::main(&args);
             0
         }
+        Some("empty") => empty::main(trouble),
         Some("goes-on") => goes_on::main(trouble),
         Some("memory") => memory::main(trouble),
         Some("poison") => poison::main(trouble),
         _ => {
-            eprintln!("usage: rig worker|poison|goes-on|memory");
+            eprintln!("usage: rig worker|poison|goes-on|memory|empty");
             2
         }
     };
--- a/review/rig/worker.rs
+++ b/review/rig/worker.rs
@@ -1,9 +1,10 @@
 //! Stand-in for a worker, one process each. Tells on standard output what it runs.
 //!
 //! A request on a path with `/stream/` gets events, one with `/call/` a plain answer. The body may
-//! begin with `events=N;gap=MS;` or `work=MS;`, which is the work that it costs. A body with the
+//! begin with `events=N;gap=MS;first=MS;` or `work=MS;`, which is the work that it costs. A body with the
 //! word CRASHES ends the process as soon as it begins to run, if `--crash` is given. With `--keep`,
-//! a request goes on after its connection has been closed. The line `slow X` on standard input makes
+//! a request goes on after its connection has been closed. With `--unframed`, a stream has neither a
+//! length nor chunks and ends with its connection. The line `slow X` on standard input makes
 //! all work take X times as long, from the next event on.
 
 use std::io::{BufRead, BufReader, Write};
@@ -20,6 +21,7 @@
     slots: usize,
     crash: bool,
     keep: bool,
+    unframed: bool,
     /// Factor of the time that work takes, in hundredths.
     slow: AtomicU64,
     running: AtomicUsize,
@@ -39,6 +41,7 @@
         slots: value("--slots").parse().unwrap_or(8),
         crash: args.iter().any(|arg| arg == "--crash"),
         keep: args.iter().any(|arg| arg == "--keep"),
+        unframed: args.iter().any(|arg| arg == "--unframed"),
         slow: AtomicU64::new(100),
         running: AtomicUsize::new(0),
     });
@@ -149,12 +152,13 @@
             self.id, self.slots
         );
         if request.path.contains("/stream/") {
-            writer.write_all(
-                format!(
-                    "{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-                )
-                .as_bytes(),
-            )?;
+            let framing = match self.unframed {
+                true => "Connection: close",
+                false => "Transfer-Encoding: chunked",
+            };
+            let head = format!("{head}Content-Type: text/event-stream\r\n{framing}\r\n\r\n");
+            writer.write_all(head.as_bytes())?;
+            self.work(number(&body, "first").unwrap_or(0));
             let (events, gap) = (
                 number(&body, "events").unwrap_or(3),
                 number(&body, "gap").unwrap_or(50),
@@ -163,12 +167,20 @@
             for event in first..=events {
                 self.work(gap);
                 let text = format!("id: {event}\ndata: {id}-{event}\n\n");
-                let sent = writer.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes());
+                let bytes = match self.unframed {
+                    true => text,
+                    false => format!("{:x}\r\n{text}\r\n", text.len()),
+                };
+                let sent = writer.write_all(bytes.as_bytes());
                 if !self.keep {
                     sent?;
                 }
                 tell(&format!("event {id} {event}"));
             }
+            if self.unframed {
+                tell(&format!("end {id}"));
+                return Err(std::io::ErrorKind::UnexpectedEof.into());
+            }
             let _ = writer.write_all(b"0\r\n\r\n");
         } else {
             self.work(number(&body, "work").unwrap_or(30));
