Send nothing to targets of evacuated zones

Cause: nobody read the operator's records of evacuations, so targets in an evacuated zone got requests until it was restored.

Change: the reader of the operator's topic keeps the set of evacuated zones; its version is the offset up to which it is complete. Gateways merge sets by version from gossip (version 7), so those that do not read, or cannot, have the newest one, before the configuration that came with it. Selection and the check right before sending ask one module, restrictions.

--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -13,7 +13,7 @@
 /// A list that the platform maintains.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Topic {
-    /// The operator's configuration.
+    /// What the operator writes: the configuration and the evacuations of zones.
     Config,
     /// The list of targets.
     Targets,
@@ -30,6 +30,10 @@
     Unreadable(Box<str>),
     /// The entry with this key was removed.
     Removed(Box<str>),
+    /// The operator has evacuated the availability zone with this name.
+    ZoneEvacuated(Box<str>),
+    /// The operator has ended the evacuation of the availability zone with this name.
+    ZoneRestored(Box<str>),
 }
 
 /// Changes to a list, in order.
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -15,6 +15,8 @@
 use crate::gateway::follow::dependency::Dependency;
 use crate::gateway::follow::follower::{Follower, await_reports, config_copy, list_copy};
 use crate::gateway::follow::list::TargetList;
+use crate::gateway::peers::member::ZoneTag;
+use crate::gateway::restrictions::evacuations::Evacuations;
 use crate::gateway::source::Source;
 use crate::gateway::state::GatewayState;
 use crate::log::ReadError;
@@ -31,6 +33,7 @@
 /// Keeps the gateway's configuration up to date with the platform's. Never returns.
 pub async fn follow_config<D: Directory>(directory: D, gateway: Arc<GatewayState>) {
     let mut next = None;
+    let mut evacuations = Evacuations::default();
     let mut dependency = Dependency::new("configuration");
     let mut follower = Follower::new(&gateway, CONFIG_WAIT.into());
     tokio::time::sleep(START_PAUSE).await;
@@ -39,6 +42,9 @@
         match follower.choose(&gateway, confirmed_at, config_copy) {
             Source::Platform => {
                 let read = read(&directory, Topic::Config, next, CONFIG_WAIT).await;
+                if let Ok(batch) = &read {
+                    evacuations = apply_evacuations(&gateway, evacuations, batch, next);
+                }
                 next = apply_config_read(&gateway, &mut dependency, read, next);
                 if dependency.is_lost() {
                     tokio::time::sleep(follower.pause_after_failure(&gateway)).await;
@@ -80,6 +86,32 @@
     }
 }
 
+/// Applies the evacuations of a batch that was read from the offset `from`, or that lists all if that
+/// is `None`, to the set as of that offset. Returns the set as of the end of the batch.
+fn apply_evacuations(
+    gateway: &GatewayState,
+    before: Evacuations,
+    batch: &ChangeBatch,
+    from: Option<u64>,
+) -> Evacuations {
+    let mut set = match (from, batch.partial) {
+        (Some(_), _) => before,
+        (None, false) => Evacuations::default(),
+        // What a list without its end does not show may still hold.
+        (None, true) => gateway.evacuations(),
+    };
+    set.as_of = batch.next;
+    for change in &batch.changes {
+        match change {
+            Change::ZoneEvacuated(zone) => set.add(ZoneTag::of(zone)),
+            Change::ZoneRestored(zone) => set.remove(ZoneTag::of(zone)),
+            _ => {}
+        }
+    }
+    gateway.merge_evacuations(set.clone());
+    set
+}
+
 /// Takes over that the platform has confirmed the configuration of another gateway, if this gateway
 /// has the same one. A newer one is fetched by [`super::peers::service::sync_configs`].
 fn confirm_config(gateway: &GatewayState, peer: SocketAddr) {
@@ -105,6 +137,8 @@
             spdlog::error!("could not decode a configuration", kv: { key: = key.as_ref() });
         }
         Change::Target(..) | Change::Removed(_) => {}
+        // Already applied.
+        Change::ZoneEvacuated(_) | Change::ZoneRestored(_) => {}
     }
 }
 
--- a/src/gateway/follow/list.rs
+++ b/src/gateway/follow/list.rs
@@ -206,7 +206,7 @@
             remove(gateway, &id);
         }
         Change::Removed(id) => handle_missing(gateway, missing, now, &id),
-        Change::Config(_) => {}
+        Change::Config(_) | Change::ZoneEvacuated(_) | Change::ZoneRestored(_) => {}
     }
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -43,6 +43,7 @@
 pub mod request_log;
 pub mod request_quarantine;
 pub mod response;
+pub mod restrictions;
 pub mod resume;
 pub mod retry;
 pub mod retry_budget;
--- a/src/gateway/peers/wire.rs
+++ b/src/gateway/peers/wire.rs
@@ -10,13 +10,14 @@
 use crate::gateway::peers::member::{CopyStatus, Member, Scope, ZoneTag};
 use crate::gateway::peers::totals::{TargetLoad, Totals};
 use crate::gateway::peers::wire_crashes::{self, Suspicions, WireCrash};
+use crate::gateway::restrictions::evacuations::{self, Evacuations};
 use crate::gateway::service_demand::ServiceTag;
 use crate::gateway::target_limit::{LimitedUse, Observation};
 use crate::gateway::targets::TargetTag;
 use crate::units::Micros;
 
 /// Version of the gossip messages; messages of other versions are dropped.
-pub const VERSION: u8 = 6;
+pub const VERSION: u8 = 7;
 /// Maximum size of a gossip datagram.
 pub const MAX_DATAGRAM_BYTES: usize = 56 * 1024;
 /// Maximum number of targets in a message.
@@ -44,6 +45,7 @@
     zone: u32,
     capacity: u32,
     status: WireStatus,
+    evacuations: WireEvacuations,
     scope: WireScope,
     load: Vec<WireLoad>,
     limited: Vec<WireLimited>,
@@ -64,6 +66,13 @@
     list_change: u64,
 }
 
+/// The sender's version of the set of evacuated zones.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+struct WireEvacuations {
+    as_of: u64,
+    zones: Vec<u32>,
+}
+
 #[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
 enum WireScope {
     #[default]
@@ -143,6 +152,15 @@
         }
     }
 
+    /// Adds the sender's version of the set of evacuated zones.
+    pub fn with_evacuations(mut self, evacuations: &Evacuations) -> Self {
+        self.evacuations = WireEvacuations {
+            as_of: evacuations.as_of,
+            zones: evacuations.zones().map(|zone| zone.0).collect(),
+        };
+        self
+    }
+
     /// Adds load, limits, demand and, if `with_usage`, usage of client accounts, up to the bounds.
     /// If there are too many, the busiest targets and the accounts that request most are included.
     pub fn with_totals(
@@ -217,6 +235,7 @@
             && accounts <= MAX_USAGE
             && message.limited.len() <= MAX_LIMITED
             && message.demand.len() <= MAX_SERVICES
+            && message.evacuations.zones.len() <= evacuations::MAX_ZONES
             && wire_crashes::fit(&message.crashes)
             && message.introductions.len() <= MAX_INTRODUCTIONS;
         (message.protocol == VERSION && fits)
@@ -245,6 +264,12 @@
         }
     }
 
+    /// The sender's version of the set of evacuated zones.
+    pub fn evacuations(&self) -> Evacuations {
+        let zones = self.evacuations.zones.iter();
+        Evacuations::new(self.evacuations.as_of, zones.map(|&zone| ZoneTag(zone)))
+    }
+
     /// What the message reports on.
     pub fn scope(&self) -> Scope {
         self.scope.into()
--- a/src/gateway/selection.rs
+++ b/src/gateway/selection.rs
@@ -14,6 +14,8 @@
 use smallvec::SmallVec;
 
 use crate::gateway::prompts::{Prompt, mix};
+use crate::gateway::restrictions;
+use crate::gateway::restrictions::evacuations::Evacuations;
 use crate::gateway::targets::{Target, TargetKey, TargetTag, Targets};
 use crate::units::Micros;
 
@@ -49,6 +51,8 @@
     pub zone: &'a str,
     /// Targets of earlier attempts, which are excluded.
     pub tried: &'a [TargetKey],
+    /// The evacuated zones, whose targets are excluded.
+    pub evacuations: &'a Evacuations,
     /// Prefill rate of an engine, in tokens per millisecond.
     pub prefill_rate: f64,
     /// The route's objective for the time to the first event, or to another response.
@@ -91,8 +95,9 @@
 ) -> Option<Choice> {
     let usable = |key: TargetKey| {
         let target = targets.get(key)?;
-        let untried = !target.entry.draining && !criteria.tried.contains(&key);
-        (untried && is_eligible(target)).then_some((key, target))
+        let is_allowed = restrictions::check(target, criteria.evacuations).is_none();
+        let is_usable = is_allowed && !criteria.tried.contains(&key);
+        (is_usable && is_eligible(target)).then_some((key, target))
     };
     let preferred = preferred_targets(keys.iter().filter_map(|&k| usable(k)), criteria.prompt);
     let mut best: Option<(f64, u64, Choice)> = None;
--- a/src/gateway/selection/tests.rs
+++ b/src/gateway/selection/tests.rs
@@ -1,8 +1,14 @@
+use std::sync::LazyLock;
+
 use super::{Choice, Criteria, choose};
+use crate::gateway::peers::member::ZoneTag;
 use crate::gateway::prompts::{Part, Prompt};
+use crate::gateway::restrictions::evacuations::Evacuations;
 use crate::gateway::targets::{Entry, TargetKey, Targets};
 use crate::units::Micros;
 
+static NO_EVACUATIONS: LazyLock<Evacuations> = LazyLock::new(Evacuations::default);
+
 const NOW: Micros = Micros::from_secs(1);
 const RATE: f64 = 100.0;
 const SHARED_TOKENS: u64 = 13_000;
@@ -41,6 +47,7 @@
         prompt,
         zone: "a",
         tried: &[],
+        evacuations: &NO_EVACUATIONS,
         prefill_rate: RATE,
         latency_objective: Micros::from_ms(600),
         assume_cached: true,
@@ -106,6 +113,28 @@
     assert!(busiest <= Micros::from_ms(600), "{busiest}");
 }
 
+#[test]
+fn targets_of_an_evacuated_zone_are_not_chosen_even_if_no_other_has_room() {
+    let targets = fleet(18, "model");
+    let evacuations = Evacuations::new(1, [ZoneTag::of("a")].into_iter());
+    for shared in 1..50 {
+        let prompt = prompt(shared, 9_000 + shared);
+        let criteria = Criteria {
+            evacuations: &evacuations,
+            ..criteria(Some(&prompt), shared)
+        };
+        let choice = choose(&targets, NOW, &criteria).expect("zone b has targets");
+        let target = targets.get(choice.target).expect("it was just chosen");
+        assert_eq!(target.entry.zone.as_ref(), "b");
+    }
+    let all = Evacuations::new(1, ["a", "b"].into_iter().map(ZoneTag::of));
+    let criteria = Criteria {
+        evacuations: &all,
+        ..criteria(None, 1)
+    };
+    assert_eq!(choose(&targets, NOW, &criteria), None);
+}
+
 /// All prefixes are requested at once, before any target has cached one.
 #[test]
 fn at_the_first_start_prefixes_count_as_not_cached_at_their_preferred_target() {
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -129,15 +129,14 @@
 }
 
 /// Checks again, right before a request is sent, what may have changed since its target was chosen:
-/// the deadline, the target's entry, the configuration, and the quarantine.
+/// the deadline, the target's restrictions, the configuration, and the quarantine.
 fn last_look(
     gateway: &GatewayState,
     request: &ClientRequest,
     target: TargetKey,
 ) -> Result<(), Failure> {
     let expired = gateway.clock.now() >= request.deadline();
-    let listed = gateway.target_entry(target);
-    let takes_requests = listed.is_some_and(|(_, entry)| !entry.draining);
+    let takes_requests = gateway.may_send_to(target);
     let allowed = request.is_allowed_by(&gateway.config());
     if expired || !takes_requests || !allowed || gateway.remaining_quarantine(request).is_some() {
         return Err(Failure::Withdrawn);
--- a/src/gateway/send/tests.rs
+++ b/src/gateway/send/tests.rs
@@ -3,7 +3,9 @@
 use tokio::time::advance;
 
 use super::last_look;
+use crate::gateway::peers::member::ZoneTag;
 use crate::gateway::request::tests::{config, request};
+use crate::gateway::restrictions::evacuations::Evacuations;
 use crate::gateway::retry::Failure;
 use crate::gateway::retry_budget::RetryLimits;
 use crate::gateway::state::GatewayState;
@@ -59,6 +61,10 @@
         gateway.with_targets(|targets| targets.remove("t0"));
         Duration::ZERO
     } => Err(Failure::Withdrawn);
+    its_zone_is_evacuated: |gateway| {
+        gateway.merge_evacuations(Evacuations::new(1, [ZoneTag::of("a")].into_iter()));
+        Duration::ZERO
+    } => Err(Failure::Withdrawn);
     its_route_is_removed: |gateway| {
         gateway.apply_config(config(2, "/other/", "desk", "school-key"));
         Duration::ZERO
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -29,11 +29,13 @@
 use crate::gateway::pool::ConnectionPool;
 use crate::gateway::request::ClientRequest;
 use crate::gateway::request_quarantine::RequestQuarantine;
+use crate::gateway::restrictions;
+use crate::gateway::restrictions::evacuations::{self, Evacuations};
 use crate::gateway::retry_budget::{RetryBudget, RetryLimits};
 use crate::gateway::selection::{self, Choice, Criteria};
 use crate::gateway::service_demand::{ServiceDemand, ServiceTag};
 use crate::gateway::targets::{Entry, Target, TargetKey, Targets};
-use crate::telemetry::{Metrics, Telemetry};
+use crate::telemetry::{Gauge, Metrics, Telemetry};
 use crate::units::{Clock, Micros};
 
 /// Prefill rate per engine, in tokens per millisecond, that is assumed if the configuration does
@@ -87,6 +89,7 @@
     /// End of the grace period; `None` unless the gateway shuts down.
     grace_end: Option<Micros>,
     targets: Targets,
+    evacuations: Evacuations,
     budgets: HashMap<Arc<str>, RetryBudget>,
 }
 
@@ -119,6 +122,7 @@
                 times: RequestTimes::default(),
                 grace_end: None,
                 targets: Targets::default(),
+                evacuations: Evacuations::default(),
                 budgets: HashMap::new(),
             }),
         }
@@ -238,6 +242,32 @@
         self.lock().targets.get(key).is_some()
     }
 
+    /// Whether a target is listed and may be sent requests now.
+    pub fn may_send_to(&self, key: TargetKey) -> bool {
+        let state = self.lock();
+        let target = state.targets.get(key);
+        target.is_some_and(|target| restrictions::check(target, &state.evacuations).is_none())
+    }
+
+    /// Returns the set of evacuated zones.
+    pub fn evacuations(&self) -> Evacuations {
+        self.lock().evacuations.clone()
+    }
+
+    /// Takes over a version of the set of evacuated zones unless this gateway knows a newer one, and
+    /// logs the zones that it changes.
+    pub fn merge_evacuations(&self, newer: Evacuations) {
+        let mut state = self.lock();
+        let Some(before) = state.evacuations.merge(newer) else {
+            return;
+        };
+        if before.zones().ne(state.evacuations.zones()) {
+            self.metrics()
+                .set_gauge(Gauge::EvacuatedZones, state.evacuations.len() as i64);
+            evacuations::log_changes(&before, &state.evacuations, &state.targets);
+        }
+    }
+
     /// Returns a target's id and list entry; `None` if it is no longer listed.
     pub fn target_entry(&self, key: TargetKey) -> Option<(Arc<str>, Entry)> {
         let state = self.lock();
@@ -254,6 +284,7 @@
             prompt: request.prompt.as_ref(),
             zone: &self.zone,
             tried,
+            evacuations: &state.evacuations,
             prefill_rate: self.prefill_rate(service, &state.targets),
             latency_objective: request.route.latency_objective.into(),
             assume_cached: !self.cold || self.clock.now() > CACHE_WARM_UP,
@@ -292,8 +323,13 @@
         let state = self.lock();
         let keys = state.targets.of_service(service);
         let targets = keys.iter().filter_map(|&key| state.targets.get(key));
-        let backlog: f64 = targets.map(|target| target.load.total_prefill()).sum();
-        let rate = self.prefill_rate(service, &state.targets) * keys.len().max(1) as f64;
+        let allowed = |target: &&Target| restrictions::check(target, &state.evacuations).is_none();
+        let (count, backlog) = targets
+            .filter(allowed)
+            .fold((0, 0.0), |(count, sum), target| {
+                (count + 1, sum + target.load.total_prefill())
+            });
+        let rate = self.prefill_rate(service, &state.targets) * f64::from(count.max(1));
         Micros((backlog / rate * 1_000.0) as u64)
     }
 
--- a/src/gateway/state/exchange.rs
+++ b/src/gateway/state/exchange.rs
@@ -24,7 +24,8 @@
         let own = own_totals(state, now);
         let change = state.targets.journal().last();
         let status = state.copies.status(version, self.boot, change);
-        let mut base = GossipMessage::new(now, state.peers.me(), &status);
+        let mut base =
+            GossipMessage::new(now, state.peers.me(), &status).with_evacuations(&state.evacuations);
         if rounds::is_full(round) {
             base = with_suspicions(state, now, base);
         }
@@ -42,6 +43,7 @@
     /// Processes a message from another gateway.
     pub fn receive_gossip(&self, from: SocketAddr, message: &GossipMessage) {
         let now = self.clock.now();
+        self.merge_evacuations(message.evacuations());
         let mut state = self.lock();
         let state = &mut *state;
         let sender = message.sender(from);
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -9,6 +9,7 @@
 use slab::Slab;
 
 use crate::gateway::evidence::CrashTag;
+use crate::gateway::peers::member::ZoneTag;
 use crate::gateway::peers::totals::TargetLoad;
 use crate::gateway::prompts::{PrefixCache, mix};
 use crate::gateway::target_limit::TargetLimit;
@@ -85,6 +86,8 @@
     pub tag: TargetTag,
     /// Entry in the list.
     pub entry: Entry,
+    /// Tag of its availability zone.
+    pub zone: ZoneTag,
     /// Estimated load.
     pub load: Load,
     /// Prompt parts that it presumably has cached.
@@ -205,7 +208,9 @@
             return Change::Same;
         }
         let drains = entry.draining && !known.draining;
-        self.get_mut(key).expect("ids name live targets").entry = entry;
+        let target = self.get_mut(key).expect("ids name live targets");
+        target.zone = ZoneTag::of(&entry.zone);
+        target.entry = entry;
         if drains {
             Change::Left
         } else {
@@ -245,6 +250,7 @@
         let target = Target {
             id: id.clone(),
             tag: TargetTag(xxhash_rust::xxh3::xxh3_64(id.as_bytes()) as u32),
+            zone: ZoneTag::of(&entry.zone),
             entry,
             load,
             cache: PrefixCache::default(),
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -26,6 +26,8 @@
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
 /// Record key of the configuration.
 const CONFIG_KEY: &str = "config";
+/// Start of the record keys of evacuations; the name of the zone follows.
+const EVACUATION_PREFIX: &str = "evacuate/";
 /// Name of the topic that the operator writes to.
 const OPERATOR_TOPIC: &str = "keyed.op";
 /// Name of the topic that the targets write to.
@@ -194,13 +196,23 @@
 /// Converts a record to a change; `None` if the gateway does not use the record.
 fn to_change(topic: Topic, record: KeyedRecord) -> Option<Change> {
     match topic {
-        Topic::Config if record.key.as_ref() != CONFIG_KEY || record.value.is_empty() => None,
-        Topic::Config => Some(config_change(record)),
+        Topic::Config => operator_change(record),
         Topic::Targets if record.value.is_empty() => Some(Change::Removed(record.key)),
         Topic::Targets => Some(target_change(record)),
     }
 }
 
+fn operator_change(record: KeyedRecord) -> Option<Change> {
+    if let Some(zone) = record.key.strip_prefix(EVACUATION_PREFIX) {
+        return Some(match record.value.is_empty() {
+            true => Change::ZoneRestored(zone.into()),
+            false => Change::ZoneEvacuated(zone.into()),
+        });
+    }
+    let is_config = record.key.as_ref() == CONFIG_KEY && !record.value.is_empty();
+    is_config.then(|| config_change(record))
+}
+
 fn config_change(record: KeyedRecord) -> Change {
     match decode_config(record.value) {
         Some(config) => Change::Config(Box::new(config)),
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -95,6 +95,8 @@
         Peers => "peers",
         /// Bytes of bodies and answers that are held for requests.
         HeldBytes => "held_bytes",
+        /// Availability zones that the operator has evacuated.
+        EvacuatedZones => "evacuated_zones",
     }
 );
 
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -37,6 +37,8 @@
 struct DirectoryState {
     config: Option<Config>,
     targets: Vec<(String, Entry)>,
+    /// All evacuations and their ends, in order.
+    zone_changes: Vec<Change>,
     changes: u64,
 }
 
@@ -86,6 +88,17 @@
         });
     }
 
+    /// Evacuates a zone, or ends its evacuation.
+    pub fn set_evacuated(&self, zone: &str, evacuated: bool) {
+        self.with(|state| {
+            state.zone_changes.push(match evacuated {
+                true => Change::ZoneEvacuated(zone.into()),
+                false => Change::ZoneRestored(zone.into()),
+            });
+            state.changes += 1;
+        });
+    }
+
     /// Sets whether all calls fail.
     pub fn set_failing(&self, failing: bool) {
         self.link.failing.store(failing, Ordering::Relaxed);
@@ -121,7 +134,7 @@
                 next: state.changes,
                 partial: false,
                 changes: match topic {
-                    Topic::Config => config.collect(),
+                    Topic::Config => config.chain(state.zone_changes.iter().cloned()).collect(),
                     Topic::Targets => targets.collect(),
                 },
             })
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod diagnosis;
 mod directory;
 mod endless;
+mod evacuation;
 mod flood;
 mod followers;
 mod gateway_process;
