Let callers of an account at its fair share come back while they can be on time

Cause: a refusal at the fair share named 800 ms and up to half more, while objectives are 0.5 to 1 s: a retry that was served was late.

Change: Retry-After there is a quarter of the route's latency objective, with jitter as before.

--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -33,8 +33,9 @@
 /// Maximum mean prefill backlog per engine, as a fraction of the latency objective, for a request
 /// of an account that has reached its fair share.
 const MAX_BACKLOG_AT_FAIR_SHARE: f64 = 0.12;
-/// `Retry-After` for an account that has reached its fair share.
-const RETRY_AFTER_AT_FAIR_SHARE: Duration = Duration::from_millis(800);
+/// `Retry-After` for an account that has reached its fair share, before jitter, as a fraction of the
+/// latency objective: a retry can still be on time.
+const RETRY_AFTER_AT_FAIR_SHARE: f64 = 0.25;
 /// Assumed network round trip to the target.
 const ROUND_TRIP: Micros = Micros::from_ms(30);
 
@@ -84,7 +85,8 @@
     let busy = choice.wait > fraction(context.latency_objective, MAX_WAIT_AT_FAIR_SHARE)
         || context.backlog > fraction(context.latency_objective, MAX_BACKLOG_AT_FAIR_SHARE);
     if context.share == ShareStatus::ReachedShare && busy {
-        let wait = jittered(RETRY_AFTER_AT_FAIR_SHARE, random);
+        let wait = fraction(context.latency_objective, RETRY_AFTER_AT_FAIR_SHARE);
+        let wait = jittered(Duration::from(wait).max(MIN_RETRY_AFTER), random);
         return Err(Problem::not_run(429, Reason::ShareReached).retry_after(wait));
     }
     let late = (context.elapsed + needed).saturating_sub(context.latency_objective);
