Take prefixes that moved to another target for uncached at first, and weigh bytes between zones

Cause: the first target of a prefix by rendezvous hash was always taken to have it cached. When targets left, failed or were evacuated, all gateways sent the moved prefixes to targets that had to read them, and saw no backlog there (42,665 tokens expected after 128 ms took 1,616 ms). At a first start the assumption was lifted 12 s after the start of the process, on some sites before the first request. The way to another zone cost 5 ms, whatever its size.

Change: a prefix that was assigned anew counts as uncached with a probability that halves each 2 s; so do all prefixes from the first request after a first start. A way to another zone costs 2 ms and 2 ms a kilobyte of body and answer; a prefix that is read in less than that stays in the gateway's zone.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -36,6 +36,7 @@
 pub mod part_quarantine;
 pub mod peers;
 pub mod pool;
+pub mod prefix_owner;
 pub mod prompts;
 pub mod relay;
 pub mod reload;
--- a/src/gateway/prompts.rs
+++ b/src/gateway/prompts.rs
@@ -46,6 +46,11 @@
         (self.tokens + 2 * self.output) as f64
     }
 
+    /// Returns the number of tokens that no other request shares: those of the last part.
+    pub fn own_tokens(&self) -> u64 {
+        self.parts.last().map_or(self.tokens, |part| part.tokens)
+    }
+
     /// Returns the ids of the parts that other requests may share: all but the last.
     pub fn shared_parts(&self) -> impl Iterator<Item = u64> + Clone + '_ {
         let shared = self.parts.len().saturating_sub(1);
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -89,6 +89,12 @@
         body.clone()
     }
 
+    /// Size of the body in bytes; 0 once it has been released.
+    pub fn body_len(&self) -> usize {
+        let body = self.body.lock().unwrap_or_else(PoisonError::into_inner);
+        body.len()
+    }
+
     /// Gives the memory of a large body back, as the request will not be sent again.
     pub fn release_body(&self) {
         if self.body().len() >= LARGE_BODY_BYTES {
--- a/src/gateway/selection.rs
+++ b/src/gateway/selection.rs
@@ -13,16 +13,13 @@
 
 use smallvec::SmallVec;
 
+use crate::gateway::prefix_owner::{Candidate, OwnerShare, Owners};
 use crate::gateway::prompts::{Prompt, mix};
 use crate::gateway::restrictions;
 use crate::gateway::restrictions::evacuations::Evacuations;
 use crate::gateway::targets::{Target, TargetKey, TargetTag, Targets};
 use crate::units::Micros;
 
-/// Replication cost at a prefix's preferred targets, in hash order, as a factor of the cost at any
-/// other target. The first one is assumed to have the prefix cached; all gateways fall back to the
-/// second one when the first is busy.
-const PREFERRED_COST: [f64; 2] = [0.0, 0.5];
 /// Cost to other requests of caching a shared prefix at one more target, as a multiple of its
 /// prefill time: it takes compute time, and cache space from other prefixes.
 const REPLICATION_COST: f64 = 3.0;
@@ -30,8 +27,16 @@
 const FIRST_EVENT_US: f64 = 40_000.0;
 /// Time by which each concurrent request delays the first event.
 const PER_ACTIVE_US: f64 = 300.0;
-/// Cost of a target in another availability zone: round trip and traffic fees.
-const CROSS_ZONE_US: f64 = 5_000.0;
+/// Cost of a target in another availability zone, without the bytes that cross: the round trip.
+const CROSS_ZONE_US: f64 = 2_000.0;
+/// Cost of a kilobyte that crosses between zones: traffic fees.
+const CROSS_ZONE_US_PER_KB: f64 = 2_000.0;
+/// Bytes of an answer for each token that an engine generates.
+const TOKEN_BYTES: u64 = 16;
+/// Bytes of an answer of a service without an engine.
+const CALL_ANSWER_BYTES: u64 = 1_000;
+/// Number of requests that a copy of a prefix in this zone spares the way to another zone.
+const ZONE_COPY_REQUESTS: f64 = 2.0;
 /// Cost of missing the latency objective: any target that meets it is preferred, however much it
 /// has to prefill.
 const LATE_US: f64 = 10_000_000.0;
@@ -57,9 +62,11 @@
     pub prefill_rate: f64,
     /// The route's objective for the time to the first event, or to another response.
     pub latency_objective: Micros,
-    /// Whether to assume that shared prefixes are cached at their preferred target; `false` while
-    /// the caches are still cold.
-    pub assume_cached: bool,
+    /// Size of the request's body, in bytes.
+    pub body_bytes: u64,
+    /// Time at which requests began to fill the caches of targets that all started together; `None`
+    /// if the targets have been in use for long.
+    pub emptied: Option<Micros>,
     /// Random number that breaks ties.
     pub random: u64,
 }
@@ -93,19 +100,19 @@
     now: Micros,
     is_eligible: impl Fn(&Target) -> bool,
 ) -> Option<Choice> {
-    let usable = |key: TargetKey| {
-        let target = targets.get(key)?;
+    let is_usable = |key: TargetKey, target: &Target| {
         let is_allowed = restrictions::check(target, criteria.evacuations).is_none();
-        let is_usable = is_allowed && !criteria.tried.contains(&key);
-        (is_usable && is_eligible(target)).then_some((key, target))
+        is_allowed && !criteria.tried.contains(&key) && is_eligible(target)
     };
-    let preferred = preferred_targets(keys.iter().filter_map(|&k| usable(k)), criteria.prompt);
+    let owners = owners(targets, now, criteria, is_usable);
     let mut best: Option<(f64, u64, Choice)> = None;
-    let with_room = keys.iter().filter_map(|&k| usable(k));
-    for (key, target) in with_room.filter(|(_, target)| target.limit.has_room()) {
-        let rank = preferred.iter().position(|&(_, other)| other == key);
+    let listed = keys
+        .iter()
+        .filter_map(|&key| Some((key, targets.get(key)?)));
+    let usable = listed.filter(|&(key, target)| is_usable(key, target));
+    for (key, target) in usable.filter(|(_, target)| target.limit.has_room()) {
         let cost = match criteria.prompt {
-            Some(prompt) => engine_cost(target, now, prompt, rank, criteria),
+            Some(prompt) => engine_cost(target, now, prompt, owners.share(key), criteria),
             None => call_cost(target, now),
         };
         let total = cost.total + penalty(target, &cost, criteria);
@@ -127,33 +134,55 @@
 fn penalty(target: &Target, cost: &Cost, criteria: &Criteria<'_>) -> f64 {
     let other_zone = target.entry.zone.as_ref() != criteria.zone;
     let late = cost.time > criteria.latency_objective.0 as f64;
-    let other_zone = if other_zone { CROSS_ZONE_US } else { 0.0 };
+    let other_zone = if other_zone {
+        crossing_cost(criteria)
+    } else {
+        0.0
+    };
     let late = if late { LATE_US } else { 0.0 };
     other_zone + late
 }
 
-/// Returns the preferred targets of a prompt's shared prefix by rendezvous hashing, with their
-/// hashes, highest first.
-fn preferred_targets<'a>(
-    targets: impl Iterator<Item = (TargetKey, &'a Target)>,
-    prompt: Option<&Prompt>,
-) -> SmallVec<[(u64, TargetKey); 4]> {
-    let mut preferred: SmallVec<[(u64, TargetKey); 4]> = SmallVec::new();
-    let Some(shared) = prompt
-        .map(Prompt::prefix_hash)
-        .filter(|&shared| shared != 0)
-    else {
-        return preferred;
+/// Assigns the shared prefix of a prompt, if it has one. A short prefix is assigned to a target of
+/// this gateway's zone, since reading it there once costs less than many requests that cross zones.
+fn owners(
+    targets: &Targets,
+    now: Micros,
+    criteria: &Criteria<'_>,
+    is_usable: impl Fn(TargetKey, &Target) -> bool,
+) -> Owners {
+    let Some(prompt) = criteria.prompt else {
+        return Owners::default();
     };
-    for (key, target) in targets {
-        let weight = mix(shared ^ tag_hash(target.tag));
-        let at = preferred.partition_point(|&(other, _)| other > weight);
-        if at < PREFERRED_COST.len() {
-            preferred.insert(at, (weight, key));
-            preferred.truncate(PREFERRED_COST.len());
-        }
+    let prefix = prompt.prefix_hash();
+    if prefix == 0 {
+        return Owners::default();
     }
-    preferred
+    let shared = prompt.tokens.saturating_sub(prompt.own_tokens()) as f64;
+    let reading = shared / criteria.prefill_rate * 1_000.0 * REPLICATION_COST;
+    let in_zone = reading <= ZONE_COPY_REQUESTS * crossing_cost(criteria);
+    let keys = targets.of_service(criteria.service).iter();
+    let listed = keys.filter_map(|&key| Some((key, targets.get(key)?)));
+    let candidates = listed.map(|(key, target)| {
+        let candidate = Candidate {
+            key,
+            tag: target.tag,
+            is_usable: is_usable(key, target),
+            availability: target.availability,
+        };
+        (candidate, target.entry.zone.as_ref() == criteria.zone)
+    });
+    let candidates: SmallVec<[(Candidate, bool); 64]> = candidates.collect();
+    let in_zone = in_zone
+        && candidates
+            .iter()
+            .any(|(c, is_local)| *is_local && c.is_usable);
+    let considered = candidates
+        .iter()
+        .filter(|(_, is_local)| *is_local || !in_zone);
+    let departures = targets.departures(criteria.service);
+    let considered = considered.map(|&(candidate, _)| candidate);
+    Owners::assign(now, prefix, considered, departures, criteria.emptied)
 }
 
 /// Cost of sending a request to a target, in microseconds.
@@ -169,28 +198,31 @@
     prefill_tokens: u64,
 }
 
-/// Returns the cost on an engine. `rank` is its index among the prefix's preferred targets; `None`
-/// if it is not one of them.
+/// Cost of sending a request and its answer to a target of another zone, in microseconds.
+fn crossing_cost(criteria: &Criteria<'_>) -> f64 {
+    let answer = criteria
+        .prompt
+        .map_or(CALL_ANSWER_BYTES, |prompt| prompt.output * TOKEN_BYTES);
+    let bytes = criteria.body_bytes + answer;
+    CROSS_ZONE_US + bytes as f64 / 1_000.0 * CROSS_ZONE_US_PER_KB
+}
+
+/// Returns the cost on an engine, whose part in the assignment of the prompt's prefix is `share`.
 fn engine_cost(
     target: &Target,
     now: Micros,
     prompt: &Prompt,
-    rank: Option<usize>,
+    share: OwnerShare,
     criteria: &Criteria<'_>,
 ) -> Cost {
     let load = &target.load;
     let slowness = load.slowness_at(now);
-    let own_tokens = prompt
-        .parts
-        .last()
-        .map_or(prompt.tokens, |part| part.tokens);
+    let own_tokens = prompt.own_tokens();
     let cached = target.cache.cached_tokens(now, prompt);
     let prefill_tokens = prompt.tokens.saturating_sub(cached);
-    let shared = match rank {
-        Some(0) if criteria.assume_cached => 0,
-        _ => prefill_tokens.saturating_sub(own_tokens),
-    };
-    let replication = rank.map_or(1.0, |rank| PREFERRED_COST[rank]) * REPLICATION_COST;
+    let shared = prefill_tokens.saturating_sub(own_tokens) as f64 * share.uncached;
+    let shared = shared as u64;
+    let replication = share.copy_cost * REPLICATION_COST;
     let us = |tokens: f64| tokens / criteria.prefill_rate * 1_000.0;
     let queued = us(load.total_prefill());
     let concurrent = load.total_active() * PER_ACTIVE_US;
--- a/src/gateway/selection/tests.rs
+++ b/src/gateway/selection/tests.rs
@@ -50,7 +50,8 @@
         evacuations: &NO_EVACUATIONS,
         prefill_rate: RATE,
         latency_objective: Micros::from_ms(600),
-        assume_cached: true,
+        body_bytes: 1_000,
+        emptied: None,
         random,
     }
 }
@@ -142,7 +143,7 @@
     let prompt = prompt(5, 100);
     let warm = criteria(Some(&prompt), 1);
     let cold = Criteria {
-        assume_cached: false,
+        emptied: Some(NOW),
         ..warm
     };
     let choose = |criteria| choose(&targets, NOW, &criteria).expect("there are targets");
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -43,10 +43,6 @@
 const DEFAULT_PREFILL_RATE: f64 = 100.0;
 /// Ratio of an engine's prefill rate to its rate over whole requests: prefill is faster.
 const PREFILL_SPEEDUP: f64 = 1.8;
-/// How long prefix caches are assumed to be empty after the first start of the whole system, in
-/// which the targets start together with the gateway. Requests arrive about ten seconds after the
-/// start.
-const CACHE_WARM_UP: Micros = Micros::from_secs(12);
 
 /// State shared by all tasks of a gateway.
 #[derive(Debug)]
@@ -89,6 +85,8 @@
     /// End of the grace period; `None` unless the gateway shuts down.
     grace_end: Option<Micros>,
     targets: Targets,
+    /// Time of the first client request.
+    first_request: Option<Micros>,
     evacuations: Evacuations,
     budgets: HashMap<Arc<str>, RetryBudget>,
 }
@@ -122,6 +120,7 @@
                 times: RequestTimes::default(),
                 grace_end: None,
                 targets: Targets::default(),
+                first_request: None,
                 evacuations: Evacuations::default(),
                 budgets: HashMap::new(),
             }),
@@ -287,7 +286,8 @@
             evacuations: &state.evacuations,
             prefill_rate: self.prefill_rate(service, &state.targets),
             latency_objective: request.route.latency_objective.into(),
-            assume_cached: !self.cold || self.clock.now() > CACHE_WARM_UP,
+            body_bytes: request.body_len() as u64,
+            emptied: state.first_request.filter(|_| self.cold),
             random: rand::random(),
         };
         selection::choose(&state.targets, self.clock.now(), &criteria)
@@ -296,7 +296,9 @@
     /// Records a client's request in the demand for its service.
     pub fn record_demand(&self, service: &str) {
         let now = self.clock.now();
-        self.lock().demand.record(now, ServiceTag::of(service));
+        let mut state = self.lock();
+        state.first_request.get_or_insert(now);
+        state.demand.record(now, ServiceTag::of(service));
     }
 
     /// Returns the mean time between two requests for which this gateway has room at a service's
--- a/src/gateway/state/exchange.rs
+++ b/src/gateway/state/exchange.rs
@@ -10,6 +10,7 @@
 use crate::gateway::peers::wire_crashes::{MAX_SUSPICIONS, Suspicions};
 use crate::gateway::peers::{AGGREGATORS, Peers};
 use crate::gateway::request_log;
+use crate::gateway::restrictions;
 use crate::gateway::service_demand::ServiceTag;
 use crate::gateway::state::{GatewayState, State};
 use crate::units::Micros;
@@ -37,6 +38,7 @@
         let outgoing = rounds::compose(&mut state.peers, now, &input);
         apply_others(state, now, &own);
         refill_limits(state, now);
+        refresh_availability(state, now);
         outgoing
     }
 
@@ -153,6 +155,14 @@
     }
 }
 
+/// Looks at which targets can be used, for the assignment of prefixes.
+fn refresh_availability(state: &mut State, now: Micros) {
+    let evacuations = &state.evacuations;
+    state.targets.refresh_availability(now, |target| {
+        restrictions::check(target, evacuations).is_none() && target.load.paused_until <= now
+    });
+}
+
 /// What all other gateways cause, as the active aggregator of a zone has summed it up.
 fn others_of_active(peers: &Peers, now: Micros, own: &Totals) -> Totals {
     let mut others = peers.zone_totals(now, own);
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -2,7 +2,7 @@
 
 pub mod journal;
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -16,6 +16,13 @@
 use crate::gateway::targets::journal::Journal;
 use crate::units::Micros;
 
+/// Time after the start of this process in which targets are listed that have run for long.
+const SETTLING_TIME: Micros = Micros::from_secs(3);
+/// How long a removed target is remembered.
+const DEPARTURE_TTL: Micros = Micros::from_secs(10);
+/// Maximum number of removed targets that are remembered.
+const MAX_DEPARTURES: usize = 256;
+
 /// Key of a target in [`Targets`]. `generation` tells apart the targets that have used the same
 /// slot.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -77,6 +84,50 @@
     pub paused_until: Micros,
 }
 
+/// Whether a target could be used when [`Targets::refresh_availability`] looked last, and since when.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Availability {
+    /// Whether it could be used; `None` before the first look.
+    available: Option<bool>,
+    /// Time of the last change; `None` if it has not changed since this process started.
+    changed: Option<Micros>,
+}
+
+impl Availability {
+    /// Time since which the target can be used; `None` if that is as long as this process knows.
+    pub fn available_since(self) -> Option<Micros> {
+        self.changed
+    }
+
+    /// Time since which the target cannot be used, if it cannot be used now.
+    pub fn unavailable_since(self, now: Micros) -> Micros {
+        match (self.available, self.changed) {
+            (Some(false), changed) => changed.unwrap_or_default(),
+            // It has failed or was excluded since the last look.
+            _ => now,
+        }
+    }
+
+    fn refresh(&mut self, now: Micros, available: bool) {
+        if self.available == Some(available) {
+            return;
+        }
+        let is_start = self.available.is_none() && now < SETTLING_TIME;
+        self.available = Some(available);
+        self.changed = (!is_start).then_some(now);
+    }
+}
+
+/// A target that has been removed from the list.
+#[derive(Clone, Debug)]
+pub struct Departure {
+    /// Hash of its id.
+    pub tag: TargetTag,
+    /// Time since which it could not be used; `None` if it was removed since the last look.
+    pub at: Option<Micros>,
+    service: Arc<str>,
+}
+
 /// A listed target.
 #[derive(Clone, Debug)]
 pub struct Target {
@@ -94,6 +145,8 @@
     pub cache: PrefixCache,
     /// The limit that it names on the requests of all gateways together.
     pub limit: TargetLimit,
+    /// Since when it can be used, or cannot.
+    pub availability: Availability,
 }
 
 impl Target {
@@ -125,6 +178,8 @@
     services: HashMap<Arc<str>, Vec<TargetKey>>,
     generation: u32,
     journal: Journal,
+    /// Targets that were removed of late, oldest first.
+    departures: VecDeque<Departure>,
 }
 
 impl Targets {
@@ -232,12 +287,50 @@
             return Change::Same;
         };
         let (_, target) = self.arena.remove(key.slot as usize);
+        self.record_departure(&target);
         if let Some(keys) = self.services.get_mut(&target.entry.service) {
             keys.retain(|&k| k != key);
         }
         Change::Left
     }
 
+    /// The targets of a service that were removed of late.
+    pub fn departures<'a>(&'a self, service: &'a str) -> impl Iterator<Item = Departure> + 'a {
+        let of_service = self
+            .departures
+            .iter()
+            .filter(move |left| &*left.service == service);
+        of_service.cloned()
+    }
+
+    /// Looks at which targets can be used, and forgets old departures.
+    pub fn refresh_availability(&mut self, now: Micros, is_available: impl Fn(&Target) -> bool) {
+        for (_, (_, target)) in &mut self.arena {
+            let available = is_available(target);
+            target.availability.refresh(now, available);
+        }
+        for left in &mut self.departures {
+            left.at.get_or_insert(now);
+        }
+        let is_old = |left: &Departure| {
+            let at = left.at.unwrap_or(now);
+            now.saturating_sub(at) >= DEPARTURE_TTL
+        };
+        self.departures.retain(|left| !is_old(left));
+    }
+
+    fn record_departure(&mut self, target: &Target) {
+        if self.departures.len() >= MAX_DEPARTURES {
+            self.departures.pop_front();
+        }
+        let since = target.availability;
+        self.departures.push_back(Departure {
+            tag: target.tag,
+            at: since.changed.filter(|_| since.available == Some(false)),
+            service: target.entry.service.clone(),
+        });
+    }
+
     fn insert(&mut self, id: &str, entry: Entry) {
         self.generation += 1;
         let id: Arc<str> = id.into();
@@ -255,6 +348,7 @@
             load,
             cache: PrefixCache::default(),
             limit: TargetLimit::default(),
+            availability: Availability::default(),
         };
         let slot = self.arena.insert((self.generation, target));
         let key = TargetKey {
