Limit the requests to cold targets

Cause: a target that has just started can take only a few requests a second from all gateways together, and crashes if it gets far more.

Change: gateways parse coldS, coldPerS and healthPath of a service and coldRemainingMs of a target's entry, and take turns at cold targets by rendezvous hashing over wall-clock slots. On a new connection a target is asked how long it is cold. Cold times are carried in gossip and in copied lists.

No test of the limit itself yet.

--- a/src/gateway/admission/tests.rs
+++ b/src/gateway/admission/tests.rs
@@ -20,6 +20,7 @@
         slots: 4,
         draining: false,
         started_at: None,
+        cold: None,
     };
     targets.put("one", entry);
     AdmissionContext {
--- a/src/gateway/config.rs
+++ b/src/gateway/config.rs
@@ -9,8 +9,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hyper::Uri;
 use smallvec::SmallVec;
 
+use crate::gateway::cold_limit::ColdRule;
 use crate::ids::AccountKey;
 
 /// One version of the configuration. Immutable; a newer version replaces all of it.
@@ -86,6 +88,10 @@
     pub max_connections: usize,
     /// Capacity of the model inference engine of each target; `None` if the service runs no model.
     pub engine: Option<EngineCapacity>,
+    /// What its targets can take while they are cold; `None` if that is not limited.
+    pub cold: Option<ColdRule>,
+    /// Path at which its targets tell of their health; `None` if they do not.
+    pub health_path: Option<Uri>,
 }
 
 /// Capacity of a model inference engine.
--- a/src/gateway/crash_tracker/tests.rs
+++ b/src/gateway/crash_tracker/tests.rs
@@ -29,6 +29,7 @@
             slots: 4,
             draining: false,
             started_at: None,
+            cold: None,
         };
         targets.put(&port.to_string(), entry);
     }
--- a/src/gateway/follow/list.rs
+++ b/src/gateway/follow/list.rs
@@ -192,7 +192,14 @@
         Change::Target(id, entry) => {
             missing.forget(&id);
             let (draining, service) = (entry.draining, entry.service.clone());
-            let change = gateway.with_targets(|targets| targets.put(&id, entry));
+            let cold = entry.cold;
+            let change = gateway.with_targets(|targets| {
+                let change = targets.put(&id, entry);
+                if let Some(cold) = cold {
+                    targets.record_cold(now, &id, cold);
+                }
+                change
+            });
             if change != targets::Change::Same {
                 spdlog::info!(
                     "target listed", kv: {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -15,6 +15,8 @@
 pub mod attempts;
 pub mod body;
 pub mod byte_budget;
+pub mod cold_limit;
+pub mod cold_probe;
 pub mod config;
 pub mod connection_limits;
 pub mod copies;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -17,6 +17,7 @@
 pub mod handover;
 pub mod member;
 mod peer;
+pub mod roster;
 pub mod rounds;
 pub mod service;
 pub mod totals;
@@ -159,6 +160,18 @@
         self.known.keys().copied()
     }
 
+    /// All known gateways, with the times of their last signs of life.
+    pub fn signs(&self) -> impl Iterator<Item = (Member, Micros)> + '_ {
+        self.known
+            .values()
+            .map(|peer| (peer.member, peer.last_sign()))
+    }
+
+    /// Addresses at which gateways are to be expected.
+    pub fn seeds(&self) -> &[SocketAddr] {
+        &self.seeds
+    }
+
     /// What all other gateways cause together, from their reports on themselves.
     pub fn direct_totals(&self, now: Micros) -> Totals {
         let reports = self.known.values().map(|peer| peer.own.as_ref());
--- a/src/gateway/peers/tests.rs
+++ b/src/gateway/peers/tests.rs
@@ -8,6 +8,7 @@
 use super::wire_crashes::{MAX_SUSPICIONS, Suspicions};
 use super::wire_targets::{Cursor, WireTargets};
 use super::{MAX_PEERS, Peers};
+use crate::gateway::cold_limit::ColdNotice;
 use crate::gateway::directory::{Change, ChangeBatch};
 use crate::gateway::evidence::{CrashTag, Suspicion};
 use crate::gateway::fair_share::{AccountTag, Usage};
@@ -148,6 +149,10 @@
     let used = LimitedUse {
         sent: u32::MAX,
         answer: Some(answer),
+        cold: Some(ColdNotice {
+            until: at(u64::from(u32::MAX)),
+            as_of: Micros::ZERO,
+        }),
     };
     let totals = Totals {
         loads: (0..3_000)
@@ -232,12 +237,13 @@
         slots: 4,
         draining,
         started_at: Some(17),
+        cold: None,
     }
 }
 
 /// Sends a list through its wire format.
 fn transfer(targets: &Targets, seen: Option<Cursor>) -> WireTargets {
-    let list = WireTargets::new(77, 12, targets, seen);
+    let list = WireTargets::new(at(0), 77, 12, targets, seen);
     let data = postcard::to_stdvec(&list).expect("it encodes");
     postcard::from_bytes(&data).expect("it decodes")
 }
--- a/src/gateway/peers/wire.rs
+++ b/src/gateway/peers/wire.rs
@@ -6,6 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::gateway::cold_limit::{ColdNotice, ColdReport};
 use crate::gateway::fair_share::{AccountTag, Usage};
 use crate::gateway::peers::member::{CopyStatus, Member, Scope, ZoneTag};
 use crate::gateway::peers::totals::{TargetLoad, Totals};
@@ -95,6 +96,15 @@
     target: u32,
     sent: u32,
     answer: Option<WireAnswer>,
+    cold: Option<WireCold>,
+}
+
+/// How long a target is cold. Times are in milliseconds.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub struct WireCold {
+    remaining: u32,
+    /// Time since the statement was made, at most.
+    age: u32,
 }
 
 /// What a target's newest answer said.
@@ -171,9 +181,14 @@
         with_usage: bool,
     ) -> Self {
         self.scope = scope.into();
-        let limited = totals.limited.iter().take(MAX_LIMITED);
+        let limited = totals.limited.iter();
         let limited = limited.map(|(&tag, used)| WireLimited::new(now, tag, used));
         self.limited = limited.collect();
+        if self.limited.len() > MAX_LIMITED {
+            // Gateways learn of cold targets in other ways, too.
+            self.limited.sort_by_key(|row| row.answer.is_none());
+            self.limited.truncate(MAX_LIMITED);
+        }
         let demand = totals.demand.iter().take(MAX_SERVICES);
         let demand = demand.map(|(service, &requests)| WireDemand {
             service: service.0,
@@ -353,6 +368,7 @@
             target: target.0,
             sent: used.sent,
             answer,
+            cold: used.cold.map(|cold| cold.to_report(now).into()),
         }
     }
 
@@ -364,11 +380,31 @@
         let used = LimitedUse {
             sent: self.sent,
             answer,
+            cold: self.cold.map(|cold| ColdNotice::received(now, cold.into())),
         };
         (TargetTag(self.target), used)
     }
 }
 
+impl From<ColdReport> for WireCold {
+    fn from(report: ColdReport) -> Self {
+        let ms = |span: Micros| u32::try_from(span.0.div_ceil(1_000)).unwrap_or(u32::MAX);
+        WireCold {
+            remaining: ms(report.remaining),
+            age: ms(report.age),
+        }
+    }
+}
+
+impl From<WireCold> for ColdReport {
+    fn from(wire: WireCold) -> Self {
+        ColdReport {
+            remaining: Micros::from_ms(wire.remaining.into()),
+            age: Micros::from_ms(wire.age.into()),
+        }
+    }
+}
+
 impl From<(TargetTag, TargetLoad)> for WireLoad {
     fn from((tag, load): (TargetTag, TargetLoad)) -> Self {
         WireLoad {
--- a/src/gateway/peers/wire_targets.rs
+++ b/src/gateway/peers/wire_targets.rs
@@ -7,7 +7,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::gateway::directory::{Change, ChangeBatch};
-use crate::gateway::targets::{Entry, Targets};
+use crate::gateway::peers::wire::WireCold;
+use crate::gateway::targets::{Entry, Target, Targets};
+use crate::units::Micros;
 
 /// Request for a copy of a peer's state.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -48,13 +50,14 @@
     slots: u32,
     leaving: bool,
     born: Option<u64>,
+    cold: Option<WireCold>,
 }
 
 impl WireTargets {
     /// Builds the answer to a request for `targets`, the list of the process `boot`, which is
     /// complete up to the offset `next` of the platform's list. `seen` is the state that the
     /// requester has copied.
-    pub fn new(boot: u64, next: u64, targets: &Targets, seen: Option<Cursor>) -> Self {
+    pub fn new(now: Micros, boot: u64, next: u64, targets: &Targets, seen: Option<Cursor>) -> Self {
         let cursor = Cursor {
             boot,
             change: targets.journal().last(),
@@ -67,13 +70,13 @@
         let seen = seen.filter(|seen| seen.boot == boot);
         let Some(changed) = seen.and_then(|seen| targets.journal().since(seen.change)) else {
             list.complete = true;
-            let rows = targets.iter().map(|t| WireTarget::from((&*t.id, &t.entry)));
+            let rows = targets.iter().map(|t| WireTarget::new(now, t));
             list.targets = rows.collect();
             return list;
         };
         for id in changed {
             match targets.by_id(id) {
-                Some(target) => list.targets.push((&**id, &target.entry).into()),
+                Some(target) => list.targets.push(WireTarget::new(now, target)),
                 None => list.removed.push(id.to_string()),
             }
         }
@@ -81,16 +84,19 @@
     }
 }
 
-impl From<(&str, &Entry)> for WireTarget {
-    fn from((id, entry): (&str, &Entry)) -> Self {
+impl WireTarget {
+    fn new(now: Micros, target: &Target) -> Self {
+        let Target { id, entry, .. } = target;
+        let cold = target.cold.notice();
         WireTarget {
-            id: id.to_owned(),
+            id: id.to_string(),
             service: entry.service.to_string(),
             addr: entry.addr,
             zone: entry.zone.to_string(),
             slots: entry.slots,
             leaving: entry.draining,
             born: entry.started_at,
+            cold: cold.map(|cold| cold.to_report(now).into()),
         }
     }
 }
@@ -105,6 +111,7 @@
                 slots: target.slots,
                 draining: target.leaving,
                 started_at: target.born,
+                cold: target.cold.map(Into::into),
             };
             Change::Target(target.id.into(), entry)
         };
--- a/src/gateway/pool/tests.rs
+++ b/src/gateway/pool/tests.rs
@@ -28,6 +28,7 @@
             slots: 4,
             draining: false,
             started_at: None,
+            cold: None,
         };
         targets.put(id, entry);
     }
--- a/src/gateway/prefix_owner/tests.rs
+++ b/src/gateway/prefix_owner/tests.rs
@@ -16,6 +16,7 @@
         slots: 4,
         draining,
         started_at: None,
+        cold: None,
     }
 }
 
--- a/src/gateway/restrictions/tests.rs
+++ b/src/gateway/restrictions/tests.rs
@@ -15,6 +15,7 @@
                 slots: 4,
                 draining: $draining,
                 started_at: None,
+                cold: None,
             };
             let mut targets = Targets::default();
             targets.put("t0", entry);
--- a/src/gateway/selection.rs
+++ b/src/gateway/selection.rs
@@ -110,7 +110,7 @@
         .iter()
         .filter_map(|&key| Some((key, targets.get(key)?)));
     let usable = listed.filter(|&(key, target)| is_usable(key, target));
-    for (key, target) in usable.filter(|(_, target)| target.limit.has_room()) {
+    for (key, target) in usable.filter(|(_, target)| target.has_room(now)) {
         let cost = match criteria.prompt {
             Some(prompt) => engine_cost(target, now, prompt, owners.share(key), criteria),
             None => call_cost(target, now),
--- a/src/gateway/selection/tests.rs
+++ b/src/gateway/selection/tests.rs
@@ -24,6 +24,7 @@
             slots: 4,
             draining: false,
             started_at: None,
+            cold: None,
         };
         targets.put(&format!("target-{index}"), entry);
     }
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -10,6 +10,7 @@
 use hyper::{Request, StatusCode};
 use tokio::time::{Instant, timeout_at};
 
+use crate::gateway::cold_probe::{self, Answer};
 use crate::gateway::in_flight::InFlight;
 use crate::gateway::pool::{ConnectError, Connection};
 use crate::gateway::request::ClientRequest;
@@ -17,7 +18,7 @@
 use crate::gateway::retry::Failure;
 use crate::gateway::selection::Choice;
 use crate::gateway::state::GatewayState;
-use crate::gateway::targets::TargetKey;
+use crate::gateway::targets::{Entry, TargetKey};
 use crate::platform::headers::{self, ResponseMeta};
 use crate::telemetry::Event;
 use crate::units::Micros;
@@ -89,16 +90,20 @@
     let time_limit = response_timeout.map(|timeout| gateway.clock.now() + timeout);
     let until = time_limit.map_or(request.deadline(), |at| at.min(request.deadline()));
     let until = instant_at(gateway, until);
-    let mut connection = acquire_connection(gateway, target, entry.addr)
+    let mut connection = acquire_connection(gateway, target, &id, &entry)
         .await
         .map_err(|error| {
-            if !matches!(error, ConnectError::TooMany) {
-                record_failure(gateway, target, false);
+            match error {
+                ConnectError::TooMany => {}
+                _ => record_failure(gateway, target, false),
             }
             request_log::connect_failed(gateway, request, &id, &error);
             Failure::Unreached
         })?;
-    last_look(gateway, request, target)?;
+    if let Err(failure) = last_look(gateway, request, target) {
+        gateway.pool.put(target, connection, None);
+        return Err(failure);
+    }
     gateway.metrics().event(Event::Dispatch);
     let outgoing = outgoing_request(request, &id, gateway.clock.now(), last_event);
     let response = match timeout_at(until, connection.sender.send_request(outgoing)).await {
@@ -129,7 +134,8 @@
 }
 
 /// Checks again, right before a request is sent, what may have changed since its target was chosen:
-/// the deadline, the target's restrictions, the configuration, and the quarantine.
+/// the deadline, the target's restrictions, the configuration, the quarantine, and whether the target
+/// is cold. Takes the room for the request if it is.
 fn last_look(
     gateway: &GatewayState,
     request: &ClientRequest,
@@ -141,16 +147,19 @@
     if expired || !takes_requests || !allowed || gateway.remaining_quarantine(request).is_some() {
         return Err(Failure::Withdrawn);
     }
-    Ok(())
+    match gateway.take_cold_room(target) {
+        true => Ok(()),
+        false => Err(Failure::Withdrawn),
+    }
 }
 
 /// Checks that a target still accepts connections, after a connection to it broke off. A new
 /// connection is put into the pool; if there is none, the target is recorded as unreachable.
 pub async fn check_connection(gateway: Arc<GatewayState>, target: TargetKey) {
-    let Some((_, entry)) = gateway.target_entry(target) else {
+    let Some((id, entry)) = gateway.target_entry(target) else {
         return;
     };
-    match gateway.pool.connect(entry.addr).await {
+    match connect(&gateway, target, &id, &entry).await {
         Ok(connection) => gateway.pool.put(target, connection, None),
         Err(ConnectError::TooMany) => {}
         Err(_) => record_failure(&gateway, target, false),
@@ -160,11 +169,43 @@
 async fn acquire_connection(
     gateway: &GatewayState,
     target: TargetKey,
-    addr: std::net::SocketAddr,
+    id: &str,
+    entry: &Entry,
 ) -> Result<Connection, ConnectError> {
     match gateway.pool.take(target) {
         Some(connection) => Ok(connection),
-        None => gateway.pool.connect(addr).await,
+        None => connect(gateway, target, id, entry).await,
+    }
+}
+
+/// Opens a connection. A target that may have started since this gateway last heard it is asked on
+/// it how long it is cold: its new entry arrives later than the first requests would.
+async fn connect(
+    gateway: &GatewayState,
+    target: TargetKey,
+    id: &str,
+    entry: &Entry,
+) -> Result<Connection, ConnectError> {
+    let mut connection = gateway.pool.connect(entry.addr).await?;
+    let config = gateway.config();
+    let service = config.service(&entry.service);
+    let Some((service, rule)) = service.and_then(|s| Some((s, s.cold?))) else {
+        return Ok(connection);
+    };
+    let Some(path) = &service.health_path else {
+        gateway.record_reached(target, Answer::NotTold, &rule);
+        return Ok(connection);
+    };
+    if gateway.has_just_answered(target) {
+        return Ok(connection);
+    }
+    let answer = cold_probe::ask(&mut connection, id, entry.addr, path).await;
+    gateway.record_reached(target, answer, &rule);
+    // Some targets close the connection after this answer.
+    let is_usable = answer != Answer::Failed && connection.sender.ready().await.is_ok();
+    match is_usable {
+        true => Ok(connection),
+        false => gateway.pool.connect(entry.addr).await,
     }
 }
 
@@ -198,6 +239,9 @@
         if let Some(report) = meta.load {
             target.load.apply_report(report);
         }
+        if !moved {
+            target.cold.answered(now);
+        }
         match failed || moved {
             true => target.load.record_failure(now, !moved),
             false => target.load.record_success(),
@@ -211,7 +255,12 @@
 
 fn record_failure(gateway: &GatewayState, target: TargetKey, reached: bool) {
     let now = gateway.clock.now();
-    gateway.with_target(target, |target| target.load.record_failure(now, reached));
+    gateway.with_target(target, |target| {
+        target.load.record_failure(now, reached);
+        if !reached {
+            target.cold.lost(now);
+        }
+    });
     if !reached {
         record_unreachable(gateway, target);
     }
--- a/src/gateway/send/tests.rs
+++ b/src/gateway/send/tests.rs
@@ -20,6 +20,7 @@
         slots: 4,
         draining,
         started_at: Some(1),
+        cold: None,
     }
 }
 
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -1,6 +1,7 @@
 //! State shared by all tasks of a gateway: the active configuration, the known targets and their
 //! estimated load, peer reports, and retry budgets.
 
+mod cold;
 mod crashes;
 mod ending;
 mod exchange;
@@ -25,6 +26,7 @@
 use crate::gateway::part_quarantine::PartQuarantine;
 use crate::gateway::peers::Peers;
 use crate::gateway::peers::member::{Member, ZoneTag};
+use crate::gateway::peers::roster::Roster;
 use crate::gateway::peers::wire_targets::{Cursor, WireTargets};
 use crate::gateway::pool::ConnectionPool;
 use crate::gateway::request::ClientRequest;
@@ -75,6 +77,7 @@
     log_limiter: LogLimiter,
     shed_log: LogLimiter,
     peers: Peers,
+    roster: Roster,
     copies: Copies,
     overload: Overload,
     crashes: CrashTracker,
@@ -111,6 +114,7 @@
                 log_limiter: LogLimiter::default(),
                 shed_log: LogLimiter::few_lines(),
                 peers: Peers::new(unknown_member(zone), [].into_iter()),
+                roster: Roster::default(),
                 copies: Copies::default(),
                 overload: Overload::default(),
                 crashes: CrashTracker::default(),
@@ -226,8 +230,9 @@
 
     /// Returns the list of targets, or what has changed since the copy `seen`.
     pub fn target_list(&self, seen: Option<Cursor>) -> WireTargets {
+        let now = self.clock.now();
         let state = self.lock();
-        WireTargets::new(self.boot, state.copies.list.next, &state.targets, seen)
+        WireTargets::new(now, self.boot, state.copies.list.next, &state.targets, seen)
     }
 
     /// Returns the token rate of all engines together, in tokens per second; `None` if it is not
@@ -261,6 +266,7 @@
             return;
         };
         if before.zones().ne(state.evacuations.zones()) {
+            self.assume_cold(&mut state, &before);
             self.metrics()
                 .set_gauge(Gauge::EvacuatedZones, state.evacuations.len() as i64);
             evacuations::log_changes(&before, &state.evacuations, &state.targets);
@@ -301,15 +307,22 @@
         state.demand.record(now, ServiceTag::of(service));
     }
 
-    /// Returns the mean time between two requests for which this gateway has room at a service's
-    /// targets within the limits that they name; `None` if none names a limit.
+    /// Returns the time until this gateway has room at a service's targets: the mean time between
+    /// two requests within the limits that they name, or the time until it has room at a cold one.
+    /// `None` if none has a limit.
     pub fn room_interval(&self, service: &str) -> Option<Micros> {
+        let now = self.clock.now();
         let state = self.lock();
         let keys = state.targets.of_service(service).iter();
         let targets = keys.filter_map(|&key| state.targets.get(key));
+        let allowed = |target: &&Target| restrictions::check(target, &state.evacuations).is_none();
+        let targets = targets.filter(allowed);
+        let cold = targets.clone();
+        let cold = cold.filter_map(|target| target.cold.time_to_room(now));
         let rates = targets.filter_map(|target| target.limit.own_rate());
-        let rate = rates.reduce(|a, b| a + b)?;
-        Some(Micros((1e6 / rate) as u64))
+        let rate = rates.reduce(|a, b| a + b);
+        let named = rate.map(|rate| Micros((1e6 / rate) as u64));
+        cold.chain(named).min()
     }
 
     /// Takes the room for one request at a target within the limit that it names. Returns `false`
--- a/src/gateway/state/exchange.rs
+++ b/src/gateway/state/exchange.rs
@@ -13,6 +13,8 @@
 use crate::gateway::restrictions;
 use crate::gateway::service_demand::ServiceTag;
 use crate::gateway::state::{GatewayState, State};
+use crate::gateway::target_limit::LimitedUse;
+use crate::gateway::targets::Target;
 use crate::units::Micros;
 
 impl GatewayState {
@@ -39,6 +41,8 @@
         apply_others(state, now, &own);
         refill_limits(state, now);
         refresh_availability(state, now);
+        let changes = self.plan_turns(state, now);
+        changes.log();
         outgoing
     }
 
@@ -105,7 +109,7 @@
     });
     let loads = loads.collect();
     let limited = state.targets.iter_mut();
-    let limited = limited.filter_map(|target| Some((target.tag, target.limit.report(now)?)));
+    let limited = limited.filter_map(|target| Some((target.tag, limited_use(target, now)?)));
     Totals {
         loads,
         limited: limited.collect(),
@@ -114,6 +118,18 @@
     }
 }
 
+/// What this gateway tells others of a target with a limit; `None` if that is nothing.
+fn limited_use(target: &mut Target, now: Micros) -> Option<LimitedUse> {
+    let (named, cold) = (target.limit.report(now), target.cold.report(now));
+    if named.is_none() && cold.is_none() {
+        return None;
+    }
+    Some(LimitedUse {
+        cold,
+        ..named.unwrap_or_default()
+    })
+}
+
 /// Applies what all other gateways cause to the targets' load and the accounts' usage. `own` is
 /// what this gateway causes.
 fn apply_others(state: &mut State, now: Micros, own: &Totals) {
@@ -131,9 +147,11 @@
         let used = others
             .as_ref()
             .map(|others| others.limited.get(&target.tag));
-        target
-            .limit
-            .set_others(used.flatten().copied().unwrap_or_default());
+        let used = used.flatten().copied().unwrap_or_default();
+        if let Some(cold) = used.cold {
+            target.cold.learn(now, cold);
+        }
+        target.limit.set_others(used);
     }
     let known = state.peers.addresses().count();
     let demand = others.as_ref().map(|others| others.demand.clone());
--- a/src/gateway/target_limit.rs
+++ b/src/gateway/target_limit.rs
@@ -18,6 +18,7 @@
 //!
 //! Performs no I/O.
 
+use crate::gateway::cold_limit::ColdNotice;
 use crate::gateway::sliding_count::SlidingCount;
 use crate::units::Micros;
 
@@ -62,6 +63,8 @@
     pub sent: u32,
     /// Its newest answer.
     pub answer: Option<Observation>,
+    /// The last statement on its cold time.
+    pub cold: Option<ColdNotice>,
 }
 
 impl LimitedUse {
@@ -69,6 +72,7 @@
     pub fn add(&mut self, other: &LimitedUse) {
         self.sent = self.sent.saturating_add(other.sent);
         self.answer = Observation::newer(self.answer, other.answer);
+        self.cold = ColdNotice::newer(self.cold, other.cold);
     }
 }
 
@@ -121,6 +125,7 @@
         Some(LimitedUse {
             sent: self.sent.sum(now),
             answer: self.own,
+            cold: None,
         })
     }
 
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -8,6 +8,7 @@
 
 use slab::Slab;
 
+use crate::gateway::cold_limit::{ColdLimit, ColdNotice, ColdReport};
 use crate::gateway::evidence::CrashTag;
 use crate::gateway::peers::member::ZoneTag;
 use crate::gateway::peers::totals::TargetLoad;
@@ -22,6 +23,8 @@
 const DEPARTURE_TTL: Micros = Micros::from_secs(10);
 /// Maximum number of removed targets that are remembered.
 const MAX_DEPARTURES: usize = 256;
+/// Change of the end of a cold time from which other gateways copy it.
+const MIN_COLD_CHANGE: Micros = Micros::from_ms(250);
 
 /// Key of a target in [`Targets`]. `generation` tells apart the targets that have used the same
 /// slot.
@@ -50,6 +53,9 @@
     pub draining: bool,
     /// Start time in milliseconds since the Unix epoch, if the target reports it.
     pub started_at: Option<u64>,
+    /// How long it is cold; `None` if it does not say. Of a listed target, [`Target::cold`] keeps
+    /// count of it.
+    pub cold: Option<ColdReport>,
 }
 
 /// The load that a target reports in a response header.
@@ -147,6 +153,8 @@
     pub limit: TargetLimit,
     /// Since when it can be used, or cannot.
     pub availability: Availability,
+    /// Its cold time, and this gateway's turns in it.
+    pub cold: ColdLimit,
 }
 
 impl Target {
@@ -155,6 +163,12 @@
         let run = u64::from(self.tag.0) << 32 ^ self.entry.started_at.unwrap_or_default();
         CrashTag(mix(run) as u32)
     }
+
+    /// Whether it has room for a request of this gateway, within the limit that it names and the one
+    /// of its cold time.
+    pub fn has_room(&self, now: Micros) -> bool {
+        self.limit.has_room() && self.cold.has_room(now)
+    }
 }
 
 /// The effect of a list change.
@@ -245,7 +259,24 @@
         change
     }
 
-    fn update(&mut self, id: &str, entry: Entry) -> Change {
+    /// Records what a target's entry said at `now` of its cold time. Other gateways copy it if that
+    /// changes the end of the cold time by more than [`MIN_COLD_CHANGE`].
+    pub fn record_cold(&mut self, now: Micros, id: &str, report: ColdReport) {
+        let key = self.ids.get(id).copied();
+        let Some(target) = key.and_then(|key| self.get_mut(key)) else {
+            return;
+        };
+        let end = |target: &Target| target.cold.notice().map_or(now, |cold| cold.until.max(now));
+        let before = end(target);
+        target.cold.learn(now, ColdNotice::received(now, report));
+        let after = end(target);
+        if after.saturating_sub(before) + before.saturating_sub(after) > MIN_COLD_CHANGE {
+            self.journal.record(&id.into());
+        }
+    }
+
+    fn update(&mut self, id: &str, mut entry: Entry) -> Change {
+        entry.cold = None;
         let Some(&key) = self.ids.get(id) else {
             self.insert(id, entry);
             return Change::New;
@@ -255,8 +286,13 @@
             || known.addr != entry.addr
             || known.service != entry.service;
         if replaced {
+            let before = self.get(key).map(|target| target.cold.clone());
             self.take(id);
             self.insert(id, entry);
+            let key = self.ids[id];
+            if let (Some(target), Some(before)) = (self.get_mut(key), before) {
+                target.cold.replaces(&before);
+            }
             return Change::New;
         }
         if *known == entry {
@@ -349,6 +385,7 @@
             cache: PrefixCache::default(),
             limit: TargetLimit::default(),
             availability: Availability::default(),
+            cold: ColdLimit::default(),
         };
         let slot = self.arena.insert((self.generation, target));
         let key = TargetKey {
--- a/src/gateway/targets/tests.rs
+++ b/src/gateway/targets/tests.rs
@@ -8,6 +8,7 @@
         slots: 4,
         draining: false,
         started_at: Some(1),
+        cold: None,
     }
 }
 
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -4,12 +4,14 @@
 use std::time::Duration;
 
 use hyper::HeaderMap;
-use hyper::header::{AUTHORIZATION, CONNECTION, HeaderName, HeaderValue};
+use hyper::header::{AUTHORIZATION, CONNECTION, HOST, HeaderName, HeaderValue};
 
 use crate::gateway::prompts::Prompt;
 use crate::gateway::targets::LoadReport;
 use crate::hop_by_hop;
 use crate::platform::prompt::parse_prompt;
+use crate::platform::wire;
+use crate::units::Micros;
 
 /// Header with the request id, on requests and their responses.
 pub const REQUEST_ID: HeaderName = HeaderName::from_static("attempt-id");
@@ -24,6 +26,7 @@
 const SIGNATURE: HeaderName = HeaderName::from_static("server-stamp");
 const LOAD: HeaderName = HeaderName::from_static("server-load");
 const LIMIT: HeaderName = HeaderName::from_static("server-limit");
+const COLD: HeaderName = HeaderName::from_static("cold-remaining");
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
 /// Request headers that clients may not set. They are removed; the gateway sets some of them
@@ -143,6 +146,21 @@
     }
 }
 
+/// Parses the remaining cold time in the headers of a target's answer on its health. `None` if it is
+/// missing or odd.
+pub fn parse_cold(headers: &HeaderMap) -> Option<Micros> {
+    let ms: f64 = header_text(headers, &COLD)?.trim().parse().ok()?;
+    (ms.is_finite() && ms >= 0.0).then(|| wire::cold_time(ms))
+}
+
+/// Builds the headers of a request for a target's health.
+pub fn health_request(host: &str, target: &str) -> HeaderMap {
+    let mut out = HeaderMap::with_capacity(2);
+    set(&mut out, HOST, host);
+    set(&mut out, TARGET, target);
+    out
+}
+
 /// Builds the headers of the response to the client.
 pub fn forward_response(headers: &HeaderMap) -> HeaderMap {
     filter_headers(headers, |name| {
--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -5,10 +5,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hyper::Uri;
 use serde::Deserialize;
+use serde_json::value::RawValue;
 
+use crate::gateway::cold_limit::{self, ColdReport, ColdRule};
 use crate::gateway::config::{self, Account, EngineCapacity, Limits, Route, RouteClass, Service};
 use crate::gateway::targets::Entry;
+use crate::units::Micros;
 
 /// The operator's configuration.
 #[derive(Debug, Deserialize)]
@@ -59,6 +63,11 @@
     #[serde(default)]
     max_connections: usize,
     engine: Option<WireEngine>,
+    health_path: Option<Box<RawValue>>,
+    #[serde(rename = "coldS")]
+    cold_span: Option<Box<RawValue>>,
+    #[serde(rename = "coldPerS")]
+    cold_rate: Option<Box<RawValue>>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -95,6 +104,7 @@
 
 /// A target's entry, as the target writes it.
 #[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
 pub struct WireTarget {
     backend: Box<str>,
     address: SocketAddr,
@@ -102,6 +112,7 @@
     slots: u32,
     state: WireState,
     born: Option<u64>,
+    cold_remaining_ms: Option<Box<RawValue>>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
@@ -196,11 +207,14 @@
             slots: wire.slots,
             draining: wire.state == WireState::Draining,
             started_at: wire.born,
+            cold: to_cold(wire.cold_remaining_ms.as_deref()),
         }
     }
 }
 
 fn to_service(wire: WireService) -> (Arc<str>, Service) {
+    let health_path = wire.health_path.as_deref().and_then(to_path);
+    let cold = to_cold_rule(&wire, health_path.is_some());
     let engine = wire.engine.map(|engine| EngineCapacity {
         slots: engine.slots,
         kv_capacity: engine.kv_capacity,
@@ -208,10 +222,54 @@
     let service = Service {
         max_connections: wire.max_connections,
         engine,
+        cold,
+        health_path,
     };
     (wire.name.into(), service)
 }
 
+/// Reads a figure. One that is missing, odd, negative or not finite counts as missing, so that the
+/// rest of the record is used.
+fn figure(raw: Option<&RawValue>) -> Option<f64> {
+    let figure: f64 = serde_json::from_str(raw?.get()).ok()?;
+    (figure.is_finite() && figure >= 0.0).then_some(figure)
+}
+
+fn to_path(raw: &RawValue) -> Option<Uri> {
+    let path: &str = serde_json::from_str(raw.get()).ok()?;
+    let path = path.starts_with('/').then_some(path)?;
+    path.parse().ok()
+}
+
+/// Maximum rate of requests to a cold target that is read as a limit.
+const MAX_COLD_RATE: f64 = 1e6;
+/// Minimum rate of requests to a cold target; a lower one is raised to it.
+const MIN_COLD_RATE: f64 = 0.01;
+
+fn to_cold_rule(wire: &WireService, asks: bool) -> Option<ColdRule> {
+    let rate = figure(wire.cold_rate.as_deref()).filter(|rate| *rate > 0.0)?;
+    let span = figure(wire.cold_span.as_deref()).filter(|span| *span > 0.0);
+    let span =
+        span.map(|span| Duration::from_secs_f64(span.min(cold_limit::MAX_SPAN.as_secs_f64())));
+    Some(ColdRule {
+        span: span.map_or(cold_limit::DEFAULT_SPAN, Micros::from),
+        rate: rate.clamp(MIN_COLD_RATE, MAX_COLD_RATE),
+        asks,
+    })
+}
+
+fn to_cold(raw: Option<&RawValue>) -> Option<ColdReport> {
+    Some(ColdReport {
+        remaining: cold_time(figure(raw)?),
+        age: cold_limit::ENTRY_DELAY,
+    })
+}
+
+/// Converts a cold time in milliseconds, up to the longest that is believed.
+pub fn cold_time(ms: f64) -> Micros {
+    Micros((ms * 1e3).min(cold_limit::MAX_SPAN.0 as f64) as u64)
+}
+
 fn to_account(wire: WireTenant) -> (Account, Vec<Box<str>>) {
     (Account { name: wire.name }, wire.api_keys)
 }
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -97,6 +97,8 @@
         HeldBytes => "held_bytes",
         /// Availability zones that the operator has evacuated.
         EvacuatedZones => "evacuated_zones",
+        /// Targets that count as cold, to which requests are limited.
+        ColdTargets => "cold_targets",
     }
 );
 
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -80,6 +80,7 @@
             slots: 4,
             draining,
             started_at: None,
+            cold: None,
         };
         self.with(|state| {
             state.targets.retain(|(other, _)| other != id);
