Keep to notices of targets that leave or ask for a pause

Cause: a target that says it is leaving (`Server-Leaving: 1`) or wants no requests for a time (503 with `Retry-After`) got requests as before.

Change: `gateway/notices.rs` keeps both for a run of a target (id, address, start time), so that list entries, older or newer, do not undo them. They are read from the head of every answer. `restrictions::check` refuses the target when it is chosen and right before a request is sent; a pause holds also if the service has no other target. `Server-Leaving` is not passed on to callers.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -34,6 +34,7 @@
 pub mod in_flight;
 pub mod log_limiter;
 pub mod monitoring;
+pub mod notices;
 pub mod overload;
 pub mod part_quarantine;
 pub mod peers;
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -3,6 +3,7 @@
 use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use crate::gateway::admission::AdmissionContext;
 use crate::gateway::crash_tracker::BrokenRequest;
@@ -21,6 +22,15 @@
 /// Maximum number of prompt parts in a log line.
 const MAX_LOGGED_PARTS: usize = 24;
 
+/// How a gateway learned of a notice. The names of the values are written to the log field `source`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoticeSource {
+    /// From an answer of the target.
+    Answer,
+    /// From another gateway.
+    Gateway,
+}
+
 /// Logs a request that was refused without being sent to a target.
 pub fn refused(
     gateway: &GatewayState,
@@ -153,6 +163,23 @@
     }
 }
 
+/// Logs that a target is leaving. `source` says how this gateway knows.
+pub fn target_leaving(id: &str, source: NoticeSource) {
+    spdlog::info!("target is leaving", kv: { target: = id, source:? = source });
+}
+
+/// Logs that a target asks for a pause of this length.
+pub fn target_paused(gateway: &GatewayState, id: &str, pause: Duration) {
+    let Some(left_out) = gateway.may_log() else {
+        return;
+    };
+    spdlog::info!("target asks for a pause", kv: {
+        target: = id,
+        pause_ms = pause.as_millis() as u64,
+        left_out = left_out,
+    });
+}
+
 /// Logs which prompt parts have been quarantined or released since the last call.
 pub fn quarantine_changes(gateway: &GatewayState) {
     for change in gateway.take_quarantine_changes() {
--- a/src/gateway/selection.rs
+++ b/src/gateway/selection.rs
@@ -84,8 +84,8 @@
     pub prefill_tokens: u64,
 }
 
-/// Chooses the target with the lowest cost among those that have room within the limits that they
-/// name; `None` if the service has none left to try.
+/// Chooses the target with the lowest cost among those that may be sent requests and have room
+/// within the limits that they name; `None` if the service has none left to try.
 pub fn choose(targets: &Targets, now: Micros, criteria: &Criteria<'_>) -> Option<Choice> {
     let keys = targets.of_service(criteria.service);
     let available = cheapest(targets, keys, criteria, now, |t| t.load.paused_until <= now);
@@ -101,7 +101,7 @@
     is_eligible: impl Fn(&Target) -> bool,
 ) -> Option<Choice> {
     let is_usable = |key: TargetKey, target: &Target| {
-        let is_allowed = restrictions::check(target, criteria.evacuations).is_none();
+        let is_allowed = restrictions::check(target, criteria.evacuations, now).is_none();
         is_allowed && !criteria.tried.contains(&key) && is_eligible(target)
     };
     let owners = owners(targets, now, criteria, is_usable);
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -124,6 +124,7 @@
         return Err(Failure::Broken);
     }
     record_response(gateway, target, &head, &meta);
+    record_notices(gateway, &id, &entry, &head, &meta);
     Ok(Upstream {
         head,
         meta,
@@ -253,6 +254,26 @@
     }
 }
 
+/// Records what an answer announces of the run of the target that the request was sent to, which may
+/// not be listed any more. An answer with status 421 comes from another target.
+fn record_notices(
+    gateway: &GatewayState,
+    id: &Arc<str>,
+    entry: &Entry,
+    head: &Parts,
+    meta: &ResponseMeta,
+) {
+    if head.status == StatusCode::MISDIRECTED_REQUEST {
+        return;
+    }
+    if meta.leaving {
+        gateway.record_leaving(id, entry);
+    }
+    if let (StatusCode::SERVICE_UNAVAILABLE, Some(pause)) = (head.status, meta.retry_after) {
+        gateway.record_pause(id, entry, pause);
+    }
+}
+
 fn record_failure(gateway: &GatewayState, target: TargetKey, reached: bool) {
     let now = gateway.clock.now();
     gateway.with_target(target, |target| {
--- a/src/gateway/send/tests.rs
+++ b/src/gateway/send/tests.rs
@@ -12,6 +12,9 @@
 use crate::gateway::targets::Entry;
 use crate::units::Micros;
 
+/// Pause that a target asks for.
+const PAUSE: Duration = Duration::from_millis(300);
+
 fn entry(draining: bool) -> Entry {
     Entry {
         service: "desk".into(),
@@ -66,8 +69,60 @@
         gateway.merge_evacuations(Evacuations::new(1, [ZoneTag::of("a")].into_iter()));
         Duration::ZERO
     } => Err(Failure::Withdrawn);
+    its_target_says_it_is_leaving: |gateway| {
+        gateway.record_leaving(&"t0".into(), &entry(false));
+        Duration::ZERO
+    } => Err(Failure::Withdrawn);
+    another_run_of_its_target_was_leaving: |gateway| {
+        let earlier = Entry { started_at: Some(0), ..entry(false) };
+        gateway.record_leaving(&"t0".into(), &earlier);
+        Duration::ZERO
+    } => Ok(());
+    its_target_asks_for_a_pause: |gateway| {
+        gateway.record_pause(&"t0".into(), &entry(false), PAUSE);
+        PAUSE - Duration::from_millis(1)
+    } => Err(Failure::Withdrawn);
+    a_pause_of_its_target_ends: |gateway| {
+        gateway.record_pause(&"t0".into(), &entry(false), PAUSE);
+        PAUSE
+    } => Ok(());
     its_route_is_removed: |gateway| {
         gateway.apply_config(config(2, "/other/", "desk", "school-key"));
         Duration::ZERO
     } => Err(Failure::Withdrawn);
 }
+
+/// When the first target takes requests again: `t0` asks for a pause and all other targets are these.
+/// Guards against waits that ignore a target which takes requests, or count one that never will.
+macro_rules! pauses_of_all {
+    ($($name:ident: $others:expr => $wait:expr;)*) => {$(
+        #[tokio::test(start_paused = true)]
+        async fn $name() {
+            let gateway = gateway();
+            gateway.record_pause(&"t0".into(), &entry(false), PAUSE);
+            let others: fn(&GatewayState) = $others;
+            others(&gateway);
+            let wait: Option<Duration> = $wait;
+            assert_eq!(gateway.pause_of_all("desk"), wait.map(Micros::from));
+        }
+    )*};
+}
+
+fn put(gateway: &GatewayState, id: &str, draining: bool) {
+    gateway.with_targets(|targets| targets.put(id, entry(draining)));
+}
+
+pauses_of_all! {
+    there_is_no_other_target: |_| {} => Some(PAUSE);
+    another_target_takes_requests: |gateway| put(gateway, "t1", false) => None;
+    another_target_drains: |gateway| put(gateway, "t1", true) => Some(PAUSE);
+    another_target_pauses_for_longer: |gateway| {
+        put(gateway, "t1", false);
+        gateway.record_pause(&"t1".into(), &entry(false), PAUSE * 2);
+    } => Some(PAUSE);
+    another_target_pauses_for_a_shorter_time: |gateway| {
+        put(gateway, "t1", false);
+        gateway.record_pause(&"t1".into(), &entry(false), PAUSE / 2);
+    } => Some(PAUSE / 2);
+    the_target_is_leaving_too: |gateway| gateway.record_leaving(&"t0".into(), &entry(false)) => None;
+}
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -5,12 +5,14 @@
 mod crashes;
 mod ending;
 mod exchange;
+mod notices;
 
 use std::collections::HashMap;
 use std::net::Ipv4Addr;
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use arc_swap::ArcSwap;
+use smallvec::SmallVec;
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
@@ -31,8 +33,8 @@
 use crate::gateway::pool::ConnectionPool;
 use crate::gateway::request::ClientRequest;
 use crate::gateway::request_quarantine::RequestQuarantine;
-use crate::gateway::restrictions;
 use crate::gateway::restrictions::evacuations::{self, Evacuations};
+use crate::gateway::restrictions::{self, Restriction};
 use crate::gateway::retry_budget::{RetryBudget, RetryLimits};
 use crate::gateway::selection::{self, Choice, Criteria};
 use crate::gateway::service_demand::{ServiceDemand, ServiceTag};
@@ -248,9 +250,10 @@
 
     /// Whether a target is listed and may be sent requests now.
     pub fn may_send_to(&self, key: TargetKey) -> bool {
+        let now = self.clock.now();
         let state = self.lock();
         let target = state.targets.get(key);
-        target.is_some_and(|target| restrictions::check(target, &state.evacuations).is_none())
+        target.is_some_and(|target| state.restriction(target, now).is_none())
     }
 
     /// Returns the set of evacuated zones.
@@ -313,10 +316,10 @@
     pub fn room_interval(&self, service: &str) -> Option<Micros> {
         let now = self.clock.now();
         let state = self.lock();
-        let keys = state.targets.of_service(service).iter();
-        let targets = keys.filter_map(|&key| state.targets.get(key));
-        let allowed = |target: &&Target| restrictions::check(target, &state.evacuations).is_none();
-        let targets = targets.filter(allowed);
+        let targets = state.of_service(service);
+        let targets = targets.filter(|target| state.restriction(target, now).is_none());
+        let targets: SmallVec<[&Target; 64]> = targets.collect();
+        let targets = targets.iter();
         let cold = targets.clone();
         let cold = cold.filter_map(|target| target.cold.time_to_room(now));
         let rates = targets.filter_map(|target| target.limit.own_rate());
@@ -325,6 +328,25 @@
         cold.chain(named).min()
     }
 
+    /// Returns the time until the first of a service's targets takes requests again, if all that are
+    /// neither leaving nor in an evacuated zone have asked for a pause; `None` otherwise.
+    pub fn pause_of_all(&self, service: &str) -> Option<Micros> {
+        let now = self.clock.now();
+        let state = self.lock();
+        let mut first = None;
+        for target in state.of_service(service) {
+            match state.restriction(target, now) {
+                None => return None,
+                Some(Restriction::Paused) => {
+                    let pause = target.notices.remaining_pause(now);
+                    first = pause.min(first.or(pause));
+                }
+                Some(_) => {}
+            }
+        }
+        first
+    }
+
     /// Takes the room for one request at a target within the limit that it names. Returns `false`
     /// if there is none, or the target is no longer listed.
     pub fn take_room(&self, key: TargetKey) -> bool {
@@ -335,11 +357,11 @@
 
     /// Returns the mean prefill backlog per engine of a service, as the time needed to work it off.
     pub fn mean_backlog(&self, service: &str) -> Micros {
+        let now = self.clock.now();
         let state = self.lock();
-        let keys = state.targets.of_service(service);
-        let targets = keys.iter().filter_map(|&key| state.targets.get(key));
-        let allowed = |target: &&Target| restrictions::check(target, &state.evacuations).is_none();
-        let (count, backlog) = targets
+        let allowed = |target: &&Target| state.restriction(target, now).is_none();
+        let (count, backlog) = state
+            .of_service(service)
             .filter(allowed)
             .fold((0, 0.0), |(count, sum), target| {
                 (count + 1, sum + target.load.total_prefill())
@@ -392,6 +414,19 @@
     }
 }
 
+impl State {
+    /// Returns why a target may not be sent requests now; `None` if it may.
+    fn restriction(&self, target: &Target, now: Micros) -> Option<Restriction> {
+        restrictions::check(target, &self.evacuations, now)
+    }
+
+    /// The targets of a service, including those that may not be sent requests.
+    fn of_service(&self, service: &str) -> impl Iterator<Item = &Target> {
+        let keys = self.targets.of_service(service).iter();
+        keys.filter_map(|&key| self.targets.get(key))
+    }
+}
+
 /// Stands for this gateway until its address is known.
 fn unknown_member(zone: &str) -> Member {
     Member {
--- a/src/gateway/state/exchange.rs
+++ b/src/gateway/state/exchange.rs
@@ -177,7 +177,7 @@
 fn refresh_availability(state: &mut State, now: Micros) {
     let evacuations = &state.evacuations;
     state.targets.refresh_availability(now, |target| {
-        restrictions::check(target, evacuations).is_none() && target.load.paused_until <= now
+        restrictions::check(target, evacuations, now).is_none() && target.load.paused_until <= now
     });
 }
 
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -6,10 +6,12 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use rustc_hash::FxBuildHasher;
 use slab::Slab;
 
 use crate::gateway::cold_limit::{ColdLimit, ColdNotice, ColdReport};
 use crate::gateway::evidence::CrashTag;
+use crate::gateway::notices::{Notice, NoticeBook, Notices, RunTag};
 use crate::gateway::peers::member::ZoneTag;
 use crate::gateway::peers::totals::TargetLoad;
 use crate::gateway::prompts::{PrefixCache, mix};
@@ -155,6 +157,9 @@
     pub availability: Availability,
     /// Its cold time, and this gateway's turns in it.
     pub cold: ColdLimit,
+    /// What it announced in its answers. Kept in step with the [`NoticeBook`].
+    pub notices: Notices,
+    run: RunTag,
 }
 
 impl Target {
@@ -190,10 +195,12 @@
     arena: Slab<(u32, Target)>,
     ids: HashMap<Arc<str>, TargetKey>,
     services: HashMap<Arc<str>, Vec<TargetKey>>,
+    runs: HashMap<RunTag, TargetKey, FxBuildHasher>,
     generation: u32,
     journal: Journal,
     /// Targets that were removed of late, oldest first.
     departures: VecDeque<Departure>,
+    notices: NoticeBook,
 }
 
 impl Targets {
@@ -324,6 +331,7 @@
         };
         let (_, target) = self.arena.remove(key.slot as usize);
         self.record_departure(&target);
+        self.runs.remove(&target.run);
         if let Some(keys) = self.services.get_mut(&target.entry.service) {
             keys.retain(|&k| k != key);
         }
@@ -367,6 +375,50 @@
         });
     }
 
+    /// Records a notice of the run of a target that `entry` describes, which may not be listed any
+    /// more. Returns whether the run begins to leave, or to pause.
+    pub fn record_notice(
+        &mut self,
+        now: Micros,
+        id: &Arc<str>,
+        entry: &Entry,
+        notice: Notice,
+    ) -> bool {
+        let begins = self.notices.record(now, id, entry, notice);
+        if let Some(&key) = self.ids.get(id) {
+            let target = self.get(key).expect("ids name live targets");
+            let notices = self.notices.of(id, &target.entry);
+            self.get_mut(key).expect("ids name live targets").notices = notices;
+        }
+        begins
+    }
+
+    /// The listed runs that are leaving.
+    pub fn leaving_runs(&self) -> impl Iterator<Item = RunTag> + '_ {
+        let leaving = self.iter().filter(|t| t.notices.is_leaving_for_good());
+        leaving.map(|target| target.run)
+    }
+
+    /// Records the listed ones of these runs as leaving. Returns the ids of the targets of which
+    /// this was not known.
+    pub fn merge_leaving(
+        &mut self,
+        now: Micros,
+        runs: impl Iterator<Item = RunTag>,
+    ) -> Vec<Arc<str>> {
+        let mut learned = Vec::new();
+        for run in runs {
+            let target = self.runs.get(&run).and_then(|&key| self.get(key));
+            let Some(target) = target.filter(|t| !t.notices.is_leaving_for_good()) else {
+                continue;
+            };
+            let (id, entry) = (target.id.clone(), target.entry.clone());
+            self.record_notice(now, &id, &entry, Notice::Leaving);
+            learned.push(id);
+        }
+        learned
+    }
+
     fn insert(&mut self, id: &str, entry: Entry) {
         self.generation += 1;
         let id: Arc<str> = id.into();
@@ -376,10 +428,13 @@
             slowness: 1.0,
             ..Load::default()
         };
+        let run = RunTag::of(&id, &entry);
         let target = Target {
             id: id.clone(),
             tag: TargetTag(xxhash_rust::xxh3::xxh3_64(id.as_bytes()) as u32),
             zone: ZoneTag::of(&entry.zone),
+            notices: self.notices.of(&id, &entry),
+            run,
             entry,
             load,
             cache: PrefixCache::default(),
@@ -393,6 +448,7 @@
             generation: self.generation,
         };
         self.ids.insert(id, key);
+        self.runs.insert(run, key);
         self.services.entry(service).or_default().push(key);
     }
 }
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -4,8 +4,9 @@
 use std::time::Duration;
 
 use hyper::HeaderMap;
-use hyper::header::{AUTHORIZATION, CONNECTION, HOST, HeaderName, HeaderValue};
+use hyper::header::{AUTHORIZATION, CONNECTION, HOST, HeaderName, HeaderValue, RETRY_AFTER};
 
+use crate::gateway::notices::MAX_PAUSE;
 use crate::gateway::prompts::Prompt;
 use crate::gateway::targets::LoadReport;
 use crate::hop_by_hop;
@@ -27,6 +28,7 @@
 const LOAD: HeaderName = HeaderName::from_static("server-load");
 const LIMIT: HeaderName = HeaderName::from_static("server-limit");
 const COLD: HeaderName = HeaderName::from_static("cold-remaining");
+const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
 /// Request headers that clients may not set. They are removed; the gateway sets some of them
@@ -45,6 +47,8 @@
     "expect-version",
 ];
 const BEARER: &str = "Bearer ";
+/// Value of [`LEAVING`] on the answers of a target that is leaving.
+const LEAVING_VALUE: &str = "1";
 /// Longest idle timeout that a target is taken to mean.
 const MAX_IDLE: Duration = Duration::from_secs(3_600);
 
@@ -128,6 +132,11 @@
     /// Requests a second that the target takes from all gateways together; `None` if it names no
     /// limit.
     pub limit: Option<f64>,
+    /// Whether the target is leaving and wants no more requests.
+    pub leaving: bool,
+    /// How long the target wants no requests, if this is an answer with status 503; `None` if it
+    /// does not say, or not in seconds.
+    pub retry_after: Option<Duration>,
     /// How long the connection may be idle; zero if it closes after this response, `None` if the
     /// target does not say.
     pub idle_timeout: Option<Duration>,
@@ -142,6 +151,8 @@
         signed: headers.contains_key(SIGNATURE),
         load: header_text(headers, &LOAD).and_then(parse_load),
         limit: header_text(headers, &LIMIT).and_then(parse_limit),
+        leaving: header_text(headers, &LEAVING).is_some_and(|text| text.trim() == LEAVING_VALUE),
+        retry_after: header_text(headers, &RETRY_AFTER).and_then(parse_retry_after),
         idle_timeout: parse_idle(headers),
     }
 }
@@ -164,7 +175,7 @@
 /// Builds the headers of the response to the client.
 pub fn forward_response(headers: &HeaderMap) -> HeaderMap {
     filter_headers(headers, |name| {
-        name != NOT_RUN && name != LOAD && name != LIMIT
+        name != NOT_RUN && name != LOAD && name != LIMIT && name != LEAVING
     })
 }
 
@@ -202,6 +213,14 @@
     (limit.is_finite() && limit >= 0.0).then_some(limit)
 }
 
+/// Parses a time in seconds, with or without a fraction. `None` if it is malformed, a date, or not
+/// positive.
+fn parse_retry_after(text: &str) -> Option<Duration> {
+    let seconds: f64 = text.trim().parse().ok()?;
+    let is_valid = seconds.is_finite() && seconds > 0.0;
+    is_valid.then(|| Duration::from_secs_f64(seconds.min(MAX_PAUSE.as_secs_f64())))
+}
+
 fn parse_idle(headers: &HeaderMap) -> Option<Duration> {
     let closes = header_text(headers, &CONNECTION).is_some_and(|v| v.eq_ignore_ascii_case("close"));
     if closes {
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -291,10 +291,44 @@
     a_malformed_limit_is_none: [("server-limit", "5 a second")] => None;
 }
 
+macro_rules! notices {
+    ($($name:ident: $rows:expr => $leaving:expr, $retry_after_ms:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let meta = headers::parse_response(&header_map(&$rows), None);
+            let retry_after: Option<u64> = $retry_after_ms;
+            assert_eq!(meta.leaving, $leaving);
+            assert_eq!(meta.retry_after, retry_after.map(Duration::from_millis));
+        }
+    )*};
+}
+
+notices! {
+    a_target_without_notices: [("server-load", "3,1,8")] => false, None;
+    a_target_that_is_leaving: [("server-leaving", " 1 ")] => true, None;
+    a_target_that_is_not_leaving: [("server-leaving", "0")] => false, None;
+    an_unknown_value_does_not_mean_leaving: [("server-leaving", "perhaps")] => false, None;
+    a_pause_in_seconds: [("retry-after", "7")] => false, Some(7_000);
+    a_pause_with_a_fraction: [("retry-after", " 0.75 ")] => false, Some(750);
+    a_pause_of_more_than_an_hour: [("retry-after", "1e300")] => false, Some(3_600_000);
+    a_pause_of_zero_is_none: [("retry-after", "0")] => false, None;
+    a_negative_pause_is_none: [("retry-after", "-3")] => false, None;
+    a_pause_that_is_no_number_is_none: [("retry-after", "NaN")] => false, None;
+    an_infinite_pause_is_none: [("retry-after", "inf")] => false, None;
+    a_pause_with_a_unit_is_none: [("retry-after", "5 s")] => false, None;
+    an_empty_pause_is_none: [("retry-after", "")] => false, None;
+    a_date_is_none: [("retry-after", "Sun, 06 Dec 2026 10:00:00 GMT")] => false, None;
+}
+
 #[test]
-fn a_limit_is_not_forwarded_to_the_client() {
-    let rows = header_map(&[("server-limit", "5"), ("server-stamp", "s")]);
+fn what_targets_tell_gateways_is_not_forwarded_to_the_client() {
+    let rows = header_map(&[
+        ("server-limit", "5"),
+        ("server-leaving", "1"),
+        ("server-stamp", "s"),
+    ]);
     let forwarded = headers::forward_response(&rows);
     assert!(!forwarded.contains_key("server-limit"));
+    assert!(!forwarded.contains_key("server-leaving"));
     assert!(forwarded.contains_key("server-stamp"));
 }
