Tell other gateways which targets are leaving

Cause: a gateway hears that a target is leaving only from the target's answer to one of its own requests, and a new gateway does not know it at all.

Change: each full gossip round carries the runs known to be leaving as hashes of id, address and start time, at most 256 in a message; if more are leaving, successive rounds carry them in turn. Pauses are meant for one gateway and are not told.

Tests: a full message stays within the limit; successive messages carry all of 2,600 runs.

--- a/src/gateway/peers/rounds.rs
+++ b/src/gateway/peers/rounds.rs
@@ -15,7 +15,7 @@
 
 /// One round in this many is full: its messages also carry the usage of client accounts, crashes
 /// and introductions, and it is the one in which zones report to each other.
-const FULL_EVERY: u64 = 2;
+pub const FULL_EVERY: u64 = 2;
 /// One round in this many tries a seed from which nothing is heard, while others are.
 const SEED_EVERY: u64 = 20;
 
--- a/src/gateway/peers/tests.rs
+++ b/src/gateway/peers/tests.rs
@@ -1,3 +1,4 @@
+use std::collections::HashSet;
 use std::net::SocketAddr;
 
 use proptest::prelude::*;
@@ -12,6 +13,7 @@
 use crate::gateway::directory::{Change, ChangeBatch};
 use crate::gateway::evidence::{CrashTag, Suspicion};
 use crate::gateway::fair_share::{AccountTag, Usage};
+use crate::gateway::notices::RunTag;
 use crate::gateway::service_demand::ServiceTag;
 use crate::gateway::target_limit::{LimitedUse, Observation};
 use crate::gateway::targets::{Entry, TargetTag, Targets};
@@ -183,6 +185,7 @@
     let message = GossipMessage::new(at(9), member(1), &status(1))
         .with_totals(Micros::ZERO, Scope::Zone, &totals, true)
         .with_suspicions(at(9), &suspicions)
+        .with_leaving(1, (0..3_000).map(|run| RunTag(u64::MAX - run)))
         .with_introductions(at(9), introduced);
     let data = message.encode();
     assert!(data.len() <= MAX_DATAGRAM_BYTES, "{}", data.len());
@@ -190,12 +193,27 @@
     assert_eq!(read.totals(Micros::ZERO).loads.len(), 1_024);
     assert_eq!(read.totals(Micros::ZERO).usage.len(), 512);
     assert_eq!(read.introductions(at(9)).count(), 32);
+    assert_eq!(read.leaving().count(), 256);
     let read_suspicions = read.suspicions(at(9));
     assert_eq!(read_suspicions.parts.len(), MAX_SUSPICIONS);
     assert_eq!(read_suspicions.requests.len(), MAX_SUSPICIONS);
     assert_eq!(read.totals(Micros::ZERO).limited.len(), 512);
 }
 
+/// Guards against targets that are never told to other gateways because too many are leaving.
+#[test]
+fn successive_messages_carry_all_runs_that_are_leaving() {
+    let runs: Vec<RunTag> = (0..2_600).map(RunTag).collect();
+    let mut told = HashSet::new();
+    for round in 4..15 {
+        let message = GossipMessage::new(at(9), member(1), &status(1));
+        let message = message.with_leaving(round, runs.iter().copied());
+        let read = GossipMessage::decode(&message.encode()).expect("it is a valid message");
+        told.extend(read.leaving());
+    }
+    assert_eq!(told.len(), runs.len());
+}
+
 #[test]
 fn suspicions_survive_the_transfer() {
     let suspicion = |subject, crash, ms| Suspicion {
--- a/src/gateway/peers/wire.rs
+++ b/src/gateway/peers/wire.rs
@@ -8,6 +8,7 @@
 
 use crate::gateway::cold_limit::{ColdNotice, ColdReport};
 use crate::gateway::fair_share::{AccountTag, Usage};
+use crate::gateway::notices::RunTag;
 use crate::gateway::peers::member::{CopyStatus, Member, Scope, ZoneTag};
 use crate::gateway::peers::totals::{TargetLoad, Totals};
 use crate::gateway::peers::wire_crashes::{self, Suspicions, WireCrash};
@@ -29,6 +30,9 @@
 const MAX_LIMITED: usize = 512;
 /// Maximum number of services in a message.
 const MAX_SERVICES: usize = 64;
+/// Maximum number of runs of targets in a message that are leaving. If more are, a few messages carry
+/// them all.
+const MAX_LEAVING: usize = 256;
 /// Limits are sent in units of this many requests a second.
 const LIMIT_UNIT: f64 = 0.01;
 /// Maximum number of gateways that a message introduces.
@@ -54,6 +58,8 @@
     /// Usage of client accounts; absent in messages that carry load only.
     usage: Option<Vec<WireUsage>>,
     crashes: Vec<WireCrash>,
+    /// Tags of the runs of targets that are leaving.
+    leaving: Vec<[u8; 8]>,
     introductions: Vec<WireMember>,
 }
 
@@ -220,6 +226,20 @@
         self
     }
 
+    /// Adds the runs of targets that are leaving. If there are too many, the messages of successive
+    /// rounds carry them in turn.
+    pub fn with_leaving(mut self, round: u64, runs: impl Iterator<Item = RunTag>) -> Self {
+        let mut runs: Vec<_> = runs.map(|run| run.0.to_le_bytes()).collect();
+        if runs.len() > MAX_LEAVING {
+            runs.sort_unstable();
+            let turn = round.wrapping_mul(MAX_LEAVING as u64) % runs.len() as u64;
+            runs.rotate_left(turn as usize);
+            runs.truncate(MAX_LEAVING);
+        }
+        self.leaving = runs;
+        self
+    }
+
     /// Adds gateways that the receiver may not know, with the times at which they were heard.
     pub fn with_introductions(mut self, now: Micros, members: Vec<(Member, Micros)>) -> Self {
         let members = members.into_iter().take(MAX_INTRODUCTIONS);
@@ -252,6 +272,7 @@
             && message.demand.len() <= MAX_SERVICES
             && message.evacuations.zones.len() <= evacuations::MAX_ZONES
             && wire_crashes::fit(&message.crashes)
+            && message.leaving.len() <= MAX_LEAVING
             && message.introductions.len() <= MAX_INTRODUCTIONS;
         (message.protocol == VERSION && fits)
             .then_some(message)
@@ -315,6 +336,12 @@
         wire_crashes::decode(now, &self.crashes)
     }
 
+    /// The runs of targets that are leaving.
+    pub fn leaving(&self) -> impl Iterator<Item = RunTag> + '_ {
+        let runs = self.leaving.iter();
+        runs.map(|&run| RunTag(u64::from_le_bytes(run)))
+    }
+
     /// The introduced gateways, with the times at which the sender heard them.
     pub fn introductions(&self, now: Micros) -> impl Iterator<Item = (Member, Micros)> + '_ {
         self.introductions.iter().map(move |row| {
--- a/src/gateway/state/exchange.rs
+++ b/src/gateway/state/exchange.rs
@@ -9,7 +9,7 @@
 use crate::gateway::peers::wire::GossipMessage;
 use crate::gateway::peers::wire_crashes::{MAX_SUSPICIONS, Suspicions};
 use crate::gateway::peers::{AGGREGATORS, Peers};
-use crate::gateway::request_log;
+use crate::gateway::request_log::{self, NoticeSource};
 use crate::gateway::restrictions;
 use crate::gateway::service_demand::ServiceTag;
 use crate::gateway::state::{GatewayState, State};
@@ -30,6 +30,7 @@
         let mut base =
             GossipMessage::new(now, state.peers.me(), &status).with_evacuations(&state.evacuations);
         if rounds::is_full(round) {
+            base = base.with_leaving(round / rounds::FULL_EVERY, state.targets.leaving_runs());
             base = with_suspicions(state, now, base);
         }
         let input = RoundInput {
@@ -62,6 +63,7 @@
         for (member, heard_at) in message.introductions(now) {
             state.peers.record_heard_elsewhere(member, heard_at);
         }
+        merge_leaving(state, now, message);
         let suspicions = message.suspicions(now);
         state.parts.merge(now, suspicions.parts.into_iter());
         state.requests.merge(now, suspicions.requests.into_iter());
@@ -72,6 +74,13 @@
     }
 }
 
+/// Takes over which targets another gateway knows to be leaving, and logs the new ones.
+fn merge_leaving(state: &mut State, now: Micros, message: &GossipMessage) {
+    for id in state.targets.merge_leaving(now, message.leaving()) {
+        request_log::target_leaving(&id, NoticeSource::Gateway);
+    }
+}
+
 /// Adds to a message what this gateway knows of crashes.
 fn with_suspicions(state: &mut State, now: Micros, message: GossipMessage) -> GossipMessage {
     let peers = &state.peers;
