Say when targets that all pause take requests again

Cause: a request that found all targets paused was sent back with a `Retry-After` of 200 ms. A request whose target declined it with a body that does not end waited for the body, which no caller sees, until its deadline, and then counted as one that may have run.

Change: `Retry-After` is the time until the first pause ends, with jitter of at most 10 s, at admission and after the last attempt. Answers that say "not run" are read in the background, up to 64 KB and 1 s.

--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -24,6 +24,8 @@
 /// Maximum jitter that is added to `Retry-After`, as a fraction of it, so that clients do not all
 /// retry at the same time.
 const RETRY_JITTER: f64 = 0.5;
+/// Maximum jitter that is added to `Retry-After`, so that a long pause is not prolonged by much.
+const MAX_JITTER: Duration = Duration::from_secs(10);
 /// Maximum queueing time, as a fraction of the latency objective, for a request that goes to a
 /// model inference engine and is expected to miss the objective.
 const MAX_LATE_WAIT: f64 = 0.25;
@@ -47,6 +49,9 @@
     /// Mean time between two requests for which there is room at this gateway within the limits that
     /// targets name; `None` if no target names one, or there is a choice.
     pub room_interval: Option<Micros>,
+    /// Time until the first target takes requests, if all have asked for a pause; `None` otherwise, or
+    /// if there is a choice.
+    pub pause: Option<Micros>,
     /// Time since the request arrived.
     pub elapsed: Micros,
     /// Time left until the request's deadline.
@@ -67,15 +72,13 @@
 /// # Errors
 /// Returns a 429 problem with `Retry-After` if the client account has reached its fair share while
 /// the selected target or the engines are busy. Returns a 503 problem with `Retry-After` if
-/// - there is no target, or none with room within the limit that it names,
+/// - there is no target that may be sent requests, or none with room within the limit that it names,
 /// - the response is not expected to start before the deadline, or
 /// - a request to an engine would miss its latency objective and would have to wait long for other
 ///   requests.
 pub fn admit(context: &AdmissionContext, random: f64) -> Result<Choice, Problem> {
     let Some(choice) = context.choice else {
-        let room = context.room_interval.map(Duration::from);
-        let wait = room.map_or(NO_TARGET_RETRY_AFTER, |room| room.min(MAX_ROOM_RETRY_AFTER));
-        return Err(refuse(Reason::NoCapacity, wait, random));
+        return Err(refuse(Reason::NoCapacity, wait_for_target(context), random));
     };
     let needed = choice.expected + ROUND_TRIP;
     if needed > context.remaining {
@@ -98,15 +101,26 @@
     Ok(choice)
 }
 
-/// Sets a short `Retry-After` on a problem with status 503, the status of requests that were not
-/// run. Other problems are left unchanged.
-pub fn with_retry_after(problem: Problem, random: f64) -> Problem {
+/// Sets `Retry-After` on a problem with status 503, the status of requests that were not run. It is
+/// short, or `pause`, the time until the first target takes requests if all have asked for a pause.
+/// Other problems are left unchanged.
+pub fn with_retry_after(problem: Problem, pause: Option<Micros>, random: f64) -> Problem {
+    let wait = pause.map_or(MIN_RETRY_AFTER, Duration::from);
     match problem.status {
-        503 => problem.retry_after(jittered(MIN_RETRY_AFTER, random)),
+        503 => problem.retry_after(jittered(wait.max(MIN_RETRY_AFTER), random)),
         _ => problem,
     }
 }
 
+/// Time until a target is expected to take a request that found none.
+fn wait_for_target(context: &AdmissionContext) -> Duration {
+    if let Some(pause) = context.pause {
+        return pause.into();
+    }
+    let room = context.room_interval.map(Duration::from);
+    room.map_or(NO_TARGET_RETRY_AFTER, |room| room.min(MAX_ROOM_RETRY_AFTER))
+}
+
 fn fraction(duration: Micros, factor: f64) -> Micros {
     Micros((duration.0 as f64 * factor) as u64)
 }
@@ -116,7 +130,7 @@
 }
 
 fn jittered(wait: Duration, random: f64) -> Duration {
-    wait.mul_f64(1.0 + RETRY_JITTER * random)
+    wait + wait.mul_f64(RETRY_JITTER).min(MAX_JITTER).mul_f64(random)
 }
 
 #[cfg(test)]
--- a/src/gateway/admission/tests.rs
+++ b/src/gateway/admission/tests.rs
@@ -31,6 +31,7 @@
             prefill_tokens: 0,
         }),
         room_interval: None,
+        pause: None,
         elapsed: Micros::ZERO,
         remaining: Micros::from_secs(8),
         latency_objective: OBJECTIVE,
@@ -82,9 +83,9 @@
 
 #[test]
 fn only_requests_that_were_not_run_get_retry_after() {
-    let unknown = with_retry_after(Problem::unknown(502, Reason::TargetFailed), 0.0);
+    let unknown = with_retry_after(Problem::unknown(502, Reason::TargetFailed), None, 0.0);
     assert_eq!(unknown.retry_after, None);
-    let not_run = with_retry_after(Problem::not_run(503, Reason::NoCapacity), 0.0);
+    let not_run = with_retry_after(Problem::not_run(503, Reason::NoCapacity), None, 0.0);
     assert!(not_run.retry_after.is_some());
 }
 
@@ -111,3 +112,33 @@
     room_is_expected_later: Some(700) => 700;
     room_is_expected_much_later: Some(60_000) => 2_000;
 }
+
+/// `Retry-After` of a refusal while all targets have asked for a pause, if this is its jitter. Guards
+/// against callers that come back long before the first target takes requests, or all at once.
+macro_rules! waits_for_pause {
+    ($($name:ident: $pause_ms:expr, $random:expr => $wait_ms:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let pause = Some(Micros::from_ms($pause_ms));
+            let context = AdmissionContext {
+                choice: None,
+                pause,
+                ..context(0, 0)
+            };
+            let refused = admit(&context, $random).expect_err("there is no target");
+            assert_eq!(refused.execution, Execution::NotRun);
+            let given_up = Problem::not_run(503, Reason::NoCapacity);
+            let given_up = with_retry_after(given_up, pause, $random);
+            for problem in [refused, given_up] {
+                assert_eq!(problem.retry_after, Some(Duration::from_millis($wait_ms)));
+            }
+        }
+    )*};
+}
+
+waits_for_pause! {
+    a_pause_that_has_almost_ended: 3, 0.0 => 100;
+    a_pause: 4_000, 0.0 => 4_000;
+    a_pause_with_jitter: 4_000, 1.0 => 6_000;
+    the_longest_pause_with_jitter: 3_600_000, 1.0 => 3_610_000;
+}
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -2,18 +2,20 @@
 //! attempt is allowed.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Response;
 use hyper::body::Incoming;
-use tokio::time::timeout_at;
+use tokio::time::{timeout, timeout_at};
 
 use crate::gateway::admission::{self, AdmissionContext};
 use crate::gateway::attempts::{Attempts, Progress};
 use crate::gateway::body;
 use crate::gateway::fair_share::{AccountTag, ShareStatus};
 use crate::gateway::overload;
+use crate::gateway::pool::Connection;
 use crate::gateway::relay::Relay;
 use crate::gateway::request::ClientRequest;
 use crate::gateway::request_log;
@@ -22,6 +24,7 @@
 use crate::gateway::selection::Choice;
 use crate::gateway::send::{Dispatch, Upstream, dispatch, instant_at};
 use crate::gateway::state::GatewayState;
+use crate::gateway::targets::TargetKey;
 use crate::platform::headers;
 use crate::problem::{Problem, Reason};
 use crate::units::Micros;
@@ -29,6 +32,11 @@
 /// Maximum size of a non-streaming answer, which is buffered whole.
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 
+/// Maximum size of the body of an answer that says the request was not run; more is not read.
+const MAX_REFUSAL_BYTES: usize = 64 * 1024;
+/// Time limit for reading such a body.
+const REFUSAL_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// An attempt that ended without a usable answer.
 #[derive(Debug)]
 pub struct AttemptError {
@@ -90,7 +98,7 @@
         }
         let problem = counts.refusal(Reason::Draining);
         request_log::given_up(gateway, request, &problem);
-        admission::with_retry_after(problem, rand::random())
+        admission::with_retry_after(problem, None, rand::random())
     }
 
     async fn answer(&mut self) -> Result<Response<ResponseBody>, Problem> {
@@ -137,10 +145,15 @@
             Some(_) => None,
             None => self.attempts.gateway.room_interval(&request.service),
         };
+        let pause = match choice {
+            Some(_) => None,
+            None => self.attempts.gateway.pause_of_all(&request.service),
+        };
         let now = self.attempts.gateway.clock.now();
         let context = AdmissionContext {
             choice,
             room_interval,
+            pause,
             elapsed: now.saturating_sub(request.arrived),
             remaining: request.deadline().saturating_sub(now),
             latency_objective: request.route.latency_objective.into(),
@@ -184,8 +197,11 @@
         if self.attempts.gateway.clock.now() >= self.attempts.request.deadline() {
             problem = self.attempts.counts.refusal(Reason::DeadlinePassed);
         }
+        let service = &self.attempts.request.service;
+        let pause = self.attempts.gateway.pause_of_all(service);
+        let problem = admission::with_retry_after(problem, pause, rand::random());
         request_log::given_up(&self.attempts.gateway, &self.attempts.request, &problem);
-        Err(admission::with_retry_after(problem, rand::random()))
+        Err(problem)
     }
 
     /// Sends the request to a target and processes its answer.
@@ -254,6 +270,13 @@
             in_flight,
         } = upstream;
         let target = in_flight.target;
+        if failure.not_run() {
+            // The client sees nothing of this answer, and must not wait for the rest of it.
+            let gateway = self.attempts.gateway.clone();
+            let idle = meta.idle_timeout;
+            tokio::spawn(reuse_connection(gateway, target, connection, body, idle));
+            return failure.into();
+        }
         let Ok(body) = self.read(body).await else {
             return Failure::Broken.into();
         };
@@ -263,7 +286,7 @@
             .put(target, connection, meta.idle_timeout);
         // These statuses tell the client that the request was not run, which is not certain here.
         let implies_not_run = matches!(head.status.as_u16(), 408 | 429 | 503);
-        if failure.not_run() || implies_not_run || !meta.signed {
+        if implies_not_run || !meta.signed {
             return failure.into();
         }
         let headers = headers::forward_response(&head.headers);
@@ -289,3 +312,17 @@
         }
     }
 }
+
+/// Reads the rest of an answer that nobody waits for, and returns its connection to the pool.
+async fn reuse_connection(
+    gateway: Arc<GatewayState>,
+    target: TargetKey,
+    connection: Connection,
+    mut body: Incoming,
+    idle: Option<Duration>,
+) {
+    let read = body::read(&mut body, MAX_REFUSAL_BYTES, &gateway.bytes);
+    if let Ok(Ok(_)) = timeout(REFUSAL_TIMEOUT, read).await {
+        gateway.pool.put(target, connection, idle);
+    }
+}
