--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -12,7 +12,6 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use arc_swap::ArcSwap;
-use smallvec::SmallVec;
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
@@ -316,13 +315,12 @@
     pub fn room_interval(&self, service: &str) -> Option<Micros> {
         let now = self.clock.now();
         let state = self.lock();
-        let targets = state.of_service(service);
-        let targets = targets.filter(|target| state.restriction(target, now).is_none());
-        let targets: SmallVec<[&Target; 64]> = targets.collect();
-        let targets = targets.iter();
-        let cold = targets.clone();
-        let cold = cold.filter_map(|target| target.cold.time_to_room(now));
-        let rates = targets.filter_map(|target| target.limit.own_rate());
+        let allowed = || {
+            let targets = state.of_service(service);
+            targets.filter(|target| state.restriction(target, now).is_none())
+        };
+        let cold = allowed().filter_map(|target| target.cold.time_to_room(now));
+        let rates = allowed().filter_map(|target| target.limit.own_rate());
         let rate = rates.reduce(|a, b| a + b);
         let named = rate.map(|rate| Micros((1e6 / rate) as u64));
         cold.chain(named).min()
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -72,6 +72,11 @@
     /// Adds or updates a target. Target `t0` is in the gateway's zone, so that it gets requests
     /// first.
     pub fn put_target(&self, id: &str, addr: SocketAddr, draining: bool) {
+        self.put_run(id, addr, draining, None);
+    }
+
+    /// As [`FakeDirectory::put_target`], with the target's start time.
+    pub fn put_run(&self, id: &str, addr: SocketAddr, draining: bool, started_at: Option<u64>) {
         let zone = if id == "t0" { "a" } else { "b" };
         let entry = Entry {
             service: "desk".into(),
@@ -79,7 +84,7 @@
             zone: zone.into(),
             slots: 4,
             draining,
-            started_at: None,
+            started_at,
             cold: None,
         };
         self.with(|state| {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -15,6 +15,7 @@
 mod grace;
 mod harness;
 mod named_limit;
+mod notices;
 mod odd_entries;
 mod process;
 mod retries;
--- a/tests/gateway/target.rs
+++ b/tests/gateway/target.rs
@@ -75,6 +75,14 @@
     ResumedEventsAndHang,
     /// An endless stream of events, 20 ms apart.
     EndlessEvents,
+    /// A complete answer with these header lines.
+    CompleteWith(&'static str),
+    /// A 503 with these header lines.
+    UnavailableWith(&'static str),
+    /// A 503 with these header lines, whose body does not end.
+    UnavailableWithoutEnd(&'static str),
+    /// An endless stream of events with these header lines, 20 ms apart.
+    EndlessEventsWith(&'static str),
 }
 
 /// Requests and disconnects that a target has seen.
@@ -325,9 +333,28 @@
                 }
                 return false;
             }
-            Behaviour::EndlessEvents | Behaviour::CrashOnPoisonAmidStreams => {
+            Behaviour::CompleteWith(lines) => {
+                let rest = format!("{lines}Content-Length: 4\r\n");
+                (head("200 OK", &rest) + "body", true)
+            }
+            Behaviour::UnavailableWith(lines) => {
+                let rest = format!("{lines}Content-Length: 0\r\n");
+                (head("503 Service Unavailable", &rest), true)
+            }
+            Behaviour::EndlessEvents
+            | Behaviour::CrashOnPoisonAmidStreams
+            | Behaviour::EndlessEventsWith(_)
+            | Behaviour::UnavailableWithoutEnd(_) => {
                 let mut number = 1;
-                let mut text = head("200 OK", events);
+                let mut text = match behaviour {
+                    Behaviour::UnavailableWithoutEnd(lines) => {
+                        head("503 Service Unavailable", &format!("{lines}{events}"))
+                    }
+                    Behaviour::EndlessEventsWith(lines) => {
+                        head("200 OK", &format!("{lines}{events}"))
+                    }
+                    _ => head("200 OK", events),
+                };
                 while stream
                     .write_all((text + &event(number)).as_bytes())
                     .await
