--- a/src/gateway/notices/tests.rs
+++ b/src/gateway/notices/tests.rs
@@ -21,6 +21,7 @@
         slots: 4,
         draining: false,
         started_at: Some(started_at),
+        cold: None,
     }
 }
 
