Wait in the tests of evacuations until earlier answers no longer count

Cause: after an evacuation the other target is preferred because it answered faster than expected, and stays so while it is used; 100 ms between two looks did not let that fade (half-life 400 ms), so one to three of eight tests failed beside load.

Change: a second between two looks, in the time limit of the other waits. The check is the same: the restored zone gets requests.

--- a/tests/gateway/evacuation.rs
+++ b/tests/gateway/evacuation.rs
@@ -4,12 +4,15 @@
 
 use tokio::time::{sleep, timeout};
 
-use crate::harness::{FakeDirectory, TestGateway, free_address_pair};
+use crate::harness::{FakeDirectory, TestGateway, WAIT_LIMIT, free_address_pair};
 use crate::target::{Behaviour, Target};
 
 /// Time within which an evacuation or its end has to be known everywhere.
 const APPLY_LIMIT: Duration = Duration::from_secs(2);
 
+/// Time after which the speed of earlier answers no longer counts.
+const IDLE_TIME: Duration = Duration::from_secs(1);
+
 /// Zone of the target `t0`.
 const ZONE: &str = "a";
 /// Zone of all other targets.
@@ -53,15 +56,15 @@
     targets[0].count() - before
 }
 
-/// Waits until a request reaches the first target. The other one is preferred for a moment after it
-/// answered fast.
+/// Waits until a request reaches the first target. The other one, which answers faster than expected,
+/// is preferred until it has been idle for a moment.
 async fn reaches_first(gateway: &TestGateway, targets: &[Target; 2]) {
     let reached = async {
         while reach_first(gateway, targets).await == 0 {
-            sleep(Duration::from_millis(100)).await;
+            sleep(IDLE_TIME).await;
         }
     };
-    timeout(APPLY_LIMIT, reached)
+    timeout(WAIT_LIMIT, reached)
         .await
         .expect("the zone gets requests");
 }
