--- a/src/gateway/notices.rs
+++ b/src/gateway/notices.rs
@@ -9,7 +9,7 @@
 //!
 //! An entry whose start time is earlier than that of the run with the notice is either an older view
 //! of the list, to which the notice applies too, or a new run on a host whose clock was set back. The
-//! notice holds for it only for [`OLDER_ENTRY_TIME`].
+//! notice holds for it only for `OLDER_ENTRY_TIME`.
 //!
 //! Performs no I/O.
 
