--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -46,8 +46,8 @@
 pub struct AdmissionContext {
     /// Target selected for the request; `None` if the service has none left to try.
     pub choice: Option<Choice>,
-    /// Mean time between two requests for which there is room at this gateway within the limits that
-    /// targets name; `None` if no target names one, or there is a choice.
+    /// Time until there is room at this gateway within the limits that targets name, or at a cold
+    /// target; `None` if no target is limited, or there is a choice.
     pub room_interval: Option<Micros>,
     /// Time until the first target takes requests, if all have asked for a pause; `None` otherwise, or
     /// if there is a choice.
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -93,7 +93,7 @@
         gateway.metrics().record_total(took);
     }
 
-    /// Chooses the next target and takes one retry from the budget; `None` if the request may not
+    /// Chooses the next target and takes one retry from the budget, unless the last one was cold; `None` if the request may not
     /// be retried or no target is left.
     pub fn next_target(&self) -> Option<Choice> {
         let (gateway, request) = (&self.gateway, &self.request);
@@ -106,7 +106,9 @@
             return None;
         }
         let choice = gateway.choose_target(request, &self.tried)?;
-        if !gateway.take_retry(&request.service) {
+        // A request that found its target cold has cost no target anything, and when a zone comes back
+        // many do.
+        if !self.counts.was_cold && !gateway.take_retry(&request.service) {
             return None;
         }
         gateway.metrics().event(Event::Retry);
--- a/src/gateway/cold_limit.rs
+++ b/src/gateway/cold_limit.rs
@@ -149,6 +149,15 @@
         self.lost_at = Some(now);
     }
 
+    /// Records that the target has closed connections of late. If something was learned of its cold
+    /// time since, it is known that it has started again.
+    pub fn closed(&mut self, now: Micros) {
+        let told = self.notice.is_some_and(|notice| now < notice.until);
+        if !told && self.lost_at.is_none() {
+            self.lost_at = Some(now);
+        }
+    }
+
     /// Records that the target was reached. If it was lost, it counts as cold for `span`.
     pub fn reached(&mut self, now: Micros, span: Micros) {
         if self.lost_at.take().is_some() {
@@ -228,15 +237,16 @@
         !self.is_cold(now) || self.turns.take(now)
     }
 
-    /// Time until this gateway has room; `None` if the target is not cold.
+    /// Time until this gateway has room, at most that for which turns are planned: other gateways
+    /// have turns in the meantime. `None` if the target is not cold.
     pub fn time_to_room(&self, now: Micros) -> Option<Micros> {
         if !self.is_cold(now) {
             return None;
         }
         let until = self.notice.map(|notice| notice.until.saturating_sub(now));
         let end = until.filter(|until| *until > Micros::ZERO);
-        let turn = self.turns.time_to_next(now);
-        Some(end.into_iter().chain(turn).min().unwrap_or(DEFAULT_SPAN))
+        let turn = self.turns.time_to_next(now).unwrap_or(turns::HORIZON);
+        Some(end.map_or(turn, |end| end.min(turn)))
     }
 }
 
--- a/src/gateway/cold_limit/turns.rs
+++ b/src/gateway/cold_limit/turns.rs
@@ -18,7 +18,7 @@
 
 /// Time for which turns are planned ahead. Longer than a pause between two plans; a gateway that
 /// does not get to plan for so long sends nothing to cold targets.
-const HORIZON: Micros = Micros::from_ms(1_000);
+pub const HORIZON: Micros = Micros::from_ms(1_000);
 /// Maximum number of slots a second. With a higher rate, several requests may be sent in a slot.
 const MAX_SLOTS_PER_S: f64 = 50.0;
 /// Spreads the numbers of slots over all bits.
--- a/src/gateway/config.rs
+++ b/src/gateway/config.rs
@@ -221,6 +221,11 @@
         &self.accounts[key.index()]
     }
 
+    /// Whether the requests to cold targets of any service are limited.
+    pub fn limits_cold_targets(&self) -> bool {
+        self.services.values().any(|service| service.cold.is_some())
+    }
+
     /// Looks up a service by name.
     pub fn service(&self, name: &str) -> Option<&Service> {
         self.services.get(name)
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -99,6 +99,8 @@
     targets: HashMap<TargetKey, Vec<IdleConnection>>,
     /// Number of all idle connections.
     count: usize,
+    /// When targets were last found to have closed an idle connection early.
+    closed: HashMap<TargetKey, Instant>,
 }
 
 impl Idle {
@@ -140,7 +142,11 @@
     /// Takes an idle connection that is still usable; `None` if there is none.
     pub fn take(&self, target: TargetKey) -> Option<Connection> {
         let mut idle = self.lock();
-        let Idle { targets, count } = &mut *idle;
+        let Idle {
+            targets,
+            count,
+            closed,
+        } = &mut *idle;
         let kept = targets.get_mut(&target)?;
         let now = Instant::now();
         while let Some(IdleConnection {
@@ -152,10 +158,20 @@
             if now < expires && connection.sender.is_ready() {
                 return Some(connection);
             }
+            if now < expires {
+                closed.insert(target, now);
+            }
         }
         None
     }
 
+    /// Whether a target has closed an idle connection early within the last `span`, as it does when
+    /// it ends.
+    pub fn was_closed_within(&self, target: TargetKey, span: Duration) -> bool {
+        let closed = self.lock().closed.get(&target).copied();
+        closed.is_some_and(|at| at.elapsed() < span)
+    }
+
     /// Returns a connection to the pool. `idle_timeout` is the idle timeout that the target
     /// announced, if any.
     pub fn put(
@@ -192,8 +208,20 @@
     pub fn evict(&self, is_listed: impl Fn(TargetKey) -> bool) {
         let now = Instant::now();
         let mut idle = self.lock();
-        idle.targets.retain(|&target, kept| {
-            kept.retain(|idle| now < idle.expires && !idle.connection.sender.is_closed());
+        let Idle {
+            targets, closed, ..
+        } = &mut *idle;
+        closed.retain(|&target, _| is_listed(target));
+        targets.retain(|&target, kept| {
+            let is_closed = |idle: &IdleConnection| idle.connection.sender.is_closed();
+            if is_listed(target)
+                && kept
+                    .iter()
+                    .any(|idle| now < idle.expires && is_closed(idle))
+            {
+                closed.insert(target, now);
+            }
+            kept.retain(|idle| now < idle.expires && !is_closed(idle));
             !kept.is_empty() && is_listed(target)
         });
         idle.count = idle.targets.values().map(Vec::len).sum();
--- a/src/gateway/retry.rs
+++ b/src/gateway/retry.rs
@@ -17,6 +17,9 @@
     /// The request was not sent after all, because its deadline had passed, its target, route or API
     /// key had been removed meanwhile, or its target has no room left within its limit.
     Withdrawn,
+    /// The request was not sent after all, because its target turned out to be cold and this gateway
+    /// has no room there now.
+    Cold,
     /// The target reports that it did not run the request.
     Declined,
     /// Another target now uses the address and did not run the request.
@@ -34,7 +37,11 @@
     pub fn not_run(self) -> bool {
         matches!(
             self,
-            Failure::Unreached | Failure::Withdrawn | Failure::Declined | Failure::Moved
+            Failure::Unreached
+                | Failure::Withdrawn
+                | Failure::Cold
+                | Failure::Declined
+                | Failure::Moved
         )
     }
 }
@@ -46,17 +53,27 @@
     pub run: u32,
     /// Number of attempts that certainly were not run.
     pub declined: u32,
+    /// Number of attempts at targets that turned out to be cold.
+    pub cold: u32,
+    /// Whether the last attempt was one of these.
+    pub was_cold: bool,
 }
 
 /// Number of attempts that were not run after which a request is not retried.
 const MAX_DECLINED: u32 = 3;
+/// Number of cold targets that a request may find. When a whole zone comes back, the first requests
+/// after that find several; each costs a round trip, and none of them work.
+const MAX_COLD: u32 = 8;
 /// An attempt times out after this multiple of the expected response time.
 const TIMEOUT_FACTOR: u64 = 4;
 
 impl AttemptCounts {
     /// Records the outcome of an attempt.
     pub fn record(&mut self, failure: Failure) {
-        if failure.not_run() {
+        self.was_cold = failure == Failure::Cold;
+        if self.was_cold {
+            self.cold += 1;
+        } else if failure.not_run() {
             self.declined += 1;
         } else {
             self.run += 1;
@@ -68,7 +85,8 @@
     /// run.
     pub fn may_retry(&self, class: RouteClass, max_attempts: u32) -> bool {
         let safe = self.run == 0 || class.is_retryable();
-        safe && self.run < max_attempts.max(1) && self.declined < MAX_DECLINED
+        let found = self.declined < MAX_DECLINED && self.cold < MAX_COLD;
+        safe && self.run < max_attempts.max(1) && found
     }
 
     /// Returns the response timeout of the next attempt, so that a request that may still be
@@ -93,9 +111,11 @@
     /// Returns the error response for a request whose last attempt ended with `failure`.
     pub fn problem(&self, failure: Failure) -> Problem {
         let reason = match failure {
-            Failure::Unreached | Failure::Withdrawn | Failure::Declined | Failure::Moved => {
-                Reason::NoCapacity
-            }
+            Failure::Unreached
+            | Failure::Withdrawn
+            | Failure::Cold
+            | Failure::Declined
+            | Failure::Moved => Reason::NoCapacity,
             Failure::Broken | Failure::Failed => Reason::TargetFailed,
             Failure::Silent => Reason::OutcomeUnknown,
         };
--- a/src/gateway/retry/tests.rs
+++ b/src/gateway/retry/tests.rs
@@ -30,6 +30,8 @@
     an_idempotent_request_that_failed_is_retried: [Failure::Failed], Idempotent, 2 => true;
     attempts_that_ran_are_limited: [Failure::Failed, Failure::Failed], Idempotent, 2 => false;
     declines_are_limited: [Failure::Declined; 3], Idempotent, 9 => false;
+    cold_targets_do_not_count_as_declines: [Failure::Cold; 7], Once, 1 => true;
+    cold_targets_are_limited: [Failure::Cold; 8], Once, 1 => false;
     a_once_request_declined_after_it_may_have_run_is_not_retried: [Failure::Broken, Failure::Declined], Once, 9 => false;
 }
 
@@ -47,6 +49,7 @@
 
 answers! {
     declined_is_not_run: [Failure::Declined] => 503, NotRun;
+    cold_is_not_run: [Failure::Cold] => 503, NotRun;
     unreached_is_not_run: [Failure::Unreached] => 503, NotRun;
     broken_is_unknown: [Failure::Broken] => 502, Unknown;
     silent_is_unknown: [Failure::Silent] => 504, Unknown;
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -150,7 +150,7 @@
     }
     match gateway.take_cold_room(target) {
         true => Ok(()),
-        false => Err(Failure::Withdrawn),
+        false => Err(Failure::Cold),
     }
 }
 
@@ -193,6 +193,9 @@
     let Some((service, rule)) = service.and_then(|s| Some((s, s.cold?))) else {
         return Ok(connection);
     };
+    if gateway.pool.was_closed_within(target, rule.span.into()) {
+        gateway.record_closed(target);
+    }
     let Some(path) = &service.health_path else {
         gateway.record_reached(target, Answer::NotTold, &rule);
         return Ok(connection);
--- a/src/gateway/send/tests.rs
+++ b/src/gateway/send/tests.rs
@@ -89,6 +89,13 @@
         gateway.record_pause(&"t0".into(), &entry(false), PAUSE);
         PAUSE
     } => Ok(());
+    its_target_turns_cold: |gateway| {
+        let now = gateway.clock.now();
+        gateway.with_targets(|targets| {
+            targets.iter_mut().for_each(|target| target.cold.assume(now, Micros::from_secs(3)));
+        });
+        Duration::ZERO
+    } => Err(Failure::Cold);
     its_route_is_removed: |gateway| {
         gateway.apply_config(config(2, "/other/", "desk", "school-key"));
         Duration::ZERO
--- a/src/gateway/state/cold.rs
+++ b/src/gateway/state/cold.rs
@@ -57,6 +57,13 @@
         last.flatten().is_some_and(recent)
     }
 
+    /// Records that a target has closed connections, as it does when it ends. Has no effect if it has
+    /// answered on a later connection.
+    pub fn record_closed(&self, key: TargetKey) {
+        let now = self.clock.now();
+        self.with_target(key, |target| target.cold.closed(now));
+    }
+
     /// Records that a connection to a target was opened, and what the target said on it of its cold
     /// time. One that does not answer what it is asked counts as cold: it may just have started.
     pub fn record_reached(&self, key: TargetKey, answer: Answer, rule: &ColdRule) {
@@ -89,7 +96,9 @@
     pub(super) fn plan_turns(&self, state: &mut State, now: Micros) -> ColdChanges {
         let config = self.config.load();
         let (peers, targets) = (&state.peers, &mut state.targets);
-        state.roster.update(now, peers.signs(), peers.seeds());
+        if config.limits_cold_targets() {
+            state.roster.update(now, peers.signs(), peers.seeds());
+        }
         let wall = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
         let mut input = TurnsInput {
             wall: wall.unwrap_or_default().into(),
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -105,6 +105,69 @@
     no_json: "\u{1}x" => None;
 }
 
+/// Guards against an odd figure that makes an entry or a configuration unusable, or limits a target
+/// for long: the remaining cold time of an entry, and the limit of a service, in milliseconds and
+/// requests a second.
+macro_rules! cold_figures {
+    ($($name:ident: $figure:expr => $remaining:expr, $rate:expr, $span:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let figure = $figure;
+            let entry = format!(
+                r#"{{"backend":"x","address":"10.0.0.9:80","zone":"a","slots":4,"state":"ready","coldRemainingMs":{figure}}}"#
+            );
+            let entry: WireTarget = serde_json::from_str(&entry).expect("the rest is sound");
+            let remaining = Entry::from(entry).cold.map(|cold| cold.remaining.as_ms());
+            assert_eq!(remaining, $remaining);
+            let read = |text: String| -> Config {
+                let wire: WireConfig = serde_json::from_str(&text).expect("the rest is sound");
+                wire.into()
+            };
+            let config = read(format!(
+                r#"{{"version":1,"services":[{{"name":"x","coldS":3.0,"coldPerS":{figure},"healthPath":{figure}}}]}}"#
+            ));
+            let cold = config.service("x").and_then(|service| service.cold);
+            assert_eq!(cold.map(|cold| cold.rate), $rate);
+            let config = read(format!(
+                r#"{{"version":1,"services":[{{"name":"x","coldS":{figure},"coldPerS":5.9}}]}}"#
+            ));
+            let cold = config.service("x").and_then(|service| service.cold);
+            assert_eq!(cold.map(|cold| cold.span.as_ms()), Some($span));
+        }
+    )*};
+}
+
+cold_figures! {
+    a_cold_figure: "2.5" => Some(2), Some(2.5), 2_500;
+    a_cold_figure_of_zero: "0" => Some(0), None, 3_000;
+    a_negative_cold_figure: "-5" => None, None, 3_000;
+    a_huge_cold_figure: "1e300" => Some(60_000), Some(1e6), 60_000;
+    a_tiny_cold_figure: "1e-300" => Some(0), Some(0.01), 0;
+    an_infinite_cold_figure: "1e999" => None, None, 3_000;
+    a_cold_figure_that_is_text: "\"NaN\"" => None, None, 3_000;
+    a_cold_figure_that_is_null: "null" => None, None, 3_000;
+    a_cold_figure_that_is_a_list: "[1]" => None, None, 3_000;
+}
+
+macro_rules! cold_headers {
+    ($($name:ident: $text:expr => $remaining:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let read = headers::parse_cold(&header_map(&[("cold-remaining", $text)]));
+            assert_eq!(read.map(|cold| cold.as_ms()), $remaining);
+        }
+    )*};
+}
+
+cold_headers! {
+    a_cold_header: " 2400 " => Some(2_400);
+    a_cold_header_of_zero: "0" => Some(0);
+    a_negative_cold_header: "-1" => None;
+    a_huge_cold_header: "1e30" => Some(60_000);
+    a_cold_header_that_is_no_number: "NaN" => None;
+    a_cold_header_that_is_infinite: "inf" => None;
+}
+
 /// Encodes a page of records as the store does.
 fn page(end: u64, records: &[(&str, &[u8])]) -> Bytes {
     let mut out = BytesMut::new();
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -5,7 +5,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use balsampitch::gateway::config::{Account, Config, ConfigParts, Route, RouteClass};
+use balsampitch::gateway::cold_limit::ColdReport;
+use balsampitch::gateway::config::{Account, Config, ConfigParts, Route, RouteClass, Service};
 use balsampitch::gateway::directory::{Change, ChangeBatch, Directory, Topic};
 use balsampitch::gateway::retry_budget::RetryLimits;
 use balsampitch::gateway::state::GatewayState;
@@ -72,11 +73,27 @@
     /// Adds or updates a target. Target `t0` is in the gateway's zone, so that it gets requests
     /// first.
     pub fn put_target(&self, id: &str, addr: SocketAddr, draining: bool) {
-        self.put_run(id, addr, draining, None);
+        self.put_entry(id, addr, draining, None, None);
     }
 
     /// As [`FakeDirectory::put_target`], with the target's start time.
     pub fn put_run(&self, id: &str, addr: SocketAddr, draining: bool, started_at: Option<u64>) {
+        self.put_entry(id, addr, draining, started_at, None);
+    }
+
+    /// As [`FakeDirectory::put_target`], of a target that tells how long it is cold.
+    pub fn put_cold_target(&self, id: &str, addr: SocketAddr, cold: ColdReport) {
+        self.put_entry(id, addr, false, None, Some(cold));
+    }
+
+    fn put_entry(
+        &self,
+        id: &str,
+        addr: SocketAddr,
+        draining: bool,
+        started_at: Option<u64>,
+        cold: Option<ColdReport>,
+    ) {
         let zone = if id == "t0" { "a" } else { "b" };
         let entry = Entry {
             service: "desk".into(),
@@ -85,7 +102,7 @@
             slots: 4,
             draining,
             started_at,
-            cold: None,
+            cold,
         };
         self.with(|state| {
             state.targets.retain(|(other, _)| other != id);
@@ -157,7 +174,9 @@
         let mut words = std::str::from_utf8(&source).ok()?.split(' ');
         let version = words.next()?.parse().ok()?;
         let keys: Vec<&str> = words.collect();
-        Some(config(version, &keys))
+        let published = self.with(|state| state.config.clone());
+        let published = published.filter(|config| config.version == version);
+        Some(published.unwrap_or_else(|| config(version, &keys)))
     }
 
     async fn changes(
@@ -180,6 +199,11 @@
 
 /// A configuration with one route of each class, named for it, and one without authentication.
 pub fn config(version: u64, keys: &[&str]) -> Config {
+    config_with(version, keys, Service::default())
+}
+
+/// As [`config`], with this service.
+pub fn config_with(version: u64, keys: &[&str], service: Service) -> Config {
     let route = |name: &str, class, allow_anonymous| Route {
         name: name.into(),
         authority: "pool.example".into(),
@@ -207,6 +231,7 @@
             },
             route("open", RouteClass::Idempotent, true),
         ],
+        services: vec![("desk".into(), service)],
         accounts: vec![(account, keys.iter().map(|&key| key.into()).collect())],
         ..ConfigParts::default()
     };
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! Integration tests of the gateway with raw client connections and scripted targets.
 
 mod answers;
+mod cold;
 #[path = "../common/mod.rs"]
 mod common;
 mod crashing_part;
--- a/tests/gateway/target.rs
+++ b/tests/gateway/target.rs
@@ -7,6 +7,7 @@
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 /// How a target answers one request.
@@ -102,8 +103,13 @@
     behaviours: Arc<Mutex<VecDeque<Behaviour>>>,
     received: Arc<Mutex<Received>>,
     crash: CancellationToken,
+    /// End of its cold time, which it tells on [`HEALTH_PATH`].
+    cold_end: Arc<Mutex<Option<Instant>>>,
 }
 
+/// Path of the question for the health of a target. It does not count as a request.
+pub const HEALTH_PATH: &str = "/health";
+
 impl Target {
     /// Starts a target that applies the behaviours in order and repeats the last one.
     pub async fn start(behaviours: &[Behaviour]) -> Target {
@@ -124,6 +130,7 @@
             behaviours,
             received: Arc::default(),
             crash: CancellationToken::new(),
+            cold_end: Arc::default(),
         };
         let serving = target.clone();
         tokio::spawn(async move {
@@ -156,9 +163,23 @@
             behaviours: Arc::default(),
             received: Arc::default(),
             crash: CancellationToken::new(),
+            cold_end: Arc::default(),
         }
     }
 
+    /// Makes it cold for this long.
+    pub fn set_cold(&self, time: Duration) {
+        *self.cold_end.lock().expect("no holder panics") = Some(Instant::now() + time);
+    }
+
+    /// The answer to the question for its health.
+    fn health(&self) -> String {
+        let end = *self.cold_end.lock().expect("no holder panics");
+        let remaining = end.map_or(Duration::ZERO, |end| end - Instant::now());
+        let remaining = remaining.as_millis();
+        format!("HTTP/1.1 200 OK\r\nCold-Remaining: {remaining}\r\nContent-Length: 2\r\n\r\nok")
+    }
+
     /// Returns what the target has seen so far.
     pub fn received(&self) -> Received {
         self.received.lock().expect("no holder panics").clone()
@@ -201,6 +222,12 @@
 
     async fn serve(self, mut stream: TcpStream) {
         while let Some(head) = read_request(&mut stream).await {
+            if head.starts_with(&format!("GET {HEALTH_PATH} ")) {
+                if stream.write_all(self.health().as_bytes()).await.is_err() {
+                    return;
+                }
+                continue;
+            }
             let id = header(&head, "attempt-id").unwrap_or_default();
             self.received
                 .lock()
