--- a/src/platform/tests/fuzz.rs
+++ b/src/platform/tests/fuzz.rs
@@ -17,7 +17,7 @@
 
 /// Longest time that anything read may ask to wait.
 const LONGEST: Duration = Duration::from_secs(24 * 3_600);
-const TARGET: [(&str, &str); 8] = [
+const TARGET: [(&str, &str); 9] = [
     ("backend", r#""x""#),
     ("address", r#""10.0.0.9:80""#),
     ("zone", r#""a""#),
@@ -25,6 +25,7 @@
     ("state", r#""ready""#),
     ("callSeq", "4"),
     ("born", "17"),
+    ("coldRemainingMs", "1200"),
     ("version", r#""v1""#),
 ];
 
