--- a/src/gateway/copies.rs
+++ b/src/gateway/copies.rs
@@ -13,6 +13,8 @@
     /// Time at which the platform confirmed the list; `None` while it cannot be reached, directly
     /// or through another gateway.
     pub confirmed_at: Option<Micros>,
+    /// Time since which the platform has confirmed the list without an outage.
+    pub confirmed_since: Option<Micros>,
     /// Offset in the platform's list up to which the copy is complete.
     pub next: u64,
     /// State of another gateway's list that this copy equals; `None` if it was read from the
@@ -45,6 +47,7 @@
             version,
             config_at: self.config_at,
             list_at: self.list.confirmed_at,
+            list_since: self.list.confirmed_since,
             list_next: self.list.next,
             boot,
             list_change,
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -9,6 +9,7 @@
 use crate::gateway::config::Config;
 use crate::gateway::targets::Entry;
 use crate::log::{CallError, ReadError};
+use crate::units::Micros;
 
 /// A list that the platform maintains.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -24,12 +25,16 @@
 pub enum Change {
     /// A new configuration.
     Config(Box<Config>),
-    /// A target was added or updated: its id and its entry.
-    Target(Box<str>, Entry),
-    /// The entry with this key could not be decoded; a target with this id must not be used.
-    Unreadable(Box<str>),
-    /// The entry with this key was removed.
-    Removed(Box<str>),
+    /// A target was added or updated: its id, its entry, and the offset of its record.
+    Target(Box<str>, Entry, u64),
+    /// Another gateway keeps the entry of this target for this time, although it has been missing
+    /// since the record at this offset.
+    Missing(Box<str>, Entry, u64, Micros),
+    /// The entry with this key, in the record at this offset, could not be decoded; a target with
+    /// this id must not be used.
+    Unreadable(Box<str>, u64),
+    /// The entry with this key was removed by the record at this offset.
+    Removed(Box<str>, u64),
     /// The operator has evacuated the availability zone with this name.
     ZoneEvacuated(Box<str>),
     /// The operator has ended the evacuation of the availability zone with this name.
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -2,10 +2,10 @@
 //! from the platform, the operator's infrastructure service, or from another gateway that has read
 //! them there; [`super::source`] decides which.
 
+mod apply;
 mod dependency;
 mod follower;
 mod list;
-mod missing;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -133,10 +133,10 @@
                version: = version, routes: = routes, in_force: = newer
             });
         }
-        Change::Unreadable(key) => {
+        Change::Unreadable(key, _) => {
             spdlog::error!("could not decode a configuration", kv: { key: = key.as_ref() });
         }
-        Change::Target(..) | Change::Removed(_) => {}
+        Change::Target(..) | Change::Missing(..) | Change::Removed(..) => {}
         // Already applied.
         Change::ZoneEvacuated(_) | Change::ZoneRestored(_) => {}
     }
@@ -156,7 +156,7 @@
                     true => TARGETS_PAUSE,
                     false => follower.pause_after_failure(&gateway),
                 };
-                tokio::time::sleep(pause).await;
+                list.settle_for(&gateway, pause).await;
             }
             Source::Peer(peer) => {
                 list.copy_from(&gateway, peer).await;
@@ -164,6 +164,7 @@
             }
             Source::Wait => await_reports(&gateway).await,
         }
+        list.settle(&gateway);
     }
 }
 
--- a/src/gateway/follow/list.rs
+++ b/src/gateway/follow/list.rs
@@ -1,42 +1,41 @@
-//! Reads the list of targets from the platform or copies it from another gateway, and applies its
-//! changes.
+//! Reads the list of targets from the platform or copies it from another gateway, and merges it into
+//! this gateway's view.
 
-use std::collections::HashSet;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
-use crate::gateway::copies::ListCopy;
-use crate::gateway::directory::{Change, ChangeBatch, Directory, Topic};
+use smallvec::SmallVec;
+use tokio::time::Instant;
+
+use crate::gateway::directory::{ChangeBatch, Directory, Topic};
+use crate::gateway::follow::apply::{self, Batch};
 use crate::gateway::follow::dependency::Dependency;
-use crate::gateway::follow::follower::list_copy;
-use crate::gateway::follow::missing::MissingEntries;
+use crate::gateway::follow::follower::{REPORT_WAIT, list_copy};
+use crate::gateway::list_view::Origin;
+use crate::gateway::list_view::availability::Confirmed;
 use crate::gateway::peers::handover;
 use crate::gateway::peers::wire_targets::{Cursor, WireTargets};
 use crate::gateway::source;
 use crate::gateway::state::GatewayState;
-use crate::gateway::targets;
 use crate::log::ReadError;
 use crate::units::Micros;
 
-/// Minimum length of an outage of the target list after which missing entries are kept for
-/// [`OUTAGE_GRACE`].
-const MIN_OUTAGE: Micros = Micros::from_ms(900);
 /// The list of targets, as read from the platform or copied from another gateway.
 #[derive(Debug)]
 pub struct TargetList {
-    /// Whether the whole list has been read or copied.
-    complete: bool,
+    /// Offset at which to read on; `None` to read the whole list.
+    position: Option<u64>,
     dependency: Dependency,
-    missing: MissingEntries,
+    /// Whether the platform's list is older than this gateway's view.
+    is_behind: bool,
 }
 
 impl Default for TargetList {
     fn default() -> Self {
         TargetList {
-            complete: false,
+            position: None,
             dependency: Dependency::new("target list"),
-            missing: MissingEntries::default(),
+            is_behind: false,
         }
     }
 }
@@ -45,29 +44,17 @@
     /// Reads what has changed from the platform, or falls back to the copy of another gateway.
     /// Returns whether the platform answered.
     pub async fn read<D: Directory>(&mut self, directory: &D, gateway: &GatewayState) -> bool {
-        let next = gateway.with_copies(|copies| copies.list.next);
-        let from = self.complete.then_some(next);
+        let from = self.position;
         let read = super::read(directory, Topic::Targets, from, Duration::ZERO).await;
         let now = gateway.clock.now();
         match read {
             Ok(batch) => {
-                if self.dependency.record_success(now) >= MIN_OUTAGE {
-                    self.missing.outage_ended(now);
-                }
-                let complete = from.is_none() && !batch.partial;
-                apply_targets(gateway, &mut self.missing, &batch, complete);
-                self.complete = true;
-                gateway.with_copies(|copies| {
-                    copies.list = ListCopy {
-                        confirmed_at: Some(now),
-                        next: batch.next,
-                        cursor: None,
-                    };
-                });
+                self.dependency.record_success(now);
+                self.merge_read(gateway, now, from, batch);
                 true
             }
             Err(ReadError::Expired { .. }) => {
-                self.complete = false;
+                self.position = None;
                 true
             }
             Err(error) => {
@@ -81,6 +68,49 @@
         }
     }
 
+    /// Merges what was read from the offset `from`, or the whole list if that is `None`.
+    fn merge_read(
+        &mut self,
+        gateway: &GatewayState,
+        now: Micros,
+        from: Option<u64>,
+        batch: ChangeBatch,
+    ) {
+        let complete_to = gateway.with_targets(|targets| targets.view().complete_to());
+        if self.is_older(from, batch.next, complete_to) {
+            return;
+        }
+        let batch = Batch {
+            origin: Origin::Platform,
+            is_whole: from.is_none() && !batch.partial,
+            is_complete: match from {
+                Some(from) => from <= complete_to,
+                None => !batch.partial,
+            },
+            changes: batch,
+        };
+        self.position = Some(batch.changes.next);
+        confirm(gateway, Some(now));
+        apply::merge(gateway, batch);
+        gateway.with_copies(|copies| {
+            copies.list.confirmed_at = Some(now);
+            copies.list.cursor = None;
+        });
+        sync_copy(gateway);
+    }
+
+    /// Whether a whole list that was read is older than this gateway's view; logs when that changes.
+    fn is_older(&mut self, from: Option<u64>, next: u64, complete_to: u64) -> bool {
+        let is_behind = from.is_none() && next < complete_to;
+        if is_behind && !self.is_behind {
+            spdlog::warn!("the platform's target list is older than the one in force", kv: {
+                offset = next, in_force = complete_to,
+            });
+        }
+        self.is_behind = is_behind;
+        is_behind
+    }
+
     /// Copies what has changed in the list of another gateway, unless that is older than this one.
     pub async fn copy_from(&mut self, gateway: &GatewayState, peer: SocketAddr) {
         let now = gateway.clock.now();
@@ -92,11 +122,12 @@
             boot: status.boot,
             change: status.list_change,
         };
-        if copy.cursor == Some(cursor) {
-            gateway.with_copies(|copies| copies.list.confirm(status.list_at));
+        if status.list_next < copy.next {
             return;
         }
-        if status.list_next < copy.next {
+        if copy.cursor == Some(cursor) {
+            gateway.with_targets(|targets| targets.view_mut().complete(status.list_next));
+            self.confirm_copy(gateway, status.list_at);
             return;
         }
         match handover::fetch_targets(peer, copy.cursor).await {
@@ -111,122 +142,99 @@
     }
 
     fn apply_copy(&mut self, gateway: &GatewayState, list: WireTargets, listed_at: Option<Micros>) {
-        let (cursor, complete) = (list.cursor, list.complete);
-        let batch = ChangeBatch::from(list);
-        let known = gateway.with_copies(|copies| copies.list);
-        if batch.next < known.next {
+        let (cursor, is_whole) = (list.cursor, list.complete);
+        let changes = ChangeBatch::from(list);
+        let complete_to = gateway.with_targets(|targets| targets.view().complete_to());
+        if changes.next < complete_to {
             return;
         }
-        // The other gateway has already waited for entries that went missing in an outage.
-        self.missing = MissingEntries::default();
-        apply_targets(gateway, &mut self.missing, &batch, complete);
-        self.complete = true;
-        gateway.with_copies(|copies| {
-            copies.list.next = batch.next;
-            copies.list.cursor = Some(cursor);
-            copies.list.confirm(listed_at);
-        });
+        confirm(gateway, listed_at);
+        apply::merge(
+            gateway,
+            Batch {
+                origin: Origin::Copy,
+                // A gateway whose own view is not complete does not know what is gone.
+                is_whole: is_whole && changes.next > complete_to,
+                is_complete: true,
+                changes,
+            },
+        );
+        gateway.with_copies(|copies| copies.list.cursor = Some(cursor));
+        self.confirm_copy(gateway, listed_at);
     }
-}
-
-/// The gateway to copy the list from while the platform does not answer; `None` if there is none.
-fn fallback_peer(gateway: &GatewayState) -> Option<SocketAddr> {
-    let now = gateway.clock.now();
-    let has_none = gateway.with_targets(|targets| targets.is_empty());
-    gateway.with_peers(|peers| {
-        let copies = peers.copies(now);
-        let copies = copies.map(|(addr, status, rank)| list_copy(addr, &status, rank));
-        source::fallback(now, has_none, copies)
-    })
-}
 
-/// Applies changes of the target list. If `complete`, `batch` is the whole list, and known targets
-/// that it does not contain are missing from the list.
-fn apply_targets(
-    gateway: &GatewayState,
-    missing: &mut MissingEntries,
-    batch: &ChangeBatch,
-    complete: bool,
-) {
-    let now = gateway.clock.now();
-    if complete {
-        handle_unlisted(gateway, missing, now, batch);
+    /// Takes over that the platform has confirmed the copied list at `listed_at`.
+    fn confirm_copy(&mut self, gateway: &GatewayState, listed_at: Option<Micros>) {
+        let complete_to = gateway.with_targets(|targets| targets.view().complete_to());
+        if complete_to > 0 {
+            self.position = self.position.max(Some(complete_to));
+        }
+        confirm(gateway, listed_at);
+        gateway.with_copies(|copies| copies.list.confirm(listed_at));
+        sync_copy(gateway);
     }
-    for change in &batch.changes {
-        apply_target_change(gateway, missing, now, change.clone());
+
+    /// Waits for `pause`. While missing entries are kept, looks at what other gateways report.
+    pub async fn settle_for(&self, gateway: &GatewayState, pause: Duration) {
+        let end = Instant::now() + pause;
+        while gateway.with_targets(|targets| targets.view().has_missing()) && Instant::now() < end {
+            let wait = end.min(Instant::now() + REPORT_WAIT);
+            let _ = tokio::time::timeout_at(wait, gateway.reports.notified()).await;
+            self.settle(gateway);
+        }
+        tokio::time::sleep_until(end).await;
     }
-    for id in missing.take_expired(now) {
-        remove(gateway, &id);
+
+    /// Removes the missing entries that are no longer kept.
+    pub fn settle(&self, gateway: &GatewayState) {
+        let now = gateway.clock.now();
+        let others = confirmed_elsewhere(gateway, now);
+        apply::settle(gateway, now, others.into_iter());
     }
-    gateway.pool.evict(|key| gateway.is_listed(key));
 }
 
-/// Handles the known targets that are missing from the complete list.
-fn handle_unlisted(
-    gateway: &GatewayState,
-    missing: &mut MissingEntries,
-    now: Micros,
-    batch: &ChangeBatch,
-) {
-    let listed: HashSet<&str> = batch
-        .changes
-        .iter()
-        .filter_map(|change| match change {
-            Change::Target(id, _) => Some(id.as_ref()),
-            _ => None,
-        })
-        .collect();
-    let known: Vec<Arc<str>> = gateway.with_targets(|targets| targets.ids().cloned().collect());
-    for id in known.iter().filter(|id| !listed.contains(id.as_ref())) {
-        handle_missing(gateway, missing, now, id);
+/// Records a confirmation of the list in the view, before what was confirmed is merged.
+fn confirm(gateway: &GatewayState, at: Option<Micros>) {
+    let Some(at) = at else {
+        return;
+    };
+    if gateway.with_targets(|targets| targets.view_mut().confirm(at)) {
+        spdlog::info!("target list confirmed again; missing entries are kept for now");
     }
 }
 
-fn apply_target_change(
-    gateway: &GatewayState,
-    missing: &mut MissingEntries,
-    now: Micros,
-    change: Change,
-) {
-    match change {
-        Change::Target(id, entry) => {
-            missing.forget(&id);
-            let (draining, service) = (entry.draining, entry.service.clone());
-            let cold = entry.cold;
-            let change = gateway.with_targets(|targets| {
-                let change = targets.put(&id, entry);
-                if let Some(cold) = cold {
-                    targets.record_cold(now, &id, cold);
-                }
-                change
-            });
-            if change != targets::Change::Same {
-                spdlog::info!(
-                    "target listed", kv: {
-                    target: = id.as_ref(), service: = service.as_ref(),
-                    leaving: = draining, change:? = change }
-                );
-            }
-        }
-        Change::Unreadable(id) => {
-            spdlog::warn!("could not decode a target's entry", kv: { target: = id.as_ref() });
-            remove(gateway, &id);
-        }
-        Change::Removed(id) => handle_missing(gateway, missing, now, &id),
-        Change::Config(_) | Change::ZoneEvacuated(_) | Change::ZoneRestored(_) => {}
-    }
+/// Takes over the state of the view into what is reported to other gateways.
+fn sync_copy(gateway: &GatewayState) {
+    let (next, since) = gateway.with_targets(|targets| {
+        let view = targets.view();
+        (view.complete_to(), view.confirmed().map(|span| span.since))
+    });
+    gateway.with_copies(|copies| {
+        copies.list.next = next;
+        copies.list.confirmed_since = since;
+    });
 }
 
-fn handle_missing(gateway: &GatewayState, missing: &mut MissingEntries, now: Micros, id: &str) {
-    if missing.in_grace_period(now) {
-        missing.add(id);
-    } else {
-        remove(gateway, id);
-    }
+/// The spans of time in which the lists of other gateways were confirmed.
+fn confirmed_elsewhere(gateway: &GatewayState, now: Micros) -> SmallVec<[Confirmed; 8]> {
+    gateway.with_peers(|peers| {
+        let spans = peers.copies(now).filter_map(|(_, status, _)| {
+            Some(Confirmed {
+                since: status.list_since?,
+                last: status.list_at?,
+            })
+        });
+        spans.collect()
+    })
 }
 
-fn remove(gateway: &GatewayState, id: &str) {
-    if gateway.with_targets(|targets| targets.remove(id)) == targets::Change::Left {
-        spdlog::info!("target gone", kv: { target: = id });
-    }
+/// The gateway to copy the list from while the platform does not answer; `None` if there is none.
+fn fallback_peer(gateway: &GatewayState) -> Option<SocketAddr> {
+    let now = gateway.clock.now();
+    let has_none = gateway.with_targets(|targets| targets.is_empty());
+    gateway.with_peers(|peers| {
+        let copies = peers.copies(now);
+        let copies = copies.map(|(addr, status, rank)| list_copy(addr, &status, rank));
+        source::fallback(now, has_none, copies)
+    })
 }
--- /dev/null
+++ b/src/gateway/list_view/tests/fleet.rs
@@ -0,0 +1,411 @@
+//! A store, targets and gateways with their views, on paused time: readers that are cut off, frozen
+//! and restarted, also two at once, outages of the store, and releases and drains in the meantime.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use proptest::prelude::*;
+
+use crate::gateway::list_view::availability::Confirmed;
+use crate::gateway::list_view::{Effect, EntryState, Fact, ListView, Origin};
+use crate::units::Micros;
+
+const GATEWAYS: usize = 4;
+const STEP_MS: u64 = 100;
+/// Steps between two reads of a gateway, and between two writes of an entry.
+const READ_STEPS: u64 = 4;
+const WRITE_STEPS: u64 = 12;
+/// Time after which an entry lapses that was not written again, in steps.
+const TTL_STEPS: u64 = 30;
+/// Steps within which a gateway in touch no longer uses what was removed.
+const REMOVAL_STEPS: u64 = 30;
+/// Steps within which targets write their entries again after an outage.
+const RETURN_STEPS: u64 = 18;
+/// Steps after which a disturbance no longer matters.
+const CALM_STEPS: u64 = 60;
+
+#[derive(Clone, Debug)]
+enum Event {
+    /// Cuts a gateway off from the store and the other gateways for these steps.
+    Cut(usize, u64),
+    /// Cuts a gateway off from the store alone.
+    CutFromStore(usize, u64),
+    Freeze(usize, u64),
+    Restart(usize),
+    StoreAway(u64),
+    /// A target's entry is removed for good, and a new target appears.
+    Release(usize),
+    /// A gateway copies the list of another one, whatever that is.
+    Copy(usize, usize),
+    Calm(u64),
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    let gateway = 0..GATEWAYS;
+    prop_oneof![
+        (gateway.clone(), 5_u64..60).prop_map(|(g, steps)| Event::Cut(g, steps)),
+        (gateway.clone(), 5_u64..60).prop_map(|(g, steps)| Event::CutFromStore(g, steps)),
+        (gateway.clone(), 5_u64..60).prop_map(|(g, steps)| Event::Freeze(g, steps)),
+        gateway.clone().prop_map(Event::Restart),
+        (20_u64..80).prop_map(Event::StoreAway),
+        any::<usize>().prop_map(Event::Release),
+        (gateway.clone(), gateway).prop_map(|(to, from)| Event::Copy(to, from)),
+        (1_u64..40).prop_map(Event::Calm),
+    ]
+}
+
+#[derive(Default)]
+struct Gateway {
+    view: ListView,
+    used: BTreeSet<String>,
+    position: Option<u64>,
+    cut_until: u64,
+    store_cut_until: u64,
+    frozen_until: u64,
+    /// Step of the start, or of the end of the last disturbance.
+    undisturbed_since: u64,
+    /// What it has told last: its confirmed span, if it was in touch with the store.
+    told: Option<Confirmed>,
+}
+
+struct Fleet {
+    step: u64,
+    /// All records of the store: an id, and whether it is listed.
+    log: Vec<(String, bool)>,
+    /// The targets' last writes.
+    written: BTreeMap<String, u64>,
+    /// Targets that were removed for good, with the steps of their removal.
+    removed: BTreeMap<String, u64>,
+    away_until: u64,
+    last_away: Option<u64>,
+    gateways: Vec<Gateway>,
+    next_id: usize,
+}
+
+impl Fleet {
+    fn new() -> Self {
+        let mut fleet = Fleet {
+            step: 1_000,
+            log: Vec::new(),
+            written: BTreeMap::new(),
+            removed: BTreeMap::new(),
+            away_until: 0,
+            last_away: None,
+            gateways: (0..GATEWAYS).map(|_| Gateway::default()).collect(),
+            next_id: 0,
+        };
+        for _ in 0..6 {
+            fleet.start_target();
+        }
+        fleet.run(2 * WRITE_STEPS);
+        fleet
+    }
+
+    fn now(&self) -> Micros {
+        Micros::from_ms(self.step * STEP_MS)
+    }
+
+    fn start_target(&mut self) {
+        let id = format!("t{}", self.next_id);
+        self.next_id += 1;
+        // Spread, so that the targets do not write at once.
+        self.written
+            .insert(id.clone(), self.step - self.next_id as u64 % WRITE_STEPS);
+        if self.step >= self.away_until {
+            self.log.push((id, true));
+        }
+    }
+
+    fn is_away(&self) -> bool {
+        self.step < self.away_until
+    }
+
+    fn apply(&mut self, event: &Event) {
+        let step = self.step;
+        match *event {
+            Event::Cut(at, steps) => {
+                self.gateways[at].cut_until = step + steps;
+                self.gateways[at].told = None;
+            }
+            Event::CutFromStore(at, steps) => self.gateways[at].store_cut_until = step + steps,
+            Event::Freeze(at, steps) => self.gateways[at].frozen_until = step + steps,
+            Event::Restart(at) => {
+                self.gateways[at] = Gateway {
+                    cut_until: self.gateways[at].cut_until,
+                    store_cut_until: self.gateways[at].store_cut_until,
+                    undisturbed_since: step,
+                    ..Gateway::default()
+                }
+            }
+            Event::StoreAway(steps) => {
+                self.away_until = step + steps;
+                self.last_away = Some(step + steps);
+            }
+            Event::Release(which) if !self.is_away() => {
+                let ids: Vec<String> = self.written.keys().cloned().collect();
+                let id = ids[which % ids.len()].clone();
+                self.written.remove(&id);
+                self.log.push((id.clone(), false));
+                self.removed.insert(id, step);
+                self.start_target();
+            }
+            Event::Release(_) => {}
+            Event::Copy(to, from) => self.copy(to, from),
+            Event::Calm(steps) => self.run(steps),
+        }
+    }
+
+    fn run(&mut self, steps: u64) {
+        for _ in 0..steps {
+            self.step += 1;
+            self.write();
+            for at in 0..GATEWAYS {
+                self.advance(at);
+            }
+            self.check();
+        }
+    }
+
+    /// Targets renew their entries; those that could not for long lapse once the store is back.
+    fn write(&mut self) {
+        let step = self.step;
+        if self.is_away() {
+            return;
+        }
+        let is_back = |id: &str| {
+            // After an outage targets come back one after the other.
+            let order = id[1..].parse::<u64>().expect("ids are numbered") % RETURN_STEPS;
+            self.last_away.is_none_or(|end| step >= end + order)
+        };
+        let mut renewed = Vec::new();
+        let listed = self.listed();
+        for (id, written) in &mut self.written {
+            if step >= *written + TTL_STEPS && listed.contains(id) && step == self.away_until {
+                self.log.push((id.clone(), false));
+            }
+            if step >= *written + WRITE_STEPS && is_back(id) {
+                *written = step;
+                renewed.push((id.clone(), true));
+            }
+        }
+        self.log.extend(renewed);
+    }
+
+    fn listed(&self) -> BTreeSet<String> {
+        let mut listed = BTreeSet::new();
+        for (id, is_listed) in &self.log {
+            match is_listed {
+                true => listed.insert(id.clone()),
+                false => listed.remove(id),
+            };
+        }
+        listed
+    }
+
+    fn is_cut_off(&self, at: usize) -> bool {
+        let gateway = &self.gateways[at];
+        self.is_away() || self.step < gateway.cut_until.max(gateway.store_cut_until)
+    }
+
+    fn hears(&self, at: usize, other: usize) -> bool {
+        let is_in_touch = |at: usize| {
+            let gateway = &self.gateways[at];
+            self.step >= gateway.cut_until && self.step >= gateway.frozen_until
+        };
+        at != other && is_in_touch(at) && is_in_touch(other)
+    }
+
+    fn advance(&mut self, at: usize) {
+        let (step, now) = (self.step, self.now());
+        let is_cut_off = self.is_cut_off(at);
+        let gateway = &mut self.gateways[at];
+        if is_cut_off || step < gateway.frozen_until {
+            gateway.undisturbed_since = step;
+        }
+        if step < self.gateways[at].frozen_until {
+            return;
+        }
+        if (step + at as u64).is_multiple_of(READ_STEPS) {
+            match is_cut_off {
+                true => self.gateways[at].told = None,
+                false => self.read(at),
+            }
+        }
+        let others = (0..GATEWAYS).filter(|&other| self.hears(at, other));
+        let others: Vec<Confirmed> = others.filter_map(|o| self.gateways[o].told).collect();
+        let gateway = &mut self.gateways[at];
+        for id in gateway.view.settle(now, others.into_iter()) {
+            gateway.used.remove(id.as_ref());
+        }
+    }
+
+    fn read(&mut self, at: usize) {
+        let now = self.now();
+        let (end, listed) = (self.log.len() as u64, self.listed());
+        let gateway = &mut self.gateways[at];
+        gateway.view.confirm(now);
+        let from = gateway.position.unwrap_or(0);
+        let records = self.log.iter().enumerate().skip(from as usize);
+        for (offset, (id, is_listed)) in records {
+            if gateway.position.is_none() && !listed.contains(id) {
+                continue;
+            }
+            let effect = match is_listed {
+                true => gateway.view.list(id, offset as u64, Origin::Platform),
+                false => gateway.view.remove(now, id, offset as u64),
+            };
+            gateway.apply(id, effect);
+        }
+        gateway.position = Some(end);
+        gateway.view.complete(end);
+        gateway.told = gateway.view.confirmed();
+    }
+
+    fn copy(&mut self, to: usize, from: usize) {
+        if !self.hears(to, from) {
+            return;
+        }
+        let now = self.now();
+        let source = &self.gateways[from];
+        let next = source.view.complete_to();
+        let rows: Vec<(String, Fact)> = source
+            .used
+            .iter()
+            .map(|id| (id.clone(), source.view.fact(id).expect("it is known")))
+            .collect();
+        let removals = source.view.removals();
+        let removals: Vec<(String, u64)> = removals.map(|(id, o)| (id.to_owned(), o)).collect();
+        let told = source.told;
+        let gateway = &mut self.gateways[to];
+        if next < gateway.view.complete_to() {
+            return;
+        }
+        if let Some(told) = told {
+            gateway.view.confirm(told.last);
+        }
+        if next > gateway.view.complete_to() {
+            let known: Vec<String> = gateway.used.iter().cloned().collect();
+            let is_row = |id: &String| rows.iter().any(|(row, _)| row == id);
+            for id in known.iter().filter(|id| !is_row(id)) {
+                let effect = gateway.view.remove_unlisted(now, id, next);
+                gateway.apply(id, effect);
+            }
+        }
+        for (id, fact) in &rows {
+            let effect = match fact.state {
+                EntryState::Missing(until) => {
+                    let left = until.saturating_sub(now);
+                    gateway.view.keep(now, id, fact.offset, left)
+                }
+                _ => gateway.view.list(id, fact.offset, Origin::Copy),
+            };
+            gateway.apply(id, effect);
+        }
+        for (id, offset) in &removals {
+            let effect = gateway.view.copy_removal(now, id, *offset);
+            gateway.apply(id, effect);
+        }
+        gateway.view.complete(next);
+        if next > 0 {
+            gateway.position = gateway.position.max(Some(next));
+        }
+    }
+
+    fn check(&self) {
+        let step = self.step;
+        for (at, gateway) in self.gateways.iter().enumerate() {
+            let outage = self.last_away.is_some_and(|end| step < end + CALM_STEPS);
+            let mut witnesses = self.gateways.iter();
+            let has_witness = witnesses.any(|other| step >= other.undisturbed_since + CALM_STEPS);
+            for (id, removed) in &self.removed {
+                let since = (*removed).max(gateway.undisturbed_since);
+                let is_late = step >= since + REMOVAL_STEPS && !self.is_away();
+                let used = gateway.used.contains(id);
+                assert!(
+                    !(is_late && used),
+                    "{at} uses {id} at {step}, removed at {removed}"
+                );
+                // Beside a gateway that saw no outage two reads are enough.
+                let is_late = step >= since + 2 * READ_STEPS && has_witness && !outage;
+                assert!(
+                    !(is_late && used),
+                    "{at} uses {id} at {step} after a cut, removed at {removed}"
+                );
+            }
+            // Whatever happens to the store, a healthy target that was known stays.
+            if self.is_away() {
+                let known = gateway.position.is_some() && !outage_is_overlapped(self, gateway);
+                let listed = self.listed();
+                let healthy = self.written.keys().filter(|id| listed.contains(*id));
+                let lost: Vec<_> = healthy.filter(|id| !gateway.used.contains(*id)).collect();
+                assert!(!known || lost.is_empty(), "{at} lost {lost:?} at {step}");
+            }
+        }
+    }
+}
+
+/// Whether the gateway may not have known all targets when the present outage began.
+fn outage_is_overlapped(fleet: &Fleet, gateway: &Gateway) -> bool {
+    gateway.view.complete_to() < fleet.log.len() as u64
+}
+
+impl Gateway {
+    fn apply(&mut self, id: &str, effect: Effect) {
+        match effect {
+            Effect::Put => drop(self.used.insert(id.to_owned())),
+            Effect::Remove => drop(self.used.remove(id)),
+            Effect::Keep | Effect::Ignore => {}
+        }
+    }
+}
+
+fn play(events: &[Event]) -> Fleet {
+    let mut fleet = Fleet::new();
+    for event in events {
+        fleet.apply(event);
+        fleet.run(1);
+    }
+    fleet
+}
+
+/// Plays events, and then checks that all gateways use exactly what the store lists.
+fn play_to_end(events: &[Event]) {
+    let mut fleet = play(events);
+    fleet.run(240);
+    let listed = fleet.listed();
+    for gateway in &fleet.gateways {
+        assert_eq!(gateway.used, listed);
+    }
+}
+
+macro_rules! days {
+    ($($name:ident: [$($event:expr),* $(,)?];)*) => {$(
+        #[test]
+        fn $name() {
+            play_to_end(&[$($event),*]);
+        }
+    )*};
+}
+
+days! {
+    a_reader_alone_is_cut_off_while_a_target_leaves:
+        [Event::Cut(0, 55), Event::Calm(9), Event::Release(2), Event::Calm(50), Event::Copy(1, 0)];
+    a_target_leaves_right_after_the_cut:
+        [Event::CutFromStore(0, 55), Event::Calm(56), Event::Release(2), Event::Calm(2), Event::Copy(1, 0)];
+    a_frozen_reader_serves_its_old_copy:
+        [Event::Freeze(0, 40), Event::Calm(9), Event::Release(1), Event::Calm(32), Event::Copy(1, 0)];
+    the_store_is_away_while_entries_lapse: [Event::StoreAway(60), Event::Calm(61), Event::Copy(1, 0)];
+    a_gateway_restarts_while_lapsed_entries_return:
+        [Event::StoreAway(60), Event::Calm(64), Event::Restart(1), Event::Copy(1, 0), Event::Copy(2, 1)];
+    a_target_leaves_right_before_an_outage: [Event::Release(3), Event::StoreAway(40), Event::Calm(60)];
+    two_are_cut_off_at_once:
+        [Event::Cut(0, 50), Event::Cut(1, 48), Event::Release(3), Event::Calm(60), Event::Copy(0, 1)];
+}
+
+proptest! {
+    /// Whatever happens in whatever order, no gateway in touch uses a target that was removed, none
+    /// loses a healthy target while the store is away, and in the end all agree with the store.
+    #[test]
+    fn views_agree_with_the_store(events in proptest::collection::vec(event(), 1..40)) {
+        play_to_end(&events);
+    }
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -32,6 +32,7 @@
 pub mod http;
 pub mod idle_timer;
 pub mod in_flight;
+pub mod list_view;
 pub mod log_limiter;
 pub mod monitoring;
 pub mod notices;
--- a/src/gateway/peers/member.rs
+++ b/src/gateway/peers/member.rs
@@ -52,6 +52,8 @@
     /// Time at which the platform confirmed the list of targets; `None` if it is cut off from the
     /// platform.
     pub list_at: Option<Micros>,
+    /// Time since which the platform has confirmed the list of targets without an outage.
+    pub list_since: Option<Micros>,
     /// Offset in the platform's list up to which its list of targets is complete.
     pub list_next: u64,
     /// Random id of its process.
--- a/src/gateway/peers/tests.rs
+++ b/src/gateway/peers/tests.rs
@@ -13,6 +13,7 @@
 use crate::gateway::directory::{Change, ChangeBatch};
 use crate::gateway::evidence::{CrashTag, Suspicion};
 use crate::gateway::fair_share::{AccountTag, Usage};
+use crate::gateway::list_view::Origin;
 use crate::gateway::notices::RunTag;
 use crate::gateway::service_demand::ServiceTag;
 use crate::gateway::target_limit::{LimitedUse, Observation};
@@ -261,7 +262,7 @@
 
 /// Sends a list through its wire format.
 fn transfer(targets: &Targets, seen: Option<Cursor>) -> WireTargets {
-    let list = WireTargets::new(at(0), 77, 12, targets, seen);
+    let list = WireTargets::new(at(3), 77, 12, targets, seen);
     let data = postcard::to_stdvec(&list).expect("it encodes");
     postcard::from_bytes(&data).expect("it decodes")
 }
@@ -274,7 +275,7 @@
     assert!(list.complete);
     let batch = ChangeBatch::from(list);
     assert_eq!(batch.next, 12);
-    let [Change::Target(id, read)] = batch.changes.as_slice() else {
+    let [Change::Target(id, read, 0)] = batch.changes.as_slice() else {
         panic!("expected exactly one target");
     };
     assert_eq!((id.as_ref(), read), ("one", &entry(true)));
@@ -294,9 +295,49 @@
     let batch = ChangeBatch::from(list);
     let changes: Vec<String> = batch.changes.iter().map(|c| format!("{c:?}")).collect();
     assert_eq!(changes.len(), 2, "{changes:?}");
-    assert!(matches!(&batch.changes[0], Change::Target(id, entry)
+    assert!(matches!(&batch.changes[0], Change::Target(id, entry, _)
         if id.as_ref() == "two" && entry.draining));
-    assert!(matches!(&batch.changes[1], Change::Removed(id) if id.as_ref() == "three"));
+    assert!(matches!(&batch.changes[1], Change::Removed(id, 11) if id.as_ref() == "three"));
+}
+
+/// Guards against copies that do not tell which of two views of an entry is newer.
+#[test]
+fn offsets_missing_entries_and_removals_survive_the_transfer() {
+    let mut targets = Targets::default();
+    for (offset, id) in ["one", "two", "three"].into_iter().enumerate() {
+        targets.view_mut().list(id, offset as u64, Origin::Platform);
+        targets.put(id, entry(false));
+    }
+    targets
+        .view_mut()
+        .keep(at(3), "two", 7, Micros::from_ms(90));
+    targets.view_mut().remove(at(3), "three", 9);
+    targets.remove("three");
+    let batch = ChangeBatch::from(transfer(&targets, None));
+    let changes = batch.changes.iter().map(|change| match change {
+        Change::Target(id, _, offset) => (id.as_ref(), *offset, "listed"),
+        Change::Missing(id, _, offset, Micros(90_000)) => (id.as_ref(), *offset, "missing"),
+        Change::Removed(id, offset) => (id.as_ref(), *offset, "removed"),
+        other => panic!("unexpected {other:?}"),
+    });
+    let mut changes: Vec<_> = changes.collect();
+    changes.sort_by_key(|change| change.1);
+    let expected = [
+        ("one", 0, "listed"),
+        ("two", 7, "missing"),
+        ("three", 9, "removed"),
+    ];
+    assert_eq!(changes, expected);
+}
+
+/// Guards against a copy that keeps the offsets from before a whole list was read.
+#[test]
+fn after_the_whole_list_was_read_it_is_copied_whole() {
+    let mut targets = Targets::default();
+    targets.put("one", entry(false));
+    let cursor = transfer(&targets, None).cursor;
+    targets.touch_all();
+    assert!(transfer(&targets, Some(cursor)).complete);
 }
 
 #[test]
--- a/src/gateway/peers/wire.rs
+++ b/src/gateway/peers/wire.rs
@@ -69,6 +69,7 @@
     version: u64,
     config_age: Option<u32>,
     list_age: Option<u32>,
+    list_since: Option<u32>,
     list_next: u64,
     list_change: u64,
 }
@@ -161,6 +162,7 @@
                 version: status.version,
                 config_age: status.config_at.map(|at| age_ms(now, at)),
                 list_age: status.list_at.map(|at| age_ms(now, at)),
+                list_since: status.list_since.map(|at| age_ms(now, at)),
                 list_next: status.list_next,
                 list_change: status.list_change,
             },
@@ -294,6 +296,7 @@
             version: self.status.version,
             config_at: self.status.config_age.map(|age| time_of(now, age)),
             list_at: self.status.list_age.map(|age| time_of(now, age)),
+            list_since: self.status.list_since.map(|age| time_of(now, age)),
             list_next: self.status.list_next,
             boot: self.boot,
             list_change: self.status.list_change,
--- a/src/gateway/peers/wire_targets.rs
+++ b/src/gateway/peers/wire_targets.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::gateway::directory::{Change, ChangeBatch};
+use crate::gateway::list_view::{EntryState, Fact};
 use crate::gateway::peers::wire::WireCold;
 use crate::gateway::targets::{Entry, Target, Targets};
 use crate::units::Micros;
@@ -38,7 +39,14 @@
     pub complete: bool,
     next: u64,
     targets: Vec<WireTarget>,
-    removed: Vec<String>,
+    removed: Vec<WireRemoval>,
+}
+
+/// A removed entry, and the offset of the record of its removal.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct WireRemoval {
+    id: String,
+    offset: u64,
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -51,12 +59,16 @@
     leaving: bool,
     born: Option<u64>,
     cold: Option<WireCold>,
+    /// Offset of the record that the entry, or that it is missing, comes from.
+    offset: u64,
+    /// Time for which the entry is kept although it is missing, in milliseconds.
+    missing_ms: Option<u32>,
 }
 
 impl WireTargets {
     /// Builds the answer to a request for `targets`, the list of the process `boot`, which is
     /// complete up to the offset `next` of the platform's list. `seen` is the state that the
-    /// requester has copied.
+    /// requester has copied. A copy that starts at the beginning has the remembered removals too.
     pub fn new(now: Micros, boot: u64, next: u64, targets: &Targets, seen: Option<Cursor>) -> Self {
         let cursor = Cursor {
             boot,
@@ -70,33 +82,61 @@
         let seen = seen.filter(|seen| seen.boot == boot);
         let Some(changed) = seen.and_then(|seen| targets.journal().since(seen.change)) else {
             list.complete = true;
-            let rows = targets.iter().map(|t| WireTarget::new(now, t));
+            let rows = targets.iter().map(|target| row(now, targets, target));
             list.targets = rows.collect();
+            let removals = targets.view().removals();
+            list.removed = removals.map(WireRemoval::from).collect();
             return list;
         };
         for id in changed {
             match targets.by_id(id) {
-                Some(target) => list.targets.push(WireTarget::new(now, target)),
-                None => list.removed.push(id.to_string()),
+                Some(target) => list.targets.push(row(now, targets, target)),
+                None => {
+                    let known = targets.view().fact(id).map(|fact| fact.offset);
+                    let offset = known.unwrap_or(next.saturating_sub(1));
+                    list.removed.push((&**id, offset).into());
+                }
             }
         }
         list
     }
 }
 
-impl WireTarget {
-    fn new(now: Micros, target: &Target) -> Self {
-        let Target { id, entry, .. } = target;
-        let cold = target.cold.notice();
+/// Encodes a target with what is known of its entry.
+fn row(now: Micros, targets: &Targets, target: &Target) -> WireTarget {
+    let fact = targets.view().fact(&target.id);
+    let left = fact.and_then(|fact| match fact.state {
+        EntryState::Missing(until) => Some(until.saturating_sub(now).as_ms() as u32),
+        _ => None,
+    });
+    let cold = target.cold.notice();
+    WireTarget {
+        missing_ms: left,
+        cold: cold.map(|cold| cold.to_report(now).into()),
+        ..WireTarget::from((&*target.id, &target.entry, fact))
+    }
+}
+
+impl From<(&str, u64)> for WireRemoval {
+    fn from((id, offset): (&str, u64)) -> Self {
+        let id = id.to_owned();
+        WireRemoval { id, offset }
+    }
+}
+
+impl From<(&str, &Entry, Option<Fact>)> for WireTarget {
+    fn from((id, entry, fact): (&str, &Entry, Option<Fact>)) -> Self {
         WireTarget {
-            id: id.to_string(),
+            id: id.to_owned(),
             service: entry.service.to_string(),
             addr: entry.addr,
             zone: entry.zone.to_string(),
             slots: entry.slots,
             leaving: entry.draining,
             born: entry.started_at,
-            cold: cold.map(|cold| cold.to_report(now).into()),
+            cold: None,
+            offset: fact.map_or(0, |fact| fact.offset),
+            missing_ms: None,
         }
     }
 }
@@ -113,10 +153,14 @@
                 started_at: target.born,
                 cold: target.cold.map(Into::into),
             };
-            Change::Target(target.id.into(), entry)
+            let (id, offset) = (target.id.into(), target.offset);
+            match target.missing_ms {
+                Some(ms) => Change::Missing(id, entry, offset, Micros::from_ms(ms.into())),
+                None => Change::Target(id, entry, offset),
+            }
         };
         let removed = list.removed.into_iter();
-        let removed = removed.map(|id| Change::Removed(id.into()));
+        let removed = removed.map(|row| Change::Removed(row.id.into(), row.offset));
         ChangeBatch {
             next: list.next,
             partial: false,
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -233,7 +233,8 @@
     pub fn target_list(&self, seen: Option<Cursor>) -> WireTargets {
         let now = self.clock.now();
         let state = self.lock();
-        WireTargets::new(now, self.boot, state.copies.list.next, &state.targets, seen)
+        let next = state.targets.view().complete_to();
+        WireTargets::new(now, self.boot, next, &state.targets, seen)
     }
 
     /// Returns the token rate of all engines together, in tokens per second; `None` if it is not
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -11,6 +11,7 @@
 
 use crate::gateway::cold_limit::{ColdLimit, ColdNotice, ColdReport};
 use crate::gateway::evidence::CrashTag;
+use crate::gateway::list_view::ListView;
 use crate::gateway::notices::{Notice, NoticeBook, Notices, RunTag};
 use crate::gateway::peers::member::ZoneTag;
 use crate::gateway::peers::totals::TargetLoad;
@@ -198,6 +199,7 @@
     runs: HashMap<RunTag, TargetKey, FxBuildHasher>,
     generation: u32,
     journal: Journal,
+    view: ListView,
     /// Targets that were removed of late, oldest first.
     departures: VecDeque<Departure>,
     notices: NoticeBook,
@@ -226,6 +228,26 @@
         &self.journal
     }
 
+    /// Records that what is known of a target's entry has changed, though the entry is the same.
+    pub fn touch(&mut self, id: &str) {
+        self.journal.record(&id.into());
+    }
+
+    /// Records that the offsets of all entries may have changed.
+    pub fn touch_all(&mut self) {
+        self.journal.reset();
+    }
+
+    /// Which entries are in force.
+    pub fn view(&self) -> &ListView {
+        &self.view
+    }
+
+    /// Mutable variant of [`Targets::view`].
+    pub fn view_mut(&mut self) -> &mut ListView {
+        &mut self.view
+    }
+
     /// The targets of a service, including draining ones.
     pub fn of_service(&self, service: &str) -> &[TargetKey] {
         self.services.get(service).map_or(&[], Vec::as_slice)
--- a/src/gateway/targets/journal.rs
+++ b/src/gateway/targets/journal.rs
@@ -29,6 +29,12 @@
         }
     }
 
+    /// Forgets the changes, so that all copies made before have to be replaced by complete ones.
+    pub fn reset(&mut self) {
+        self.last += 1;
+        self.ids.clear();
+    }
+
     /// Returns the ids of the targets that have changed since the change numbered `seen`, oldest
     /// change first, possibly repeated. `None` if some of the changes are no longer kept, or if
     /// there is no change of that number.
--- a/src/platform/records.rs
+++ b/src/platform/records.rs
@@ -5,6 +5,8 @@
 /// A record of a compacted topic, which retains the newest record of each key.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct KeyedRecord {
+    /// Offset of the record in its partition.
+    pub offset: u64,
     /// Key of the record.
     pub key: Box<str>,
     /// Value; if it is empty, the key has been deleted.
@@ -33,11 +35,11 @@
 const PAGE_HEAD_BYTES: usize = 16;
 const LENGTH_BYTES: usize = 4;
 
-/// Decodes a page.
+/// Decodes a page that was read from the offset `from` on.
 ///
 /// # Errors
 /// Returns [`TruncatedPage`] if the body ends inside the head or a record.
-pub fn decode_page(mut body: Bytes) -> Result<Page, TruncatedPage> {
+pub fn decode_page(mut body: Bytes, from: u64) -> Result<Page, TruncatedPage> {
     if body.len() < PAGE_HEAD_BYTES {
         return Err(TruncatedPage);
     }
@@ -53,8 +55,9 @@
         if body.len() < length {
             return Err(TruncatedPage);
         }
+        let offset = from.saturating_add(count);
         count += 1;
-        records.extend(decode_record(body.split_to(length)));
+        records.extend(decode_record(body.split_to(length), offset));
     }
     let unreadable = count - records.len() as u64;
     Ok(Page {
@@ -67,7 +70,7 @@
 
 /// Decodes a record: the key's length in one byte, the key, and the value. `None` if it is
 /// malformed.
-fn decode_record(mut record: Bytes) -> Option<KeyedRecord> {
+fn decode_record(mut record: Bytes, offset: u64) -> Option<KeyedRecord> {
     let length = usize::from(*record.first()?);
     record.advance(1);
     if record.len() < length {
@@ -75,5 +78,9 @@
     }
     let key = record.split_to(length);
     let key = std::str::from_utf8(&key).ok()?.into();
-    Some(KeyedRecord { key, value: record })
+    Some(KeyedRecord {
+        offset,
+        key,
+        value: record,
+    })
 }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -54,6 +54,7 @@
 struct Item {
     key: Box<str>,
     value: String,
+    offset: Option<u64>,
 }
 
 impl Store {
@@ -92,7 +93,7 @@
                 // those.
                 batch.next = page.end;
             }
-            let records = readable(topic, &page.items);
+            let records = readable(topic, &page);
             let last = records.last().map(|record| record.key.clone());
             let records = records.into_iter();
             batch
@@ -129,8 +130,8 @@
         if !response.status.is_success() {
             return Err(CallError::Status(response.status.as_u16()).into());
         }
-        let page =
-            records::decode_page(response.body).map_err(|e| CallError::Malformed(e.to_string()))?;
+        let page = records::decode_page(response.body, from);
+        let page = page.map_err(|e| CallError::Malformed(e.to_string()))?;
         if page.unreadable > 0 {
             log_unreadable(topic, page.unreadable);
         }
@@ -146,13 +147,16 @@
     }
 }
 
-impl TryFrom<Item> for KeyedRecord {
+impl TryFrom<(Item, u64)> for KeyedRecord {
     type Error = CallError;
 
-    fn try_from(item: Item) -> Result<Self, CallError> {
+    /// Decodes an item of a list that ends at the offset `end`.
+    fn try_from((item, end): (Item, u64)) -> Result<Self, CallError> {
         let value = BASE64_STANDARD.decode(item.value);
         let value = value.map_err(|error| CallError::Malformed(error.to_string()))?;
         Ok(KeyedRecord {
+            // An item without an offset is as new as the list.
+            offset: item.offset.unwrap_or(end.saturating_sub(1)),
             key: item.key,
             value: Bytes::from(value),
         })
@@ -160,13 +164,13 @@
 }
 
 /// Returns the items of a page that can be read.
-fn readable(topic: Topic, items: &[Box<RawValue>]) -> Vec<KeyedRecord> {
-    let records = items.iter().filter_map(|item| {
+fn readable(topic: Topic, page: &NewestPage) -> Vec<KeyedRecord> {
+    let records = page.items.iter().filter_map(|item| {
         let item: Item = serde_json::from_str(item.get()).ok()?;
-        KeyedRecord::try_from(item).ok()
+        KeyedRecord::try_from((item, page.end)).ok()
     });
     let records: Vec<KeyedRecord> = records.collect();
-    let unreadable = items.len() - records.len();
+    let unreadable = page.items.len() - records.len();
     if unreadable > 0 {
         log_unreadable(topic, unreadable as u64);
     }
@@ -197,7 +201,9 @@
 fn to_change(topic: Topic, record: KeyedRecord) -> Option<Change> {
     match topic {
         Topic::Config => operator_change(record),
-        Topic::Targets if record.value.is_empty() => Some(Change::Removed(record.key)),
+        Topic::Targets if record.value.is_empty() => {
+            Some(Change::Removed(record.key, record.offset))
+        }
         Topic::Targets => Some(target_change(record)),
     }
 }
@@ -216,7 +222,7 @@
 fn config_change(record: KeyedRecord) -> Change {
     match decode_config(record.value) {
         Some(config) => Change::Config(Box::new(config)),
-        None => Change::Unreadable(record.key),
+        None => Change::Unreadable(record.key, record.offset),
     }
 }
 
@@ -229,7 +235,9 @@
     let wire = serde_json::from_slice::<WireTarget>(&record.value);
     let wire = wire.ok().filter(WireTarget::is_usable);
     match wire {
-        Some(wire) if headers::is_target_id(&record.key) => Change::Target(record.key, wire.into()),
-        _ => Change::Unreadable(record.key),
+        Some(wire) if headers::is_target_id(&record.key) => {
+            Change::Target(record.key, wire.into(), record.offset)
+        }
+        _ => Change::Unreadable(record.key, record.offset),
     }
 }
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -184,14 +184,15 @@
 
 #[test]
 fn a_page_of_records_is_decoded() {
-    let read =
-        records::decode_page(page(9, &[("a", b"one"), ("b", b"")])).expect("the page is complete");
-    let keyed = |key: &str, value: &'static [u8]| KeyedRecord {
+    let read = records::decode_page(page(9, &[("a", b"one"), ("b", b"")]), 7);
+    let read = read.expect("the page is complete");
+    let keyed = |offset, key: &str, value: &'static [u8]| KeyedRecord {
+        offset,
         key: key.into(),
         value: Bytes::from_static(value),
     };
     assert_eq!((read.end, read.count), (9, 2));
-    assert_eq!(read.records, [keyed("a", b"one"), keyed("b", b"")]);
+    assert_eq!(read.records, [keyed(7, "a", b"one"), keyed(8, "b", b"")]);
 }
 
 #[test]
@@ -199,7 +200,7 @@
     let mut body = BytesMut::from(page(1, &[]).as_ref());
     body.put_u32(1);
     body.put_u8(9);
-    let read = records::decode_page(body.freeze()).expect("the page is complete");
+    let read = records::decode_page(body.freeze(), 0).expect("the page is complete");
     assert_eq!((read.count, read.records.len()), (1, 0));
 }
 
@@ -209,7 +210,7 @@
     fn decoding_a_truncated_page_does_not_panic(cut in 0_usize..60) {
         let whole = page(2, &[("key", b"some value"), ("other", b"x")]);
         let part = whole.slice(..cut.min(whole.len()));
-        if let Ok(read) = records::decode_page(part) {
+        if let Ok(read) = records::decode_page(part, 0) {
             prop_assert!(read.count <= 2);
         }
     }
@@ -218,7 +219,7 @@
     #[test]
     fn decoding_any_bytes_does_not_panic(body in proptest::collection::vec(any::<u8>(), 0..200)) {
         let short = body.len() < 16;
-        let read = records::decode_page(body.into());
+        let read = records::decode_page(body.into(), u64::MAX);
         if short {
             prop_assert_eq!(read, Err(TruncatedPage));
         }
--- a/src/platform/tests/fuzz.rs
+++ b/src/platform/tests/fuzz.rs
@@ -109,7 +109,7 @@
         let mut body = whole.to_vec();
         body.extend(u32::try_from(record.len()).expect("it is short").to_be_bytes());
         body.extend(&record);
-        let read = records::decode_page(body.into()).expect("the page is complete");
+        let read = records::decode_page(body.into(), 0).expect("the page is complete");
         prop_assert_eq!(read.count, 3);
         prop_assert_eq!(read.unreadable + read.records.len() as u64, 3);
         prop_assert_eq!(&*read.records[0].key, "a");
--- a/tests/gateway/followers.rs
+++ b/tests/gateway/followers.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use balsampitch::gateway::state::GatewayState;
 use tokio::time::{sleep, timeout};
 
 use crate::harness::{FakeDirectory, KEY, TestGateway, config, free_address_pair};
@@ -10,6 +11,9 @@
 /// Time within which a change has to be known everywhere.
 const APPLY_LIMIT: Duration = Duration::from_secs(2);
 
+/// Time within which a removed target is used no more.
+const REMOVAL_LIMIT: Duration = Duration::from_millis(1_200);
+
 /// Two gateways that know the same target, each with its own way to the same directory.
 async fn two_gateways(target: &Target) -> [TestGateway; 2] {
     let [one, two] = free_address_pair();
@@ -118,6 +122,74 @@
     drop(old);
 }
 
+/// Guards against taking the cut of one gateway for an outage of the directory: it then kept what was
+/// removed for 2.2 s, and its zone copied that.
+#[tokio::test]
+async fn after_a_cut_of_the_reader_alone_removals_apply_at_once() {
+    let target = Target::start(&[Behaviour::Complete]).await;
+    let (reader, follower) = by_role(two_gateways(&target).await).await;
+    reader.directory.put_target("t1", target.addr, false);
+    for gateway in [&reader, &follower] {
+        gateway.wait_until(|state| lists(state, "t1")).await;
+    }
+    reader.directory.set_failing(true);
+    sleep(Duration::from_millis(2_500)).await;
+    reader.directory.set_failing(false);
+    sleep(Duration::from_millis(600)).await;
+    reader.directory.remove_target("t1");
+    sleep(REMOVAL_LIMIT).await;
+    for _ in 0..100 {
+        assert!(!lists(&reader.state, "t1"), "the reader uses it");
+        assert!(!lists(&follower.state, "t1"), "its neighbour uses it");
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Guards against dropping the targets whose entries lapsed while the directory was unavailable.
+#[tokio::test]
+async fn after_an_outage_of_the_directory_lapsed_entries_are_kept_until_they_are_written_again() {
+    let target = Target::start(&[Behaviour::Complete]).await;
+    let gateways = two_gateways(&target).await;
+    for gateway in &gateways {
+        gateway.directory.set_failing(true);
+    }
+    sleep(Duration::from_millis(2_500)).await;
+    gateways[0].directory.remove_target("t0");
+    for gateway in &gateways {
+        gateway.directory.set_failing(false);
+    }
+    for _ in 0..70 {
+        assert!(gateways.iter().all(|gateway| lists(&gateway.state, "t0")));
+        sleep(Duration::from_millis(20)).await;
+    }
+    gateways[0].directory.put_target("t0", target.addr, false);
+    for _ in 0..100 {
+        assert!(gateways.iter().all(|gateway| lists(&gateway.state, "t0")));
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Guards against keeping a target for good that is still missing two seconds after an outage.
+#[tokio::test]
+async fn a_target_that_does_not_come_back_after_an_outage_is_gone() {
+    let target = Target::start(&[Behaviour::Complete]).await;
+    let gateways = two_gateways(&target).await;
+    for gateway in &gateways {
+        gateway.directory.set_failing(true);
+    }
+    sleep(Duration::from_millis(2_500)).await;
+    gateways[0].directory.remove_target("t0");
+    for gateway in &gateways {
+        gateway.directory.set_failing(false);
+    }
+    sleep(Duration::from_millis(3_800)).await;
+    assert!(gateways.iter().all(|gateway| !lists(&gateway.state, "t0")));
+}
+
+fn lists(state: &GatewayState, id: &str) -> bool {
+    state.with_targets(|targets| targets.by_id(id).is_some())
+}
+
 async fn reads_of(gateway: &TestGateway) -> u64 {
     let before = gateway.directory.reads();
     sleep(Duration::from_millis(500)).await;
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -37,7 +37,8 @@
 #[derive(Clone, Debug, Default)]
 struct DirectoryState {
     config: Option<Config>,
-    targets: Vec<(String, Entry)>,
+    /// The log of the list of targets: a removal has no entry.
+    targets: Vec<(String, Option<Entry>)>,
     /// All evacuations and their ends, in order.
     zone_changes: Vec<Change>,
     changes: u64,
@@ -104,11 +105,12 @@
             started_at,
             cold,
         };
-        self.with(|state| {
-            state.targets.retain(|(other, _)| other != id);
-            state.targets.push((id.to_owned(), entry));
-            state.changes += 1;
-        });
+        self.with(|state| state.targets.push((id.to_owned(), Some(entry))));
+    }
+
+    /// Removes a target's entry.
+    pub fn remove_target(&self, id: &str) {
+        self.with(|state| state.targets.push((id.to_owned(), None)));
     }
 
     /// Evacuates a zone, or ends its evacuation.
@@ -140,34 +142,55 @@
         self.link.reads.load(Ordering::Relaxed)
     }
 
-    fn read(&self, topic: Topic) -> Result<ChangeBatch, CallError> {
+    /// Reads the records from the offset `from` on, or the current ones if it is `None`.
+    fn read(&self, topic: Topic, from: Option<u64>) -> Result<ChangeBatch, CallError> {
         self.link.reads.fetch_add(1, Ordering::Relaxed);
         if self.link.failing.load(Ordering::Relaxed) {
             return Err(CallError::Status(503));
         }
         self.with(|state| {
-            let config = state
-                .config
-                .iter()
-                .cloned()
-                .map(|c| Change::Config(Box::new(c)));
-            let targets = state.targets.iter().cloned();
-            let targets = targets.map(|(id, entry)| Change::Target(id.into(), entry));
-            Ok(ChangeBatch {
-                next: state.changes,
-                partial: false,
-                changes: match topic {
-                    Topic::Config => config.chain(state.zone_changes.iter().cloned()).collect(),
-                    Topic::Targets => targets.collect(),
-                },
+            Ok(match topic {
+                Topic::Config => state.operator_batch(from),
+                Topic::Targets => state.target_batch(from),
             })
         })
     }
 }
 
+impl DirectoryState {
+    fn operator_batch(&self, from: Option<u64>) -> ChangeBatch {
+        let config = self.config.iter().cloned();
+        let config = config.map(|config| Change::Config(Box::new(config)));
+        let all = config.chain(self.zone_changes.iter().cloned());
+        ChangeBatch {
+            next: self.changes,
+            partial: false,
+            changes: all.filter(|_| from != Some(self.changes)).collect(),
+        }
+    }
+
+    fn target_batch(&self, from: Option<u64>) -> ChangeBatch {
+        let is_newest = |at: usize, id: &String| self.targets[at + 1..].iter().all(|r| r.0 != *id);
+        let records = self.targets.iter().enumerate();
+        let read = records.filter(|(at, (id, entry))| match from {
+            Some(from) => *at as u64 >= from,
+            None => entry.is_some() && is_newest(*at, id),
+        });
+        let changes = read.map(|(at, (id, entry))| match entry {
+            Some(entry) => Change::Target(id.as_str().into(), entry.clone(), at as u64),
+            None => Change::Removed(id.as_str().into(), at as u64),
+        });
+        ChangeBatch {
+            next: self.targets.len() as u64,
+            partial: false,
+            changes: changes.collect(),
+        }
+    }
+}
+
 impl Directory for FakeDirectory {
     async fn list(&self, topic: Topic) -> Result<ChangeBatch, CallError> {
-        self.read(topic)
+        self.read(topic, None)
     }
 
     fn decode(&self, source: Bytes) -> Option<Config> {
@@ -186,14 +209,7 @@
         _: Duration,
     ) -> Result<ChangeBatch, ReadError> {
         sleep(Duration::from_millis(10)).await;
-        let batch = self.read(topic)?;
-        match batch.next == from {
-            true => Ok(ChangeBatch {
-                next: from,
-                ..ChangeBatch::default()
-            }),
-            false => Ok(batch),
-        }
+        Ok(self.read(topic, Some(from))?)
     }
 }
 
--- a/tests/gateway/store.rs
+++ b/tests/gateway/store.rs
@@ -145,19 +145,23 @@
     fn newest(&self, topic: &str, after: Option<&str>) -> Vec<u8> {
         let records = self.records(topic);
         let after = after.map(|key| percent_encoding::percent_decode_str(key).collect::<Vec<u8>>());
-        let newest: BTreeMap<&Vec<u8>, &Vec<u8>> = records.iter().map(|(k, v)| (k, v)).collect();
-        let listed = newest.iter().filter(|(key, value)| {
+        let records = records.iter().enumerate();
+        let newest: BTreeMap<&Vec<u8>, (usize, &Vec<u8>)> = records
+            .map(|(offset, (key, value))| (key, (offset, value)))
+            .collect();
+        let end = newest.values().map(|(offset, _)| offset + 1).max();
+        let listed = newest.iter().filter(|(key, (_, value))| {
             !value.is_empty() && after.as_ref().is_none_or(|after| **key > after)
         });
         let items: Vec<_> = listed
-            .map(|(key, value)| {
+            .map(|(key, (offset, value))| {
                 let key = String::from_utf8_lossy(key);
-                json!({"key": key, "value": BASE64_STANDARD.encode(value), "offset": 0})
+                json!({"key": key, "value": BASE64_STANDARD.encode(value), "offset": offset})
             })
             .collect();
         let page = &items[..items.len().min(self.page)];
         let more = items.len() > page.len();
-        let body = json!({"items": page, "hasMore": more, "end": records.len()});
+        let body = json!({"items": page, "hasMore": more, "end": end.unwrap_or_default()});
         body.to_string().into_bytes()
     }
 
