Bound the offsets of listed entries by the end of their list

An offset beyond the end would outweigh all later records of the entry. Adds a test that the status of a gateway, with the time since which its list was confirmed, survives the message.

--- a/src/gateway/peers/tests.rs
+++ b/src/gateway/peers/tests.rs
@@ -248,6 +248,20 @@
     assert!(!message.has_usage());
 }
 
+/// Guards against a gateway that cannot tell its own cut from an outage of the platform.
+#[test]
+fn a_message_tells_since_when_the_list_was_confirmed() {
+    let sent = CopyStatus {
+        list_at: Some(at(9)),
+        list_since: Some(at(2)),
+        list_next: 40,
+        ..status(1)
+    };
+    let message = GossipMessage::new(at(10), member(1), &sent);
+    let message = GossipMessage::decode(&message.encode()).expect("it decodes");
+    assert_eq!(message.status(at(10)), sent);
+}
+
 fn entry(draining: bool) -> Entry {
     Entry {
         service: "model".into(),
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -155,8 +155,9 @@
         let value = BASE64_STANDARD.decode(item.value);
         let value = value.map_err(|error| CallError::Malformed(error.to_string()))?;
         Ok(KeyedRecord {
-            // An item without an offset is as new as the list.
-            offset: item.offset.unwrap_or(end.saturating_sub(1)),
+            // An item without an offset is as new as the list, and none is newer: an offset beyond the
+            // end would outweigh all later records.
+            offset: item.offset.unwrap_or(u64::MAX).min(end.saturating_sub(1)),
             key: item.key,
             value: Bytes::from(value),
         })
