--- a/src/gateway/state/notices/tests.rs
+++ b/src/gateway/state/notices/tests.rs
@@ -22,6 +22,7 @@
         slots: 4,
         draining: false,
         started_at: Some(started_at),
+        cold: None,
     }
 }
 
