Keep a turn at a cold target for three more slots

Cause: with little demand at each gateway, most turns passed without a request.

Change: a turn holds for three slots after its own. With equal rosters and clocks a target gets at most coldPerS + 5 requests in a second.

--- a/src/gateway/cold_limit.rs
+++ b/src/gateway/cold_limit.rs
@@ -8,7 +8,7 @@
 //! - How long a target is cold is known from its answer on a new connection, from its list entry,
 //!   and from other gateways. The statement that is known to be made last counts. A target that was
 //!   lost and is reached again counts as cold until a statement says otherwise.
-//! - The gateways take turns at a cold target ([`turns`]). Nothing is saved up, and the turns do not
+//! - The gateways take turns at a cold target ([`turns`]). Little is saved up, and the turns do not
 //!   depend on what the gateways hear of each other.
 //! - The limit ends with the cold time, without a further message.
 //!
--- a/src/gateway/cold_limit/turns.rs
+++ b/src/gateway/cold_limit/turns.rs
@@ -1,9 +1,9 @@
 //! Turns of the gateways at a cold target.
 //!
 //! Time is divided into slots, as many a second as the target takes requests. The gateway that
-//! rendezvous hashing gives a slot, among all gateways that are known, may send in it; what it does
-//! not use is lost. So nothing adds up, and the gateways need no message to agree: one that hears
-//! nobody takes the slots that the others leave to it. A gateway that does not know some of the
+//! rendezvous hashing gives a slot, among all gateways that are known, may send in it or in the few
+//! that follow; then the turn is lost. So next to nothing adds up, and the gateways need no message
+//! to agree: one that hears nobody takes the slots that the others leave to it. A gateway that does not know some of the
 //! others takes at most the slots that are theirs in addition.
 //!
 //! Slots are counted in wall-clock time. Clocks that differ by more than a slot make the turns of
@@ -21,6 +21,10 @@
 pub const HORIZON: Micros = Micros::from_ms(1_000);
 /// Maximum number of slots a second. With a higher rate, several requests may be sent in a slot.
 const MAX_SLOTS_PER_S: f64 = 50.0;
+/// Number of slots after its own for which a gateway keeps a turn. In a second, a target gets at most
+/// this number of requests and two more besides the rate; a limit on cold targets allows half the
+/// rate and five. Without it, gateways with little demand would lose most of their turns.
+const KEPT_SLOTS: u64 = 3;
 /// Spreads the numbers of slots over all bits.
 const SLOT_FACTOR: u64 = 0x9e37_79b9_7f4a_7c15;
 
@@ -74,7 +78,7 @@
                 let local = |wall: u64| (now + Micros(wall)).saturating_sub(input.wall);
                 self.upcoming.push_back(Turn {
                     start: local(number.saturating_mul(slot.0)),
-                    end: local((number + 1).saturating_mul(slot.0)),
+                    end: local((number + 1 + KEPT_SLOTS).saturating_mul(slot.0)),
                     left: permits as u32,
                 });
             }
