Drop what only another gateway keeps

A gateway that saw no outage copied the missing entries of one that was back from a cut, and kept them for up to 2 s more if it then read the store itself.

--- a/src/gateway/list_view.rs
+++ b/src/gateway/list_view.rs
@@ -158,8 +158,13 @@
         self.take(id, fact, origin, Effect::Put)
     }
 
-    /// Merges an entry that another gateway keeps for `left` although it is missing.
+    /// Merges an entry that another gateway keeps for `left` although it is missing. A gateway that
+    /// saw no outage itself does not keep it.
     pub fn keep(&mut self, now: Micros, id: &str, offset: u64, left: Micros) -> Effect {
+        let is_known = self.facts.contains_key(id);
+        if is_known && self.availability.is_current(now) && !self.is_in_grace(now) {
+            return self.copy_removal(now, id, offset);
+        }
         let fact = Fact {
             offset,
             state: EntryState::Missing(now + left.min(OUTAGE_GRACE)),
--- a/src/gateway/list_view/availability.rs
+++ b/src/gateway/list_view/availability.rs
@@ -60,6 +60,12 @@
         self.outage
     }
 
+    /// Whether the list was confirmed so recently that no outage can have begun since.
+    pub fn is_current(&self, now: Micros) -> bool {
+        let confirmed = self.confirmed;
+        confirmed.is_some_and(|span| now.saturating_sub(span.last) <= MAX_GAP)
+    }
+
     /// Records that the platform confirmed the list at `at`. Returns the outage that this ends.
     pub fn confirm(&mut self, at: Micros) -> Option<Outage> {
         let Some(confirmed) = &mut self.confirmed else {
--- a/src/gateway/list_view/tests.rs
+++ b/src/gateway/list_view/tests.rs
@@ -102,6 +102,10 @@
     a_newer_removal_does: |v| v.copy_removal(at(1), "one", 10) => Effect::Remove;
     a_newer_list_without_it_does: |v| v.remove_unlisted(at(1), "one", 11) => Effect::Remove;
     an_older_list_without_it_does_not: |v| v.remove_unlisted(at(1), "one", 4) => Effect::Ignore;
+    an_entry_that_only_another_gateway_keeps_is_gone:
+        |v| v.keep(at(1), "one", 11, OUTAGE_GRACE) => Effect::Remove;
+    an_entry_that_another_gateway_keeps_is_kept_when_this_one_is_cut_off_too:
+        |v| v.keep(at(9_000), "one", 11, OUTAGE_GRACE) => Effect::Put;
     an_entry_that_was_missing_before_is_gone:
         |v| v.keep(at(1), "two", 9, OUTAGE_GRACE) => Effect::Ignore;
     the_removal_of_an_unknown_entry_is_nothing: |v| v.remove(at(1), "two", 12) => Effect::Ignore;
