--- a/src/gateway/cold_limit/tests.rs
+++ b/src/gateway/cold_limit/tests.rs
@@ -17,6 +17,7 @@
 
 fn input(others: &[u64]) -> TurnsInput<'_> {
     TurnsInput {
+        knows_fleet: true,
         wall: at(1_771_000_000_000),
         me: 1,
         others,
@@ -196,3 +197,19 @@
         assert!((9..=24).contains(&sent), "{sent}");
     }
 }
+
+/// Guards against a fleet that starts all at once, of which each gateway knows only its seeds and
+/// takes the turns of all others.
+#[test]
+fn a_gateway_that_does_not_know_the_fleet_yet_has_no_turn() {
+    let mut limit = ColdLimit::default();
+    limit.assume(Micros::ZERO, RULE.span);
+    let early = TurnsInput {
+        knows_fleet: false,
+        ..input(&[])
+    };
+    limit.plan(Micros::ZERO, Some(&RULE), &early);
+    assert!((0..1_000).all(|ms| !limit.has_room(Micros::from_ms(ms))));
+    limit.plan(Micros::ZERO, Some(&RULE), &input(&[]));
+    assert!((0..1_000).any(|ms| limit.has_room(Micros::from_ms(ms))));
+}
--- a/src/gateway/cold_limit/turns.rs
+++ b/src/gateway/cold_limit/turns.rs
@@ -39,6 +39,9 @@
     pub others: &'a [u64],
     /// Hash of the target's id.
     pub target: u64,
+    /// Whether this gateway has had time to hear of the others. One that knows only its seeds would
+    /// take the turns of all the rest.
+    pub knows_fleet: bool,
 }
 
 /// A slot of this gateway.
@@ -63,6 +66,10 @@
 impl Turns {
     /// Plans the turns of the time to come, for `rate` requests a second.
     pub fn plan(&mut self, now: Micros, rate: f64, input: &TurnsInput<'_>) {
+        if !input.knows_fleet {
+            self.upcoming.clear();
+            return;
+        }
         let permits = (rate / MAX_SLOTS_PER_S).ceil().max(1.0);
         let slot = Micros(((permits / rate * 1e6) as u64).max(1));
         let first = input.wall.0 / slot.0;
--- a/src/gateway/state/cold.rs
+++ b/src/gateway/state/cold.rs
@@ -18,6 +18,10 @@
 /// Time since its last answer in which a target cannot have started again.
 const MIN_RESTART: Micros = Micros::from_ms(100);
 
+/// Time after the start of a process in which it hears of the other gateways, if it has seeds. It
+/// sends nothing to cold targets before.
+const ROSTER_TIME: Micros = Micros::from_secs(2);
+
 /// The targets that have turned cold or warm at once.
 #[derive(Debug, Default)]
 pub struct ColdChanges {
@@ -105,6 +109,7 @@
             me: key_of(&peers.me().addr),
             others: state.roster.keys(),
             target: 0,
+            knows_fleet: peers.seeds().is_empty() || now >= ROSTER_TIME,
         };
         let mut changes = ColdChanges::default();
         for target in targets.iter_mut() {
