Treat unframed streams without any event as incomplete

It now counts as broken off: it is resumed where its route allows it, else the caller's connection is reset, and it clears no suspicion of a crash. With complete framing the target itself says that there are no events, so such a stream stays complete.

An empty call answer without framing stays complete (RFC 9112), but clears no suspicion either.

The clearing of suspicions has no test of its own.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -27,6 +27,7 @@
 use crate::gateway::targets::TargetKey;
 use crate::platform::headers;
 use crate::problem::{Problem, Reason};
+use crate::telemetry::Outcome;
 use crate::units::Micros;
 
 /// Maximum size of a non-streaming answer, which is buffered whole.
@@ -239,7 +240,11 @@
     }
 
     /// Reads a non-streaming answer completely before any of it is forwarded.
+    ///
+    /// An empty body that the end of the connection delimits is a valid answer to a call (RFC 9112,
+    /// section 6.3), but no evidence that the target survived it.
     async fn buffered(&self, upstream: Upstream) -> Result<Response<ResponseBody>, AttemptError> {
+        let is_unframed = upstream.ends_with_connection();
         let Upstream {
             head,
             meta,
@@ -249,12 +254,14 @@
         } = upstream;
         let body = self.read(body).await?;
         in_flight.record_first_event();
-        let Attempts {
-            gateway, request, ..
-        } = &self.attempts;
-        gateway.record_begin(request, in_flight.sent);
-        self.attempts
-            .record_success(in_flight.target, connection, meta.idle_timeout);
+        let gateway = &self.attempts.gateway;
+        if is_unframed && body.is_empty() {
+            gateway.metrics().record_outcome(Outcome::Whole);
+        } else {
+            gateway.record_begin(&self.attempts.request, in_flight.sent);
+            self.attempts
+                .record_success(in_flight.target, connection, meta.idle_timeout);
+        }
         let headers = headers::forward_response(&head.headers);
         let body = ResponseBody::Left(Full::new(body));
         Ok(response::from_parts(head.status, headers, body))
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -28,7 +28,8 @@
 /// tell that the stream is incomplete.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum BrokenStream {
-    /// The target's stream ended inside an event or with an error.
+    /// The target's stream ended inside an event, with an error, or without framing before any
+    /// event.
     #[error("the target's stream broke off")]
     Target,
     /// The stream exceeded its route's timeout.
@@ -48,10 +49,21 @@
     connection: Connection,
     meta: ResponseMeta,
     in_flight: InFlight,
+    /// Whether only the end of the connection delimits the stream.
+    is_unframed: bool,
     /// Whether a complete event has arrived.
     started: bool,
 }
 
+impl TargetStream {
+    /// Whether the stream is known to be incomplete when it ends at an event boundary. Without a
+    /// length or chunks, a target that dies before its first event ends it like this; with them,
+    /// the target itself says that there are no events.
+    fn is_cut_short(&self) -> bool {
+        self.is_unframed && !self.started
+    }
+}
+
 #[derive(Debug)]
 enum State {
     Reading(Box<TargetStream>),
@@ -165,10 +177,10 @@
             return Poll::Ready(Ok(None));
         };
         if let Poll::Ready(frame) = Pin::new(&mut stream.body).poll_frame(context) {
-            let mid_event = self.splitter.has_partial();
+            let is_incomplete = self.splitter.has_partial() || stream.is_cut_short();
             return Poll::Ready(match frame {
                 Some(Ok(frame)) => Ok(Some(frame.into_data().unwrap_or_default())),
-                None if !mid_event => Ok(None),
+                None if !is_incomplete => Ok(None),
                 Some(Err(_)) | None => Err(Failure::Broken),
             });
         }
@@ -262,6 +274,7 @@
 impl From<Upstream> for TargetStream {
     fn from(upstream: Upstream) -> Self {
         TargetStream {
+            is_unframed: upstream.ends_with_connection(),
             body: upstream.body,
             connection: upstream.connection,
             meta: upstream.meta,
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -5,7 +5,8 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
+use hyper::header::TRANSFER_ENCODING;
 use hyper::http::response::Parts;
 use hyper::{Request, StatusCode};
 use tokio::time::{Instant, timeout_at};
@@ -39,6 +40,17 @@
 }
 
 impl Upstream {
+    /// Whether only the end of the connection delimits the body, so that a target that dies looks
+    /// like one that is done.
+    pub fn ends_with_connection(&self) -> bool {
+        let coding = self.head.headers.get(TRANSFER_ENCODING);
+        let is_chunked = coding.is_some_and(|coding| {
+            let coding = coding.as_bytes().to_ascii_lowercase();
+            coding.trim_ascii_end().ends_with(b"chunked")
+        });
+        !is_chunked && self.body.size_hint().exact().is_none()
+    }
+
     /// Classifies a response without a success status.
     pub fn failure(&self) -> Failure {
         match self.head.status {
--- a/tests/gateway/target.rs
+++ b/tests/gateway/target.rs
@@ -56,6 +56,10 @@
     TruncatedEvents,
     /// Events 1 to 3 without length or chunks, delimited by the end of the connection.
     UnframedEvents,
+    /// The head of a stream without length or chunks, then the connection is closed.
+    UnframedNoEvents,
+    /// The head of a stream with the chunk that ends it.
+    NoEvents,
     /// Event 1 and a part of event 2 without length or chunks, then the connection is closed.
     UnframedEventsCut,
     /// Event 1 without length or chunks, then the connection is reset.
@@ -312,6 +316,8 @@
                 let text = [1, 2, 3].map(event_text).concat();
                 (head("200 OK", unframed) + &text, false)
             }
+            Behaviour::UnframedNoEvents => (head("200 OK", unframed), false),
+            Behaviour::NoEvents => (head("200 OK", events) + "0\r\n\r\n", true),
             Behaviour::UnframedEventsCut => {
                 let text = event_text(1) + "id: 2\nda";
                 (head("200 OK", unframed) + &text, false)
--- a/tests/gateway/unframed.rs
+++ b/tests/gateway/unframed.rs
@@ -14,7 +14,7 @@
             let other = Target::start(&[Behaviour::UnframedEventsResumed]).await;
             let gateway = TestGateway::start_with_targets(&[&first, &other]).await;
             let reply = gateway.call("POST", $path).await;
-            assert_eq!((reply.events(), reply.complete), ($events.to_vec(), $complete), "{reply:?}");
+            assert_eq!((reply.events(), reply.complete), (Vec::<u32>::from($events), $complete), "{reply:?}");
             assert_eq!(first.count() + other.count(), $sent);
         }
     )*};
@@ -23,6 +23,9 @@
 streams! {
     a_whole_stream: Behaviour::UnframedEvents, "/stream/1" => [1, 2, 3], true, 1;
     a_whole_stream_that_may_be_resumed_is_not: Behaviour::UnframedEvents, "/resumed/1" => [1, 2, 3], true, 1;
+    a_stream_that_ends_before_any_event_was_broken_off: Behaviour::UnframedNoEvents, "/stream/1" => [], false, 1;
+    a_stream_that_ends_before_any_event_is_resumed: Behaviour::UnframedNoEvents, "/resumed/1" => [2, 3], true, 2;
+    a_stream_whose_framing_says_that_it_has_no_events_is_whole: Behaviour::NoEvents, "/resumed/1" => [], true, 1;
     a_stream_that_ends_inside_an_event_was_broken_off: Behaviour::UnframedEventsCut, "/stream/1" => [1], false, 1;
     a_stream_that_ends_inside_an_event_is_resumed: Behaviour::UnframedEventsCut, "/resumed/1" => [1, 2, 3], true, 2;
     a_stream_that_is_reset_after_an_event_was_broken_off: Behaviour::UnframedEventsReset, "/stream/1" => [1], false, 1;
