Resume silent streams only when their target has stopped

The target is now asked with `GET /v1/report`, at first while the stream stays open. If the report is readable, the connection is closed and the stream is resumed once a later report does not list the request, or the target cannot be reached; else it is broken off and `not resumed` is logged. Without a readable report there is no proof that the request has stopped, and the stream stays open. Streams whose connection breaks are resumed at once, as before.

The scripted target answers `GET /v1/report` with an empty list by default, apart from its behaviours, so that the test of a stalled stream that is resumed holds as it was.

--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -93,8 +93,14 @@
         gateway.metrics().record_total(took);
     }
 
-    /// Chooses the next target and takes one retry from the budget, unless the last one was cold; `None` if the request may not
-    /// be retried or no target is left.
+    /// Chooses anew after a wait for which the retry of `choice` has already been taken.
+    pub fn choose_again(&self, choice: Choice) -> Choice {
+        let anew = self.gateway.choose_target(&self.request, &self.tried);
+        anew.unwrap_or(choice)
+    }
+
+    /// Chooses the next target and takes one retry from the budget, unless the last one was cold;
+    /// `None` if the request may not be retried or no target is left.
     pub fn next_target(&self) -> Option<Choice> {
         let (gateway, request) = (&self.gateway, &self.request);
         let retryable = self
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -52,6 +52,7 @@
 pub mod resume;
 pub mod retry;
 pub mod retry_budget;
+pub mod run_check;
 pub mod selection;
 pub mod send;
 pub mod service_demand;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming};
+use tokio::sync::oneshot;
 use tokio::time::Sleep;
 use tokio_util::sync::WaitForCancellationFutureOwned;
 
@@ -17,11 +18,13 @@
 use crate::gateway::request_log;
 use crate::gateway::resume::{self, ResumeReceiver};
 use crate::gateway::retry::Failure;
+use crate::gateway::run_check::{RunCheck, RunState};
 use crate::gateway::send::{self, Upstream};
 use crate::platform::headers::ResponseMeta;
 
-/// A target's stream that another target can resume is given up if no data arrives for this many
-/// times the route's latency objective, or the expected time to its first event if that is longer.
+/// The target of a stream that another target can resume is asked whether it runs the request if no
+/// data arrives for this many times the route's latency objective, or the expected time to its first
+/// event if that is longer.
 const SILENCE_FACTOR: u32 = 2;
 
 /// Error that ends a stream early. The client's connection is then reset, so that the client can
@@ -72,6 +75,13 @@
     Done,
 }
 
+/// A question to a silent target, whose stream stays open until the answer.
+#[derive(Debug)]
+struct Inquiry {
+    answer: oneshot::Receiver<RunState>,
+    check: RunCheck,
+}
+
 /// A response body that relays an event stream.
 #[derive(Debug)]
 pub struct Relay {
@@ -80,6 +90,8 @@
     splitter: Splitter,
     /// Detects a silent target; `None` unless another target may resume the stream.
     idle_timer: Option<IdleTimer>,
+    /// The question to a silent target whether it runs the request.
+    inquiry: Option<Inquiry>,
     timeout: Pin<Box<Sleep>>,
     grace_over: Pin<Box<WaitForCancellationFutureOwned>>,
     started: bool,
@@ -100,6 +112,7 @@
             state: State::Done,
             splitter,
             idle_timer: None,
+            inquiry: None,
             timeout: Box::pin(tokio::time::sleep_until(at)),
             grace_over,
             started: false,
@@ -110,13 +123,19 @@
 
     /// Makes `upstream` the stream to read from.
     fn read(&mut self, upstream: Upstream) {
-        let base = self.attempts.request.route.latency_objective * SILENCE_FACTOR;
-        let expected: Duration = upstream.in_flight.expected.into();
-        let limit = base.max(expected * SILENCE_FACTOR);
+        let limit = self.silence_limit(&upstream.in_flight);
         self.idle_timer = self.may_resume().then(|| IdleTimer::new(limit));
+        self.inquiry = None;
         self.state = State::Reading(Box::new(upstream.into()));
     }
 
+    /// Time without data after which the target is silent.
+    fn silence_limit(&self, in_flight: &InFlight) -> Duration {
+        let objective = self.attempts.request.route.latency_objective;
+        let expected: Duration = in_flight.expected.into();
+        objective.max(expected) * SILENCE_FACTOR
+    }
+
     /// Whether another target may run the request if the current one fails.
     fn may_resume(&self) -> bool {
         let route = &self.attempts.request.route;
@@ -136,8 +155,9 @@
     }
 
     /// Gives up the target and asks another one to resume the stream. Returns `false` if the stream
-    /// may not be resumed or no target is left.
-    fn try_resume(&mut self, failure: Failure) -> bool {
+    /// may not be resumed or no target is left. With a `check`, the resumed stream waits until the
+    /// target has stopped.
+    fn try_resume(&mut self, failure: Failure, check: Option<RunCheck>) -> bool {
         let State::Reading(stream) = &self.state else {
             return false;
         };
@@ -151,12 +171,12 @@
         let Some(choice) = attempts.next_target() else {
             return false;
         };
-        // Dropping the connection makes the target stop.
+        // Dropping the connection makes most targets stop.
         self.state = State::Done;
         self.idle_timer = None;
         self.splitter.discard_partial();
         let last_event = self.splitter.last_id().map(str::to_owned);
-        self.state = State::Resuming(resume::start(attempts, choice, last_event));
+        self.state = State::Resuming(resume::start(attempts, choice, last_event, check));
         true
     }
 
@@ -184,16 +204,57 @@
                 Some(Err(_)) | None => Err(Failure::Broken),
             });
         }
-        let idle_timer = self.idle_timer.as_mut();
-        ready!(idle_timer.map_or(Poll::Pending, |idle_timer| idle_timer.poll(context)));
-        self.idle_timer = None;
+        ready!(self.poll_silence(context));
         Poll::Ready(Err(Failure::Silent))
     }
 
+    /// Ready once the target has been silent and has been asked whether it runs the request. Stays
+    /// pending if it cannot tell: it may run the request, so no other target may, and it may go on.
+    fn poll_silence(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        if let Some(idle_timer) = &mut self.idle_timer {
+            ready!(idle_timer.poll(context));
+            self.idle_timer = None;
+            self.inquiry = self.inquire();
+        }
+        let Some(inquiry) = &mut self.inquiry else {
+            return Poll::Pending;
+        };
+        match ready!(Pin::new(&mut inquiry.answer).poll(context)) {
+            Ok(RunState::Unknown) | Err(_) => {
+                self.inquiry = None;
+                Poll::Pending
+            }
+            Ok(RunState::Unreachable) => {
+                self.inquiry = None;
+                Poll::Ready(())
+            }
+            Ok(RunState::Running | RunState::Gone) => Poll::Ready(()),
+        }
+    }
+
+    fn inquire(&self) -> Option<Inquiry> {
+        let State::Reading(stream) = &self.state else {
+            return None;
+        };
+        let check = RunCheck::new(&self.attempts, stream.in_flight.target)?;
+        let answer = check.clone().start();
+        Some(Inquiry { answer, check })
+    }
+
+    /// Records that the target has sent data.
+    fn record_activity(&mut self) {
+        if let Some(idle_timer) = &mut self.idle_timer {
+            idle_timer.reset();
+        }
+        if let (Some(_), State::Reading(stream)) = (self.inquiry.take(), &self.state) {
+            self.idle_timer = Some(IdleTimer::new(self.silence_limit(&stream.in_flight)));
+        }
+    }
+
     /// Adds bytes of the stream; returns the events that are now complete.
     fn push(&mut self, data: Bytes) -> Result<Bytes, BrokenStream> {
-        if let (false, Some(idle_timer)) = (data.is_empty(), &mut self.idle_timer) {
-            idle_timer.reset();
+        if !data.is_empty() {
+            self.record_activity();
         }
         let pushed = self.splitter.push(data);
         let events = pushed.map_err(|_| BrokenStream::Target)?;
@@ -261,8 +322,10 @@
                     Err(cause) => return self.fail(cause),
                 },
                 Err(failure) => {
+                    let inquiry = self.inquiry.take().filter(|_| failure == Failure::Silent);
+                    let check = inquiry.map(|inquiry| inquiry.check);
                     // A silent stream that no other target can resume may still continue.
-                    if !self.try_resume(failure) && failure != Failure::Silent {
+                    if !self.try_resume(failure, check) && failure != Failure::Silent {
                         return self.fail(BrokenStream::Target);
                     }
                 }
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -94,6 +94,19 @@
     });
 }
 
+/// Logs a stream that is not resumed, because its silent target may still run the request.
+pub fn not_stopped(gateway: &GatewayState, request: &ClientRequest, target: &Arc<str>) {
+    let Some(left_out) = gateway.may_log() else {
+        return;
+    };
+    spdlog::info!("not resumed", kv: {
+        request: = request.id_str(),
+        target: = target.as_ref(),
+        after_ms = elapsed_ms(gateway, request),
+        left_out = left_out,
+    });
+}
+
 /// Logs a failed connection attempt.
 pub fn connect_failed(
     gateway: &GatewayState,
--- a/src/gateway/resume.rs
+++ b/src/gateway/resume.rs
@@ -3,6 +3,7 @@
 use tokio::sync::oneshot;
 
 use crate::gateway::attempts::{Attempts, Progress};
+use crate::gateway::run_check::RunCheck;
 use crate::gateway::selection::Choice;
 use crate::gateway::send::{self, Dispatch, Upstream};
 
@@ -20,13 +21,19 @@
 
 /// Asks the target of `choice` to resume the stream after the event with id `last_event`, and
 /// further targets if the attempt fails. `last_event` is `None` if the client has received no event
-/// with an id. Stops when the receiver is dropped.
-pub fn start(attempts: Attempts, choice: Choice, last_event: Option<String>) -> ResumeReceiver {
+/// with an id. With a `check`, first waits until the target before has stopped. Stops when the
+/// receiver is dropped.
+pub fn start(
+    attempts: Attempts,
+    choice: Choice,
+    last_event: Option<String>,
+    check: Option<RunCheck>,
+) -> ResumeReceiver {
     let (mut sender, receiver) = oneshot::channel();
     tokio::spawn(async move {
         tokio::select! {
             // Sending fails only if the client has disconnected.
-            stream = run(attempts, choice, last_event.as_deref()) => drop(sender.send(stream)),
+            stream = run(attempts, choice, last_event.as_deref(), check) => drop(sender.send(stream)),
             () = sender.closed() => {}
         }
     });
@@ -37,8 +44,15 @@
     mut attempts: Attempts,
     first: Choice,
     last_event: Option<&str>,
+    check: Option<RunCheck>,
 ) -> Option<ResumedStream> {
     let mut choice = first;
+    if let Some(check) = check {
+        if !check.wait_until_stopped().await {
+            return None;
+        }
+        choice = attempts.choose_again(first);
+    }
     loop {
         let sending = Dispatch {
             choice,
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -7,6 +7,7 @@
 pub mod headers;
 pub mod prompt;
 pub mod records;
+pub mod report;
 pub mod store;
 pub mod wire;
 
--- a/tests/gateway/streams.rs
+++ b/tests/gateway/streams.rs
@@ -5,7 +5,7 @@
 use balsampitch::gateway::targets::{Load, Targets};
 
 use crate::harness::{KEY, ROUTE_TIMEOUT, TestGateway};
-use crate::target::{Behaviour, Target, header};
+use crate::target::{Behaviour, Report, Target, header};
 
 #[tokio::test]
 async fn a_stream_is_resumed_at_another_target_after_its_last_complete_event() {
@@ -93,10 +93,10 @@
 }
 
 macro_rules! stalls {
-    ($($name:ident: $path:expr, $others:expr => $events:expr, $complete:expr, $sent:expr;)*) => {$(
+    ($($name:ident: $path:expr, $report:expr, $others:expr => $events:expr, $complete:expr, $sent:expr;)*) => {$(
         #[tokio::test]
         async fn $name() {
-            let mut targets = vec![Target::start(&[Behaviour::EventAndHang]).await];
+            let mut targets = vec![Target::reporting(Behaviour::EventAndHang, $report).await];
             for &behaviour in &$others {
                 targets.push(Target::start(&[behaviour]).await);
             }
@@ -113,9 +113,14 @@
 
 stalls! {
     a_stalled_stream_is_resumed_at_another_target:
-        "/resumed/1", [Behaviour::ResumedEvents] => [1, 2, 3], true, 2;
-    a_stalled_stream_that_is_not_resumable_is_kept: "/stream/1", [Behaviour::ResumedEvents] => [1], false, 1;
-    a_stalled_stream_without_another_target_is_kept: "/resumed/1", [] => [1], false, 1;
+        "/resumed/1", Report::Empty, [Behaviour::ResumedEvents] => [1, 2, 3], true, 2;
+    a_stalled_stream_that_its_target_goes_on_with_is_sent_once:
+        "/resumed/1", Report::Received, [Behaviour::ResumedEvents] => [1], false, 1;
+    a_stalled_stream_without_a_report_is_kept:
+        "/resumed/1", Report::Unreadable, [Behaviour::ResumedEvents] => [1], false, 1;
+    a_stalled_stream_that_is_not_resumable_is_kept:
+        "/stream/1", Report::Empty, [Behaviour::ResumedEvents] => [1], false, 1;
+    a_stalled_stream_without_another_target_is_kept: "/resumed/1", Report::Empty, [] => [1], false, 1;
 }
 
 #[tokio::test]
--- a/tests/gateway/target.rs
+++ b/tests/gateway/target.rs
@@ -90,6 +90,18 @@
     EndlessEventsWith(&'static str),
 }
 
+/// How a target answers requests for its report, which do not count as received.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Report {
+    /// Lists no requests.
+    #[default]
+    Empty,
+    /// Lists every request that it has received.
+    Received,
+    /// A plain answer without a list of requests.
+    Unreadable,
+}
+
 /// Requests and disconnects that a target has seen.
 #[derive(Clone, Debug, Default)]
 pub struct Received {
@@ -109,6 +121,7 @@
     crash: CancellationToken,
     /// End of its cold time, which it tells on [`HEALTH_PATH`].
     cold_end: Arc<Mutex<Option<Instant>>>,
+    report: Report,
 }
 
 /// Path of the question for the health of a target. It does not count as a request.
@@ -120,12 +133,22 @@
         Target::with_behaviours(Arc::new(Mutex::new(behaviours.iter().copied().collect()))).await
     }
 
+    /// Starts a target with one behaviour and this kind of report.
+    pub async fn reporting(behaviour: Behaviour, report: Report) -> Target {
+        let behaviours = Arc::new(Mutex::new([behaviour].into()));
+        Target::with_report(behaviours, report).await
+    }
+
     /// Starts another target that takes its behaviours from the same queue.
     pub async fn twin(&self) -> Target {
         Target::with_behaviours(self.behaviours.clone()).await
     }
 
     async fn with_behaviours(behaviours: Arc<Mutex<VecDeque<Behaviour>>>) -> Target {
+        Target::with_report(behaviours, Report::Empty).await
+    }
+
+    async fn with_report(behaviours: Arc<Mutex<VecDeque<Behaviour>>>, report: Report) -> Target {
         let listener = TcpListener::bind("127.0.0.1:0")
             .await
             .expect("loopback has ports");
@@ -135,6 +158,7 @@
             received: Arc::default(),
             crash: CancellationToken::new(),
             cold_end: Arc::default(),
+            report,
         };
         let serving = target.clone();
         tokio::spawn(async move {
@@ -168,6 +192,7 @@
             received: Arc::default(),
             crash: CancellationToken::new(),
             cold_end: Arc::default(),
+            report: Report::Empty,
         }
     }
 
@@ -232,6 +257,11 @@
                 }
                 continue;
             }
+            if head.starts_with("GET /v1/report ") {
+                // The gateway may have stopped waiting for it.
+                let _ = stream.write_all(self.report_answer().as_bytes()).await;
+                continue;
+            }
             let id = header(&head, "attempt-id").unwrap_or_default();
             self.received
                 .lock()
@@ -244,6 +274,19 @@
         }
     }
 
+    fn report_answer(&self) -> String {
+        let heads = self.received().heads;
+        let ids = heads.iter().filter_map(|head| header(head, "attempt-id"));
+        let rows: Vec<_> = ids.map(|id| format!("[\"{id}\",90,1,0]")).collect();
+        let body = match self.report {
+            Report::Empty => "{\"runs\":[]}".to_owned(),
+            Report::Received => format!("{{\"runs\":[{}]}}", rows.join(",")),
+            Report::Unreadable => "body".to_owned(),
+        };
+        let length = body.len();
+        format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}")
+    }
+
     /// Answers one request; returns `false` if the connection is to be closed.
     async fn answer(&self, stream: &mut TcpStream, id: &str, behaviour: Behaviour) -> bool {
         let head = |status: &str, rest: &str| {
