Keep the cost of crossing zones for short calls as it was

Cause: with 2 ms and 2 ms a kilobyte, a call without a body and with an answer of 1 kB cost 4 ms to another zone, 5 ms before; a target that answered faster than expected in another zone stayed preferred, and four tests that wait for requests to come back failed.

Change: 3 ms and 2 ms a kilobyte, so that such a call costs 5 ms as before.

--- a/src/gateway/selection.rs
+++ b/src/gateway/selection.rs
@@ -28,7 +28,7 @@
 /// Time by which each concurrent request delays the first event.
 const PER_ACTIVE_US: f64 = 300.0;
 /// Cost of a target in another availability zone, without the bytes that cross: the round trip.
-const CROSS_ZONE_US: f64 = 2_000.0;
+const CROSS_ZONE_US: f64 = 3_000.0;
 /// Cost of a kilobyte that crosses between zones: traffic fees.
 const CROSS_ZONE_US_PER_KB: f64 = 2_000.0;
 /// Bytes of an answer for each token that an engine generates.
