Test silent streams of unreachable targets, and odd reports

Adds a target that refuses connections after its first, whose silent stream is resumed at once, and a table of reports that are readable or not.

--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -10,6 +10,7 @@
 use super::headers::{self, AddedHeaders};
 use super::prompt::parse_prompt;
 use super::records::{self, KeyedRecord, TruncatedPage};
+use super::report;
 use super::wire::{WireConfig, WireTarget};
 use crate::gateway::config::{Config, RouteClass};
 use crate::gateway::prompts::Part;
@@ -396,3 +397,23 @@
     assert!(!forwarded.contains_key("server-leaving"));
     assert!(forwarded.contains_key("server-stamp"));
 }
+
+/// Guards against an odd report that is taken as proof that a request has stopped.
+macro_rules! reports {
+    ($($name:ident: $body:expr => $listed:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            assert_eq!(report::lists_run($body.as_bytes(), "c3"), $listed);
+        }
+    )*};
+}
+
+reports! {
+    a_report_lists_a_run: r#"{"runs":[["b1",9,2,0],["c3",90,1,0]],"x":1}"# => Some(true);
+    a_report_lists_only_others: r#"{"runs":[["b1",9,2,0]]}"# => Some(false);
+    a_report_lists_no_runs: r#"{"runs":[]}"# => Some(false);
+    a_report_of_an_older_engine_has_no_list: r#"{"slots":4}"# => None;
+    a_report_has_a_row_without_id: r#"{"runs":[["c3",90,1,0],[]]}"# => None;
+    a_report_has_ids_that_are_numbers: r#"{"runs":[[195,90,1,0]]}"# => None;
+    an_answer_is_no_report: "body" => None;
+}
--- a/tests/gateway/streams.rs
+++ b/tests/gateway/streams.rs
@@ -116,6 +116,8 @@
         "/resumed/1", Report::Empty, [Behaviour::ResumedEvents] => [1, 2, 3], true, 2;
     a_stalled_stream_that_its_target_goes_on_with_is_sent_once:
         "/resumed/1", Report::Received, [Behaviour::ResumedEvents] => [1], false, 1;
+    a_stalled_stream_whose_target_cannot_be_reached_is_resumed:
+        "/resumed/1", Report::Refused, [Behaviour::ResumedEvents] => [1, 2, 3], true, 2;
     a_stalled_stream_without_a_report_is_kept:
         "/resumed/1", Report::Unreadable, [Behaviour::ResumedEvents] => [1], false, 1;
     a_stalled_stream_that_is_not_resumable_is_kept:
--- a/tests/gateway/target.rs
+++ b/tests/gateway/target.rs
@@ -100,6 +100,8 @@
     Received,
     /// A plain answer without a list of requests.
     Unreadable,
+    /// None: the target refuses all connections after its first.
+    Refused,
 }
 
 /// Requests and disconnects that a target has seen.
@@ -176,6 +178,9 @@
                         () = crashed => {}
                     }
                 });
+                if serving.report == Report::Refused {
+                    return;
+                }
             }
         });
         target
@@ -281,7 +286,7 @@
         let body = match self.report {
             Report::Empty => "{\"runs\":[]}".to_owned(),
             Report::Received => format!("{{\"runs\":[{}]}}", rows.join(",")),
-            Report::Unreadable => "body".to_owned(),
+            Report::Unreadable | Report::Refused => "body".to_owned(),
         };
         let length = body.len();
         format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}")
