Mend what a reader of the whole change stumbled on

Faults: a silent stream whose target is no longer listed, or gave no report once, was never looked at again; a connection that this process had no room for counted as an unreachable target; the answer of another target at the same address was taken for a cold time; a target that had just become usable counted as usable for as long as it had not been; Cold-Remaining was passed on to callers; a slow answer on the cold time replaced a longer one that was known; an item without offset on a later page of a list was taken for newer than the list.

Also: the name of an evacuated zone is logged where it is read, and pages that contradicted the code.

--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -112,8 +112,8 @@
             return None;
         }
         let choice = gateway.choose_target(request, &self.tried)?;
-        // A request that found its target cold has cost no target anything, and when a zone comes back
-        // many do.
+        // The request never reached the cold target, and when a zone starts again many requests meet
+        // cold targets at once.
         if !self.counts.was_cold && !gateway.take_retry(&request.service) {
             return None;
         }
--- a/src/gateway/cold_limit.rs
+++ b/src/gateway/cold_limit.rs
@@ -107,9 +107,9 @@
 }
 
 impl ColdLimit {
-    /// Records a statement from another process. One that has been on its way for as long as an
-    /// entry may be gives an end that is too late by up to [`ENTRY_DELAY`]; it does not prolong
-    /// the cold time of a run by less than that.
+    /// Records a statement from another process. The end that it gives may be too late by up to
+    /// [`ENTRY_DELAY`], the time that it may have been on its way. If it exceeds the known end of the
+    /// same run by no more than that, the known end stays.
     pub fn learn(&mut self, now: Micros, notice: ColdNotice) {
         if self.notice.is_some_and(|known| known.as_of >= notice.as_of) {
             return;
@@ -134,6 +134,7 @@
         self.notice = Some(ColdNotice { until, as_of: now });
         self.answered_at = Some(now);
         self.lost_at = None;
+        self.is_new_run = false;
     }
 
     /// Assumes that the target is cold for `span` from now on.
@@ -142,6 +143,7 @@
             until: now + span,
             as_of: now,
         });
+        self.is_new_run = false;
     }
 
     /// Records that the target cannot be reached.
@@ -149,8 +151,8 @@
         self.lost_at = Some(now);
     }
 
-    /// Records that the target has closed connections of late. If something was learned of its cold
-    /// time since, it is known that it has started again.
+    /// Records that the target has closed connections of late. While it is known to be cold, it is
+    /// known that it has started again.
     pub fn closed(&mut self, now: Micros) {
         let told = self.notice.is_some_and(|notice| now < notice.until);
         if !told && self.lost_at.is_none() {
--- a/src/gateway/cold_limit/tests/fleet.rs
+++ b/src/gateway/cold_limit/tests/fleet.rs
@@ -168,7 +168,7 @@
                 let newest = told.fold(None, |a, b| ColdNotice::newer(a, Some(b)));
                 let gateway = &mut self.gateways[index];
                 let input = TurnsInput {
-        knows_fleet: true,
+                    knows_fleet: true,
                     wall: at(1_771_000_000_000 + ms + gateway.skew),
                     me: key_of(&gateway.member.addr),
                     others: gateway.roster.keys(),
--- a/src/gateway/cold_limit/turns.rs
+++ b/src/gateway/cold_limit/turns.rs
@@ -3,8 +3,8 @@
 //! Time is divided into slots, as many a second as the target takes requests. The gateway that
 //! rendezvous hashing gives a slot, among all gateways that are known, may send in it or in the few
 //! that follow; then the turn is lost. So next to nothing adds up, and the gateways need no message
-//! to agree: one that hears nobody takes the slots that the others leave to it. A gateway that does not know some of the
-//! others takes at most the slots that are theirs in addition.
+//! to agree: one that hears nobody still leaves the others their slots. A gateway that does not know
+//! some of the others takes at most the slots that are theirs in addition.
 //!
 //! Slots are counted in wall-clock time. Clocks that differ by more than a slot make the turns of
 //! the gateways random in relation to each other; the mean rate stays.
--- a/src/gateway/cold_probe.rs
+++ b/src/gateway/cold_probe.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::{Request, Uri};
+use hyper::{Request, StatusCode, Uri};
 use tokio::time::timeout;
 
 use crate::gateway::pool::Connection;
@@ -26,6 +26,8 @@
     NotTold,
     /// It did not answer in time, or broke off.
     Failed,
+    /// Another target now uses the address.
+    Moved,
 }
 
 /// Asks a target on a connection, which may be unusable afterwards.
@@ -37,11 +39,12 @@
         let response = connection.sender.send_request(request).await.ok()?;
         let (head, body) = response.into_parts();
         Limited::new(body, MAX_BODY_BYTES).collect().await.ok()?;
-        Some(headers::parse_cold(&head.headers))
+        Some((head.status, headers::parse_cold(&head.headers)))
     };
     match timeout(ASK_TIMEOUT, answer).await {
-        Ok(Some(Some(remaining))) => Answer::Told(remaining),
-        Ok(Some(None)) => Answer::NotTold,
+        Ok(Some((StatusCode::MISDIRECTED_REQUEST, _))) => Answer::Moved,
+        Ok(Some((_, Some(remaining)))) => Answer::Told(remaining),
+        Ok(Some((_, None))) => Answer::NotTold,
         Ok(None) | Err(_) => Answer::Failed,
     }
 }
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -103,7 +103,13 @@
     set.as_of = batch.next;
     for change in &batch.changes {
         match change {
-            Change::ZoneEvacuated(zone) => set.add(ZoneTag::of(zone)),
+            Change::ZoneEvacuated(zone) => {
+                let tag = ZoneTag::of(zone);
+                if !gateway.evacuations().contains(tag) {
+                    spdlog::info!("evacuation read", kv: { zone: = zone.as_ref() });
+                }
+                set.add(tag);
+            }
             Change::ZoneRestored(zone) => set.remove(ZoneTag::of(zone)),
             _ => {}
         }
--- a/src/gateway/peers/roster.rs
+++ b/src/gateway/peers/roster.rs
@@ -74,7 +74,8 @@
         self.members.retain(|_, entry| {
             let silent = now.saturating_sub(entry.last_sign);
             let zone_silent = now.saturating_sub(newest[&entry.zone]);
-            silent < MEMBER_TTL || zone_silent >= MEMBER_TTL && silent < ZONE_TTL
+            let is_zone_silent = zone_silent >= MEMBER_TTL;
+            silent < MEMBER_TTL || (is_zone_silent && silent < ZONE_TTL)
         });
     }
 }
--- a/src/gateway/prefix_owner.rs
+++ b/src/gateway/prefix_owner.rs
@@ -72,7 +72,7 @@
         for candidate in candidates {
             let weight = weight(prefix, candidate.tag);
             if !candidate.is_usable {
-                lost.push((weight, candidate.availability.unavailable_since(now)));
+                lost.push((weight, candidate.availability.lost_at().unwrap_or(now)));
             } else if owners.insert(weight, candidate.key) == 0 {
                 first = candidate.availability;
             }
@@ -83,7 +83,7 @@
         };
         let moved = lost.iter().filter(|(weight, _)| *weight > best);
         let moved = moved.map(|&(_, at)| at).max();
-        let assigned = moved.max(first.available_since()).max(emptied);
+        let assigned = moved.max(first.available_since(now)).max(emptied);
         owners.uncached = assigned.map_or(0.0, |at| uncached_after(now.saturating_sub(at)));
         owners
     }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -241,12 +241,12 @@
         Some(Inquiry { answer, check })
     }
 
-    /// Records that the target has sent data.
+    /// Records that the target has sent data, so that its next silence is noticed too.
     fn record_activity(&mut self) {
+        self.inquiry = None;
         if let Some(idle_timer) = &mut self.idle_timer {
             idle_timer.reset();
-        }
-        if let (Some(_), State::Reading(stream)) = (self.inquiry.take(), &self.state) {
+        } else if let (true, State::Reading(stream)) = (self.may_resume(), &self.state) {
             self.idle_timer = Some(IdleTimer::new(self.silence_limit(&stream.in_flight)));
         }
     }
--- a/src/gateway/retry.rs
+++ b/src/gateway/retry.rs
@@ -62,7 +62,7 @@
 /// Number of attempts that were not run after which a request is not retried.
 const MAX_DECLINED: u32 = 3;
 /// Number of cold targets that a request may find. When a whole zone comes back, the first requests
-/// after that find several; each costs a round trip, and none of them work.
+/// after that find several; each costs a round trip and puts no load on the target.
 const MAX_COLD: u32 = 8;
 /// An attempt times out after this multiple of the expected response time.
 const TIMEOUT_FACTOR: u64 = 4;
--- a/src/gateway/run_check.rs
+++ b/src/gateway/run_check.rs
@@ -3,6 +3,7 @@
 //! Load pattern: a target becomes several times slower for some seconds while it can be reached.
 //! Some targets do not drop a request when its connection closes.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -27,7 +28,7 @@
 const FIRST_LOOK: Duration = Duration::from_millis(400);
 /// Time between two looks.
 const LOOK_INTERVAL: Duration = Duration::from_millis(250);
-/// Maximum number of looks after the close. Each call has a price.
+/// Maximum number of looks after the close. Each one costs the target a request.
 const MAX_LOOKS: u32 = 6;
 /// Time limit for one report.
 const ASK_TIMEOUT: Duration = Duration::from_millis(500);
@@ -104,8 +105,8 @@
     async fn ask(&self) -> RunState {
         let connection = match self.gateway.pool.connect(self.addr).await {
             Ok(connection) => connection,
-            Err(ConnectError::TooMany) => return RunState::Unknown,
-            Err(_) => return RunState::Unreachable,
+            Err(error) if is_unreachable(&error) => return RunState::Unreachable,
+            Err(_) => return RunState::Unknown,
         };
         let state = timeout(ASK_TIMEOUT, self.read_report(connection)).await;
         state.ok().flatten().unwrap_or(RunState::Unknown)
@@ -129,3 +130,20 @@
         }
     }
 }
+
+/// Whether a failed connection says that the target cannot be reached, and not that this process has
+/// no room for another connection.
+fn is_unreachable(error: &ConnectError) -> bool {
+    match error {
+        ConnectError::Timeout => true,
+        ConnectError::Io(error) => matches!(
+            error.kind(),
+            ErrorKind::ConnectionRefused
+                | ErrorKind::ConnectionReset
+                | ErrorKind::HostUnreachable
+                | ErrorKind::NetworkUnreachable
+                | ErrorKind::TimedOut
+        ),
+        ConnectError::TooMany | ConnectError::Http(_) => false,
+    }
+}
--- a/src/gateway/state/cold.rs
+++ b/src/gateway/state/cold.rs
@@ -61,8 +61,8 @@
         last.flatten().is_some_and(recent)
     }
 
-    /// Records that a target has closed connections, as it does when it ends. Has no effect if it has
-    /// answered on a later connection.
+    /// Records that a target has closed connections, as it does when it ends. Has no effect while it
+    /// is known to be cold.
     pub fn record_closed(&self, key: TargetKey) {
         let now = self.clock.now();
         self.with_target(key, |target| target.cold.closed(now));
@@ -75,7 +75,9 @@
         self.with_target(key, |target| match answer {
             Answer::Told(remaining) => target.cold.told(now, remaining),
             Answer::NotTold => target.cold.reached(now, rule.span),
+            Answer::Failed if target.cold.is_cold(now) => {}
             Answer::Failed => target.cold.assume(now, rule.span),
+            Answer::Moved => {}
         });
     }
 
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -22,7 +22,7 @@
 
 /// Time after the start of this process in which targets are listed that have run for long.
 const SETTLING_TIME: Micros = Micros::from_secs(3);
-/// How long a removed target is remembered.
+/// How long a target is remembered that was removed, from the time at which it could no longer be used.
 const DEPARTURE_TTL: Micros = Micros::from_secs(10);
 /// Maximum number of removed targets that are remembered.
 const MAX_DEPARTURES: usize = 256;
@@ -103,18 +103,22 @@
 }
 
 impl Availability {
-    /// Time since which the target can be used; `None` if that is as long as this process knows.
-    pub fn available_since(self) -> Option<Micros> {
-        self.changed
+    /// Time since which the target can be used, if it can be used now; `None` if that is as long as
+    /// this process knows.
+    pub fn available_since(self, now: Micros) -> Option<Micros> {
+        match self.available {
+            Some(true) => self.changed,
+            // It has been listed, or become usable, since the last look.
+            Some(false) => Some(now),
+            None => (now >= SETTLING_TIME).then_some(now),
+        }
     }
 
-    /// Time since which the target cannot be used, if it cannot be used now.
-    pub fn unavailable_since(self, now: Micros) -> Micros {
-        match (self.available, self.changed) {
-            (Some(false), changed) => changed.unwrap_or_default(),
-            // It has failed or was excluded since the last look.
-            _ => now,
-        }
+    /// Time since which the target could not be used when it was looked at last; zero if that is as
+    /// long as this process knows. `None` if it could be used, and has failed or was excluded since.
+    pub fn lost_at(self) -> Option<Micros> {
+        let is_lost = self.available == Some(false);
+        is_lost.then(|| self.changed.unwrap_or_default())
     }
 
     fn refresh(&mut self, now: Micros, available: bool) {
@@ -389,10 +393,9 @@
         if self.departures.len() >= MAX_DEPARTURES {
             self.departures.pop_front();
         }
-        let since = target.availability;
         self.departures.push_back(Departure {
             tag: target.tag,
-            at: since.changed.filter(|_| since.available == Some(false)),
+            at: target.availability.lost_at(),
             service: target.entry.service.clone(),
         });
     }
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -174,8 +174,9 @@
 
 /// Builds the headers of the response to the client.
 pub fn forward_response(headers: &HeaderMap) -> HeaderMap {
+    const PRIVATE: [HeaderName; 5] = [NOT_RUN, LOAD, LIMIT, LEAVING, COLD];
     filter_headers(headers, |name| {
-        name != NOT_RUN && name != LOAD && name != LIMIT && name != LEAVING
+        PRIVATE.iter().all(|private| private != name)
     })
 }
 
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -93,7 +93,7 @@
                 // those.
                 batch.next = page.end;
             }
-            let records = readable(topic, &page);
+            let records = readable(topic, &page, batch.next);
             let last = records.last().map(|record| record.key.clone());
             let records = records.into_iter();
             batch
@@ -164,11 +164,11 @@
     }
 }
 
-/// Returns the items of a page that can be read.
-fn readable(topic: Topic, page: &NewestPage) -> Vec<KeyedRecord> {
+/// Returns the items of a page that can be read, of a list that is complete up to the offset `end`.
+fn readable(topic: Topic, page: &NewestPage, end: u64) -> Vec<KeyedRecord> {
     let records = page.items.iter().filter_map(|item| {
         let item: Item = serde_json::from_str(item.get()).ok()?;
-        KeyedRecord::try_from((item, page.end)).ok()
+        KeyedRecord::try_from((item, end)).ok()
     });
     let records: Vec<KeyedRecord> = records.collect();
     let unreadable = page.items.len() - records.len();
