--- a/src/gateway/cold_limit.rs
+++ b/src/gateway/cold_limit.rs
@@ -103,7 +103,7 @@
     /// Time at which the target last counted as cold.
     cold_at: Option<Micros>,
     /// Whether nothing has been learned since the target was replaced.
-    is_new_run: bool,
+    new_run: bool,
 }
 
 impl ColdLimit {
@@ -115,10 +115,10 @@
             return;
         }
         let is_old = now.saturating_sub(notice.as_of) >= ENTRY_DELAY;
-        let is_new_run = std::mem::take(&mut self.is_new_run);
+        let new_run = std::mem::take(&mut self.new_run);
         let late = |known: &ColdNotice| {
             let excess = notice.until.saturating_sub(known.until);
-            is_old && !is_new_run && excess > Micros::ZERO && excess <= ENTRY_DELAY
+            is_old && !new_run && excess > Micros::ZERO && excess <= ENTRY_DELAY
         };
         let until = match self.notice.filter(late) {
             Some(known) => known.until,
@@ -134,7 +134,7 @@
         self.notice = Some(ColdNotice { until, as_of: now });
         self.answered_at = Some(now);
         self.lost_at = None;
-        self.is_new_run = false;
+        self.new_run = false;
     }
 
     /// Assumes that the target is cold for `span` from now on.
@@ -143,7 +143,7 @@
             until: now + span,
             as_of: now,
         });
-        self.is_new_run = false;
+        self.new_run = false;
     }
 
     /// Records that the target cannot be reached.
@@ -181,7 +181,7 @@
     pub fn replaces(&mut self, before: &ColdLimit) {
         self.notice = before.notice;
         self.lost_at = before.lost_at;
-        self.is_new_run = true;
+        self.new_run = true;
     }
 
     /// Whether the target counts as cold. One that is lost does if it cannot be asked on the
--- a/src/gateway/list_view/tests/fleet.rs
+++ b/src/gateway/list_view/tests/fleet.rs
@@ -61,7 +61,7 @@
     known: BTreeSet<String>,
     position: Option<u64>,
     cut_until: u64,
-    store_cut_until: u64,
+    store_cut: u64,
     frozen_until: u64,
     /// Step of the start, or of the end of the last disturbance.
     undisturbed_since: u64,
@@ -128,12 +128,12 @@
                 self.gateways[at].cut_until = step + steps;
                 self.gateways[at].told = None;
             }
-            Event::CutFromStore(at, steps) => self.gateways[at].store_cut_until = step + steps,
+            Event::CutFromStore(at, steps) => self.gateways[at].store_cut = step + steps,
             Event::Freeze(at, steps) => self.gateways[at].frozen_until = step + steps,
             Event::Restart(at) => {
                 self.gateways[at] = Gateway {
                     cut_until: self.gateways[at].cut_until,
-                    store_cut_until: self.gateways[at].store_cut_until,
+                    store_cut: self.gateways[at].store_cut,
                     undisturbed_since: step,
                     ..Gateway::default()
                 }
@@ -205,7 +205,7 @@
 
     fn is_cut_off(&self, at: usize) -> bool {
         let gateway = &self.gateways[at];
-        self.is_away() || self.step < gateway.cut_until.max(gateway.store_cut_until)
+        self.is_away() || self.step < gateway.cut_until.max(gateway.store_cut)
     }
 
     fn hears(&self, at: usize, other: usize) -> bool {
--- a/src/gateway/state/cold.rs
+++ b/src/gateway/state/cold.rs
@@ -1,7 +1,7 @@
 //! What a gateway knows of cold targets, and its turns at them.
 
 use std::sync::Arc;
-use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use crate::gateway::cold_limit::ColdRule;
 use crate::gateway::cold_limit::turns::TurnsInput;
@@ -105,7 +105,8 @@
         if config.limits_cold_targets() {
             state.roster.update(now, peers.signs(), peers.seeds());
         }
-        let wall = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+        // The gateways number the slots alike only by the time of day, which the runtime does not have.
+        let wall = opentelemetry::time::now().duration_since(UNIX_EPOCH);
         let mut input = TurnsInput {
             wall: wall.unwrap_or_default().into(),
             me: key_of(&peers.me().addr),
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -293,7 +293,7 @@
     }
 
     /// Records what a target's entry said at `now` of its cold time. Other gateways copy it if that
-    /// changes the end of the cold time by more than [`MIN_COLD_CHANGE`].
+    /// changes the end of the cold time by more than `MIN_COLD_CHANGE`.
     pub fn record_cold(&mut self, now: Micros, id: &str, report: ColdReport) {
         let key = self.ids.get(id).copied();
         let Some(target) = key.and_then(|key| self.get_mut(key)) else {
--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -112,7 +112,8 @@
     slots: u32,
     state: WireState,
     born: Option<u64>,
-    cold_remaining_ms: Option<Box<RawValue>>,
+    #[serde(rename = "coldRemainingMs")]
+    cold_ms: Option<Box<RawValue>>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
@@ -207,7 +208,7 @@
             slots: wire.slots,
             draining: wire.state == WireState::Draining,
             started_at: wire.born,
-            cold: to_cold(wire.cold_remaining_ms.as_deref()),
+            cold: to_cold(wire.cold_ms.as_deref()),
         }
     }
 }
