--- a/src/gateway/selection.rs
+++ b/src/gateway/selection.rs
@@ -27,6 +27,10 @@
 const FIRST_EVENT_US: f64 = 40_000.0;
 /// Time by which each concurrent request delays the first event.
 const PER_ACTIVE_US: f64 = 300.0;
+/// Least prefill rate, in tokens per millisecond, at which a prefix counts that may not be cached. If
+/// the configured token rate gives less, it is that of the demand and not of the engines, and prompts
+/// would be refused that end in time.
+const MIN_PREFIX_RATE: f64 = 20.0;
 /// Cost of a target in another availability zone, without the bytes that cross: the round trip.
 const CROSS_ZONE_US: f64 = 3_000.0;
 /// Cost of a kilobyte that crosses between zones: traffic fees.
@@ -226,7 +230,8 @@
     let us = |tokens: f64| tokens / criteria.prefill_rate * 1_000.0;
     let queued = us(load.total_prefill());
     let concurrent = load.total_active() * PER_ACTIVE_US;
-    let prefill = us((own_tokens.min(prefill_tokens) + shared) as f64);
+    let prefix = shared as f64 / criteria.prefill_rate.max(MIN_PREFIX_RATE) * 1_000.0;
+    let prefill = us(own_tokens.min(prefill_tokens) as f64) + prefix;
     let wait = (queued + concurrent) * slowness;
     let time = wait + (prefill + FIRST_EVENT_US) * slowness;
     Cost {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -44,9 +44,6 @@
 /// Prefill rate per engine, in tokens per millisecond, that is assumed if the configuration does
 /// not give the token rate of all engines.
 const DEFAULT_PREFILL_RATE: f64 = 100.0;
-/// Least prefill rate per engine, in tokens per millisecond. If the configured token rate gives less,
-/// it is that of the demand and not of the engines, and prompts would be refused that end in time.
-const MIN_PREFILL_RATE: f64 = 20.0;
 /// Ratio of an engine's prefill rate to its rate over whole requests: prefill is faster.
 const PREFILL_SPEEDUP: f64 = 1.8;
 
@@ -406,10 +403,7 @@
     fn prefill_rate(&self, service: &str, targets: &Targets) -> f64 {
         let count = targets.of_service(service).len().max(1);
         match self.config.load().limits.token_rate {
-            Some(tokens) => {
-                let rate = tokens / 1_000.0 / count as f64 * PREFILL_SPEEDUP;
-                rate.max(MIN_PREFILL_RATE)
-            }
+            Some(tokens) => tokens / 1_000.0 / count as f64 * PREFILL_SPEEDUP,
             None => DEFAULT_PREFILL_RATE,
         }
     }
