Let targets fetch cached prefixes from each other

Ruled out: a list of what each target has cached, read from the targets' events. The assignment of prefixes and what this gateway has sent tell the source well enough; a wrong guess costs the set-up of a transfer. Change: where the configuration gives the size of the cache and the rate of the link, the request names a target from which its target fetches the prefix, if that is expected to take at most half as long as prefilling.

--- a/src/gateway/config.rs
+++ b/src/gateway/config.rs
@@ -13,6 +13,7 @@
 use smallvec::SmallVec;
 
 use crate::gateway::cold_limit::ColdRule;
+use crate::gateway::prefix_transfer::TransferRate;
 use crate::ids::AccountKey;
 
 /// One version of the configuration. Immutable; a newer version replaces all of it.
@@ -101,6 +102,8 @@
     pub slots: u32,
     /// Number of tokens that fit in its key-value cache.
     pub kv_capacity: u64,
+    /// How fast it can fetch cached prompts from another engine; `None` if it cannot.
+    pub transfer: Option<TransferRate>,
 }
 
 /// A client account.
--- a/src/gateway/in_flight.rs
+++ b/src/gateway/in_flight.rs
@@ -23,6 +23,15 @@
     pub expected: Micros,
     /// Prompt tokens that the target had to prefill, as estimated when it was chosen.
     pub prefill_tokens: u64,
+    /// Transfer of the prompt's prefix that is under way; `None` once the first event has arrived.
+    transfer: Option<Outgoing>,
+}
+
+/// A transfer that is part of its source's load.
+#[derive(Clone, Copy, Debug)]
+struct Outgoing {
+    source: TargetKey,
+    tokens: u64,
 }
 
 impl InFlight {
@@ -30,6 +39,13 @@
     /// model of the target's prefix cache.
     pub fn begin(gateway: &Arc<GatewayState>, choice: Choice, prompt: Option<&Prompt>) -> Self {
         let now = gateway.clock.now();
+        let transfer = choice.source.zip(prompt).map(|(source, prompt)| Outgoing {
+            source,
+            tokens: prompt.shared_tokens(),
+        });
+        if let Some(Outgoing { source, tokens }) = transfer {
+            gateway.with_target(source, |source| source.load.outgoing_tokens += tokens);
+        }
         gateway.with_target(choice.target, |target| {
             target.load.active += 1;
             target.load.prefill_tokens += choice.prefill_tokens;
@@ -44,6 +60,23 @@
             sent: now,
             expected: choice.expected,
             prefill_tokens: choice.prefill_tokens,
+            transfer,
+        }
+    }
+
+    /// Target from which the prompt's prefix is fetched; `None` if it is not, or the first event has
+    /// arrived.
+    pub fn source(&self) -> Option<TargetKey> {
+        self.transfer.map(|transfer| transfer.source)
+    }
+
+    /// Ends the transfer of the prefix.
+    fn end_transfer(&mut self) {
+        if let Some(Outgoing { source, tokens }) = self.transfer.take() {
+            self.gateway.with_target(source, |source| {
+                let queued = &mut source.load.outgoing_tokens;
+                *queued = queued.saturating_sub(tokens);
+            });
         }
     }
 
@@ -51,6 +84,7 @@
     /// removes the request from the target's prefill backlog, records the time since sending as the
     /// target's latency, and resets the target's count of failures.
     pub fn record_first_event(&mut self) {
+        self.end_transfer();
         let now = self.gateway.clock.now();
         let (took, expected) = (now.saturating_sub(self.sent), self.expected);
         let pending = std::mem::take(&mut self.pending_prefill);
@@ -64,6 +98,7 @@
 
 impl Drop for InFlight {
     fn drop(&mut self) {
+        self.end_transfer();
         let pending = self.pending_prefill;
         self.gateway.with_target(self.target, |target| {
             target.load.active = target.load.active.saturating_sub(1);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -41,6 +41,7 @@
 pub mod peers;
 pub mod pool;
 pub mod prefix_owner;
+pub mod prefix_transfer;
 pub mod prompts;
 pub mod relay;
 pub mod reload;
--- a/src/gateway/prefix_owner.rs
+++ b/src/gateway/prefix_owner.rs
@@ -22,6 +22,9 @@
 /// Time after which half of the prefixes that were assigned anew have been requested and cached.
 const HALF_LIFE: Micros = Micros::from_secs(2);
 
+/// Probability that the second owner has cached a prefix because the first one was busy.
+const OVERFLOW_CACHED: f64 = 0.25;
+
 /// Cost of caching a prefix at its owners, in the order of preference, as a factor of the cost at any
 /// other target. All gateways fall back to the second one when the first is busy.
 const COPY_COST: [f64; OWNERS] = [0.0, 0.5];
@@ -54,6 +57,8 @@
     ranked: SmallVec<[(u64, TargetKey); OWNERS]>,
     /// Probability that the first owner has not cached the prefix.
     pub uncached: f64,
+    /// Whether the prefix was assigned to the second owner before the first one became usable.
+    is_returned: bool,
 }
 
 impl Owners {
@@ -85,9 +90,20 @@
         let moved = moved.map(|&(_, at)| at).max();
         let assigned = moved.max(first.available_since(now)).max(emptied);
         owners.uncached = assigned.map_or(0.0, |at| uncached_after(now.saturating_sub(at)));
+        owners.is_returned = assigned.is_some() && assigned == first.available_since(now);
         owners
     }
 
+    /// The owners, each with the probability that it has cached the prefix.
+    pub fn holders(&self) -> impl Iterator<Item = (TargetKey, f64)> + '_ {
+        let second = match self.is_returned {
+            true => self.uncached.max(OVERFLOW_CACHED),
+            false => OVERFLOW_CACHED,
+        };
+        let keys = self.ranked.iter().map(|&(_, key)| key);
+        keys.zip([1.0 - self.uncached, second])
+    }
+
     /// The part of a target in the assignment.
     pub fn share(&self, key: TargetKey) -> OwnerShare {
         let rank = self.ranked.iter().position(|&(_, other)| other == key);
@@ -113,7 +129,8 @@
     (-(age.0 as f64) / HALF_LIFE.0 as f64).exp2()
 }
 
-fn weight(prefix: u64, tag: TargetTag) -> u64 {
+/// Rank of a target for a prefix: the usable target with the greatest one is its first owner.
+pub fn weight(prefix: u64, tag: TargetTag) -> u64 {
     mix(prefix ^ mix(u64::from(tag.0)))
 }
 
--- a/src/gateway/prompts.rs
+++ b/src/gateway/prompts.rs
@@ -51,6 +51,11 @@
         self.parts.last().map_or(self.tokens, |part| part.tokens)
     }
 
+    /// Returns the number of tokens of the shared parts: all but the last.
+    pub fn shared_tokens(&self) -> u64 {
+        self.tokens.saturating_sub(self.own_tokens())
+    }
+
     /// Returns the ids of the parts that other requests may share: all but the last.
     pub fn shared_parts(&self) -> impl Iterator<Item = u64> + Clone + '_ {
         let shared = self.parts.len().saturating_sub(1);
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -1,5 +1,6 @@
 //! Client requests: parsing, routing and authentication.
 
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::Duration;
 
@@ -63,6 +64,19 @@
     pub client_deadline: Micros,
 }
 
+/// What the headers of an attempt say beside those of the request itself.
+#[derive(Clone, Copy, Debug)]
+pub struct AttemptHeaders<'a> {
+    /// Id of the target.
+    pub target: &'a str,
+    /// Id of the last event that the client has received; `None` unless a stream is resumed after
+    /// such an event.
+    pub last_event: Option<&'a str>,
+    /// Address of the target from which the prompt's cached prefix is to be fetched; `None` if it is
+    /// not.
+    pub fetch_from: Option<SocketAddr>,
+}
+
 impl ClientRequest {
     /// Reads a request with its body, matches its route and authenticates its client account. The body
     /// counts in `budget`. The request arrived at `arrived`.
@@ -156,14 +170,14 @@
         has_service && account(route, key, config).is_ok_and(|account| account == self.account)
     }
 
-    /// Returns the headers to send to `target`. For a resumed stream, `last_event` is the id of the
-    /// last event that the client has received.
-    pub fn headers(&self, target: &str, now: Micros, last_event: Option<&str>) -> HeaderMap {
+    /// Returns the headers to send to the target of an attempt.
+    pub fn headers(&self, now: Micros, attempt: &AttemptHeaders<'_>) -> HeaderMap {
         let added = AddedHeaders {
-            target,
+            target: attempt.target,
             account: self.account.as_deref(),
             remaining: self.deadline().saturating_sub(now).into(),
-            last_event,
+            last_event: attempt.last_event,
+            fetch_from: attempt.fetch_from,
         };
         headers::forward_request(&self.headers, &added)
     }
--- a/src/gateway/selection.rs
+++ b/src/gateway/selection.rs
@@ -11,17 +11,18 @@
 //!
 //! Performs no I/O and keeps no state.
 
-use smallvec::SmallVec;
+mod prefixes;
 
-use crate::gateway::prefix_owner::{Candidate, OwnerShare, Owners};
+use crate::gateway::prefix_transfer::TransferRate;
 use crate::gateway::prompts::{Prompt, mix};
 use crate::gateway::restrictions;
 use crate::gateway::restrictions::evacuations::Evacuations;
+use crate::gateway::selection::prefixes::PrefixPlacement;
 use crate::gateway::targets::{Target, TargetKey, TargetTag, Targets};
 use crate::units::Micros;
 
-/// Cost to other requests of caching a shared prefix at one more target, as a multiple of its
-/// prefill time: it takes compute time, and cache space from other prefixes.
+/// Cost to other requests of caching a shared prefix at one more target, as a multiple of the time
+/// that prefilling or fetching it takes: it takes compute time, and cache space from other prefixes.
 const REPLICATION_COST: f64 = 3.0;
 /// Time to the first event on an idle engine, without prefill.
 const FIRST_EVENT_US: f64 = 40_000.0;
@@ -39,8 +40,6 @@
 const TOKEN_BYTES: u64 = 16;
 /// Bytes of an answer of a service without an engine.
 const CALL_ANSWER_BYTES: u64 = 1_000;
-/// Number of requests that a copy of a prefix in this zone spares the way to another zone.
-const ZONE_COPY_REQUESTS: f64 = 2.0;
 /// Cost of missing the latency objective: any target that meets it is preferred, however much it
 /// has to prefill.
 const LATE_US: f64 = 10_000_000.0;
@@ -64,6 +63,8 @@
     pub evacuations: &'a Evacuations,
     /// Prefill rate of an engine, in tokens per millisecond.
     pub prefill_rate: f64,
+    /// How fast engines fetch cached prompts from each other; `None` if they cannot.
+    pub transfer: Option<TransferRate>,
     /// The route's objective for the time to the first event, or to another response.
     pub latency_objective: Micros,
     /// Size of the request's body, in bytes.
@@ -86,6 +87,8 @@
     pub wait: Micros,
     /// Prompt tokens that the target has to prefill.
     pub prefill_tokens: u64,
+    /// Target from which it is to fetch the prompt's cached prefix; `None` if it is not.
+    pub source: Option<TargetKey>,
 }
 
 /// Chooses the target with the lowest cost among those that may be sent requests and have room
@@ -108,7 +111,7 @@
         let is_allowed = restrictions::check(target, criteria.evacuations, now).is_none();
         is_allowed && !criteria.tried.contains(&key) && is_eligible(target)
     };
-    let owners = owners(targets, now, criteria, is_usable);
+    let prefix = PrefixPlacement::new(targets, now, criteria, is_usable);
     let mut best: Option<(f64, u64, Choice)> = None;
     let listed = keys
         .iter()
@@ -116,7 +119,7 @@
     let usable = listed.filter(|&(key, target)| is_usable(key, target));
     for (key, target) in usable.filter(|(_, target)| target.has_room(now)) {
         let cost = match criteria.prompt {
-            Some(prompt) => engine_cost(target, now, prompt, owners.share(key), criteria),
+            Some(prompt) => engine_cost((key, target), now, prompt, &prefix, criteria),
             None => call_cost(target, now),
         };
         let total = cost.total + penalty(target, &cost, criteria);
@@ -127,6 +130,7 @@
                 expected: Micros(cost.time as u64),
                 wait: Micros(cost.wait as u64),
                 prefill_tokens: cost.prefill_tokens,
+                source: cost.source,
             };
             best = Some((total, tie, choice));
         }
@@ -147,48 +151,6 @@
     other_zone + late
 }
 
-/// Assigns the shared prefix of a prompt, if it has one. A short prefix is assigned to a target of
-/// this gateway's zone, since reading it there once costs less than many requests that cross zones.
-fn owners(
-    targets: &Targets,
-    now: Micros,
-    criteria: &Criteria<'_>,
-    is_usable: impl Fn(TargetKey, &Target) -> bool,
-) -> Owners {
-    let Some(prompt) = criteria.prompt else {
-        return Owners::default();
-    };
-    let prefix = prompt.prefix_hash();
-    if prefix == 0 {
-        return Owners::default();
-    }
-    let shared = prompt.tokens.saturating_sub(prompt.own_tokens()) as f64;
-    let reading = shared / criteria.prefill_rate * 1_000.0 * REPLICATION_COST;
-    let in_zone = reading <= ZONE_COPY_REQUESTS * crossing_cost(criteria);
-    let keys = targets.of_service(criteria.service).iter();
-    let listed = keys.filter_map(|&key| Some((key, targets.get(key)?)));
-    let candidates = listed.map(|(key, target)| {
-        let candidate = Candidate {
-            key,
-            tag: target.tag,
-            is_usable: is_usable(key, target),
-            availability: target.availability,
-        };
-        (candidate, target.entry.zone.as_ref() == criteria.zone)
-    });
-    let candidates: SmallVec<[(Candidate, bool); 64]> = candidates.collect();
-    let in_zone = in_zone
-        && candidates
-            .iter()
-            .any(|(c, is_local)| *is_local && c.is_usable);
-    let considered = candidates
-        .iter()
-        .filter(|(_, is_local)| *is_local || !in_zone);
-    let departures = targets.departures(criteria.service);
-    let considered = considered.map(|&(candidate, _)| candidate);
-    Owners::assign(now, prefix, considered, departures, criteria.emptied)
-}
-
 /// Cost of sending a request to a target, in microseconds.
 #[derive(Clone, Copy, Debug)]
 struct Cost {
@@ -200,6 +162,8 @@
     total: f64,
     /// Prompt tokens to prefill.
     prefill_tokens: u64,
+    /// Target to fetch the prefix from.
+    source: Option<TargetKey>,
 }
 
 /// Cost of sending a request and its answer to a target of another zone, in microseconds.
@@ -211,34 +175,44 @@
     CROSS_ZONE_US + bytes as f64 / 1_000.0 * CROSS_ZONE_US_PER_KB
 }
 
-/// Returns the cost on an engine, whose part in the assignment of the prompt's prefix is `share`.
+/// Returns the cost on an engine.
 fn engine_cost(
-    target: &Target,
+    (key, target): (TargetKey, &Target),
     now: Micros,
     prompt: &Prompt,
-    share: OwnerShare,
+    placement: &PrefixPlacement,
     criteria: &Criteria<'_>,
 ) -> Cost {
     let load = &target.load;
     let slowness = load.slowness_at(now);
-    let own_tokens = prompt.own_tokens();
+    let share = placement.owners.share(key);
     let cached = target.cache.cached_tokens(now, prompt);
-    let prefill_tokens = prompt.tokens.saturating_sub(cached);
-    let shared = prefill_tokens.saturating_sub(own_tokens) as f64 * share.uncached;
-    let shared = shared as u64;
-    let replication = share.copy_cost * REPLICATION_COST;
+    let missing = prompt.tokens.saturating_sub(cached);
+    let own = missing.min(prompt.own_tokens());
     let us = |tokens: f64| tokens / criteria.prefill_rate * 1_000.0;
+    let prefix_rate = criteria.prefill_rate.max(MIN_PREFIX_RATE);
+    let mut prefix = (missing - own) as f64;
+    // A copy takes cache space from other prefixes however it is made.
+    let copying = us(prefix * share.uncached);
+    let mut fetching = 0.0;
+    let reading = prefix / prefix_rate * 1_000.0;
+    let transfer = placement.transfer((key, target), prefix, reading, criteria);
+    if let Some(transfer) = transfer {
+        fetching = transfer.time * share.uncached;
+        prefix *= transfer.missed;
+    }
+    let prefix = prefix * share.uncached;
     let queued = us(load.total_prefill());
     let concurrent = load.total_active() * PER_ACTIVE_US;
-    let prefix = shared as f64 / criteria.prefill_rate.max(MIN_PREFIX_RATE) * 1_000.0;
-    let prefill = us(own_tokens.min(prefill_tokens) as f64) + prefix;
+    let prefill = us(own as f64) + prefix / prefix_rate * 1_000.0;
     let wait = (queued + concurrent) * slowness;
-    let time = wait + (prefill + FIRST_EVENT_US) * slowness;
+    let time = wait + (prefill + FIRST_EVENT_US) * slowness + fetching;
     Cost {
         time,
         wait,
-        total: time + us(shared as f64) * replication,
-        prefill_tokens: own_tokens.min(prefill_tokens) + shared,
+        total: time + copying * share.copy_cost * REPLICATION_COST,
+        prefill_tokens: own + prefix as u64,
+        source: transfer.map(|transfer| transfer.source),
     }
 }
 
@@ -256,6 +230,7 @@
         wait,
         total: time,
         prefill_tokens: 0,
+        source: None,
     }
 }
 
--- a/src/gateway/selection/tests.rs
+++ b/src/gateway/selection/tests.rs
@@ -50,6 +50,7 @@
         tried: &[],
         evacuations: &NO_EVACUATIONS,
         prefill_rate: RATE,
+        transfer: None,
         latency_objective: Micros::from_ms(600),
         body_bytes: 1_000,
         emptied: None,
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -14,7 +14,7 @@
 use crate::gateway::cold_probe::{self, Answer};
 use crate::gateway::in_flight::InFlight;
 use crate::gateway::pool::{ConnectError, Connection};
-use crate::gateway::request::ClientRequest;
+use crate::gateway::request::{AttemptHeaders, ClientRequest};
 use crate::gateway::request_log;
 use crate::gateway::retry::Failure;
 use crate::gateway::selection::Choice;
@@ -117,7 +117,16 @@
         return Err(failure);
     }
     gateway.metrics().event(Event::Dispatch);
-    let outgoing = outgoing_request(request, &id, gateway.clock.now(), last_event);
+    let fetch_from = in_flight.source().and_then(|key| gateway.source_addr(key));
+    if fetch_from.is_some() {
+        gateway.metrics().event(Event::PrefixFetch);
+    }
+    let attempt = AttemptHeaders {
+        target: &id,
+        last_event,
+        fetch_from,
+    };
+    let outgoing = outgoing_request(request, gateway.clock.now(), &attempt);
     let response = match timeout_at(until, connection.sender.send_request(outgoing)).await {
         Ok(Ok(response)) => response,
         Ok(Err(error)) => {
@@ -227,14 +236,13 @@
 
 fn outgoing_request(
     request: &ClientRequest,
-    target: &str,
     now: Micros,
-    last_event: Option<&str>,
+    attempt: &AttemptHeaders<'_>,
 ) -> Request<Full<Bytes>> {
     let mut outgoing = Request::new(Full::new(request.body()));
     *outgoing.method_mut() = request.method.clone();
     *outgoing.uri_mut() = request.uri.clone();
-    *outgoing.headers_mut() = request.headers(target, now, last_event);
+    *outgoing.headers_mut() = request.headers(now, attempt);
     outgoing
 }
 
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -8,7 +8,7 @@
 mod notices;
 
 use std::collections::HashMap;
-use std::net::Ipv4Addr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use arc_swap::ArcSwap;
@@ -30,6 +30,7 @@
 use crate::gateway::peers::roster::Roster;
 use crate::gateway::peers::wire_targets::{Cursor, WireTargets};
 use crate::gateway::pool::ConnectionPool;
+use crate::gateway::prefix_transfer::TransferRate;
 use crate::gateway::request::ClientRequest;
 use crate::gateway::request_quarantine::RequestQuarantine;
 use crate::gateway::restrictions::evacuations::{self, Evacuations};
@@ -276,6 +277,17 @@
         }
     }
 
+    /// Returns the address of a target that others may fetch cached prompts from now; `None` if it is
+    /// not listed, may not be sent requests, or is paused after failures.
+    pub fn source_addr(&self, key: TargetKey) -> Option<SocketAddr> {
+        let now = self.clock.now();
+        let state = self.lock();
+        let target = state.targets.get(key)?;
+        let is_usable =
+            state.restriction(target, now).is_none() && target.load.paused_until <= now;
+        is_usable.then_some(target.entry.addr)
+    }
+
     /// Returns a target's id and list entry; `None` if it is no longer listed.
     pub fn target_entry(&self, key: TargetKey) -> Option<(Arc<str>, Entry)> {
         let state = self.lock();
@@ -294,6 +306,7 @@
             tried,
             evacuations: &state.evacuations,
             prefill_rate: self.prefill_rate(service, &state.targets),
+            transfer: self.transfer_rate(service),
             latency_objective: request.route.latency_objective.into(),
             body_bytes: request.body_len() as u64,
             emptied: state.first_request.filter(|_| self.cold),
@@ -399,6 +412,12 @@
         self.lock().limits = limits;
     }
 
+    /// Returns how fast the engines of a service fetch cached prompts from each other; `None` if they
+    /// cannot.
+    fn transfer_rate(&self, service: &str) -> Option<TransferRate> {
+        self.config.load().service(service)?.engine?.transfer
+    }
+
     /// Returns the prefill rate of one engine of a service, in tokens per millisecond.
     fn prefill_rate(&self, service: &str, targets: &Targets) -> f64 {
         let count = targets.of_service(service).len().max(1);
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -79,6 +79,8 @@
     pub active: u32,
     /// Prompt tokens of these requests that the target must process before their first event.
     pub prefill_tokens: u64,
+    /// Prompt tokens that requests of this process have other targets fetch from this one now.
+    pub outgoing_tokens: u64,
     /// Ratio of the target's total requests to this process's own, at least 1.
     pub load_ratio: f64,
     /// Load from other gateways; `None` while no peer reports any.
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -1,6 +1,7 @@
 //! Headers on requests and responses that the platform (the operator's infrastructure service)
 //! defines.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use hyper::HeaderMap;
@@ -23,6 +24,7 @@
 const TOKEN_COUNTS: HeaderName = HeaderName::from_static("token-count");
 const PROMPT_PARTS: HeaderName = HeaderName::from_static("prompt-prefix");
 const RESUME_AFTER: HeaderName = HeaderName::from_static("last-event-id");
+const FETCH_FROM: HeaderName = HeaderName::from_static("kv-fetch");
 const NOT_RUN: HeaderName = HeaderName::from_static("not-executed");
 const SIGNATURE: HeaderName = HeaderName::from_static("server-stamp");
 const LOAD: HeaderName = HeaderName::from_static("server-load");
@@ -94,6 +96,9 @@
     /// Id of the last event that the client has received; `None` unless a stream is resumed after
     /// such an event.
     pub last_event: Option<&'a str>,
+    /// Address of the target from which the prompt's cached prefix is to be fetched; `None` to use
+    /// only what the target has cached itself.
+    pub fetch_from: Option<SocketAddr>,
 }
 
 /// Builds the headers of the request to a target.
@@ -110,6 +115,9 @@
     if let Some(last_event) = added.last_event {
         set(&mut out, RESUME_AFTER, last_event);
     }
+    if let Some(source) = added.fetch_from {
+        set(&mut out, FETCH_FROM, &source.to_string());
+    }
     out
 }
 
--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -11,6 +11,7 @@
 
 use crate::gateway::cold_limit::{self, ColdReport, ColdRule};
 use crate::gateway::config::{self, Account, EngineCapacity, Limits, Route, RouteClass, Service};
+use crate::gateway::prefix_transfer::TransferRate;
 use crate::gateway::targets::Entry;
 use crate::units::Micros;
 
@@ -78,6 +79,9 @@
     /// Tokens, not bytes.
     #[serde(default)]
     kv_capacity: u64,
+    /// Of each token.
+    kv_bytes: Option<Box<RawValue>>,
+    link_mbps: Option<Box<RawValue>>,
 }
 
 #[derive(Debug, Default, Deserialize)]
@@ -219,6 +223,7 @@
     let engine = wire.engine.map(|engine| EngineCapacity {
         slots: engine.slots,
         kv_capacity: engine.kv_capacity,
+        transfer: to_transfer_rate(&engine),
     });
     let service = Service {
         max_connections: wire.max_connections,
@@ -236,6 +241,12 @@
     (figure.is_finite() && figure >= 0.0).then_some(figure)
 }
 
+fn to_transfer_rate(wire: &WireEngine) -> Option<TransferRate> {
+    let token_bytes = figure(wire.kv_bytes.as_deref())?;
+    let megabits = figure(wire.link_mbps.as_deref())?;
+    TransferRate::new(token_bytes, megabits * 1e6)
+}
+
 fn to_path(raw: &RawValue) -> Option<Uri> {
     let path: &str = serde_json::from_str(raw.get()).ok()?;
     let path = path.starts_with('/').then_some(path)?;
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -63,6 +63,8 @@
         Retry => "retries",
         /// A hedge, a second copy of an idempotent request, was sent.
         Hedge => "hedges",
+        /// A target was asked to fetch a cached prompt prefix from another one.
+        PrefixFetch => "prefix_fetches",
         /// A response was resumed on a new connection.
         Resume => "resumes",
         /// A connection to another process was opened.
