Reserve room for short prompts at busy engines

Cause: engines prefill prompts in order of arrival, so a short prompt behind a few long ones misses its objective. Ruled out: the claim in docs/design/waiting.md that a reservation does not help because engines read in order of arrival. Change: where the configuration says how long engines reserve room, a prompt whose prefill takes at most a tenth of the service's tightest objective reserves room on its connection before it is sent, unless the targets are idle. Its expected wait is one prefill step. Targets that are cold or name a limit get no reservations. A target that declines or does not answer in 100 ms gets the request without one, on another connection if need be.

--- a/src/gateway/admission/tests.rs
+++ b/src/gateway/admission/tests.rs
@@ -25,6 +25,8 @@
     targets.put("one", entry);
     AdmissionContext {
         choice: Some(Choice {
+            source: None,
+            reservation: None,
             target: targets.of_service("model")[0],
             expected: Micros::from_ms(expected),
             wait: Micros::from_ms(wait),
--- a/src/gateway/config.rs
+++ b/src/gateway/config.rs
@@ -15,6 +15,7 @@
 use crate::gateway::cold_limit::ColdRule;
 use crate::gateway::prefix_transfer::TransferRate;
 use crate::ids::AccountKey;
+use crate::units::Micros;
 
 /// One version of the configuration. Immutable; a newer version replaces all of it.
 #[derive(Clone, Debug, Default)]
@@ -24,6 +25,8 @@
     /// Routes by lower-case authority, each list with the longest path prefixes first.
     routes: HashMap<Box<str>, Vec<Arc<Route>>>,
     services: HashMap<Arc<str>, Service>,
+    /// The tightest latency objective of the routes to each service.
+    objectives: HashMap<Arc<str>, Micros>,
     accounts: Vec<Account>,
     /// Client accounts by API key.
     api_keys: HashMap<Box<str>, AccountKey>,
@@ -104,6 +107,8 @@
     pub kv_capacity: u64,
     /// How fast it can fetch cached prompts from another engine; `None` if it cannot.
     pub transfer: Option<TransferRate>,
+    /// Longest time for which it reserves room for a request; `None` if it does not.
+    pub max_reservation: Option<Micros>,
 }
 
 /// A client account.
@@ -159,6 +164,7 @@
 
 impl From<ConfigParts> for Config {
     fn from(parts: ConfigParts) -> Self {
+        let objectives = tightest_objectives(&parts.routes);
         let mut routes: HashMap<Box<str>, Vec<Arc<Route>>> = HashMap::new();
         for route in parts.routes {
             let authority = route.authority.to_ascii_lowercase().into_boxed_str();
@@ -177,6 +183,7 @@
             version: parts.version,
             routes,
             services: parts.services.into_iter().collect(),
+            objectives,
             accounts,
             api_keys,
             limits: parts.limits,
@@ -234,6 +241,11 @@
         self.services.get(name)
     }
 
+    /// The tightest latency objective of the routes to a service; `None` if no route leads to it.
+    pub fn tightest_objective(&self, service: &str) -> Option<Micros> {
+        self.objectives.get(service).copied()
+    }
+
     /// Number of routes.
     pub fn len(&self) -> usize {
         self.routes.values().map(Vec::len).sum()
@@ -245,5 +257,17 @@
     }
 }
 
+fn tightest_objectives(routes: &[Route]) -> HashMap<Arc<str>, Micros> {
+    let mut tightest: HashMap<Arc<str>, Micros> = HashMap::new();
+    for route in routes {
+        let objective = Micros::from(route.latency_objective);
+        for (service, _) in &route.services {
+            let least = tightest.entry(service.clone()).or_insert(objective);
+            *least = objective.min(*least);
+        }
+    }
+    tightest
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/gateway/in_flight.rs
+++ b/src/gateway/in_flight.rs
@@ -19,10 +19,8 @@
     pending_prefill: u64,
     /// Time at which the request was sent.
     pub sent: Micros,
-    /// Expected time from sending to the first event.
-    pub expected: Micros,
-    /// Prompt tokens that the target had to prefill, as estimated when it was chosen.
-    pub prefill_tokens: u64,
+    /// What was expected when the target was chosen.
+    pub choice: Choice,
     /// Transfer of the prompt's prefix that is under way; `None` once the first event has arrived.
     transfer: Option<Outgoing>,
 }
@@ -58,8 +56,7 @@
             target: choice.target,
             pending_prefill: choice.prefill_tokens,
             sent: now,
-            expected: choice.expected,
-            prefill_tokens: choice.prefill_tokens,
+            choice,
             transfer,
         }
     }
@@ -86,7 +83,7 @@
     pub fn record_first_event(&mut self) {
         self.end_transfer();
         let now = self.gateway.clock.now();
-        let (took, expected) = (now.saturating_sub(self.sent), self.expected);
+        let (took, expected) = (now.saturating_sub(self.sent), self.choice.expected);
         let pending = std::mem::take(&mut self.pending_prefill);
         self.gateway.with_target(self.target, |target| {
             target.load.prefill_tokens = target.load.prefill_tokens.saturating_sub(pending);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -48,6 +48,8 @@
 pub mod request;
 pub mod request_log;
 pub mod request_quarantine;
+pub mod reservation;
+pub mod reserve;
 pub mod response;
 pub mod restrictions;
 pub mod resume;
@@ -120,6 +122,7 @@
         .cold_start(settings.first)
         .with_limits(settings.connection_limits())
         .with_bytes(settings.byte_budget())
+        .with_engines(settings.engines)
         .with_telemetry(telemetry);
     let gateway = Arc::new(gateway);
     let reloads = tokio::spawn(reload::follow(path, hangup, gateway.clone()));
--- a/src/gateway/prefix_owner/tests.rs
+++ b/src/gateway/prefix_owner/tests.rs
@@ -127,3 +127,18 @@
         assert!(assign(&targets, NOW, prefix, Some(NOW)).uncached > 0.99);
     }
 }
+
+/// Guards against fetching from a target that does not have the prefix: when an owner comes back, its
+/// prefixes are cached at those that took its place.
+#[test]
+fn a_returned_owner_can_fetch_from_the_one_before() {
+    let mut targets = fleet();
+    targets.put("late", entry(99, false));
+    look(&mut targets, NOW);
+    let late = *targets.of_service(SERVICE).last().expect("it is listed");
+    let is_first = |owners: &Owners| owners.holders().next().map(|(key, _)| key) == Some(late);
+    let mut returned = (1..=PREFIXES).map(|prefix| assign(&targets, NOW, prefix, None));
+    let owners = returned.find(is_first).expect("it is the first of some");
+    let cached: Vec<f64> = owners.holders().map(|(_, cached)| cached).collect();
+    assert!(cached[0] < 0.01 && cached[1] > 0.99, "{cached:?}");
+}
--- a/src/gateway/prefix_transfer.rs
+++ b/src/gateway/prefix_transfer.rs
@@ -41,7 +41,11 @@
 
     /// Expected time of a transfer, in microseconds. `queued` tokens are transferred before it.
     pub fn time(self, tokens: f64, queued: f64, crosses_zones: bool) -> f64 {
-        let factor = if crosses_zones { CROSS_ZONE_FACTOR } else { 1.0 };
+        let factor = if crosses_zones {
+            CROSS_ZONE_FACTOR
+        } else {
+            1.0
+        };
         SETUP.0 as f64 + (tokens + queued) / self.tokens * factor
     }
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -132,7 +132,7 @@
     /// Time without data after which the target is silent.
     fn silence_limit(&self, in_flight: &InFlight) -> Duration {
         let objective = self.attempts.request.route.latency_objective;
-        let expected: Duration = in_flight.expected.into();
+        let expected: Duration = in_flight.choice.expected.into();
         objective.max(expected) * SILENCE_FACTOR
     }
 
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -75,6 +75,8 @@
     /// Address of the target from which the prompt's cached prefix is to be fetched; `None` if it is
     /// not.
     pub fetch_from: Option<SocketAddr>,
+    /// Id of the room that the target has reserved; `None` if it has not.
+    pub reservation: Option<&'a HeaderValue>,
 }
 
 impl ClientRequest {
@@ -178,6 +180,7 @@
             remaining: self.deadline().saturating_sub(now).into(),
             last_event: attempt.last_event,
             fetch_from: attempt.fetch_from,
+            reservation: attempt.reservation,
         };
         headers::forward_request(&self.headers, &added)
     }
--- a/src/gateway/selection.rs
+++ b/src/gateway/selection.rs
@@ -15,6 +15,7 @@
 
 use crate::gateway::prefix_transfer::TransferRate;
 use crate::gateway::prompts::{Prompt, mix};
+use crate::gateway::reservation::{ReservationContext, STEP_TOKENS};
 use crate::gateway::restrictions;
 use crate::gateway::restrictions::evacuations::Evacuations;
 use crate::gateway::selection::prefixes::PrefixPlacement;
@@ -65,6 +66,8 @@
     pub prefill_rate: f64,
     /// How fast engines fetch cached prompts from each other; `None` if they cannot.
     pub transfer: Option<TransferRate>,
+    /// What decides on reservations.
+    pub reservations: ReservationContext,
     /// The route's objective for the time to the first event, or to another response.
     pub latency_objective: Micros,
     /// Size of the request's body, in bytes.
@@ -89,6 +92,8 @@
     pub prefill_tokens: u64,
     /// Target from which it is to fetch the prompt's cached prefix; `None` if it is not.
     pub source: Option<TargetKey>,
+    /// For how long the request reserves room before it is sent; `None` if it does not.
+    pub reservation: Option<Micros>,
 }
 
 /// Chooses the target with the lowest cost among those that may be sent requests and have room
@@ -131,6 +136,7 @@
                 wait: Micros(cost.wait as u64),
                 prefill_tokens: cost.prefill_tokens,
                 source: cost.source,
+                reservation: cost.reservation,
             };
             best = Some((total, tie, choice));
         }
@@ -164,6 +170,8 @@
     prefill_tokens: u64,
     /// Target to fetch the prefix from.
     source: Option<TargetKey>,
+    /// For how long to reserve room.
+    reservation: Option<Micros>,
 }
 
 /// Cost of sending a request and its answer to a target of another zone, in microseconds.
@@ -202,9 +210,14 @@
         prefix *= transfer.missed;
     }
     let prefix = prefix * share.uncached;
-    let queued = us(load.total_prefill());
-    let concurrent = load.total_active() * PER_ACTIVE_US;
     let prefill = us(own as f64) + prefix / prefix_rate * 1_000.0;
+    let reservation = criteria.reservations.ttl(Micros(prefill as u64));
+    let ahead = match reservation {
+        Some(_) => load.total_prefill().min(STEP_TOKENS as f64),
+        _ => load.total_prefill(),
+    };
+    let queued = us(ahead);
+    let concurrent = load.total_active() * PER_ACTIVE_US;
     let wait = (queued + concurrent) * slowness;
     let time = wait + (prefill + FIRST_EVENT_US) * slowness + fetching;
     Cost {
@@ -213,6 +226,7 @@
         total: time + copying * share.copy_cost * REPLICATION_COST,
         prefill_tokens: own + prefix as u64,
         source: transfer.map(|transfer| transfer.source),
+        reservation,
     }
 }
 
@@ -231,6 +245,7 @@
         total: time,
         prefill_tokens: 0,
         source: None,
+        reservation: None,
     }
 }
 
--- a/src/gateway/selection/prefixes.rs
+++ b/src/gateway/selection/prefixes.rs
@@ -110,8 +110,10 @@
         }
         if in_zone {
             let others = usable().filter(|l| !l.is_local);
-            let owner = others.max_by_key(|l| prefix_owner::weight(prompt.prefix_hash(), l.candidate.tag));
-            self.sources.extend(owner.map(|l| l.to_source(OTHER_ZONE_CACHED)));
+            let owner =
+                others.max_by_key(|l| prefix_owner::weight(prompt.prefix_hash(), l.candidate.tag));
+            self.sources
+                .extend(owner.map(|l| l.to_source(OTHER_ZONE_CACHED)));
         }
         for sent in usable().filter(|l| l.target.cache.cached_tokens(now, prompt) >= shared) {
             if self.sources.len() >= MAX_SOURCES {
--- a/src/gateway/selection/tests.rs
+++ b/src/gateway/selection/tests.rs
@@ -2,13 +2,20 @@
 
 use super::{Choice, Criteria, choose};
 use crate::gateway::peers::member::ZoneTag;
+use crate::gateway::prefix_transfer::TransferRate;
 use crate::gateway::prompts::{Part, Prompt};
+use crate::gateway::reservation::ReservationContext;
 use crate::gateway::restrictions::evacuations::Evacuations;
 use crate::gateway::targets::{Entry, TargetKey, Targets};
 use crate::units::Micros;
 
 static NO_EVACUATIONS: LazyLock<Evacuations> = LazyLock::new(Evacuations::default);
 
+const NO_RESERVATIONS: ReservationContext = ReservationContext {
+    max_ttl: None,
+    tightest_objective: Micros::from_ms(600),
+    backlog: Micros::ZERO,
+};
 const NOW: Micros = Micros::from_secs(1);
 const RATE: f64 = 100.0;
 const SHARED_TOKENS: u64 = 13_000;
@@ -51,6 +58,7 @@
         evacuations: &NO_EVACUATIONS,
         prefill_rate: RATE,
         transfer: None,
+        reservations: NO_RESERVATIONS,
         latency_objective: Micros::from_ms(600),
         body_bytes: 1_000,
         emptied: None,
@@ -274,3 +282,88 @@
     }
     assert_eq!(select(&targets, None, 1), None);
 }
+
+/// Criteria of engines that transfer cached prompts.
+fn with_transfers(prompt: &Prompt, random: u64) -> Criteria<'_> {
+    Criteria {
+        transfer: TransferRate::new(35_136.0, 740e9),
+        ..criteria(Some(prompt), random)
+    }
+}
+
+/// Replays requests for many prefixes while their owner is busy with long prompts: without transfers
+/// each of them would be prefilled anew and delay those behind it.
+#[test]
+fn prefixes_of_a_busy_owner_are_fetched_and_not_prefilled() {
+    for shared in 1..=100 {
+        let mut targets = fleet(18, "model");
+        let prompt = prompt(shared, 9_000 + shared);
+        let owner = select(&targets, Some(&prompt), shared).expect("there are targets");
+        let busy = targets.get_mut(owner.target).expect("it was just chosen");
+        busy.load.prefill_tokens = 120_000;
+        let without = select(&targets, Some(&prompt), shared).expect("others are left");
+        let with = choose(&targets, NOW, &with_transfers(&prompt, shared));
+        let with = with.expect("others are left");
+        assert_eq!(without.prefill_tokens, OWN_TOKENS + SHARED_TOKENS);
+        assert_eq!(with.source, Some(owner.target));
+        assert_eq!(with.prefill_tokens, OWN_TOKENS);
+        assert!(with.expected + Micros::from_ms(100) < without.expected);
+    }
+}
+
+/// Guards against a fetch from a target that is draining, paused or in an evacuated zone.
+#[test]
+fn prefixes_are_not_fetched_from_targets_that_may_not_be_used() {
+    let mut targets = fleet(18, "model");
+    let prompt = prompt(5, 100);
+    let owner = select(&targets, Some(&prompt), 1)
+        .expect("there are targets")
+        .target;
+    targets.get_mut(owner).expect("it is listed").entry.draining = true;
+    let moved = choose(&targets, NOW, &with_transfers(&prompt, 1)).expect("others are left");
+    assert_ne!(moved.target, owner);
+    assert_ne!(moved.source, Some(owner));
+}
+
+/// Replays short prompts that arrive while every target has a backlog of long ones, far more than the
+/// tightest objective allows.
+#[test]
+fn short_prompts_are_on_time_beside_long_ones() {
+    let mut targets = fleet(18, "model");
+    for target in targets.iter_mut() {
+        target.load.prefill_tokens = 3 * (OWN_TOKENS + SHARED_TOKENS);
+        target.load.active = 3;
+    }
+    let short = Prompt {
+        tokens: 1_200,
+        output: 40,
+        parts: [Part {
+            id: 7,
+            tokens: 1_200,
+        }]
+        .into_iter()
+        .collect(),
+    };
+    let waiting = criteria(Some(&short), 1);
+    let reserving = Criteria {
+        reservations: ReservationContext {
+            max_ttl: Some(Micros::from_secs(2)),
+            backlog: Micros::from_ms(400),
+            ..NO_RESERVATIONS
+        },
+        ..waiting
+    };
+    let expected = |criteria| choose(&targets, NOW, criteria).expect("there are targets");
+    let (waits, passes) = (expected(&waiting), expected(&reserving));
+    let objective = reserving.latency_objective;
+    assert!(waits.expected > Micros(objective.0 * 4 / 5), "{waits:?}");
+    assert!(passes.expected < Micros(objective.0 / 3), "{passes:?}");
+    assert!(passes.reservation.is_some());
+    let long = prompt(5, 100);
+    let uncached = Criteria {
+        prompt: Some(&long),
+        emptied: Some(NOW),
+        ..reserving
+    };
+    assert_eq!(expected(&uncached).reservation, None);
+}
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
-use hyper::header::TRANSFER_ENCODING;
+use hyper::header::{HeaderValue, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
 use hyper::{Request, StatusCode};
 use tokio::time::{Instant, timeout_at};
@@ -16,6 +16,7 @@
 use crate::gateway::pool::{ConnectError, Connection};
 use crate::gateway::request::{AttemptHeaders, ClientRequest};
 use crate::gateway::request_log;
+use crate::gateway::reserve::{self, Reservation, Room};
 use crate::gateway::retry::Failure;
 use crate::gateway::selection::Choice;
 use crate::gateway::state::GatewayState;
@@ -102,16 +103,10 @@
     let time_limit = response_timeout.map(|timeout| gateway.clock.now() + timeout);
     let until = time_limit.map_or(request.deadline(), |at| at.min(request.deadline()));
     let until = instant_at(gateway, until);
-    let mut connection = acquire_connection(gateway, target, &id, &entry)
-        .await
-        .map_err(|error| {
-            match error {
-                ConnectError::TooMany => {}
-                _ => record_failure(gateway, target, false),
-            }
-            request_log::connect_failed(gateway, request, &id, &error);
-            Failure::Unreached
-        })?;
+    let upstream = (target, &id, &entry);
+    let connection = open_connection(gateway, request, upstream).await?;
+    let (mut connection, reservation) =
+        reserve_room(gateway, request, choice, upstream, connection).await?;
     if let Err(failure) = last_look(gateway, request, target) {
         gateway.pool.put(target, connection, None);
         return Err(failure);
@@ -125,6 +120,7 @@
         target: &id,
         last_event,
         fetch_from,
+        reservation: reservation.as_ref(),
     };
     let outgoing = outgoing_request(request, gateway.clock.now(), &attempt);
     let response = match timeout_at(until, connection.sender.send_request(outgoing)).await {
@@ -155,6 +151,59 @@
     })
 }
 
+/// Takes a connection to a target from the pool, or opens one.
+async fn open_connection(
+    gateway: &GatewayState,
+    request: &ClientRequest,
+    (target, id, entry): (TargetKey, &Arc<str>, &Entry),
+) -> Result<Connection, Failure> {
+    let connection = acquire_connection(gateway, target, id, entry).await;
+    connection.map_err(|error| {
+        match error {
+            ConnectError::TooMany => {}
+            _ => record_failure(gateway, target, false),
+        }
+        request_log::connect_failed(gateway, request, id, &error);
+        Failure::Unreached
+    })
+}
+
+/// Reserves room for the request if the choice says so. Returns the connection on which to send it,
+/// and the id of the reservation; `None` if the target has not reserved room.
+async fn reserve_room(
+    gateway: &GatewayState,
+    request: &ClientRequest,
+    choice: Choice,
+    upstream: (TargetKey, &Arc<str>, &Entry),
+    mut connection: Connection,
+) -> Result<(Connection, Option<HeaderValue>), Failure> {
+    let (target, id, entry) = upstream;
+    let wanted = choice.reservation.zip(request.prompt.as_ref());
+    let Some((ttl, prompt)) = wanted.filter(|_| gateway.may_reserve_at(target)) else {
+        return Ok((connection, None));
+    };
+    let room = Room {
+        target: id,
+        addr: entry.addr,
+        tokens: prompt.tokens + prompt.output,
+        ttl,
+    };
+    let reservation = reserve::ask(&mut connection, room).await;
+    gateway.metrics().event(match reservation {
+        Reservation::Granted(_) => Event::Reservation,
+        Reservation::Declined | Reservation::Lost => Event::FailedReservation,
+    });
+    match reservation {
+        Reservation::Granted(id) => Ok((connection, Some(id))),
+        Reservation::Declined => Ok((connection, None)),
+        Reservation::Lost => {
+            drop(connection);
+            let connection = open_connection(gateway, request, upstream).await?;
+            Ok((connection, None))
+        }
+    }
+}
+
 /// Checks again, right before a request is sent, what may have changed since its target was chosen:
 /// the deadline, the target's restrictions, the configuration, the quarantine, and whether the target
 /// is cold. Takes the room for the request if it is.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -4,11 +4,12 @@
 mod cold;
 mod crashes;
 mod ending;
+mod engines;
 mod exchange;
 mod notices;
 
 use std::collections::HashMap;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::Ipv4Addr;
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use arc_swap::ArcSwap;
@@ -30,7 +31,6 @@
 use crate::gateway::peers::roster::Roster;
 use crate::gateway::peers::wire_targets::{Cursor, WireTargets};
 use crate::gateway::pool::ConnectionPool;
-use crate::gateway::prefix_transfer::TransferRate;
 use crate::gateway::request::ClientRequest;
 use crate::gateway::request_quarantine::RequestQuarantine;
 use crate::gateway::restrictions::evacuations::{self, Evacuations};
@@ -39,6 +39,7 @@
 use crate::gateway::selection::{self, Choice, Criteria};
 use crate::gateway::service_demand::{ServiceDemand, ServiceTag};
 use crate::gateway::targets::{Entry, Target, TargetKey, Targets};
+use crate::settings::EngineSettings;
 use crate::telemetry::{Gauge, Metrics, Telemetry};
 use crate::units::{Clock, Micros};
 
@@ -69,6 +70,7 @@
     telemetry: Telemetry,
     /// Whether the targets were started together with this process.
     cold: bool,
+    engines: EngineSettings,
     state: Mutex<State>,
 }
 
@@ -110,6 +112,7 @@
             config: ArcSwap::default(),
             telemetry: Telemetry::disabled(),
             cold: false,
+            engines: EngineSettings::default(),
             state: Mutex::new(State {
                 limits,
                 shares: FairShare::default(),
@@ -151,6 +154,12 @@
         self
     }
 
+    /// Sets which abilities of engines are used.
+    pub fn with_engines(mut self, engines: EngineSettings) -> Self {
+        self.engines = engines;
+        self
+    }
+
     /// Sets the telemetry to record to.
     pub fn with_telemetry(mut self, telemetry: Telemetry) -> Self {
         self.telemetry = telemetry;
@@ -277,17 +286,6 @@
         }
     }
 
-    /// Returns the address of a target that others may fetch cached prompts from now; `None` if it is
-    /// not listed, may not be sent requests, or is paused after failures.
-    pub fn source_addr(&self, key: TargetKey) -> Option<SocketAddr> {
-        let now = self.clock.now();
-        let state = self.lock();
-        let target = state.targets.get(key)?;
-        let is_usable =
-            state.restriction(target, now).is_none() && target.load.paused_until <= now;
-        is_usable.then_some(target.entry.addr)
-    }
-
     /// Returns a target's id and list entry; `None` if it is no longer listed.
     pub fn target_entry(&self, key: TargetKey) -> Option<(Arc<str>, Entry)> {
         let state = self.lock();
@@ -307,6 +305,7 @@
             evacuations: &state.evacuations,
             prefill_rate: self.prefill_rate(service, &state.targets),
             transfer: self.transfer_rate(service),
+            reservations: self.reservation_context(&state, service),
             latency_objective: request.route.latency_objective.into(),
             body_bytes: request.body_len() as u64,
             emptied: state.first_request.filter(|_| self.cold),
@@ -369,8 +368,11 @@
 
     /// Returns the mean prefill backlog per engine of a service, as the time needed to work it off.
     pub fn mean_backlog(&self, service: &str) -> Micros {
+        self.mean_backlog_of(&self.lock(), service)
+    }
+
+    fn mean_backlog_of(&self, state: &State, service: &str) -> Micros {
         let now = self.clock.now();
-        let state = self.lock();
         let allowed = |target: &&Target| state.restriction(target, now).is_none();
         let (count, backlog) = state
             .of_service(service)
@@ -412,12 +414,6 @@
         self.lock().limits = limits;
     }
 
-    /// Returns how fast the engines of a service fetch cached prompts from each other; `None` if they
-    /// cannot.
-    fn transfer_rate(&self, service: &str) -> Option<TransferRate> {
-        self.config.load().service(service)?.engine?.transfer
-    }
-
     /// Returns the prefill rate of one engine of a service, in tokens per millisecond.
     fn prefill_rate(&self, service: &str, targets: &Targets) -> f64 {
         let count = targets.of_service(service).len().max(1);
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use hyper::HeaderMap;
-use hyper::header::{AUTHORIZATION, CONNECTION, HOST, HeaderName, HeaderValue, RETRY_AFTER};
+use hyper::header::{
+    AUTHORIZATION, CONNECTION, CONTENT_TYPE, HOST, HeaderName, HeaderValue, RETRY_AFTER,
+};
 
 use crate::gateway::notices::MAX_PAUSE;
 use crate::gateway::prompts::Prompt;
@@ -25,6 +27,7 @@
 const PROMPT_PARTS: HeaderName = HeaderName::from_static("prompt-prefix");
 const RESUME_AFTER: HeaderName = HeaderName::from_static("last-event-id");
 const FETCH_FROM: HeaderName = HeaderName::from_static("kv-fetch");
+const RESERVATION: HeaderName = HeaderName::from_static("hold");
 const NOT_RUN: HeaderName = HeaderName::from_static("not-executed");
 const SIGNATURE: HeaderName = HeaderName::from_static("server-stamp");
 const LOAD: HeaderName = HeaderName::from_static("server-load");
@@ -99,6 +102,8 @@
     /// Address of the target from which the prompt's cached prefix is to be fetched; `None` to use
     /// only what the target has cached itself.
     pub fetch_from: Option<SocketAddr>,
+    /// Id of the room that the target has reserved for the request; `None` if it has not.
+    pub reservation: Option<&'a HeaderValue>,
 }
 
 /// Builds the headers of the request to a target.
@@ -118,6 +123,9 @@
     if let Some(source) = added.fetch_from {
         set(&mut out, FETCH_FROM, &source.to_string());
     }
+    if let Some(reservation) = added.reservation {
+        out.insert(RESERVATION, reservation.clone());
+    }
     out
 }
 
@@ -180,6 +188,13 @@
     out
 }
 
+/// Builds the headers of a request for room at a target.
+pub fn reservation_request(host: &str, target: &str) -> HeaderMap {
+    let mut out = health_request(host, target);
+    out.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    out
+}
+
 /// Builds the headers of the response to the client.
 pub fn forward_response(headers: &HeaderMap) -> HeaderMap {
     const PRIVATE: [HeaderName; 5] = [NOT_RUN, LOAD, LIMIT, LEAVING, COLD];
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -8,6 +8,7 @@
 pub mod prompt;
 pub mod records;
 pub mod report;
+pub mod reservation;
 pub mod store;
 pub mod wire;
 
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -11,6 +11,7 @@
 use super::prompt::parse_prompt;
 use super::records::{self, KeyedRecord, TruncatedPage};
 use super::report;
+use super::reservation;
 use super::wire::{WireConfig, WireTarget};
 use crate::gateway::config::{Config, RouteClass};
 use crate::gateway::prompts::Part;
@@ -250,6 +251,8 @@
         account: None,
         remaining: Duration::from_millis(700),
         last_event: None,
+        fetch_from: None,
+        reservation: None,
     };
     let sent = headers::forward_request(&client, &added);
     let expected = header_map(&[
@@ -261,9 +264,12 @@
         ("deadline-remaining", "700"),
     ]);
     assert_eq!(sent, expected);
+    let room = HeaderValue::from_static("7");
     let added = AddedHeaders {
         account: Some("t1"),
         last_event: Some("12"),
+        fetch_from: Some(([10, 0, 0, 1], 80).into()),
+        reservation: Some(&room),
         ..added
     };
     let sent = headers::forward_request(&client, &added);
@@ -272,6 +278,9 @@
         sent.get("last-event-id"),
         Some(&HeaderValue::from_static("12"))
     );
+    let source = HeaderValue::from_static("10.0.0.1:80");
+    assert_eq!(sent.get("kv-fetch"), Some(&source));
+    assert_eq!(sent.get("hold"), Some(&room));
 }
 
 macro_rules! responses {
@@ -417,3 +426,51 @@
     a_report_has_ids_that_are_numbers: r#"{"runs":[[195,90,1,0]]}"# => None;
     an_answer_is_no_report: "body" => None;
 }
+
+/// Guards against an odd figure of an engine that turns off more than the ability it belongs to, or
+/// leads to transfers that take no time.
+macro_rules! engine_abilities {
+    ($($name:ident: $engine:expr => $transfers:expr, $reserves:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let text = format!(r#"{{"version":1,"services":[{{"name":"x","engine":{}}}]}}"#, $engine);
+            let wire: WireConfig = serde_json::from_str(&text).expect("it is readable");
+            let config = Config::from(wire);
+            let engine = config.service("x").and_then(|service| service.engine);
+            let engine = engine.expect("it is an engine");
+            assert_eq!(engine.transfer.is_some(), $transfers);
+            assert_eq!(engine.max_reservation.is_some(), $reserves);
+        }
+    )*};
+}
+
+engine_abilities! {
+    all_abilities: r#"{"kvBytes":35136,"linkMbps":740000.0,"holdMs":2000.0}"# => true, true;
+    no_abilities: "{}" => false, false;
+    no_rate: r#"{"kvBytes":35136}"# => false, false;
+    a_rate_of_zero: r#"{"kvBytes":35136,"linkMbps":0,"holdMs":0}"# => false, false;
+    no_size: r#"{"kvBytes":0,"linkMbps":740000.0,"holdMs":-1}"# => false, false;
+    figures_of_another_type: r#"{"kvBytes":"35136","linkMbps":[],"holdMs":null}"# => false, false;
+    a_huge_rate: r#"{"kvBytes":1e-300,"linkMbps":1e300,"holdMs":1e300}"# => false, true;
+}
+
+/// Guards against an id that makes a request unsendable, and one that is a number.
+macro_rules! reservation_ids {
+    ($($name:ident: $body:expr => $id:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let id = reservation::decode($body.as_bytes());
+            assert_eq!(id.as_ref().and_then(|id| id.to_str().ok()), $id);
+        }
+    )*};
+}
+
+reservation_ids! {
+    an_id_that_is_text: r#"{"hold":"a-7"}"# => Some("a-7");
+    an_id_that_is_a_number: r#"{"hold":7}"# => Some("7");
+    an_empty_id: r#"{"hold":""}"# => None;
+    an_id_with_a_line_break: r#"{"hold":"a\nb"}"# => None;
+    an_id_of_another_type: r#"{"hold":{}}"# => None;
+    no_id: "{}" => None;
+    no_object: "503" => None;
+}
--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -82,6 +82,7 @@
     /// Of each token.
     kv_bytes: Option<Box<RawValue>>,
     link_mbps: Option<Box<RawValue>>,
+    hold_ms: Option<Box<RawValue>>,
 }
 
 #[derive(Debug, Default, Deserialize)]
@@ -224,6 +225,7 @@
         slots: engine.slots,
         kv_capacity: engine.kv_capacity,
         transfer: to_transfer_rate(&engine),
+        max_reservation: to_max_reservation(&engine),
     });
     let service = Service {
         max_connections: wire.max_connections,
@@ -247,6 +249,13 @@
     TransferRate::new(token_bytes, megabits * 1e6)
 }
 
+fn to_max_reservation(wire: &WireEngine) -> Option<Micros> {
+    let ms = figure(wire.hold_ms.as_deref()).filter(|ms| *ms > 0.0)?;
+    // A value that is too large for a duration is longer than any reservation.
+    let span = Duration::try_from_secs_f64(ms / 1e3).unwrap_or(MAX_SPAN);
+    Some(span.min(MAX_SPAN).into())
+}
+
 fn to_path(raw: &RawValue) -> Option<Uri> {
     let path: &str = serde_json::from_str(raw.get()).ok()?;
     let path = path.starts_with('/').then_some(path)?;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -104,6 +104,9 @@
     pub cores: f64,
     /// Limits of the retries of all gateways together.
     pub retries: RetrySettings,
+    /// Which abilities of model inference engines are used.
+    #[serde(default)]
+    pub engines: EngineSettings,
     /// Logs and telemetry.
     #[serde(default)]
     pub telemetry: TelemetrySettings,
@@ -157,6 +160,17 @@
     pub window: f64,
 }
 
+/// Which abilities of model inference engines are used, where the configuration says that a service's
+/// engines have them.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct EngineSettings {
+    /// Engines fetch cached prompt prefixes from each other.
+    pub fetch: bool,
+    /// Short prompts reserve room, so that they do not wait behind long ones.
+    pub reserve: bool,
+}
+
 impl From<&RetrySettings> for RetryLimits {
     fn from(settings: &RetrySettings) -> Self {
         RetryLimits {
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -65,6 +65,10 @@
         Hedge => "hedges",
         /// A target was asked to fetch a cached prompt prefix from another one.
         PrefixFetch => "prefix_fetches",
+        /// A target reserved room for a short prompt.
+        Reservation => "reservations",
+        /// A target did not reserve room, or did not answer in time.
+        FailedReservation => "failed_reservations",
         /// A response was resumed on a new connection.
         Resume => "resumes",
         /// A connection to another process was opened.
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -358,13 +358,17 @@
             "name": "gateway", "listen": callers, "ready": ready, "metrics": free_address(), "peer": peer, "seeds": seeds,
             "zone": "a", "platform": "127.0.0.1:1", "grace": host.grace, "descriptors": host.descriptors,
             "retries": {"ratio": 0.2, "slack": 160.0, "window": 10.0},
+            "engines": {"fetch": true, "reserve": true},
         });
         let settings: GatewaySettings =
             parse(&settings.to_string()).expect("the settings are valid");
         let limits = RetryLimits::from(&settings.retries);
         let scrape = ScrapeRegistry::default();
         let telemetry = Telemetry::scraped(scrape.meter_provider().expect("it exports"));
-        let state = Arc::new(GatewayState::new("a", limits).with_telemetry(telemetry));
+        let state = GatewayState::new("a", limits)
+            .with_engines(settings.engines)
+            .with_telemetry(telemetry);
+        let state = Arc::new(state);
         let drain = CancellationToken::new();
         let run = balsampitch::gateway::run(
             settings,
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod diagnosis;
 mod directory;
 mod endless;
+mod engines;
 mod evacuation;
 mod flood;
 mod followers;
--- a/tests/gateway/target.rs
+++ b/tests/gateway/target.rs
@@ -104,6 +104,20 @@
     Refused,
 }
 
+/// How a target answers requests for a reservation, which do not count as received.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Reservations {
+    /// With the id `room-1`.
+    #[default]
+    Granted,
+    /// With a 503.
+    Declined,
+    /// With an id that no header can carry.
+    Unreadable,
+    /// Not at all.
+    Silent,
+}
+
 /// Requests and disconnects that a target has seen.
 #[derive(Clone, Debug, Default)]
 pub struct Received {
@@ -124,6 +138,7 @@
     /// End of its cold time, which it tells on [`HEALTH_PATH`].
     cold_end: Arc<Mutex<Option<Instant>>>,
     report: Report,
+    reservations: Arc<Mutex<Reservations>>,
 }
 
 /// Path of the question for the health of a target. It does not count as a request.
@@ -161,6 +176,7 @@
             crash: CancellationToken::new(),
             cold_end: Arc::default(),
             report,
+            reservations: Arc::default(),
         };
         let serving = target.clone();
         tokio::spawn(async move {
@@ -198,6 +214,7 @@
             crash: CancellationToken::new(),
             cold_end: Arc::default(),
             report: Report::Empty,
+            reservations: Arc::default(),
         }
     }
 
@@ -206,6 +223,25 @@
         *self.cold_end.lock().expect("no holder panics") = Some(Instant::now() + time);
     }
 
+    /// Sets how it answers requests for a reservation.
+    pub fn set_reservations(&self, reservations: Reservations) {
+        *self.reservations.lock().expect("no holder panics") = reservations;
+    }
+
+    /// The answer to a request for a reservation; `None` if there is none.
+    fn reservation_answer(&self) -> Option<String> {
+        let (status, body) = match *self.reservations.lock().expect("no holder panics") {
+            Reservations::Granted => ("200 OK", r#"{"hold":"room-1"}"#),
+            Reservations::Declined => ("503 Service Unavailable", "{}"),
+            Reservations::Unreadable => ("200 OK", r#"{"hold":"room\n1"}"#),
+            Reservations::Silent => return None,
+        };
+        let length = body.len();
+        Some(format!(
+            "HTTP/1.1 {status}\r\nContent-Length: {length}\r\n\r\n{body}"
+        ))
+    }
+
     /// The answer to the question for its health.
     fn health(&self) -> String {
         let end = *self.cold_end.lock().expect("no holder panics");
@@ -267,6 +303,13 @@
                 let _ = stream.write_all(self.report_answer().as_bytes()).await;
                 continue;
             }
+            if head.starts_with("POST /v1/hold-take ") {
+                let Some(answer) = self.reservation_answer() else {
+                    std::future::pending().await
+                };
+                let _ = stream.write_all(answer.as_bytes()).await;
+                continue;
+            }
             let id = header(&head, "attempt-id").unwrap_or_default();
             self.received
                 .lock()
