Check configurations for faults, without I/O

Cause: a gateway puts in force whatever it can decode. A route that is never reached, a service that is not defined or a limit that contradicts another shows only as rejected requests, and a file that cannot be decoded is not applied at all.

Change: gateway/config_check checks a configuration for errors and warnings as typed findings, and compares two field by field. platform/wire/draft reads the platform's format leniently, field by field; if it finds no error, the strict decoder runs as well, so that a check without errors means that a gateway can decode the file. The route class is decoded by a function that both decoders use.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 pub mod cold_limit;
 pub mod cold_probe;
 pub mod config;
+pub mod config_check;
 pub mod connection_limits;
 pub mod copies;
 pub mod crash_tracker;
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -1,3 +1,4 @@
+mod config_check;
 mod fuzz;
 
 use std::time::Duration;
--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -1,6 +1,8 @@
 //! JSON formats of the records in the platform's store: the operator's configuration and the
 //! targets' entries.
 
+pub mod draft;
+
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
@@ -135,6 +137,17 @@
     span.min(MAX_SPAN)
 }
 
+/// Converts a route class; `None` if it is unknown, in which case requests run at most once.
+fn route_class(name: &str, resume: bool) -> Option<RouteClass> {
+    match (name, resume) {
+        ("idempotent", _) => Some(RouteClass::Idempotent),
+        ("streaming", true) => Some(RouteClass::ResumableStream),
+        ("streaming", false) => Some(RouteClass::Stream),
+        ("non_idempotent", _) => Some(RouteClass::Once),
+        _ => None,
+    }
+}
+
 impl From<WireConfig> for config::Config {
     fn from(wire: WireConfig) -> Self {
         let parts = config::ConfigParts {
@@ -150,12 +163,7 @@
 
 impl From<WireRoute> for Route {
     fn from(wire: WireRoute) -> Self {
-        let class = match (wire.route_class.as_ref(), wire.stream_resume) {
-            ("idempotent", _) => RouteClass::Idempotent,
-            ("streaming", true) => RouteClass::ResumableStream,
-            ("streaming", false) => RouteClass::Stream,
-            _ => RouteClass::Once,
-        };
+        let class = route_class(&wire.route_class, wire.stream_resume);
         let single = wire.backend.map(|name| (Arc::from(name), 1));
         let weighted = wire.weighted_backends.into_iter();
         let weighted = weighted.map(|entry| (Arc::from(entry.backend), entry.weight));
@@ -164,7 +172,7 @@
             authority: wire.authority,
             path_prefix: wire.path_prefix,
             services: single.into_iter().chain(weighted).collect(),
-            class,
+            class: class.unwrap_or(RouteClass::Once),
             timeout: millis(wire.timeout_ms),
             latency_objective: millis(wire.aim_ms.unwrap_or(wire.timeout_ms)),
             max_attempts: wire.max_attempts,
