Add balsampitch-ctl config check

Cause: operators need the check before a configuration is sent, in a shell and in scripts.

Change: `config check FILE [--against FILE]` prints a finding or difference per line.

--- a/src/cmd/ctl/args.rs
+++ b/src/cmd/ctl/args.rs
@@ -12,7 +12,7 @@
 
 /// Text of `--help`.
 pub const HELP: &str = "\
-balsampitch-ctl: checks, applies and shows the rules, and shows the state of the entries
+balsampitch-ctl: checks, applies and shows the rules, checks configurations, and shows the entries' state
 
 Usage: balsampitch-ctl [OPTIONS] COMMAND
 
@@ -22,6 +22,7 @@
   rules show          print the current rules
   rules diff FILE     compare the current rules with a file
   rules history       list the versions that are still in the log
+  config check FILE   check a gateway configuration, in the platform's format
   status              show the state of each entry
   shares              show each client account's share
   explain REQUEST-ID  show the history of a request
@@ -33,6 +34,8 @@
   --author NAME           author of the new version [default: $USER]
   --based-on VERSION      version that the file was derived from [default: the one that
                           `rules show` wrote on its first line, else the current one]
+  --against FILE          configuration in force, for `config check`: requires a greater
+                          version and lists the differences
   -h, --help              show this help
   -V, --version           show the version
 
@@ -59,6 +62,8 @@
     pub author: Option<String>,
     /// Version that the file was derived from; `None` if not given.
     pub based_on: Option<u64>,
+    /// File with the configuration in force; `None` if not given.
+    pub against: Option<PathBuf>,
     platform: Option<SocketAddr>,
     admin: Vec<SocketAddr>,
 }
@@ -96,6 +101,7 @@
             Long("settings") => settings = Some(PathBuf::from(parser.value()?)),
             Long("author") => args.author = Some(parser.value()?.string()?),
             Long("based-on") => args.based_on = Some(version(&parser.value()?.string()?)?),
+            Long("against") => args.against = Some(PathBuf::from(parser.value()?)),
             Value(word) => args.words.push(word.string()?),
             _ => return Err(arg.unexpected().into()),
         }
@@ -123,6 +129,7 @@
         ["rules", "check" | "apply" | "diff"] => {
             usage(anyhow!("rules {}: no FILE, {hint}", words[1]))
         }
+        ["config", "check"] => usage(anyhow!("config check: no FILE, {hint}")),
         ["explain"] => usage(anyhow!("explain: no REQUEST-ID, {hint}")),
         _ => usage(anyhow!("no command `{}`, {hint}", words.join(" "))),
     }
--- a/src/cmd/ctl/mod.rs
+++ b/src/cmd/ctl/mod.rs
@@ -1,9 +1,11 @@
-//! Command line of `balsampitch-ctl`: manages the rules and shows the state of the entries.
+//! Command line of `balsampitch-ctl`: manages the rules, checks configurations of gateways, and shows
+//! the state of the entries.
 
 mod admin;
 mod apply;
 mod args;
 mod check;
+mod config_check;
 mod diff;
 mod explain;
 mod file;
@@ -21,12 +23,14 @@
 use std::io::Write;
 use std::process::ExitCode;
 
+use anyhow::anyhow;
+
 use super::{Failure, Program};
 use args::{Args, Command};
 
 const PROGRAM: Program = Program {
     name: "balsampitch-ctl",
-    about: "checks, applies and shows the rules, and shows the state of the entries",
+    about: "checks, applies and shows the rules, checks configurations, and shows the entries' state",
 };
 
 /// A subcommand.
@@ -52,12 +56,16 @@
 
 async fn dispatch(args: Args) -> Result<String, Failure> {
     let words: Vec<&str> = args.words.iter().map(String::as_str).collect();
+    if args.against.is_some() && words.first() != Some(&"config") {
+        return Err(args::usage(anyhow!("--against is only for config check")));
+    }
     match words[..] {
         ["rules", "check", file] => check::Check::new(file).run().await,
         ["rules", "apply", file] => apply::Apply::new(file, &args)?.run().await,
         ["rules", "show"] => show::Show::new(&args)?.run().await,
         ["rules", "diff", file] => diff::Diff::new(file, &args)?.run().await,
         ["rules", "history"] => history::History::new(&args)?.run().await,
+        ["config", "check", file] => config_check::ConfigCheck::new(file, &args).run().await,
         ["status"] => status::Status::new(&args)?.run().await,
         ["shares"] => shares::Shares::new(&args)?.run().await,
         ["explain", request] => explain::Explain::new(request, &args)?.run().await,
--- a/src/cmd/ctl/tests.rs
+++ b/src/cmd/ctl/tests.rs
@@ -33,6 +33,10 @@
     unknown_command: "rules burn" => "no command `rules burn`";
     too_many_words: "status now" => "no command `status now`";
     no_file: "rules check" => "rules check: no FILE";
+    no_config: "config check" => "config check: no FILE";
+    two_configs: "config check a b" => "no command `config check a b`";
+    against_without_value: "config check f --against" => "--against";
+    against_of_another_command: "rules check f --against g" => "--against is only for config check";
     no_request: "explain" => "explain: no REQUEST-ID";
     bad_request: "explain xyz --admin 127.0.0.1:1" => "is not a request id";
     unknown_option: "status --loud" => "--loud";
