Test the minimum prefill rate of prefixes

Cause: nothing tested MIN_PREFIX_RATE.

Change: a table of expected times at an idle target: with a rate below the minimum, above it, and for the part of a prompt that is never cached, which counts at the configured rate.

--- a/src/gateway/selection/tests.rs
+++ b/src/gateway/selection/tests.rs
@@ -153,6 +153,38 @@
     assert_eq!(choose(cold).target, choose(warm).target);
 }
 
+/// The time in milliseconds until the first event of a prompt with these shared and own tokens, none
+/// of them cached, is expected at an idle target with this configured prefill rate. Guards against a
+/// configured token rate far below that of the engines, by which prompts count as late that an idle
+/// target prefills in time.
+macro_rules! expected_times {
+    ($($name:ident: $rate:expr, $shared:expr, $own:expr => $expected:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let targets = fleet(18, "model");
+            let prompt = Prompt {
+                tokens: $shared + $own,
+                output: 100,
+                parts: [Part { id: 5, tokens: $shared }, Part { id: 6, tokens: $own }].into_iter().collect(),
+            };
+            let criteria = Criteria {
+                prefill_rate: $rate,
+                emptied: Some(NOW),
+                ..criteria(Some(&prompt), 1)
+            };
+            let choice = choose(&targets, NOW, &criteria).expect("there are targets");
+            assert_eq!(choice.prefill_tokens, $shared + $own);
+            assert_eq!(choice.expected, Micros::from_ms($expected));
+        }
+    )*};
+}
+
+expected_times! {
+    a_prefix_counts_at_the_minimum_rate_if_the_configured_one_is_lower: 0.7, 10_000, 35 => 590;
+    a_configured_rate_above_the_minimum_counts: 25.0, 10_000, 100 => 444;
+    the_part_that_is_never_cached_counts_at_the_configured_rate: 5.0, 1_000, 1_000 => 290;
+}
+
 #[test]
 fn a_removed_target_moves_only_its_own_prefixes() {
     let mut targets = fleet(18, "model");
