Log evacuated zones beyond the number that gateways track

The gateway that reads the records logs their number once per change, and the first of them takes the place of a restored zone. Messages are unchanged.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -16,7 +16,7 @@
 use crate::gateway::follow::follower::{Follower, await_reports, config_copy, list_copy};
 use crate::gateway::follow::list::TargetList;
 use crate::gateway::peers::member::ZoneTag;
-use crate::gateway::restrictions::evacuations::Evacuations;
+use crate::gateway::restrictions::evacuations::{self, Evacuations};
 use crate::gateway::source::Source;
 use crate::gateway::state::GatewayState;
 use crate::log::ReadError;
@@ -43,7 +43,7 @@
             Source::Platform => {
                 let read = read(&directory, Topic::Config, next, CONFIG_WAIT).await;
                 if let Ok(batch) = &read {
-                    evacuations = apply_evacuations(&gateway, evacuations, batch, next);
+                    evacuations = apply_evacuations(&gateway, &evacuations, batch, next);
                 }
                 next = apply_config_read(&gateway, &mut dependency, read, next);
                 if dependency.is_lost() {
@@ -90,12 +90,12 @@
 /// is `None`, to the set as of that offset. Returns the set as of the end of the batch.
 fn apply_evacuations(
     gateway: &GatewayState,
-    before: Evacuations,
+    before: &Evacuations,
     batch: &ChangeBatch,
     from: Option<u64>,
 ) -> Evacuations {
     let mut set = match (from, batch.partial) {
-        (Some(_), _) => before,
+        (Some(_), _) => before.clone(),
         (None, false) => Evacuations::default(),
         // What a list without its end does not show may still hold.
         (None, true) => gateway.evacuations(),
@@ -105,7 +105,7 @@
         match change {
             Change::ZoneEvacuated(zone) => {
                 let tag = ZoneTag::of(zone);
-                if !gateway.evacuations().contains(tag) {
+                if !gateway.evacuations().contains(tag) && !before.is_in_excess(tag) {
                     spdlog::info!("evacuation read", kv: { zone: = zone.as_ref() });
                 }
                 set.add(tag);
@@ -114,6 +114,7 @@
             _ => {}
         }
     }
+    evacuations::log_excess(before, &set);
     gateway.merge_evacuations(set.clone());
     set
 }
--- a/src/gateway/restrictions/evacuations/tests.rs
+++ b/src/gateway/restrictions/evacuations/tests.rs
@@ -32,6 +32,48 @@
     assert_eq!(Evacuations::new(1, zones.map(ZoneTag)).len(), MAX_ZONES);
 }
 
+const LIMIT: u32 = MAX_ZONES as u32;
+
+/// What becomes of a set of zones with these numbers, of which some are in excess. Guards against
+/// zones in excess that are logged at each read, or not at all.
+macro_rules! excess_changes {
+    ($($name:ident: $zones:expr, $change:expr => $excess:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let before = Evacuations::new(1, $zones.map(ZoneTag));
+            let mut after = before.clone();
+            let change: fn(&mut Evacuations) = $change;
+            change(&mut after);
+            assert_eq!(after.changed_excess(&before), $excess);
+        }
+    )*};
+}
+
+excess_changes! {
+    up_to_the_limit_no_zone_is_in_excess: 1..LIMIT, |set| set.add(ZoneTag(0)) => None;
+    a_zone_beyond_the_limit_is_in_excess: 0..LIMIT, |set| set.add(ZoneTag(LIMIT)) => Some(1);
+    a_zone_in_excess_that_is_read_again_changes_nothing: 0..LIMIT + 1, |set| set.add(ZoneTag(LIMIT)) => None;
+    a_restored_zone_makes_room: 0..LIMIT + 2, |set| set.remove(ZoneTag(0)) => Some(1);
+    a_zone_in_excess_is_restored: 0..LIMIT + 2, |set| set.remove(ZoneTag(LIMIT)) => Some(1);
+    a_zone_in_excess_is_replaced_by_another: 0..LIMIT + 1, |set| {
+        set.remove(ZoneTag(LIMIT));
+        set.add(ZoneTag(LIMIT + 1));
+    } => Some(1);
+    a_list_in_another_order_changes_nothing: 0..LIMIT + 2, |set| {
+        let excess = [LIMIT + 1, LIMIT].into_iter();
+        *set = Evacuations::new(2, (0..LIMIT).chain(excess).map(ZoneTag));
+    } => None;
+}
+
+/// Guards against a zone that stays in service although the zones before it have been restored.
+#[test]
+fn a_zone_in_excess_takes_the_place_of_a_restored_one() {
+    let mut set = Evacuations::new(1, (0..LIMIT + 1).map(ZoneTag));
+    assert!(!set.contains(ZoneTag(LIMIT)));
+    set.remove(ZoneTag(3));
+    assert!(set.contains(ZoneTag(LIMIT)) && !set.contains(ZoneTag(3)));
+}
+
 /// The sets that the operator's records give, one for each offset.
 fn history(records: &[(u32, bool)]) -> Vec<Evacuations> {
     let mut set = Evacuations::default();
--- a/tests/gateway/diagnosis.rs
+++ b/tests/gateway/diagnosis.rs
@@ -11,7 +11,7 @@
 use crate::target::{Behaviour, Target};
 
 /// Captures the log of all gateways in this process.
-fn log() -> &'static Arc<WriteSink<Vec<u8>>> {
+pub fn log() -> &'static Arc<WriteSink<Vec<u8>>> {
     static LOG: OnceLock<Arc<WriteSink<Vec<u8>>>> = OnceLock::new();
     LOG.get_or_init(|| {
         let sink = WriteSink::builder().target(Vec::new()).formatter(JsonLines);
@@ -23,7 +23,7 @@
 }
 
 /// Returns the lines in which a field has this value, oldest first.
-fn lines(field: &str, value: &str) -> Vec<Value> {
+pub fn lines(field: &str, value: &str) -> Vec<Value> {
     let text = String::from_utf8(log().clone_target()).expect("lines are text");
     let all = text.lines().map(serde_json::from_str::<Value>);
     let all = all.map(|line| line.expect("a line is JSON"));
--- a/tests/gateway/evacuation.rs
+++ b/tests/gateway/evacuation.rs
@@ -2,9 +2,12 @@
 
 use std::time::Duration;
 
+use balsampitch::gateway::peers::member::ZoneTag;
+use balsampitch::gateway::restrictions::evacuations::MAX_ZONES;
 use tokio::time::{sleep, timeout};
 
-use crate::harness::{FakeDirectory, TestGateway, WAIT_LIMIT, free_address_pair};
+use crate::diagnosis;
+use crate::harness::{FakeDirectory, KEY, TestGateway, WAIT_LIMIT, config, free_address_pair};
 use crate::target::{Behaviour, Target};
 
 /// Time within which an evacuation or its end has to be known everywhere.
@@ -116,6 +119,42 @@
     assert_eq!(reach_first(&gateway, &targets).await, 0);
 }
 
+/// The numbers of zones in excess that have been logged, oldest first. No other test has any.
+fn logged_excess() -> Vec<String> {
+    let lines = diagnosis::lines("limit", &MAX_ZONES.to_string());
+    let excess = lines
+        .iter()
+        .filter_map(|line| line["fields"]["excess"].as_str());
+    excess.map(str::to_owned).collect()
+}
+
+/// Guards against an operator who evacuates more zones than gateways track and is not told, or is
+/// told at each read.
+#[tokio::test]
+async fn zones_beyond_the_limit_are_logged_once_per_change() {
+    diagnosis::log();
+    let target = Target::start(&[Behaviour::Complete]).await;
+    let gateway = TestGateway::start_with_targets(&[&target]).await;
+    for zone in 0..MAX_ZONES {
+        gateway
+            .directory
+            .set_evacuated(&format!("hill-{zone}"), true);
+    }
+    knows(&gateway, MAX_ZONES).await;
+    assert!(logged_excess().is_empty());
+    gateway.directory.set_evacuated("hill-last", true);
+    gateway.wait_until(|_| !logged_excess().is_empty()).await;
+    gateway.directory.put_config(config(2, &[KEY]));
+    gateway
+        .wait_until(|state| state.config().version == 2)
+        .await;
+    assert_eq!(logged_excess(), ["1"]);
+    gateway.directory.set_evacuated("hill-0", false);
+    let is_evacuated = |zone: &str| gateway.state.evacuations().contains(ZoneTag::of(zone));
+    gateway.wait_until(|_| is_evacuated("hill-last")).await;
+    assert_eq!(logged_excess(), ["1", "0"]);
+}
+
 /// What happens to the second gateway before a zone is evacuated.
 macro_rules! hears_of_evacuations {
     ($($name:ident: $before:expr;)*) => {$(
