Reject unknown API keys on routes for anonymous clients

Cause: a request whose key no configuration held ran as anonymous on such a route. An account's restrictions would not have applied to the request.

--- a/src/gateway/config.rs
+++ b/src/gateway/config.rs
@@ -52,7 +52,7 @@
     pub latency_objective: Duration,
     /// Maximum number of attempts per request in which a target ran the request or may have run it.
     pub max_attempts: u32,
-    /// Whether requests without a valid API key are accepted although there are client accounts.
+    /// Whether requests without an API key are accepted although there are client accounts.
     pub allow_anonymous: bool,
 }
 
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -236,10 +236,12 @@
 }
 
 /// Returns the name of the client account that owns the presented API key; `None` for an anonymous
-/// request that the route accepts.
+/// request that the route accepts. An unknown key is rejected on all routes: the account that it is
+/// meant for may have restrictions that an anonymous request would escape.
 fn account(route: &Route, key: Option<&str>, config: &Config) -> Result<Option<Box<str>>, Problem> {
     let account = key.and_then(|key| config.account_by_key(key));
-    if account.is_none() && config.has_accounts() && !route.allow_anonymous {
+    let is_anonymous = key.is_none() && route.allow_anonymous;
+    if account.is_none() && config.has_accounts() && !is_anonymous {
         return Err(Problem::not_run(401, Reason::BadKey));
     }
     Ok(account.map(|account| config.account(account).name.clone()))
--- a/src/gateway/request/tests.rs
+++ b/src/gateway/request/tests.rs
@@ -2,7 +2,7 @@
 
 use hyper::Request;
 
-use super::ClientRequest;
+use super::{ClientRequest, account};
 use crate::gateway::config::{Account, Config, ConfigParts, Route, RouteClass};
 use crate::units::Micros;
 
@@ -67,3 +67,32 @@
     its_key_was_removed: "/read/", "desk", "another-key" => false;
     a_shorter_prefix_still_sends_it_there: "/", "desk", "school-key" => true;
 }
+
+/// The account of a request with this key, or none, on a route that may be for anonymous clients, under a
+/// configuration that may have accounts. Guards against a request that runs as anonymous although no
+/// configuration holds its key, and so without the restrictions of its account.
+macro_rules! accounts {
+    ($($name:ident: $key:expr, $anonymous:expr, $accounts:expr => $account:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut config = config(1, "/read/", "desk", "school-key");
+            let mut route = Route::clone(config.route("pool.example", "/read/1").expect("it matches"));
+            route.allow_anonymous = $anonymous;
+            if !$accounts {
+                config = Config::default();
+            }
+            let account = account(&route, $key, &config).map_err(|problem| problem.status);
+            assert_eq!(account, $account.map(|name: Option<&str>| name.map(Box::from)));
+        }
+    )*};
+}
+
+accounts! {
+    a_known_key_names_its_account: Some("school-key"), false, true => Ok(Some("school"));
+    a_known_key_names_its_account_on_an_anonymous_route: Some("school-key"), true, true => Ok(Some("school"));
+    a_request_without_a_key_is_rejected: None, false, true => Err(401);
+    a_request_without_a_key_is_anonymous_on_an_anonymous_route: None, true, true => Ok(None);
+    an_unknown_key_is_rejected: Some("nobody"), false, true => Err(401);
+    an_unknown_key_is_rejected_on_an_anonymous_route: Some("nobody"), true, true => Err(401);
+    without_accounts_no_key_is_checked: Some("nobody"), false, false => Ok(None);
+}
--- a/tests/gateway/answers.rs
+++ b/tests/gateway/answers.rs
@@ -58,6 +58,9 @@
     an_unknown_key_is_refused: "/read/1", "Authorization: Bearer nobody\r\n" => 401;
     a_missing_key_is_refused: "/read/1", "" => 401;
     an_anonymous_route_needs_no_key: "/open/1", "" => 200;
+    an_anonymous_route_accepts_a_known_key: "/open/1", "Authorization: Bearer school-key\r\n" => 200;
+    an_unknown_key_is_refused_on_an_anonymous_route: "/open/1", "Authorization: Bearer nobody\r\n" => 401;
+    other_credentials_are_no_key: "/open/1", "Authorization: Basic bm9ib2R5\r\n" => 200;
     an_unknown_route_is_not_found: "/nowhere/1", "" => 404;
 }
 
