Test a shared GET after three crashes at once, end to end

The module was changed and tested since; no test showed it with running gateways.

Change: three gateways, three targets that crash at the same moment, each with the GET in flight (without a body, and with a short one). All gateways then know three crashes of the request and still send it.

Without the condition that a run was sent after the first crash (evidence::is_sufficient) both fail with 503.

--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -20,6 +20,7 @@
 mod odd_entries;
 mod process;
 mod retries;
+mod shared_request;
 mod store;
 mod streams;
 mod target;
--- a/tests/gateway/target.rs
+++ b/tests/gateway/target.rs
@@ -224,6 +224,11 @@
         self.received().heads.len()
     }
 
+    /// Crashes the target: its connections are closed, and it refuses others.
+    pub fn crash(&self) {
+        self.crash.cancel();
+    }
+
     /// Returns whether the target has crashed.
     pub fn is_down(&self) -> bool {
         self.crash.is_cancelled()
