Use the field's terms in the modules for cold targets

Cause: turns, told and learn had to be explained, the most recent statement on a cold time was called notice, like the notices of gateway::notices, and three things were called cold without a page that sets them apart.

Change: turns are grants of time slots (cold_limit::grants), ColdNotice is ColdPeriod, told is reported, learn is merge, replaces is inherit, report is period_to_send. The module doc says what the limit, the report and the period are. No change of behavior, wire format, log messages or log field names.

--- a/src/gateway/cold_limit.rs
+++ b/src/gateway/cold_limit.rs
@@ -6,17 +6,20 @@
 //! heard that it was away.
 //!
 //! - How long a target is cold is known from its answer on a new connection, from its list entry,
-//!   and from other gateways. The statement that is known to be made last counts. A target that was
-//!   lost and is reached again counts as cold until a statement says otherwise.
-//! - The gateways take turns at a cold target ([`turns`]). Little is saved up, and the turns do not
-//!   depend on what the gateways hear of each other.
+//!   and from other gateways. The most recent statement counts. A target that was lost and is reached
+//!   again counts as cold until a statement says otherwise.
+//! - Time is divided into slots, each of which is granted to one gateway ([`grants`]). Grants expire
+//!   soon, and do not depend on what the gateways hear of each other.
 //! - The limit ends with the cold time, without a further message.
 //!
+//! A [`ColdReport`] is a statement as sent between processes, a [`ColdPeriod`] the same on this
+//! process's clock, and a [`ColdLimit`] what a gateway keeps for one target.
+//!
 //! Performs no I/O.
 
-pub mod turns;
+pub mod grants;
 
-use crate::gateway::cold_limit::turns::{Turns, TurnsInput};
+use crate::gateway::cold_limit::grants::{GrantInput, Grants};
 use crate::units::Micros;
 
 /// Maximum time from the writing of a list entry to its arrival at a gateway: the pause between two
@@ -42,7 +45,7 @@
     pub asks: bool,
 }
 
-/// How long a target is cold, as sent between processes.
+/// A statement on how long a target is cold, as sent between processes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ColdReport {
     /// Remaining cold time; zero if the target is not cold.
@@ -51,19 +54,19 @@
     pub age: Micros,
 }
 
-/// How long a target is cold, on this process's clock.
+/// A statement on how long a target is cold, on this process's clock.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ColdNotice {
+pub struct ColdPeriod {
     /// End of the cold time.
     pub until: Micros,
     /// Earliest time at which the statement can have been made.
     pub as_of: Micros,
 }
 
-impl ColdNotice {
-    /// Converts a report that was received at `now`.
-    pub fn received(now: Micros, report: ColdReport) -> Self {
-        ColdNotice {
+impl ColdPeriod {
+    /// Converts a report that is received at `now`.
+    pub fn from_report(now: Micros, report: ColdReport) -> Self {
+        ColdPeriod {
             until: now + report.remaining.min(MAX_SPAN),
             as_of: now.saturating_sub(report.age),
         }
@@ -87,51 +90,54 @@
     }
 }
 
-/// The cold time of one target, as this gateway knows it, and this gateway's turns at it.
+/// The cold time of one target, as this gateway knows it, and the slots granted to this gateway.
 #[derive(Clone, Debug, Default)]
 pub struct ColdLimit {
-    notice: Option<ColdNotice>,
+    /// The most recent statement.
+    period: Option<ColdPeriod>,
     /// Time at which the target was last found unreachable; `None` if it was reached since.
     lost_at: Option<Micros>,
     /// Time of the target's last answer to this gateway.
     answered_at: Option<Micros>,
     /// Whether the service is known to have no rule, so that nothing is limited.
     unlimited: bool,
+    /// Whether the target is asked on new connections, as [`ColdRule::asks`] says.
     asks: bool,
-    turns: Turns,
+    grants: Grants,
+    /// Whether the target counted as cold when grants were last planned.
     was_cold: bool,
     /// Time at which the target last counted as cold.
     cold_at: Option<Micros>,
-    /// Whether nothing has been learned since the target was replaced.
+    /// Whether there has been no statement since the target was replaced.
     new_run: bool,
 }
 
 impl ColdLimit {
-    /// Records a statement from another process. The end that it gives may be too late by up to
+    /// Merges a statement from another process. The end that it gives may be too late by up to
     /// [`ENTRY_DELAY`], the time that it may have been on its way. If it exceeds the known end of the
     /// same run by no more than that, the known end stays.
-    pub fn learn(&mut self, now: Micros, notice: ColdNotice) {
-        if self.notice.is_some_and(|known| known.as_of >= notice.as_of) {
+    pub fn merge(&mut self, now: Micros, period: ColdPeriod) {
+        if self.period.is_some_and(|known| known.as_of >= period.as_of) {
             return;
         }
-        let is_old = now.saturating_sub(notice.as_of) >= ENTRY_DELAY;
+        let is_old = now.saturating_sub(period.as_of) >= ENTRY_DELAY;
         let new_run = std::mem::take(&mut self.new_run);
-        let late = |known: &ColdNotice| {
-            let excess = notice.until.saturating_sub(known.until);
+        let is_late = |known: &ColdPeriod| {
+            let excess = period.until.saturating_sub(known.until);
             is_old && !new_run && excess > Micros::ZERO && excess <= ENTRY_DELAY
         };
-        let until = match self.notice.filter(late) {
+        let until = match self.period.filter(is_late) {
             Some(known) => known.until,
-            None => notice.until,
+            None => period.until,
         };
-        self.notice = Some(ColdNotice { until, ..notice });
-        self.lost_at = self.lost_at.filter(|lost| *lost >= notice.as_of);
+        self.period = Some(ColdPeriod { until, ..period });
+        self.lost_at = self.lost_at.filter(|lost| *lost >= period.as_of);
     }
 
-    /// Records how long the target itself said just now that it is cold.
-    pub fn told(&mut self, now: Micros, remaining: Micros) {
+    /// Records the remaining cold time that the target has just reported itself.
+    pub fn reported(&mut self, now: Micros, remaining: Micros) {
         let until = now + remaining.min(MAX_SPAN);
-        self.notice = Some(ColdNotice { until, as_of: now });
+        self.period = Some(ColdPeriod { until, as_of: now });
         self.answered_at = Some(now);
         self.lost_at = None;
         self.new_run = false;
@@ -139,7 +145,7 @@
 
     /// Assumes that the target is cold for `span` from now on.
     pub fn assume(&mut self, now: Micros, span: Micros) {
-        self.notice = Some(ColdNotice {
+        self.period = Some(ColdPeriod {
             until: now + span,
             as_of: now,
         });
@@ -151,11 +157,10 @@
         self.lost_at = Some(now);
     }
 
-    /// Records that the target has closed connections of late. While it is known to be cold, it is
-    /// known that it has started again.
+    /// Records that the target has recently closed connections, as it does when it ends: it counts as
+    /// lost unless it is known to be cold, since it has started again then.
     pub fn closed(&mut self, now: Micros) {
-        let told = self.notice.is_some_and(|notice| now < notice.until);
-        if !told && self.lost_at.is_none() {
+        if !self.is_in_period(now) && self.lost_at.is_none() {
             self.lost_at = Some(now);
         }
     }
@@ -177,42 +182,46 @@
         self.answered_at
     }
 
-    /// Takes over what was known of the target before it was replaced.
-    pub fn replaces(&mut self, before: &ColdLimit) {
-        self.notice = before.notice;
+    /// Copies what was known of the target before it was replaced by a new run.
+    pub fn inherit(&mut self, before: &ColdLimit) {
+        self.period = before.period;
         self.lost_at = before.lost_at;
         self.new_run = true;
     }
 
-    /// Whether the target counts as cold. One that is lost does if it cannot be asked on the
-    /// connection that finds it again.
+    /// Whether the target counts as cold. A lost target does, unless it is asked how long it is cold on
+    /// the connection that reaches it again.
     pub fn is_cold(&self, now: Micros) -> bool {
-        let told = self.notice.is_some_and(|notice| now < notice.until);
         let is_lost = self.lost_at.is_some() && !self.asks;
-        !self.unlimited && (told || is_lost)
+        !self.unlimited && (self.is_in_period(now) || is_lost)
+    }
+
+    /// Whether the target is cold by the most recent statement.
+    fn is_in_period(&self, now: Micros) -> bool {
+        self.period.is_some_and(|period| now < period.until)
     }
 
-    /// The last statement; `None` if there is none.
-    pub fn notice(&self) -> Option<ColdNotice> {
-        self.notice
+    /// The most recent statement; `None` if there is none.
+    pub fn period(&self) -> Option<ColdPeriod> {
+        self.period
     }
 
-    /// What this gateway tells others of the target; `None` if that is nothing.
-    pub fn report(&self, now: Micros) -> Option<ColdNotice> {
-        let was_cold = |at: Micros| now.saturating_sub(at) < REPORT_TIME;
-        let was_cold = self.cold_at.is_some_and(was_cold);
-        let tells = |notice: &ColdNotice| now < notice.until || was_cold;
-        self.notice
-            .filter(|notice| !self.unlimited && tells(notice))
+    /// The statement to send to other gateways: the most recent one while the target is cold, and for a
+    /// few seconds afterwards, so that they learn of an earlier end. `None` if none is to be sent.
+    pub fn period_to_send(&self, now: Micros) -> Option<ColdPeriod> {
+        let is_recent = |at: Micros| now.saturating_sub(at) < REPORT_TIME;
+        let was_cold = self.cold_at.is_some_and(is_recent);
+        let is_due = self.is_in_period(now) || was_cold;
+        self.period.filter(|_| !self.unlimited && is_due)
     }
 
-    /// Plans this gateway's turns. `rule` is that of the target's service, if it has one. Returns
-    /// whether the target counts as cold from now on, if that has changed.
+    /// Plans the slots granted to this gateway. `rule` is that of the target's service, if it has one.
+    /// Returns whether the target counts as cold from now on, if that has changed.
     pub fn plan(
         &mut self,
         now: Micros,
         rule: Option<&ColdRule>,
-        input: &TurnsInput<'_>,
+        input: &GrantInput<'_>,
     ) -> Option<bool> {
         self.unlimited = rule.is_none();
         self.asks = rule.is_some_and(|rule| rule.asks);
@@ -221,8 +230,8 @@
             self.cold_at = Some(now);
         }
         match rule.filter(|_| is_cold) {
-            Some(rule) => self.turns.plan(now, rule.rate, input),
-            None => self.turns = Turns::default(),
+            Some(rule) => self.grants.plan(now, rule.rate, input),
+            None => self.grants = Grants::default(),
         }
         let changed = is_cold != self.was_cold;
         self.was_cold = is_cold;
@@ -231,24 +240,24 @@
 
     /// Whether this gateway may send a request to the target.
     pub fn has_room(&self, now: Micros) -> bool {
-        !self.is_cold(now) || self.turns.is_open(now)
+        !self.is_cold(now) || self.grants.is_open(now)
     }
 
-    /// Takes the room for one request; returns `false` if there is none.
+    /// Takes the room for one request. Returns `false` if there is none.
     pub fn take(&mut self, now: Micros) -> bool {
-        !self.is_cold(now) || self.turns.take(now)
+        !self.is_cold(now) || self.grants.take(now)
     }
 
-    /// Time until this gateway has room, at most that for which turns are planned: other gateways
-    /// have turns in the meantime. `None` if the target is not cold.
+    /// Time until this gateway has room, at most [`grants::HORIZON`], since other gateways may have room
+    /// earlier. `None` if the target is not cold.
     pub fn time_to_room(&self, now: Micros) -> Option<Micros> {
         if !self.is_cold(now) {
             return None;
         }
-        let until = self.notice.map(|notice| notice.until.saturating_sub(now));
-        let end = until.filter(|until| *until > Micros::ZERO);
-        let turn = self.turns.time_to_next(now).unwrap_or(turns::HORIZON);
-        Some(end.map_or(turn, |end| end.min(turn)))
+        let remaining = self.period.map(|period| period.until.saturating_sub(now));
+        let end = remaining.filter(|remaining| *remaining > Micros::ZERO);
+        let grant = self.grants.time_to_next(now).unwrap_or(grants::HORIZON);
+        Some(end.map_or(grant, |end| end.min(grant)))
     }
 }
 
--- a/src/gateway/cold_limit/tests.rs
+++ b/src/gateway/cold_limit/tests.rs
@@ -1,7 +1,7 @@
 mod fleet;
 
-use super::turns::{HORIZON, Turns, TurnsInput};
-use super::{ColdLimit, ColdNotice, ColdReport, ColdRule, ENTRY_DELAY, MAX_SPAN};
+use super::grants::{GrantInput, Grants, HORIZON};
+use super::{ColdLimit, ColdPeriod, ColdReport, ColdRule, ENTRY_DELAY, MAX_SPAN};
 use crate::units::Micros;
 
 const RULE: ColdRule = ColdRule {
@@ -15,8 +15,8 @@
     Micros::from_ms(ms)
 }
 
-fn input(others: &[u64]) -> TurnsInput<'_> {
-    TurnsInput {
+fn input(others: &[u64]) -> GrantInput<'_> {
+    GrantInput {
         knows_fleet: true,
         wall: at(1_771_000_000_000),
         me: 1,
@@ -31,15 +31,15 @@
         remaining: at(remaining),
         age: ENTRY_DELAY,
     };
-    move |limit| limit.learn(at(ms), ColdNotice::received(at(ms), report))
+    move |limit| limit.merge(at(ms), ColdPeriod::from_report(at(ms), report))
 }
 
 fn assume(ms: u64) -> impl Fn(&mut ColdLimit) {
     move |limit| limit.assume(at(ms), RULE.span)
 }
 
-fn told(ms: u64, remaining: u64) -> impl Fn(&mut ColdLimit) {
-    move |limit| limit.told(at(ms), at(remaining))
+fn reported(ms: u64, remaining: u64) -> impl Fn(&mut ColdLimit) {
+    move |limit| limit.reported(at(ms), at(remaining))
 }
 
 fn lost(ms: u64) -> impl Fn(&mut ColdLimit) {
@@ -57,7 +57,7 @@
 fn replaced() -> impl Fn(&mut ColdLimit) {
     |limit| {
         let before = std::mem::take(limit);
-        limit.replaces(&before);
+        limit.inherit(&before);
     }
 }
 
@@ -89,8 +89,8 @@
     an_assumption_holds_for_the_span: Some(&RULE), [assume(10_000)] => Some((10_000, 12_500));
     an_entry_from_before_does_not_end_it: Some(&RULE), [assume(10_000), entry(11_700, 0)] => Some((10_000, 12_500));
     an_entry_written_since_ends_it: Some(&RULE), [assume(10_000), entry(11_900, 0)] => Some((10_000, 11_500));
-    the_target_ends_it: Some(&RULE), [assume(10_000), told(10_600, 0)] => Some((10_000, 10_500));
-    the_target_knows_better_than_an_entry: Some(&RULE), [told(10_600, 2_900), entry(10_700, 0)] => Some((10_000, 13_000));
+    the_target_ends_it: Some(&RULE), [assume(10_000), reported(10_600, 0)] => Some((10_000, 10_500));
+    the_target_knows_better_than_an_entry: Some(&RULE), [reported(10_600, 2_900), entry(10_700, 0)] => Some((10_000, 13_000));
     a_lost_target_is_cold_until_it_is_known: Some(&RULE), [lost(10_000)] => Some((10_000, 15_500));
     a_lost_target_that_is_asked_is_not: Some(&ASKING), [lost(10_000)] => None;
     one_that_is_reached_again_is_cold: Some(&RULE), [lost(10_000), reached(10_700)] => Some((10_000, 13_500));
@@ -98,7 +98,7 @@
     an_entry_from_before_does_not_find_it: Some(&RULE), [lost(10_000), entry(11_700, 0)] => Some((10_000, 15_500));
     an_entry_written_since_finds_it: Some(&RULE), [lost(10_000), entry(11_900, 0)] => Some((10_000, 11_500));
     one_that_closed_its_connections_is_cold: Some(&RULE), [closed(10_000), reached(10_000)] => Some((10_000, 12_500));
-    one_that_is_known_to_be_cold_is_not_so_for_longer: Some(&RULE), [told(10_000, 2_000), closed(11_000), reached(11_000)] => Some((10_000, 11_500));
+    one_that_is_known_to_be_cold_is_not_so_for_longer: Some(&RULE), [reported(10_000, 2_000), closed(11_000), reached(11_000)] => Some((10_000, 11_500));
 }
 
 #[test]
@@ -108,9 +108,9 @@
     assert!(limit.is_cold(at(1)) && !limit.is_cold(MAX_SPAN));
 }
 
-/// Guards against a start under load in which a gateway sends before it has planned its turns.
+/// Guards against a start under load in which a gateway sends before it has planned its grants.
 #[test]
-fn a_cold_target_has_no_room_before_turns_are_planned() {
+fn a_cold_target_has_no_room_before_grants_are_planned() {
     let mut limit = ColdLimit::default();
     entry(0, 3_000)(&mut limit);
     assert!(!limit.has_room(at(1)) && !limit.take(at(1)));
@@ -127,32 +127,32 @@
 #[test]
 fn the_end_of_a_cold_time_is_reported_for_some_time() {
     let mut limit = ColdLimit::default();
-    told(0, 0)(&mut limit);
-    assert_eq!(limit.report(at(0)), None);
+    reported(0, 0)(&mut limit);
+    assert_eq!(limit.period_to_send(at(0)), None);
     assume(1_000)(&mut limit);
     limit.plan(at(1_000), Some(&RULE), &input(&[]));
-    told(1_500, 0)(&mut limit);
-    let report = limit.report(at(1_600)).expect("it has just ended");
+    reported(1_500, 0)(&mut limit);
+    let report = limit.period_to_send(at(1_600)).expect("it has just ended");
     let mut other = ColdLimit::default();
     assume(1_000)(&mut other);
-    other.learn(at(1_700), report);
+    other.merge(at(1_700), report);
     assert!(!other.is_cold(at(1_700)));
-    assert_eq!(limit.report(at(4_600)), None);
+    assert_eq!(limit.period_to_send(at(4_600)), None);
 }
 
 /// Requests that one gateway alone sends in 10 s if it tries each millisecond, at this rate and
 /// among this number of gateways; and the most in any second.
 fn alone(rate: f64, gateways: u64) -> (usize, usize) {
     let others: Vec<u64> = (2..=gateways).map(crate::gateway::prompts::mix).collect();
-    let mut turns = Turns::default();
+    let mut grants = Grants::default();
     let mut sent = Vec::new();
     for ms in 0..10_000 {
         let mut input = input(&others);
         input.wall += at(ms);
         if ms % 100 == 0 {
-            turns.plan(at(ms), rate, &input);
+            grants.plan(at(ms), rate, &input);
         }
-        while turns.take(at(ms)) {
+        while grants.take(at(ms)) {
             sent.push(ms);
         }
     }
@@ -187,24 +187,24 @@
 /// Guards against a gateway that sends nothing for an hour, or all at once, after its host's clock
 /// was set.
 #[test]
-fn turns_go_on_after_the_wall_clock_was_set() {
+fn grants_continue_after_the_wall_clock_was_set() {
     for wall in [at(1_770_996_400_000), at(1_771_003_600_000)] {
-        let mut turns = Turns::default();
-        turns.plan(at(0), 11.0, &input(&[]));
-        let set = TurnsInput { wall, ..input(&[]) };
-        turns.plan(at(100), 11.0, &set);
-        let sent = (100..1_000).filter(|&ms| turns.take(at(ms))).count();
+        let mut grants = Grants::default();
+        grants.plan(at(0), 11.0, &input(&[]));
+        let set = GrantInput { wall, ..input(&[]) };
+        grants.plan(at(100), 11.0, &set);
+        let sent = (100..1_000).filter(|&ms| grants.take(at(ms))).count();
         assert!((9..=24).contains(&sent), "{sent}");
     }
 }
 
 /// Guards against a fleet that starts all at once, of which each gateway knows only its seeds and
-/// takes the turns of all others.
+/// takes the slots of all others.
 #[test]
-fn a_gateway_that_does_not_know_the_fleet_yet_has_no_turn() {
+fn a_gateway_that_does_not_know_the_fleet_yet_has_no_grant() {
     let mut limit = ColdLimit::default();
     limit.assume(Micros::ZERO, RULE.span);
-    let early = TurnsInput {
+    let early = GrantInput {
         knows_fleet: false,
         ..input(&[])
     };
--- a/src/gateway/cold_limit/tests/fleet.rs
+++ b/src/gateway/cold_limit/tests/fleet.rs
@@ -4,7 +4,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
-use super::{ColdLimit, ColdNotice, ColdReport, ColdRule, ENTRY_DELAY, RULE, TurnsInput, at};
+use super::{ColdLimit, ColdPeriod, ColdReport, ColdRule, ENTRY_DELAY, GrantInput, RULE, at};
 use crate::gateway::peers::member::{Member, ZoneTag};
 use crate::gateway::peers::roster::{Roster, key_of};
 use crate::gateway::prompts::mix;
@@ -75,8 +75,8 @@
     entries: Vec<(u64, ColdReport)>,
     /// Whether the entry of the new run has arrived.
     is_listed: bool,
-    /// Reports of the last rounds, newest first.
-    told: Vec<Option<ColdNotice>>,
+    /// What it sent to others in the last rounds, newest first.
+    sent: Vec<Option<ColdPeriod>>,
 }
 
 impl View {
@@ -85,11 +85,11 @@
         for (_, report) in self.entries.extract_if(.., |(due, _)| *due <= ms) {
             if !std::mem::replace(&mut self.is_listed, true) {
                 let before = std::mem::take(&mut self.limit);
-                self.limit.replaces(&before);
+                self.limit.inherit(&before);
                 self.last = None;
             }
-            let notice = ColdNotice::received(at(ms), report);
-            self.limit.learn(at(ms), notice);
+            let period = ColdPeriod::from_report(at(ms), report);
+            self.limit.merge(at(ms), period);
         }
     }
 }
@@ -157,17 +157,17 @@
             }
     }
 
-    /// Each gateway hears what others reported some rounds ago, and plans its turns.
+    /// Each gateway receives what others sent some rounds ago, and plans its grants.
     fn gossip(&mut self, ms: u64) {
         let delay = self.load.delay as usize;
         for index in 0..self.gateways.len() {
             for target in 0..self.load.targets {
                 let others = (0..self.gateways.len()).filter(|&other| self.hears(index, other, ms));
-                let told = others
-                    .filter_map(|other| *self.gateways[other].targets[target].told.get(delay)?);
-                let newest = told.fold(None, |a, b| ColdNotice::newer(a, Some(b)));
+                let received = others
+                    .filter_map(|other| *self.gateways[other].targets[target].sent.get(delay)?);
+                let newest = received.fold(None, |a, b| ColdPeriod::newer(a, Some(b)));
                 let gateway = &mut self.gateways[index];
-                let input = TurnsInput {
+                let input = GrantInput {
                     knows_fleet: true,
                     wall: at(1_771_000_000_000 + ms + gateway.skew),
                     me: key_of(&gateway.member.addr),
@@ -176,16 +176,16 @@
                 };
                 let view = &mut gateway.targets[target];
                 view.read_entries(ms);
-                if let Some(notice) = newest {
-                    view.limit.learn(at(ms), notice);
+                if let Some(period) = newest {
+                    view.limit.merge(at(ms), period);
                 }
                 view.limit.plan(at(ms), Some(&self.load.rule), &input);
             }
         }
         for gateway in &mut self.gateways {
             for view in &mut gateway.targets {
-                view.told.insert(0, view.limit.report(at(ms)));
-                view.told.truncate(delay + 1);
+                view.sent.insert(0, view.limit.period_to_send(at(ms)));
+                view.sent.truncate(delay + 1);
             }
         }
     }
@@ -239,8 +239,8 @@
         if idle || run_ended {
             let remaining = (BACK_MS + rule.span.as_ms()).saturating_sub(ms);
             match rule.asks {
-                true if ms >= BACK_MS => view.limit.told(now, at(remaining)),
-                true => view.limit.told(now, Micros::ZERO),
+                true if ms >= BACK_MS => view.limit.reported(now, at(remaining)),
+                true => view.limit.reported(now, Micros::ZERO),
                 false => {
                     if run_ended && !idle {
                         view.limit.lost(now);
--- a/src/gateway/cold_probe.rs
+++ b/src/gateway/cold_probe.rs
@@ -12,25 +12,25 @@
 use crate::platform::headers;
 use crate::units::Micros;
 
-/// Time limit for the answer. It costs a target next to nothing, but a host may be slow.
+/// Time limit for the answer. A target answers at hardly any cost, but its host may be slow.
 const ASK_TIMEOUT: Duration = Duration::from_millis(250);
 /// Maximum size of the answer's body, in bytes.
 const MAX_BODY_BYTES: usize = 64 * 1024;
 
-/// What became of the question.
+/// The outcome of asking a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Answer {
-    /// The target tells its remaining cold time.
+    /// The target reported its remaining cold time.
     Told(Micros),
-    /// It answered, but does not tell.
+    /// It answered without its remaining cold time.
     NotTold,
-    /// It did not answer in time, or broke off.
+    /// It did not answer in time, or the connection broke off.
     Failed,
     /// Another target now uses the address.
     Moved,
 }
 
-/// Asks a target on a connection, which may be unusable afterwards.
+/// Asks a target for its remaining cold time on a connection, which may be unusable afterwards.
 pub async fn ask(connection: &mut Connection, id: &str, addr: SocketAddr, path: &Uri) -> Answer {
     let mut request = Request::new(Full::new(Bytes::new()));
     *request.uri_mut() = path.clone();
--- a/src/gateway/peers/tests.rs
+++ b/src/gateway/peers/tests.rs
@@ -9,7 +9,7 @@
 use super::wire_crashes::{MAX_SUSPICIONS, Suspicions};
 use super::wire_targets::{Cursor, WireTargets};
 use super::{MAX_PEERS, Peers};
-use crate::gateway::cold_limit::ColdNotice;
+use crate::gateway::cold_limit::ColdPeriod;
 use crate::gateway::directory::{Change, ChangeBatch};
 use crate::gateway::evidence::{CrashTag, Suspicion};
 use crate::gateway::fair_share::{AccountTag, Usage};
@@ -152,7 +152,7 @@
     let used = LimitedUse {
         sent: u32::MAX,
         answer: Some(answer),
-        cold: Some(ColdNotice {
+        cold_period: Some(ColdPeriod {
             until: at(u64::from(u32::MAX)),
             as_of: Micros::ZERO,
         }),
--- a/src/gateway/peers/wire.rs
+++ b/src/gateway/peers/wire.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::gateway::cold_limit::{ColdNotice, ColdReport};
+use crate::gateway::cold_limit::{ColdPeriod, ColdReport};
 use crate::gateway::fair_share::{AccountTag, Usage};
 use crate::gateway::notices::RunTag;
 use crate::gateway::peers::member::{CopyStatus, Member, Scope, ZoneTag};
@@ -398,7 +398,7 @@
             target: target.0,
             sent: used.sent,
             answer,
-            cold: used.cold.map(|cold| cold.to_report(now).into()),
+            cold: used.cold_period.map(|cold| cold.to_report(now).into()),
         }
     }
 
@@ -410,7 +410,9 @@
         let used = LimitedUse {
             sent: self.sent,
             answer,
-            cold: self.cold.map(|cold| ColdNotice::received(now, cold.into())),
+            cold_period: self
+                .cold
+                .map(|cold| ColdPeriod::from_report(now, cold.into())),
         };
         (TargetTag(self.target), used)
     }
--- a/src/gateway/peers/wire_targets.rs
+++ b/src/gateway/peers/wire_targets.rs
@@ -109,7 +109,7 @@
         EntryState::Missing(until) => Some(until.saturating_sub(now).as_ms() as u32),
         _ => None,
     });
-    let cold = target.cold.notice();
+    let cold = target.cold.period();
     WireTarget {
         missing_ms: left,
         cold: cold.map(|cold| cold.to_report(now).into()),
--- a/src/gateway/state/cold.rs
+++ b/src/gateway/state/cold.rs
@@ -1,10 +1,10 @@
-//! What a gateway knows of cold targets, and its turns at them.
+//! What a gateway knows of cold targets, and the time slots granted to it at them.
 
 use std::sync::Arc;
 use std::time::UNIX_EPOCH;
 
 use crate::gateway::cold_limit::ColdRule;
-use crate::gateway::cold_limit::turns::TurnsInput;
+use crate::gateway::cold_limit::grants::GrantInput;
 use crate::gateway::cold_probe::Answer;
 use crate::gateway::config::Config;
 use crate::gateway::peers::roster::key_of;
@@ -15,32 +15,32 @@
 use crate::telemetry::Gauge;
 use crate::units::Micros;
 
-/// Time since its last answer in which a target cannot have started again.
-const MIN_RESTART: Micros = Micros::from_ms(100);
+/// Minimum time from a target's last answer until it can have started again.
+const MIN_RESTART_TIME: Micros = Micros::from_ms(100);
 
-/// Time after the start of a process in which it hears of the other gateways, if it has seeds. It
-/// sends nothing to cold targets before.
+/// Time after its start in which a process with seeds hears of the other gateways. Until then, it sends
+/// nothing to cold targets.
 const ROSTER_TIME: Micros = Micros::from_secs(2);
 
-/// The targets that have turned cold or warm at once.
+/// The numbers of targets that began or ceased to count as cold at the same time.
 #[derive(Debug, Default)]
 pub struct ColdChanges {
     began: usize,
     ended: usize,
     /// Number of all cold targets.
-    cold: usize,
-    /// One of those that changed.
+    total: usize,
+    /// One of the targets that changed.
     example: Option<Arc<str>>,
 }
 
 impl ColdChanges {
-    /// Logs the changes in one line, since all targets of a zone may turn cold together.
+    /// Logs the changes in one line, since all targets of a zone may start together.
     pub fn log(&self) {
         let Some(example) = &self.example else {
             return;
         };
         spdlog::info!("cold targets", kv: {
-            began = self.began, ended = self.ended, cold = self.cold, target: = example.as_ref(),
+            began = self.began, ended = self.ended, cold = self.total, target: = example.as_ref(),
         });
     }
 }
@@ -56,24 +56,24 @@
     /// Whether a target has answered so recently that it cannot have started again since.
     pub fn has_just_answered(&self, key: TargetKey) -> bool {
         let now = self.clock.now();
-        let recent = |at: Micros| now.saturating_sub(at) < MIN_RESTART;
+        let recent = |at: Micros| now.saturating_sub(at) < MIN_RESTART_TIME;
         let last = self.with_target(key, |target| target.cold.last_answer());
         last.flatten().is_some_and(recent)
     }
 
-    /// Records that a target has closed connections, as it does when it ends. Has no effect while it
-    /// is known to be cold.
+    /// Records that a target has closed connections, as it does when it ends. Has no effect while the
+    /// target is known to be cold.
     pub fn record_closed(&self, key: TargetKey) {
         let now = self.clock.now();
         self.with_target(key, |target| target.cold.closed(now));
     }
 
-    /// Records that a connection to a target was opened, and what the target said on it of its cold
-    /// time. One that does not answer what it is asked counts as cold: it may just have started.
+    /// Records that a connection to a target was opened, and what the target answered when it was asked
+    /// for its cold time. A target that does not answer counts as cold, since it may just have started.
     pub fn record_reached(&self, key: TargetKey, answer: Answer, rule: &ColdRule) {
         let now = self.clock.now();
         self.with_target(key, |target| match answer {
-            Answer::Told(remaining) => target.cold.told(now, remaining),
+            Answer::Told(remaining) => target.cold.reported(now, remaining),
             Answer::NotTold => target.cold.reached(now, rule.span),
             Answer::Failed if target.cold.is_cold(now) => {}
             Answer::Failed => target.cold.assume(now, rule.span),
@@ -81,7 +81,7 @@
         });
     }
 
-    /// Assumes that the targets of the zones are cold whose evacuation has ended.
+    /// Assumes that the targets are cold in the zones whose evacuation has ended.
     pub(super) fn assume_cold(&self, state: &mut State, before: &Evacuations) {
         let now = self.clock.now();
         let config = self.config.load();
@@ -98,16 +98,16 @@
         }
     }
 
-    /// Plans this gateway's turns at the cold targets.
-    pub(super) fn plan_turns(&self, state: &mut State, now: Micros) -> ColdChanges {
+    /// Plans the time slots granted to this gateway at the cold targets.
+    pub(super) fn plan_cold_grants(&self, state: &mut State, now: Micros) -> ColdChanges {
         let config = self.config.load();
         let (peers, targets) = (&state.peers, &mut state.targets);
         if config.limits_cold_targets() {
             state.roster.update(now, peers.signs(), peers.seeds());
         }
-        // The gateways number the slots alike only by the time of day, which the runtime does not have.
+        // All gateways number the slots by the time of day, which the runtime's clock does not have.
         let wall = opentelemetry::time::now().duration_since(UNIX_EPOCH);
-        let mut input = TurnsInput {
+        let mut input = GrantInput {
             wall: wall.unwrap_or_default().into(),
             me: key_of(&peers.me().addr),
             others: state.roster.keys(),
@@ -119,7 +119,7 @@
             input.target = mix(u64::from(target.tag.0));
             let rule = rule_of(&config, &target.entry.service);
             let changed = target.cold.plan(now, rule, &input);
-            changes.cold += usize::from(target.cold.is_cold(now));
+            changes.total += usize::from(target.cold.is_cold(now));
             if let Some(is_cold) = changed {
                 changes.began += usize::from(is_cold);
                 changes.ended += usize::from(!is_cold);
@@ -127,7 +127,7 @@
             }
         }
         self.metrics()
-            .set_gauge(Gauge::ColdTargets, changes.cold as i64);
+            .set_gauge(Gauge::ColdTargets, changes.total as i64);
         changes
     }
 }
--- a/src/gateway/state/exchange.rs
+++ b/src/gateway/state/exchange.rs
@@ -42,7 +42,7 @@
         apply_others(state, now, &own);
         refill_limits(state, now);
         refresh_availability(state, now);
-        let changes = self.plan_turns(state, now);
+        let changes = self.plan_cold_grants(state, now);
         changes.log();
         outgoing
     }
@@ -129,12 +129,12 @@
 
 /// What this gateway tells others of a target with a limit; `None` if that is nothing.
 fn limited_use(target: &mut Target, now: Micros) -> Option<LimitedUse> {
-    let (named, cold) = (target.limit.report(now), target.cold.report(now));
-    if named.is_none() && cold.is_none() {
+    let (named, cold_period) = (target.limit.report(now), target.cold.period_to_send(now));
+    if named.is_none() && cold_period.is_none() {
         return None;
     }
     Some(LimitedUse {
-        cold,
+        cold_period,
         ..named.unwrap_or_default()
     })
 }
@@ -157,8 +157,8 @@
             .as_ref()
             .map(|others| others.limited.get(&target.tag));
         let used = used.flatten().copied().unwrap_or_default();
-        if let Some(cold) = used.cold {
-            target.cold.learn(now, cold);
+        if let Some(period) = used.cold_period {
+            target.cold.merge(now, period);
         }
         target.limit.set_others(used);
     }
--- a/src/gateway/target_limit.rs
+++ b/src/gateway/target_limit.rs
@@ -18,7 +18,7 @@
 //!
 //! Performs no I/O.
 
-use crate::gateway::cold_limit::ColdNotice;
+use crate::gateway::cold_limit::ColdPeriod;
 use crate::gateway::sliding_count::SlidingCount;
 use crate::units::Micros;
 
@@ -63,8 +63,8 @@
     pub sent: u32,
     /// Its newest answer.
     pub answer: Option<Observation>,
-    /// The last statement on its cold time.
-    pub cold: Option<ColdNotice>,
+    /// The most recent statement on how long it is cold.
+    pub cold_period: Option<ColdPeriod>,
 }
 
 impl LimitedUse {
@@ -72,7 +72,7 @@
     pub fn add(&mut self, other: &LimitedUse) {
         self.sent = self.sent.saturating_add(other.sent);
         self.answer = Observation::newer(self.answer, other.answer);
-        self.cold = ColdNotice::newer(self.cold, other.cold);
+        self.cold_period = ColdPeriod::newer(self.cold_period, other.cold_period);
     }
 }
 
@@ -125,7 +125,7 @@
         Some(LimitedUse {
             sent: self.sent.sum(now),
             answer: self.own,
-            cold: None,
+            cold_period: None,
         })
     }
 
--- a/src/gateway/target_limit/tests.rs
+++ b/src/gateway/target_limit/tests.rs
@@ -11,7 +11,7 @@
     LimitedUse {
         sent: 0,
         answer: Some(Observation { limit, at: at(ms) }),
-        cold: None,
+        cold_period: None,
     }
 }
 
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -9,7 +9,7 @@
 use rustc_hash::FxBuildHasher;
 use slab::Slab;
 
-use crate::gateway::cold_limit::{ColdLimit, ColdNotice, ColdReport};
+use crate::gateway::cold_limit::{ColdLimit, ColdPeriod, ColdReport};
 use crate::gateway::evidence::CrashTag;
 use crate::gateway::list_view::ListView;
 use crate::gateway::notices::{Notice, NoticeBook, Notices, RunTag};
@@ -160,7 +160,7 @@
     pub limit: TargetLimit,
     /// Since when it can be used, or cannot.
     pub availability: Availability,
-    /// Its cold time, and this gateway's turns in it.
+    /// The limit on requests while it is cold.
     pub cold: ColdLimit,
     /// What it announced in its answers. Kept in step with the [`NoticeBook`].
     pub notices: Notices,
@@ -299,9 +299,9 @@
         let Some(target) = key.and_then(|key| self.get_mut(key)) else {
             return;
         };
-        let end = |target: &Target| target.cold.notice().map_or(now, |cold| cold.until.max(now));
+        let end = |target: &Target| target.cold.period().map_or(now, |cold| cold.until.max(now));
         let before = end(target);
-        target.cold.learn(now, ColdNotice::received(now, report));
+        target.cold.merge(now, ColdPeriod::from_report(now, report));
         let after = end(target);
         if after.saturating_sub(before) + before.saturating_sub(after) > MIN_COLD_CHANGE {
             self.journal.record(&id.into());
@@ -324,7 +324,7 @@
             self.insert(id, entry);
             let key = self.ids[id];
             if let (Some(target), Some(before)) = (self.get_mut(key), before) {
-                target.cold.replaces(&before);
+                target.cold.inherit(&before);
             }
             return Change::New;
         }
--- a/tests/gateway/cold.rs
+++ b/tests/gateway/cold.rs
@@ -122,8 +122,8 @@
     directory.put_cold_target("t0", target.addr, report);
     let is_cold = |state: &GatewayState| {
         let now = state.clock.now();
-        let notice = state.with_targets(|targets| targets.by_id("t0")?.cold.notice());
-        notice.is_some_and(|notice| notice.until > now + Micros::from_secs(10))
+        let period = state.with_targets(|targets| targets.by_id("t0")?.cold.period());
+        period.is_some_and(|period| period.until > now + Micros::from_secs(10))
     };
     one.wait_until(is_cold).await;
     two.wait_until(is_cold).await;
