Name the removal of expired entries of the target list for what it does

Cause: settle did not say that it returns, or removes, the missing entries that are no longer kept.

Change: expire_missing in list_view and follow; three comments say change instead of news. No change of behavior.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -163,16 +163,16 @@
                     true => TARGETS_PAUSE,
                     false => follower.pause_after_failure(&gateway),
                 };
-                list.settle(&gateway);
+                list.expire_missing(&gateway);
                 tokio::time::sleep(list.read_pause(&gateway, pause)).await;
             }
             Source::Peer(peer) => {
                 list.copy_from(&gateway, peer).await;
-                list.settle(&gateway);
+                list.expire_missing(&gateway);
                 await_reports(&gateway).await;
             }
             Source::Wait => {
-                list.settle(&gateway);
+                list.expire_missing(&gateway);
                 await_reports(&gateway).await;
             }
         }
--- a/src/gateway/follow/apply.rs
+++ b/src/gateway/follow/apply.rs
@@ -47,10 +47,14 @@
 }
 
 /// Removes the missing entries that are no longer kept, by the confirmed lists of other gateways.
-pub fn settle(gateway: &GatewayState, now: Micros, others: impl Iterator<Item = Confirmed>) {
+pub fn expire_missing(
+    gateway: &GatewayState,
+    now: Micros,
+    others: impl Iterator<Item = Confirmed>,
+) {
     let (was_kept, expired, is_kept) = gateway.with_targets(|targets| {
         let was_kept = targets.view().is_in_grace(now);
-        let expired = targets.view_mut().settle(now, others);
+        let expired = targets.view_mut().expire_missing(now, others);
         (was_kept, expired, targets.view().is_in_grace(now))
     });
     if was_kept && !is_kept {
@@ -144,7 +148,7 @@
     }
 }
 
-/// Applies the effect of news that an entry is missing or gone.
+/// Applies the effect of a change by which an entry is missing or gone.
 fn end_entry(gateway: &GatewayState, id: &str, effect: Effect) {
     match effect {
         Effect::Remove => remove(gateway, id),
--- a/src/gateway/follow/list.rs
+++ b/src/gateway/follow/list.rs
@@ -185,10 +185,10 @@
     }
 
     /// Removes the missing entries that are no longer kept.
-    pub fn settle(&self, gateway: &GatewayState) {
+    pub fn expire_missing(&self, gateway: &GatewayState) {
         let now = gateway.clock.now();
         let others = confirmed_elsewhere(gateway, now);
-        apply::settle(gateway, now, others.into_iter());
+        apply::expire_missing(gateway, now, others.into_iter());
     }
 }
 
--- a/src/gateway/list_view.rs
+++ b/src/gateway/list_view.rs
@@ -64,7 +64,7 @@
     }
 }
 
-/// Where news of the list come from.
+/// Where a change of the list comes from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Origin {
     /// Read from the platform: newer than all that was read before.
@@ -73,7 +73,7 @@
     Copy,
 }
 
-/// What to do with a target after news of its entry.
+/// What to do with a target after a change of its entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Effect {
     /// Use the entry.
@@ -82,7 +82,7 @@
     Keep,
     /// Remove the target.
     Remove,
-    /// Nothing: the news are old.
+    /// Nothing: the change is older than what is known.
     Ignore,
 }
 
@@ -209,7 +209,7 @@
 
     /// Applies what other gateways report of their lists, and returns the missing entries that are no
     /// longer kept. Has to follow the merging of what was read or copied last.
-    pub fn settle(
+    pub fn expire_missing(
         &mut self,
         now: Micros,
         others: impl Iterator<Item = Confirmed>,
--- a/src/gateway/list_view/tests.rs
+++ b/src/gateway/list_view/tests.rs
@@ -149,8 +149,8 @@
     let mut view = view_after_outage();
     assert_eq!(view.remove(at(5_000), "one", 11), Effect::Keep);
     let others = || [confirmed(0, 5_200)].into_iter();
-    assert!(view.settle(at(5_100), others()).is_empty());
-    assert_eq!(view.settle(at(5_300), others()), ["one".into()]);
+    assert!(view.expire_missing(at(5_100), others()).is_empty());
+    assert_eq!(view.expire_missing(at(5_300), others()), ["one".into()]);
     view.list("two", 12, Origin::Platform);
     assert_eq!(view.remove(at(5_400), "two", 13), Effect::Remove);
 }
@@ -161,9 +161,12 @@
     assert_eq!(view.remove(at(5_000), "one", 11), Effect::Keep);
     view.confirm(at(6_000));
     view.confirm(at(6_900));
-    assert!(view.settle(at(6_990), NONE.into_iter()).is_empty());
+    assert!(view.expire_missing(at(6_990), NONE.into_iter()).is_empty());
     view.confirm(at(7_000));
-    assert_eq!(view.settle(at(7_000), NONE.into_iter()), ["one".into()]);
+    assert_eq!(
+        view.expire_missing(at(7_000), NONE.into_iter()),
+        ["one".into()]
+    );
     assert_eq!(view.list("one", 4, Origin::Copy), Effect::Ignore);
 }
 
@@ -172,7 +175,7 @@
 fn a_missing_entry_is_kept_while_the_list_is_not_confirmed() {
     let mut view = view_after_outage();
     view.remove(at(5_000), "one", 11);
-    assert!(view.settle(at(60_000), NONE.into_iter()).is_empty());
+    assert!(view.expire_missing(at(60_000), NONE.into_iter()).is_empty());
 }
 
 #[test]
@@ -181,7 +184,7 @@
     view.remove(at(5_000), "one", 11);
     assert_eq!(view.list("one", 15, Origin::Platform), Effect::Put);
     view.confirm(at(9_000));
-    assert!(view.settle(at(9_000), NONE.into_iter()).is_empty());
+    assert!(view.expire_missing(at(9_000), NONE.into_iter()).is_empty());
     let state = view.fact("one").map(|fact| fact.state);
     assert_eq!(state, Some(EntryState::Listed));
 }
@@ -195,10 +198,10 @@
         view.list(&id, offset, Origin::Platform);
         view.drop_now(at(0), &id, count + offset);
     }
-    view.settle(at(1), NONE.into_iter());
+    view.expire_missing(at(1), NONE.into_iter());
     assert_eq!(view.removals().count(), MAX_REMOVALS);
     assert!(view.fact("0").is_none());
-    view.settle(at(1) + REMOVAL_TTL, NONE.into_iter());
+    view.expire_missing(at(1) + REMOVAL_TTL, NONE.into_iter());
     assert_eq!(view.removals().count(), 0);
     assert!(view.fact("one").is_some());
 }
--- a/src/gateway/list_view/tests/fleet.rs
+++ b/src/gateway/list_view/tests/fleet.rs
@@ -235,7 +235,7 @@
         let others = (0..GATEWAYS).filter(|&other| self.hears(at, other));
         let others: Vec<Confirmed> = others.filter_map(|o| self.gateways[o].told).collect();
         let gateway = &mut self.gateways[at];
-        for id in gateway.view.settle(now, others.into_iter()) {
+        for id in gateway.view.expire_missing(now, others.into_iter()) {
             gateway.used.remove(id.as_ref());
         }
     }
