Say that suspicions are sent and reported, not told

Cause: gateway::evidence used tell, told and sound in senses that have to be guessed.

Change: send_count, SENDS_PER_CHANGE and take_due; comments in evidence and in both quarantines. Log lines and the wire format are unchanged.

--- a/src/gateway/evidence.rs
+++ b/src/gateway/evidence.rs
@@ -1,10 +1,10 @@
-//! What was at a target when it crashed, as gateways tell each other.
+//! What was at a target when it crashed, as gateways report it to each other.
 //!
 //! Load pattern: a crash ends all requests at a target, a hundred at a busy one, and several targets
-//! may crash at once. Nearly all of these requests are sound; only how often each is suspected tells
-//! them from the cause, and each gateway sees but a few crashes. So every suspicion has to reach all
-//! gateways, however many others there are at the same time: those that have been told least often
-//! are told first.
+//! may crash at once. Nearly all of these requests are harmless; only how often each is suspected
+//! distinguishes them from the cause, and each gateway sees only a few crashes. So every suspicion has to
+//! reach all gateways, however many others there are at the same time: those that have been sent least
+//! often are sent first.
 //!
 //! A subject is whatever may cause crashes, by its hash: a prompt part, or a whole request. Merging
 //! suspicions is commutative and idempotent. Performs no I/O.
@@ -22,8 +22,8 @@
 /// Time for which a crash counts against a subject.
 pub const CRASH_TTL: Micros = Micros::from_secs(600);
 /// Number of messages that carry a suspicion after a change, so that lost messages do no harm.
-const TELLINGS: u32 = 8;
-/// One in this many suspicions of a message is kept for those told for as long as they count.
+const SENDS_PER_CHANGE: u32 = 8;
+/// One in this many suspicions of a message is kept for those sent for as long as they count.
 const STANDING_SHARE: usize = 4;
 /// Maximum number of subjects that are tracked.
 pub const MAX_SUBJECTS: usize = 4_096;
@@ -87,7 +87,7 @@
     suspicion: Suspicion,
     /// Number of messages that have carried it since its last change, or since a message showed that
     /// a gateway does not know it.
-    told: u32,
+    send_count: u32,
     /// Whether this gateway has seen the crash, or what clears the subject of it.
     own: bool,
 }
@@ -101,7 +101,7 @@
         known.flight = known.flight.min(other.flight);
         if known.cleared != other.cleared {
             known.cleared = true;
-            self.told = 0;
+            self.send_count = 0;
         }
     }
 }
@@ -111,7 +111,7 @@
 pub struct Selection {
     /// Maximum number of suspicions.
     pub count: usize,
-    /// Whether to tell what other gateways have seen.
+    /// Whether to send what other gateways have seen.
     pub relays: bool,
 }
 
@@ -186,7 +186,7 @@
             }
             None if stored.len() < MAX_SUSPICIONS => stored.push(Stored {
                 suspicion: new,
-                told: 0,
+                send_count: 0,
                 own,
             }),
             None => {}
@@ -202,7 +202,7 @@
         for stored in stored.iter_mut() {
             if stored.suspicion.at < until && !stored.suspicion.cleared {
                 stored.suspicion.cleared = true;
-                stored.told = 0;
+                stored.send_count = 0;
                 stored.own = true;
             }
         }
@@ -217,10 +217,10 @@
             .any(|stored| stored.suspicion.crash == crash)
     }
 
-    /// Returns the suspicions to tell in a message: those that have changed of late, and those that
+    /// Returns the suspicions to send in a message: those that have changed of late, and those that
     /// count for as long as `is_standing` holds for their subject and the number of crashes that
-    /// count against it. If there are too many, the ones that have been told least often come first,
-    /// so that each is told soon.
+    /// count against it. If there are too many, the ones that have been sent least often come first,
+    /// so that each is sent soon.
     pub fn to_send(
         &mut self,
         now: Micros,
@@ -238,7 +238,7 @@
         });
         let (mut fresh, mut standing) = (Vec::new(), Vec::new());
         for (counted, stored) in all {
-            if stored.told < TELLINGS && (stored.own || selection.relays) {
+            if stored.send_count < SENDS_PER_CHANGE && (stored.own || selection.relays) {
                 fresh.push((counted, stored));
             } else if stored.suspicion.counts(now) && is_standing(stored.suspicion.subject, counted)
             {
@@ -247,8 +247,8 @@
         }
         let reserved = standing.len().min(selection.count / STANDING_SHARE);
         let due = fresh.len() + standing.len();
-        let mut suspicions = tell(&mut fresh, selection.count - reserved);
-        suspicions.extend(tell(&mut standing, selection.count - suspicions.len()));
+        let mut suspicions = take_due(&mut fresh, selection.count - reserved);
+        suspicions.extend(take_due(&mut standing, selection.count - suspicions.len()));
         let left_out = due - suspicions.len();
         Due {
             suspicions,
@@ -286,21 +286,21 @@
     }
 }
 
-/// Takes up to `count` suspicions, those told least often first; of these, the ones of subjects that
+/// Takes up to `count` suspicions, those sent least often first; of these, the ones of subjects that
 /// most crashes count against.
-fn tell(due: &mut Vec<(usize, &mut Stored)>, count: usize) -> Vec<Suspicion> {
+fn take_due(due: &mut Vec<(usize, &mut Stored)>, count: usize) -> Vec<Suspicion> {
     if due.len() > count {
         due.sort_by_key(|(counted, stored)| {
             let Suspicion { subject, crash, .. } = stored.suspicion;
-            (stored.told, Reverse(*counted), subject, crash)
+            (stored.send_count, Reverse(*counted), subject, crash)
         });
         due.truncate(count);
     }
-    let told = due.iter_mut().map(|(_, stored)| {
-        stored.told = stored.told.saturating_add(1);
+    let taken = due.iter_mut().map(|(_, stored)| {
+        stored.send_count = stored.send_count.saturating_add(1);
         stored.suspicion
     });
-    told.collect()
+    taken.collect()
 }
 
 #[cfg(test)]
--- a/src/gateway/evidence/tests.rs
+++ b/src/gateway/evidence/tests.rs
@@ -1,4 +1,4 @@
-use super::{CRASH_TTL, CrashTag, Evidence, MAX_SUBJECTS, Selection, Suspicion, TELLINGS};
+use super::{CRASH_TTL, CrashTag, Evidence, MAX_SUBJECTS, SENDS_PER_CHANGE, Selection, Suspicion};
 use crate::units::Micros;
 
 const CULPRIT: u64 = 0xdead;
@@ -26,31 +26,31 @@
     evidence
 }
 
-/// Number of messages until each suspicion has been told; `None` if some never is.
-fn messages_until_all_told(evidence: &mut Evidence, count: usize) -> Option<usize> {
-    let mut told = std::collections::HashSet::new();
+/// Number of messages until each suspicion has been sent; `None` if some never is.
+fn messages_until_all_sent(evidence: &mut Evidence, count: usize) -> Option<usize> {
+    let mut sent = std::collections::HashSet::new();
     (1..=4 * count).find(|_| {
         let due = evidence.to_send(NOW, SMALL, |_, _| false);
-        told.extend(due.suspicions.iter().map(|s| (s.subject, s.crash)));
-        told.len() == count
+        sent.extend(due.suspicions.iter().map(|s| (s.subject, s.crash)));
+        sent.len() == count
     })
 }
 
 /// Guards against suspicions that are crowded out of the messages by others (review of gateways, first case).
 #[test]
-fn each_suspicion_is_told_before_any_is_told_twice() {
+fn each_suspicion_is_sent_before_any_is_sent_twice() {
     let rows = (0..160).map(|subject| suspicion(subject, subject as u32 % 3));
     let mut evidence = evidence(rows);
-    assert_eq!(messages_until_all_told(&mut evidence, 160), Some(10));
+    assert_eq!(messages_until_all_sent(&mut evidence, 160), Some(10));
 }
 
-/// Guards against new suspicions that wait behind those told again and again.
+/// Guards against new suspicions that wait behind those sent again and again.
 #[test]
 fn what_stands_leaves_room_for_what_is_new_and_the_other_way_round() {
     let standing = (0..100).flat_map(|subject| [suspicion(subject, 1), suspicion(subject, 2)]);
     let mut evidence = evidence(standing);
     let stands = |_, counted| counted >= 2;
-    for _ in 0..200 * TELLINGS {
+    for _ in 0..200 * SENDS_PER_CHANGE {
         evidence.to_send(NOW, SMALL, stands);
     }
     for subject in 1_000..1_012 {
@@ -63,10 +63,10 @@
 }
 
 #[test]
-fn a_suspicion_is_told_a_few_times_only() {
+fn a_suspicion_is_sent_a_few_times_only() {
     let mut evidence = evidence([suspicion(CULPRIT, 1)].into_iter());
-    let told = (0..100).map(|_| evidence.to_send(NOW, SMALL, |_, _| false).suspicions.len());
-    assert_eq!(told.sum::<usize>(), TELLINGS as usize);
+    let sent = (0..100).map(|_| evidence.to_send(NOW, SMALL, |_, _| false).suspicions.len());
+    assert_eq!(sent.sum::<usize>(), SENDS_PER_CHANGE as usize);
     assert_eq!(evidence.clear(CULPRIT, NOW + Micros(1)), 1);
     assert_eq!(
         evidence.to_send(NOW, SMALL, |_, _| false).suspicions.len(),
--- a/src/gateway/part_quarantine.rs
+++ b/src/gateway/part_quarantine.rs
@@ -120,7 +120,7 @@
         }
     }
 
-    /// Returns the suspicions to tell in a message: what has changed of late, and those of the parts
+    /// Returns the suspicions to send in a message: what has changed recently, and those of the parts
     /// in quarantine for as long as they count.
     pub fn to_send(&mut self, now: Micros, selection: Selection) -> Due {
         self.refresh(now);
--- a/src/gateway/request_quarantine.rs
+++ b/src/gateway/request_quarantine.rs
@@ -1,7 +1,7 @@
 //! Finds the requests that crash the targets that run them, and quarantines them.
 //!
 //! Load pattern: a request that crashes each target that runs it is sent again and again, each time
-//! to another gateway, beside a hundred sound requests at each target. It is refused once all
+//! to another gateway, beside a hundred harmless requests at each target. It is refused once all
 //! gateways together have seen [`evidence::MAX_CRASHES`] crashes with it in flight.
 //!
 //! - A request is suspected in a crash if it was in flight at the target.
@@ -20,11 +20,11 @@
 
 /// A request that is answered is not suspected in crashes for this long.
 const ANSWER_GRACE: Micros = Micros::from_secs(1);
-/// Time for which an answer is remembered: until other gateways have told of crashes before it.
+/// Time for which an answer is remembered: until other gateways have reported the crashes before it.
 const ANSWER_TTL: Micros = Micros::from_secs(3);
 /// Maximum number of answers that are remembered.
 const MAX_ANSWERS: usize = 4_096;
-/// Number of crashes from which on a suspicion is told for as long as it counts.
+/// Number of crashes from which on a suspicion is sent for as long as it counts.
 const STANDING_CRASHES: usize = 2;
 
 /// The suspected requests of this gateway and its peers.
@@ -84,7 +84,7 @@
         }
     }
 
-    /// Returns the suspicions to tell in a message: what has changed of late, and the requests that
+    /// Returns the suspicions to send in a message: what has changed recently, and the requests that
     /// were in flight at several crashes for as long as these count.
     pub fn to_send(&mut self, now: Micros, selection: Selection) -> Due {
         self.evidence
