Keep requests of restricted routes and accounts in their regions

Cause: routes and client accounts could not be restricted to regions (data residency): a request went to any target of its service.

Change: `allowedRegions` of a route and of a tenant is decoded; a value that is not a list of strings allows no region. The settings `region` and `zones` give the region of each zone, also after SIGHUP. `gateway/regions.rs` turns both restrictions into the zones that may receive a request. Target selection leaves out other zones, also when it assigns prefixes, and the check right before sending repeats this by the configuration in force. `Retry-After` and the mean backlog of a restricted request count only the targets that it may reach. Odd restrictions are logged when a configuration is applied; `region_refusals` counts requests without a target in their regions. Requests without a restriction take the same path as before.

The tests of `pause_of_all`, `Account`, `Route` and `Criteria` name the new parameter or field; what they check is unchanged.

Trials without the check before sending, and without the filter of prefix owners, failed the tests that guard them.

--- a/review/rig/fleet.rs
+++ b/review/rig/fleet.rs
@@ -208,6 +208,8 @@
             ("portRange.0", (self.port + 3).to_string()),
             ("seeds|json", format!("[{}]", seeds.join(","))),
             ("bootstrap", "true".to_owned()),
+            ("zones|json", format!("{{\"{zone}\":\"rig\"}}")),
+            ("region", "rig".to_owned()),
             ("zone", zone),
             (
                 "provider.address",
--- a/src/gateway/config.rs
+++ b/src/gateway/config.rs
@@ -13,6 +13,7 @@
 use smallvec::SmallVec;
 
 use crate::gateway::cold_limit::ColdRule;
+use crate::gateway::regions::{Owner, RegionRule};
 use crate::ids::AccountKey;
 
 /// One version of the configuration. Immutable; a newer version replaces all of it.
@@ -54,6 +55,8 @@
     pub max_attempts: u32,
     /// Whether requests without a valid API key are accepted although there are client accounts.
     pub allow_anonymous: bool,
+    /// The regions whose targets may receive its requests.
+    pub regions: RegionRule,
 }
 
 /// The kind of a route's requests.
@@ -108,6 +111,8 @@
 pub struct Account {
     /// Account name, as sent to targets.
     pub name: Box<str>,
+    /// The regions whose targets may receive its requests.
+    pub regions: RegionRule,
 }
 
 /// Limits on client connections and requests, and the engines' throughput.
@@ -221,6 +226,16 @@
         &self.accounts[key.index()]
     }
 
+    /// The region restrictions of all routes and client accounts, with their names.
+    pub fn region_rules(&self) -> impl Iterator<Item = (Owner, &str, &RegionRule)> {
+        let routes = self.routes.values().flatten();
+        let routes = routes.map(|route| (Owner::Route, route.name.as_ref(), &route.regions));
+        let accounts = self.accounts.iter();
+        let accounts =
+            accounts.map(|account| (Owner::Account, account.name.as_ref(), &account.regions));
+        routes.chain(accounts)
+    }
+
     /// Whether the requests to cold targets of any service are limited.
     pub fn limits_cold_targets(&self) -> bool {
         self.services.values().any(|service| service.cold.is_some())
--- a/src/gateway/config/tests.rs
+++ b/src/gateway/config/tests.rs
@@ -1,4 +1,5 @@
 use super::{Account, Config, ConfigParts};
+use crate::gateway::regions::RegionRule;
 
 fn version(version: u64) -> Config {
     let parts = ConfigParts {
@@ -18,7 +19,10 @@
 
 #[test]
 fn a_key_that_moves_belongs_to_its_new_account() {
-    let account = |name: &str| Account { name: name.into() };
+    let account = |name: &str| Account {
+        name: name.into(),
+        regions: RegionRule::default(),
+    };
     let parts = ConfigParts {
         version: 1,
         accounts: vec![
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -27,7 +27,7 @@
 use crate::gateway::targets::TargetKey;
 use crate::platform::headers;
 use crate::problem::{Problem, Reason};
-use crate::telemetry::Outcome;
+use crate::telemetry::{Event, Outcome};
 use crate::units::Micros;
 
 /// Maximum size of a non-streaming answer, which is buffered whole.
@@ -143,13 +143,20 @@
         self.attempts.gateway.record_demand(&request.service);
         let prompt = request.prompt.as_ref();
         let choice = self.attempts.gateway.choose_target(request, &[]);
+        let zones = self.attempts.gateway.allowed_zones(request);
+        if choice.is_none() && zones.is_restricted() {
+            self.attempts.gateway.metrics().event(Event::RegionRefusal);
+        }
         let room_interval = match choice {
             Some(_) => None,
-            None => self.attempts.gateway.room_interval(&request.service),
+            None => self
+                .attempts
+                .gateway
+                .room_interval(&request.service, &zones),
         };
         let pause = match choice {
             Some(_) => None,
-            None => self.attempts.gateway.pause_of_all(&request.service),
+            None => self.attempts.gateway.pause_of_all(&request.service, &zones),
         };
         let now = self.attempts.gateway.clock.now();
         let context = AdmissionContext {
@@ -161,7 +168,7 @@
             latency_objective: request.route.latency_objective.into(),
             is_engine: prompt.is_some(),
             share: self.record_account(now),
-            backlog: self.attempts.gateway.mean_backlog(&request.service),
+            backlog: self.attempts.gateway.mean_backlog(&request.service, &zones),
         };
         let choice = admission::admit(&context, rand::random()).inspect_err(|problem| {
             request_log::refused(&self.attempts.gateway, request, problem, &context);
@@ -200,7 +207,8 @@
             problem = self.attempts.counts.refusal(Reason::DeadlinePassed);
         }
         let service = &self.attempts.request.service;
-        let pause = self.attempts.gateway.pause_of_all(service);
+        let zones = self.attempts.gateway.allowed_zones(&self.attempts.request);
+        let pause = self.attempts.gateway.pause_of_all(service, &zones);
         let problem = admission::with_retry_after(problem, pause, rand::random());
         request_log::given_up(&self.attempts.gateway, &self.attempts.request, &problem);
         Err(problem)
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,8 +6,8 @@
 //! measured up to the *first event*: the first server-sent event of a streamed response, or the
 //! whole of a response that is not streamed, which is buffered before it is forwarded.
 //!
-//! The decisions ([`selection`], [`source`], [`overload`], [`admission`], [`fair_share`], [`retry`], [`retry_budget`] and
-//! [`health`]) do no I/O. [`state`] holds the state that all modules share; [`follow`] and
+//! The decisions ([`selection`], [`regions`], [`source`], [`overload`], [`admission`], [`fair_share`], [`retry`],
+//! [`retry_budget`] and [`health`]) do no I/O. [`state`] holds the state that all modules share; [`follow`] and
 //! [`peers`] keep it up to date. A request arrives at [`http`], is parsed by [`request`], and is
 //! sent to a target by [`forward`] and [`send`]; [`relay`] passes event streams back.
 
@@ -42,6 +42,7 @@
 pub mod pool;
 pub mod prefix_owner;
 pub mod prompts;
+pub mod regions;
 pub mod relay;
 pub mod reload;
 pub mod request;
@@ -115,7 +116,10 @@
     let telemetry = Telemetry::scraped(scrape.meter_provider()?);
     let store = Store::new(settings.platform);
     let limits = RetryLimits::from(&settings.retries);
+    let regions = settings.region_table();
+    regions::log_table(&regions);
     let gateway = GatewayState::new(&settings.zone, limits)
+        .with_regions(regions)
         .cold_start(settings.first)
         .with_limits(settings.connection_limits())
         .with_bytes(settings.byte_budget())
--- a/src/gateway/notices/tests/load.rs
+++ b/src/gateway/notices/tests/load.rs
@@ -8,6 +8,7 @@
 use tokio::time::advance;
 
 use super::entry;
+use crate::gateway::regions::AllowedZones;
 use crate::gateway::request::tests::{config, request};
 use crate::gateway::retry_budget::RetryLimits;
 use crate::gateway::state::GatewayState;
@@ -63,7 +64,8 @@
     /// Sends a request, as the gateway does, and prepares the target's answer.
     fn send(&mut self, gateway: &GatewayState, now: Micros) {
         let Some(choice) = gateway.choose_target(&request(), &[]) else {
-            self.all_paused += usize::from(gateway.pause_of_all("desk").is_some());
+            self.all_paused +=
+                usize::from(gateway.pause_of_all("desk", &AllowedZones::All).is_some());
             return;
         };
         assert!(gateway.may_send_to(choice.target));
--- a/src/gateway/reload.rs
+++ b/src/gateway/reload.rs
@@ -1,6 +1,6 @@
 //! Reloads the settings on SIGHUP.
 //!
-//! Retry limits take effect at once. Changes to addresses and the availability zone need a restart.
+//! Retry limits and the regions of zones take effect at once. Changes to addresses and the availability zone need a restart.
 
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -17,6 +17,7 @@
         match settings::read::<GatewaySettings>(&path) {
             Ok(settings) => {
                 gateway.set_retry_limits(RetryLimits::from(&settings.retries));
+                gateway.set_regions(settings.region_table());
                 spdlog::info!("settings read anew", kv: { file: = path.display() });
             }
             Err(error) => {
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -14,9 +14,10 @@
 use crate::claim::Digest;
 use crate::gateway::body::{self, ReadError};
 use crate::gateway::byte_budget::ByteBudget;
-use crate::gateway::config::{Config, Route};
+use crate::gateway::config::{Account, Config, Route};
 use crate::gateway::overload;
 use crate::gateway::prompts::{PartIds, Prompt};
+use crate::gateway::regions::RequestRegions;
 use crate::platform::headers::{self, AddedHeaders};
 use crate::problem::{Problem, Reason};
 use crate::units::Micros;
@@ -55,6 +56,8 @@
     version: u64,
     /// Name of the client account; `None` for anonymous requests.
     pub account: Option<Box<str>>,
+    /// Region restrictions of its route and client account.
+    regions: RequestRegions,
     /// Description of the prompt; `None` unless the request is for a model inference engine.
     pub prompt: Option<Prompt>,
     /// Arrival time.
@@ -117,6 +120,7 @@
         let account = account(&route, meta.key, config)?;
         let remaining = meta.remaining.unwrap_or(route.timeout);
         let (id, prompt) = (id.clone(), meta.prompt);
+        let regions = regions(&route, account);
         Ok(ClientRequest {
             id,
             method: parts.method,
@@ -127,7 +131,8 @@
             route,
             service,
             version: config.version,
-            account,
+            account: account.map(|account| account.name.clone()),
+            regions,
             prompt,
             arrived,
             client_deadline: arrived + remaining.into(),
@@ -147,13 +152,37 @@
         if config.version == self.version {
             return true;
         }
-        let host = host(&self.headers, &self.uri);
-        let Some(route) = config.route(host, self.uri.path()) else {
+        let Some((route, account)) = self.resolve(config) else {
             return false;
         };
-        let key = headers::parse_request(&self.headers).key;
         let has_service = route.services.iter().any(|(name, _)| *name == self.service);
-        has_service && account(route, key, config).is_ok_and(|account| account == self.account)
+        has_service && account.map(|account| &account.name) == self.account.as_ref()
+    }
+
+    /// Returns the region restrictions of this request by `config`. One that `config` does not accept
+    /// may be sent nowhere.
+    pub fn regions_by(&self, config: &Config) -> RequestRegions {
+        if config.version == self.version {
+            return self.regions.clone();
+        }
+        self.resolve(config)
+            .map_or(RequestRegions::NONE, |(route, account)| {
+                regions(route, account)
+            })
+    }
+
+    /// Whether its route or client account is restricted to some regions, by the configuration by
+    /// which it was routed.
+    pub fn is_restricted(&self) -> bool {
+        self.regions.is_restricted()
+    }
+
+    /// Returns its route and client account by `config`; `None` if `config` does not accept it.
+    fn resolve<'a>(&self, config: &'a Config) -> Option<(&'a Route, Option<&'a Account>)> {
+        let host = host(&self.headers, &self.uri);
+        let route = config.route(host, self.uri.path())?;
+        let key = headers::parse_request(&self.headers).key;
+        Some((route, account(route, key, config).ok()?))
     }
 
     /// Returns the headers to send to `target`. For a resumed stream, `last_event` is the id of the
@@ -235,14 +264,27 @@
     route.services.first().map(|(service, _)| service)
 }
 
-/// Returns the name of the client account that owns the presented API key; `None` for an anonymous
-/// request that the route accepts.
-fn account(route: &Route, key: Option<&str>, config: &Config) -> Result<Option<Box<str>>, Problem> {
+/// Returns the client account that owns the presented API key; `None` for an anonymous request that
+/// the route accepts.
+fn account<'a>(
+    route: &Route,
+    key: Option<&str>,
+    config: &'a Config,
+) -> Result<Option<&'a Account>, Problem> {
     let account = key.and_then(|key| config.account_by_key(key));
     if account.is_none() && config.has_accounts() && !route.allow_anonymous {
         return Err(Problem::not_run(401, Reason::BadKey));
     }
-    Ok(account.map(|account| config.account(account).name.clone()))
+    Ok(account.map(|account| config.account(account)))
+}
+
+fn regions(route: &Route, account: Option<&Account>) -> RequestRegions {
+    RequestRegions {
+        route: route.regions.clone(),
+        account: account
+            .map(|account| account.regions.clone())
+            .unwrap_or_default(),
+    }
 }
 
 async fn read_body(
--- a/src/gateway/request/tests.rs
+++ b/src/gateway/request/tests.rs
@@ -4,6 +4,7 @@
 
 use super::ClientRequest;
 use crate::gateway::config::{Account, Config, ConfigParts, Route, RouteClass};
+use crate::gateway::regions::RegionRule;
 use crate::units::Micros;
 
 /// Time limit of the client, in milliseconds.
@@ -11,6 +12,18 @@
 
 /// A configuration with one route to a service, and one API key.
 pub fn config(version: u64, prefix: &str, service: &str, key: &str) -> Config {
+    let rules = [RegionRule::default(), RegionRule::default()];
+    restricted(version, rules, prefix, service, key)
+}
+
+/// As [`config`], with the region restrictions of the route and of the client account.
+pub fn restricted(
+    version: u64,
+    [route_regions, account_regions]: [RegionRule; 2],
+    prefix: &str,
+    service: &str,
+    key: &str,
+) -> Config {
     let route = Route {
         name: "route".into(),
         authority: "pool.example".into(),
@@ -21,9 +34,11 @@
         latency_objective: Duration::from_millis(300),
         max_attempts: 2,
         allow_anonymous: false,
+        regions: route_regions,
     };
     let account = Account {
         name: "school".into(),
+        regions: account_regions,
     };
     ConfigParts {
         version,
@@ -36,6 +51,11 @@
 
 /// A request that arrived at time zero under the first configuration.
 pub fn request() -> ClientRequest {
+    request_by(&config(1, "/read/", "desk", "school-key"))
+}
+
+/// A request that arrived at time zero under this configuration.
+pub fn request_by(config: &Config) -> ClientRequest {
     let head = Request::builder()
         .uri("/read/1")
         .header("host", "pool.example")
@@ -45,8 +65,7 @@
         .body(())
         .expect("it is a valid request");
     let (parts, ()) = head.into_parts();
-    let config = config(1, "/read/", "desk", "school-key");
-    ClientRequest::from_head(parts, &config, Micros::ZERO).expect("the configuration allows it")
+    ClientRequest::from_head(parts, config, Micros::ZERO).expect("the configuration allows it")
 }
 
 /// Whether the second configuration still allows a request that was read under the first.
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -52,6 +52,7 @@
         wait_ms = choice.map_or(0, |c| c.wait.as_ms()),
         pressure_ms = context.backlog.as_ms(),
         aim_ms = context.latency_objective.as_ms(),
+        restricted = request.is_restricted(),
         left_out = left_out,
         retry_ms = problem.retry_after.map_or(0, |delay| delay.as_millis() as u64),
     });
--- a/src/gateway/retry.rs
+++ b/src/gateway/retry.rs
@@ -15,7 +15,8 @@
     /// The connection could not be established; nothing was sent.
     Unreached,
     /// The request was not sent after all, because its deadline had passed, its target, route or API
-    /// key had been removed meanwhile, or its target has no room left within its limit.
+    /// key had been removed meanwhile, its target is not in an allowed region, or its target has no
+    /// room left within its limit.
     Withdrawn,
     /// The request was not sent after all, because its target turned out to be cold and this gateway
     /// has no room there now.
--- a/src/gateway/selection.rs
+++ b/src/gateway/selection.rs
@@ -15,6 +15,7 @@
 
 use crate::gateway::prefix_owner::{Candidate, OwnerShare, Owners};
 use crate::gateway::prompts::{Prompt, mix};
+use crate::gateway::regions::AllowedZones;
 use crate::gateway::restrictions;
 use crate::gateway::restrictions::evacuations::Evacuations;
 use crate::gateway::targets::{Target, TargetKey, TargetTag, Targets};
@@ -62,6 +63,8 @@
     pub tried: &'a [TargetKey],
     /// The evacuated zones, whose targets are excluded.
     pub evacuations: &'a Evacuations,
+    /// The zones that the request's region restrictions allow; targets elsewhere are excluded.
+    pub allowed_zones: &'a AllowedZones,
     /// Prefill rate of an engine, in tokens per millisecond.
     pub prefill_rate: f64,
     /// The route's objective for the time to the first event, or to another response.
@@ -105,7 +108,8 @@
     is_eligible: impl Fn(&Target) -> bool,
 ) -> Option<Choice> {
     let is_usable = |key: TargetKey, target: &Target| {
-        let is_allowed = restrictions::check(target, criteria.evacuations, now).is_none();
+        let is_allowed = restrictions::check(target, criteria.evacuations, now).is_none()
+            && criteria.allowed_zones.contains(target.zone);
         is_allowed && !criteria.tried.contains(&key) && is_eligible(target)
     };
     let owners = owners(targets, now, criteria, is_usable);
@@ -167,6 +171,9 @@
     let in_zone = reading <= ZONE_COPY_REQUESTS * crossing_cost(criteria);
     let keys = targets.of_service(criteria.service).iter();
     let listed = keys.filter_map(|&key| Some((key, targets.get(key)?)));
+    // A target outside of the allowed regions never owned a prefix of this request. As an unusable
+    // candidate it would make the prefix count as just moved, and so as not cached, forever.
+    let listed = listed.filter(|(_, target)| criteria.allowed_zones.contains(target.zone));
     let candidates = listed.map(|(key, target)| {
         let candidate = Candidate {
             key,
--- a/src/gateway/selection/tests.rs
+++ b/src/gateway/selection/tests.rs
@@ -3,6 +3,7 @@
 use super::{Choice, Criteria, choose};
 use crate::gateway::peers::member::ZoneTag;
 use crate::gateway::prompts::{Part, Prompt};
+use crate::gateway::regions::AllowedZones;
 use crate::gateway::restrictions::evacuations::Evacuations;
 use crate::gateway::targets::{Entry, TargetKey, Targets};
 use crate::units::Micros;
@@ -49,6 +50,7 @@
         zone: "a",
         tried: &[],
         evacuations: &NO_EVACUATIONS,
+        allowed_zones: &AllowedZones::All,
         prefill_rate: RATE,
         latency_objective: Micros::from_ms(600),
         body_bytes: 1_000,
@@ -137,6 +139,25 @@
     assert_eq!(choose(&targets, NOW, &criteria), None);
 }
 
+/// Guards against a request that leaves its regions, and against prefixes of restricted requests that
+/// count as just moved, and so as not cached, because their owner among all targets is elsewhere.
+#[test]
+fn a_restricted_request_has_its_prefix_at_an_owner_in_its_regions() {
+    let targets = fleet(18, "model");
+    let zones = AllowedZones::Only([ZoneTag::of("b")].as_slice().into());
+    for shared in 1..50 {
+        let prompt = prompt(shared, 9_000 + shared);
+        let criteria = Criteria {
+            allowed_zones: &zones,
+            ..criteria(Some(&prompt), shared)
+        };
+        let choice = choose(&targets, NOW, &criteria).expect("zone b has targets");
+        let target = targets.get(choice.target).expect("it was just chosen");
+        assert_eq!(target.entry.zone.as_ref(), "b");
+        assert_eq!(choice.prefill_tokens, OWN_TOKENS);
+    }
+}
+
 /// All prefixes are requested at once, before any target has cached one.
 #[test]
 fn at_the_first_start_prefixes_count_as_not_cached_at_their_preferred_target() {
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -147,8 +147,8 @@
 }
 
 /// Checks again, right before a request is sent, what may have changed since its target was chosen:
-/// the deadline, the target's restrictions, the configuration, the quarantine, and whether the target
-/// is cold. Takes the room for the request if it is.
+/// the deadline, the target's restrictions, the configuration with its region restrictions, the
+/// quarantine, and whether the target is cold. Takes the room for the request if it is.
 fn last_look(
     gateway: &GatewayState,
     request: &ClientRequest,
@@ -156,7 +156,8 @@
 ) -> Result<(), Failure> {
     let expired = gateway.clock.now() >= request.deadline();
     let takes_requests = gateway.may_send_to(target);
-    let allowed = request.is_allowed_by(&gateway.config());
+    let config = gateway.config();
+    let allowed = request.is_allowed_by(&config) && gateway.allows_region(&config, request, target);
     if expired || !takes_requests || !allowed || gateway.remaining_quarantine(request).is_some() {
         return Err(Failure::Withdrawn);
     }
--- a/src/gateway/send/tests.rs
+++ b/src/gateway/send/tests.rs
@@ -5,7 +5,8 @@
 
 use super::{last_look, record_notices};
 use crate::gateway::peers::member::ZoneTag;
-use crate::gateway::request::tests::{config, request};
+use crate::gateway::regions::{AllowedZones, RegionRule};
+use crate::gateway::request::tests::{config, request, restricted};
 use crate::gateway::restrictions::evacuations::Evacuations;
 use crate::gateway::restrictions::{self, Restriction};
 use crate::gateway::retry::Failure;
@@ -100,6 +101,17 @@
         gateway.apply_config(config(2, "/other/", "desk", "school-key"));
         Duration::ZERO
     } => Err(Failure::Withdrawn);
+    its_account_is_restricted_to_other_regions: |gateway| {
+        let rules = [RegionRule::Unrestricted, ["luzon"].into_iter().collect()];
+        gateway.apply_config(restricted(2, rules, "/read/", "desk", "school-key"));
+        Duration::ZERO
+    } => Err(Failure::Withdrawn);
+    the_regions_of_its_zone_become_known: |gateway| {
+        let rules = [["luzon"].into_iter().collect(), RegionRule::Unrestricted];
+        gateway.apply_config(restricted(2, rules, "/read/", "desk", "school-key"));
+        gateway.set_regions([("a", "luzon")].into_iter().collect());
+        Duration::ZERO
+    } => Ok(());
 }
 
 /// When the first target takes requests again: `t0` asks for a pause and all other targets are these.
@@ -113,7 +125,7 @@
             let others: fn(&GatewayState) = $others;
             others(&gateway);
             let wait: Option<Duration> = $wait;
-            assert_eq!(gateway.pause_of_all("desk"), wait.map(Micros::from));
+            assert_eq!(gateway.pause_of_all("desk", &AllowedZones::All), wait.map(Micros::from));
         }
     )*};
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -6,6 +6,7 @@
 mod ending;
 mod exchange;
 mod notices;
+mod regions;
 
 use std::collections::HashMap;
 use std::net::Ipv4Addr;
@@ -30,6 +31,7 @@
 use crate::gateway::peers::roster::Roster;
 use crate::gateway::peers::wire_targets::{Cursor, WireTargets};
 use crate::gateway::pool::ConnectionPool;
+use crate::gateway::regions::{AllowedZones, RegionTable, log_findings};
 use crate::gateway::request::ClientRequest;
 use crate::gateway::request_quarantine::RequestQuarantine;
 use crate::gateway::restrictions::evacuations::{self, Evacuations};
@@ -65,6 +67,8 @@
     /// Cancelled at the end of the grace period, when running requests must get their final answer.
     grace_over: CancellationToken,
     config: ArcSwap<Config>,
+    /// The regions of the zones, from the settings.
+    regions: ArcSwap<RegionTable>,
     telemetry: Telemetry,
     /// Whether the targets were started together with this process.
     cold: bool,
@@ -107,6 +111,7 @@
             boot: rand::random(),
             grace_over: CancellationToken::new(),
             config: ArcSwap::default(),
+            regions: ArcSwap::default(),
             telemetry: Telemetry::disabled(),
             cold: false,
             state: Mutex::new(State {
@@ -183,6 +188,7 @@
     pub fn apply_config(&self, config: Config) -> bool {
         let newer = config.version > self.config.load().version;
         if newer {
+            log_findings(&config, &self.regions.load());
             self.config.store(Arc::new(config));
         }
         newer
@@ -286,6 +292,7 @@
     /// Chooses a target for a request, excluding those in `tried`; `None` if none is left.
     pub fn choose_target(&self, request: &ClientRequest, tried: &[TargetKey]) -> Option<Choice> {
         let service = request.service.as_ref();
+        let zones = self.allowed_zones(request);
         let state = self.lock();
         let criteria = Criteria {
             service,
@@ -293,6 +300,7 @@
             zone: &self.zone,
             tried,
             evacuations: &state.evacuations,
+            allowed_zones: &zones,
             prefill_rate: self.prefill_rate(service, &state.targets),
             latency_objective: request.route.latency_objective.into(),
             body_bytes: request.body_len() as u64,
@@ -310,14 +318,14 @@
         state.demand.record(now, ServiceTag::of(service));
     }
 
-    /// Returns the time until this gateway has room at a service's targets: the mean time between
-    /// two requests within the limits that they name, or the time until it has room at a cold one.
-    /// `None` if none has a limit.
-    pub fn room_interval(&self, service: &str) -> Option<Micros> {
+    /// Returns the time until this gateway has room at a service's targets in these zones: the mean
+    /// time between two requests within the limits that they name, or the time until it has room at
+    /// a cold one. `None` if none has a limit.
+    pub fn room_interval(&self, service: &str, zones: &AllowedZones) -> Option<Micros> {
         let now = self.clock.now();
         let state = self.lock();
         let allowed = || {
-            let targets = state.of_service(service);
+            let targets = state.of_service(service, zones);
             targets.filter(|target| state.restriction(target, now).is_none())
         };
         let cold = allowed().filter_map(|target| target.cold.time_to_room(now));
@@ -327,13 +335,14 @@
         cold.chain(named).min()
     }
 
-    /// Returns the time until the first of a service's targets takes requests again, if all that are
-    /// neither leaving nor in an evacuated zone have asked for a pause; `None` otherwise.
-    pub fn pause_of_all(&self, service: &str) -> Option<Micros> {
+    /// Returns the time until the first of a service's targets in these zones takes requests again,
+    /// if all that are neither leaving nor in an evacuated zone have asked for a pause; `None`
+    /// otherwise.
+    pub fn pause_of_all(&self, service: &str, zones: &AllowedZones) -> Option<Micros> {
         let now = self.clock.now();
         let state = self.lock();
         let mut first = None;
-        for target in state.of_service(service) {
+        for target in state.of_service(service, zones) {
             match state.restriction(target, now) {
                 None => return None,
                 Some(Restriction::Paused) => {
@@ -354,13 +363,14 @@
         taken == Some(true)
     }
 
-    /// Returns the mean prefill backlog per engine of a service, as the time needed to work it off.
-    pub fn mean_backlog(&self, service: &str) -> Micros {
+    /// Returns the mean prefill backlog per engine of a service in these zones, as the time needed to
+    /// work it off.
+    pub fn mean_backlog(&self, service: &str, zones: &AllowedZones) -> Micros {
         let now = self.clock.now();
         let state = self.lock();
         let allowed = |target: &&Target| state.restriction(target, now).is_none();
         let (count, backlog) = state
-            .of_service(service)
+            .of_service(service, zones)
             .filter(allowed)
             .fold((0, 0.0), |(count, sum), target| {
                 (count + 1, sum + target.load.total_prefill())
@@ -419,10 +429,11 @@
         restrictions::check(target, &self.evacuations, now)
     }
 
-    /// The targets of a service, including those that may not be sent requests.
-    fn of_service(&self, service: &str) -> impl Iterator<Item = &Target> {
+    /// The targets of a service in these zones, including those that may not be sent requests.
+    fn of_service(&self, service: &str, zones: &AllowedZones) -> impl Iterator<Item = &Target> {
         let keys = self.targets.of_service(service).iter();
-        keys.filter_map(|&key| self.targets.get(key))
+        let targets = keys.filter_map(|&key| self.targets.get(key));
+        targets.filter(|target| zones.contains(target.zone))
     }
 }
 
--- a/src/gateway/state/notices/tests.rs
+++ b/src/gateway/state/notices/tests.rs
@@ -5,6 +5,7 @@
 use crate::gateway::peers::member::{Member, ZoneTag};
 use crate::gateway::peers::rounds::FULL_EVERY;
 use crate::gateway::peers::wire::GossipMessage;
+use crate::gateway::regions::AllowedZones;
 use crate::gateway::retry_budget::RetryLimits;
 use crate::gateway::state::GatewayState;
 use crate::gateway::targets::Entry;
@@ -93,6 +94,9 @@
     let [first, second] = [1, 2].map(gateway);
     first.record_pause(&"t0".into(), &entry(5), Duration::from_secs(10));
     tell(&first, 1, &second);
-    assert_eq!(first.pause_of_all("desk"), Some(Micros::from_secs(10)));
-    assert_eq!(second.pause_of_all("desk"), None);
+    assert_eq!(
+        first.pause_of_all("desk", &AllowedZones::All),
+        Some(Micros::from_secs(10))
+    );
+    assert_eq!(second.pause_of_all("desk", &AllowedZones::All), None);
 }
--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -11,6 +11,7 @@
 
 use crate::gateway::cold_limit::{self, ColdReport, ColdRule};
 use crate::gateway::config::{self, Account, EngineCapacity, Limits, Route, RouteClass, Service};
+use crate::gateway::regions::RegionRule;
 use crate::gateway::targets::Entry;
 use crate::units::Micros;
 
@@ -48,6 +49,8 @@
     anonymous_access: bool,
     #[serde(default)]
     stream_resume: bool,
+    #[serde(rename = "allowedRegions")]
+    regions: Option<Box<RawValue>>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -100,6 +103,8 @@
     name: Box<str>,
     #[serde(default)]
     api_keys: Vec<Box<str>>,
+    #[serde(rename = "allowedRegions")]
+    regions: Option<Box<RawValue>>,
 }
 
 /// A target's entry, as the target writes it.
@@ -169,6 +174,7 @@
             latency_objective: millis(wire.aim_ms.unwrap_or(wire.timeout_ms)),
             max_attempts: wire.max_attempts,
             allow_anonymous: wire.anonymous_access,
+            regions: to_region_rule(wire.regions.as_deref()),
         }
     }
 }
@@ -272,5 +278,21 @@
 }
 
 fn to_account(wire: WireTenant) -> (Account, Vec<Box<str>>) {
-    (Account { name: wire.name }, wire.api_keys)
+    let account = Account {
+        regions: to_region_rule(wire.regions.as_deref()),
+        name: wire.name,
+    };
+    (account, wire.api_keys)
+}
+
+/// Reads a list of allowed regions. Whatever is present and not a list of strings allows no region,
+/// so that a mistake in a restriction does not lift it.
+fn to_region_rule(raw: Option<&RawValue>) -> RegionRule {
+    let Some(raw) = raw else {
+        return RegionRule::Unrestricted;
+    };
+    match serde_json::from_str::<Vec<Box<str>>>(raw.get()) {
+        Ok(names) => names.iter().collect(),
+        Err(_) => RegionRule::Unreadable,
+    }
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -4,6 +4,7 @@
 //! beside a target that runs them. A gateway is a router process that sends requests directly to
 //! targets. The platform is the operator's infrastructure service.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
@@ -15,6 +16,7 @@
 use crate::gateway::byte_budget::ByteBudget;
 use crate::gateway::connection_limits::ConnectionLimits;
 use crate::gateway::peers::member::{Member, ZoneTag};
+use crate::gateway::regions::RegionTable;
 use crate::gateway::retry_budget::RetryLimits;
 use crate::rules::parse::MAX_NAME_BYTES;
 
@@ -89,6 +91,12 @@
     pub first: bool,
     /// Availability zone of this host.
     pub zone: String,
+    /// Region of this host's zone; `None` or empty if it is not known.
+    #[serde(default)]
+    pub region: Option<String>,
+    /// Regions of the availability zones by name; a zone without one belongs to no region.
+    #[serde(default)]
+    pub zones: Option<BTreeMap<String, Option<String>>>,
     /// Address of the platform's store.
     pub platform: SocketAddr,
     /// Maximum time from SIGTERM to the end of the process, in seconds.
@@ -121,6 +129,15 @@
         ByteBudget::new(limits.body_bytes(self.memory << 20))
     }
 
+    /// The regions of the zones, with that of this host's own.
+    pub fn region_table(&self) -> RegionTable {
+        let zones = self.zones.iter().flatten();
+        let zones = zones.filter_map(|(zone, region)| Some((zone.as_str(), region.as_deref()?)));
+        let own = self.region.iter();
+        let own = own.map(|region| (self.zone.as_str(), region.as_str()));
+        zones.chain(own).collect()
+    }
+
     /// This gateway, as it introduces itself to others.
     pub fn member(&self) -> Member {
         Member {
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -79,6 +79,8 @@
         LogFailure => "log_failures",
         /// A read of the host list failed.
         HostsFailure => "hosts_failures",
+        /// A request that is restricted to some regions found no target there.
+        RegionRefusal => "region_refusals",
     }
 );
 
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -8,6 +8,7 @@
 use balsampitch::gateway::cold_limit::ColdReport;
 use balsampitch::gateway::config::{Account, Config, ConfigParts, Route, RouteClass, Service};
 use balsampitch::gateway::directory::{Change, ChangeBatch, Directory, Topic};
+use balsampitch::gateway::regions::RegionRule;
 use balsampitch::gateway::retry_budget::RetryLimits;
 use balsampitch::gateway::state::GatewayState;
 use balsampitch::gateway::targets::Entry;
@@ -33,6 +34,9 @@
 /// API key that the configuration contains.
 pub const KEY: &str = "school-key";
 
+/// Regions of the zones `a` and `b`.
+pub const REGIONS: [&str; 2] = ["visayas", "luzon"];
+
 /// Contents of the fake directory.
 #[derive(Clone, Debug, Default)]
 struct DirectoryState {
@@ -220,6 +224,16 @@
 
 /// As [`config`], with this service.
 pub fn config_with(version: u64, keys: &[&str], service: Service) -> Config {
+    restricted(version, keys, service, &Default::default())
+}
+
+/// As [`config_with`], with the region restrictions of all routes and of the client account.
+pub fn restricted(
+    version: u64,
+    keys: &[&str],
+    service: Service,
+    rules: &[RegionRule; 2],
+) -> Config {
     let route = |name: &str, class, allow_anonymous| Route {
         name: name.into(),
         authority: "pool.example".into(),
@@ -230,9 +244,11 @@
         latency_objective: Duration::from_millis(300),
         max_attempts: 2,
         allow_anonymous,
+        regions: rules[0].clone(),
     };
     let account = Account {
         name: "school".into(),
+        regions: rules[1].clone(),
     };
     let parts = ConfigParts {
         version,
@@ -357,6 +373,7 @@
         let settings = json!({
             "name": "gateway", "listen": callers, "ready": ready, "metrics": free_address(), "peer": peer, "seeds": seeds,
             "zone": "a", "platform": "127.0.0.1:1", "grace": host.grace, "descriptors": host.descriptors,
+            "region": REGIONS[0], "zones": {"a": REGIONS[0], "b": REGIONS[1]},
             "retries": {"ratio": 0.2, "slack": 160.0, "window": 10.0},
         });
         let settings: GatewaySettings =
@@ -364,7 +381,8 @@
         let limits = RetryLimits::from(&settings.retries);
         let scrape = ScrapeRegistry::default();
         let telemetry = Telemetry::scraped(scrape.meter_provider().expect("it exports"));
-        let state = Arc::new(GatewayState::new("a", limits).with_telemetry(telemetry));
+        let state = GatewayState::new("a", limits).with_telemetry(telemetry);
+        let state = Arc::new(state.with_regions(settings.region_table()));
         let drain = CancellationToken::new();
         let run = balsampitch::gateway::run(
             settings,
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -19,6 +19,7 @@
 mod notices;
 mod odd_entries;
 mod process;
+mod regions;
 mod retries;
 mod store;
 mod streams;
--- a/tests/gateway/store.rs
+++ b/tests/gateway/store.rs
@@ -7,7 +7,7 @@
 
 use base64::Engine;
 use base64::prelude::BASE64_STANDARD;
-use serde_json::json;
+use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
@@ -62,12 +62,24 @@
     /// Publishes a configuration with a route of each class before one service and a route `other`
     /// before another one, with these limits on the sizes of bodies and the time of requests.
     pub fn put_config(&self, version: u64, max_body: usize, timeout: Duration) {
+        self.put_restricted_config(version, max_body, timeout, &json!(null));
+    }
+
+    /// As [`Store::put_config`], with this value as the allowed regions of all routes.
+    pub fn put_restricted_config(
+        &self,
+        version: u64,
+        max_body: usize,
+        timeout: Duration,
+        regions: &Value,
+    ) {
         let route = |class: &str, resume: bool| {
             let name = if resume { "resumed" } else { class };
             json!({
                 "name": name, "authority": "pool.example", "pathPrefix": format!("/{name}/"),
                 "routeClass": class, "timeoutMs": timeout.as_millis() as u64, "targetLatencyMs": 300,
                 "backend": "desk", "maxAttempts": 2, "streamResume": resume,
+                "allowedRegions": regions,
             })
         };
         let mut other = route("idempotent", false);
