--- a/src/gateway/config.rs
+++ b/src/gateway/config.rs
@@ -14,6 +14,7 @@
 
 use crate::gateway::cold_limit::ColdRule;
 use crate::gateway::prefix_transfer::TransferRate;
+use crate::gateway::regions::{Owner, RegionRule};
 use crate::ids::AccountKey;
 use crate::units::Micros;
 
@@ -58,6 +59,8 @@
     pub max_attempts: u32,
     /// Whether requests without an API key are accepted although there are client accounts.
     pub allow_anonymous: bool,
+    /// The regions whose targets may receive its requests.
+    pub regions: RegionRule,
 }
 
 /// The kind of a route's requests.
@@ -116,6 +119,8 @@
 pub struct Account {
     /// Account name, as sent to targets.
     pub name: Box<str>,
+    /// The regions whose targets may receive its requests.
+    pub regions: RegionRule,
 }
 
 /// Limits on client connections and requests, and the engines' throughput.
@@ -231,6 +236,16 @@
         &self.accounts[key.index()]
     }
 
+    /// The region restrictions of all routes and client accounts, with their names.
+    pub fn region_rules(&self) -> impl Iterator<Item = (Owner, &str, &RegionRule)> {
+        let routes = self.routes.values().flatten();
+        let routes = routes.map(|route| (Owner::Route, route.name.as_ref(), &route.regions));
+        let accounts = self.accounts.iter();
+        let accounts =
+            accounts.map(|account| (Owner::Account, account.name.as_ref(), &account.regions));
+        routes.chain(accounts)
+    }
+
     /// Whether the requests to cold targets of any service are limited.
     pub fn limits_cold_targets(&self) -> bool {
         self.services.values().any(|service| service.cold.is_some())
--- a/src/gateway/selection.rs
+++ b/src/gateway/selection.rs
@@ -15,6 +15,7 @@
 
 use crate::gateway::prefix_transfer::TransferRate;
 use crate::gateway::prompts::{Prompt, mix};
+use crate::gateway::regions::AllowedZones;
 use crate::gateway::reservation::{ReservationContext, STEP_TOKENS};
 use crate::gateway::restrictions;
 use crate::gateway::restrictions::evacuations::Evacuations;
@@ -62,6 +63,8 @@
     pub tried: &'a [TargetKey],
     /// The evacuated zones, whose targets are excluded.
     pub evacuations: &'a Evacuations,
+    /// The zones that the request's region restrictions allow; targets elsewhere are excluded.
+    pub allowed_zones: &'a AllowedZones,
     /// Prefill rate of an engine, in tokens per millisecond.
     pub prefill_rate: f64,
     /// How fast engines fetch cached prompts from each other; `None` if they cannot.
@@ -113,7 +116,8 @@
     is_eligible: impl Fn(&Target) -> bool,
 ) -> Option<Choice> {
     let is_usable = |key: TargetKey, target: &Target| {
-        let is_allowed = restrictions::check(target, criteria.evacuations, now).is_none();
+        let is_allowed = restrictions::check(target, criteria.evacuations, now).is_none()
+            && criteria.allowed_zones.contains(target.zone);
         is_allowed && !criteria.tried.contains(&key) && is_eligible(target)
     };
     let prefix = PrefixPlacement::new(targets, now, criteria, is_usable);
--- a/src/gateway/selection/prefixes.rs
+++ b/src/gateway/selection/prefixes.rs
@@ -52,6 +52,9 @@
         };
         let keys = targets.of_service(criteria.service).iter();
         let listed = keys.filter_map(|&key| Some((key, targets.get(key)?)));
+        // A target outside of the allowed regions never owned a prefix of this request. As an unusable
+        // candidate it would make the prefix count as just moved, and so as not cached, forever.
+        let listed = listed.filter(|(_, target)| criteria.allowed_zones.contains(target.zone));
         let listed: SmallVec<[Listed<'_>; 64]> = listed
             .map(|(key, target)| Listed {
                 candidate: Candidate {
--- a/src/gateway/state/engines.rs
+++ b/src/gateway/state/engines.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use crate::gateway::prefix_transfer::TransferRate;
+use crate::gateway::regions::AllowedZones;
 use crate::gateway::reservation::ReservationContext;
 use crate::gateway::state::{GatewayState, State};
 use crate::gateway::targets::TargetKey;
@@ -37,8 +38,13 @@
         engine.transfer.filter(|_| self.engines.fetch)
     }
 
-    /// Returns what decides on reservations at a service's targets.
-    pub(super) fn reservation_context(&self, state: &State, service: &str) -> ReservationContext {
+    /// Returns what decides on reservations at a service's targets in these zones.
+    pub(super) fn reservation_context(
+        &self,
+        state: &State,
+        service: &str,
+        zones: &AllowedZones,
+    ) -> ReservationContext {
         let config = self.config.load();
         let engine = config.service(service).and_then(|service| service.engine);
         let max_ttl = engine.and_then(|engine| engine.max_reservation);
@@ -47,7 +53,7 @@
             max_ttl,
             tightest_objective: config.tightest_objective(service).unwrap_or_default(),
             backlog: match max_ttl {
-                Some(_) => self.mean_backlog_of(state, service),
+                Some(_) => self.mean_backlog_of(state, service, zones),
                 None => Micros::ZERO,
             },
         }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -20,6 +20,7 @@
 mod notices;
 mod odd_entries;
 mod process;
+mod regions;
 mod retries;
 mod shared_request;
 mod store;
