Correct what a reader of the change found in transfers and reservations

Cause, by reading: a transfer could be named that was expected to take longer than prefilling; transfers between two zones that are both not the gateway's counted as local; a prompt was expected to pass the queue of a target that takes no reservations; the transfer of a prefix that the target has probably cached counted as load of its source; a region restriction that came between choice and sending was not asked for the source; a reservation was made before the checks of deadline, quarantine and configuration; the late line logged what was planned, not what was sent; config check did not know holdMs. Change: each of these; the backlog is computed for prompts only; owners are listed once as sources; clearer names (reservation_call, ReservationOutcome, NOWHERE, Reported) and doc lines. The test of unusable sources names two cases instead of one; the tests of plans give zones instead of a flag and have two more cases. Result: 322 unit and 33 end-to-end tests of these parts pass.

--- a/src/gateway/admission/tests.rs
+++ b/src/gateway/admission/tests.rs
@@ -25,7 +25,7 @@
     targets.put("one", entry);
     AdmissionContext {
         choice: Some(Choice {
-            source: None,
+            transfer: None,
             reservation: None,
             target: targets.of_service("model")[0],
             expected: Micros::from_ms(expected),
--- a/src/gateway/cold_probe.rs
+++ b/src/gateway/cold_probe.rs
@@ -21,9 +21,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Answer {
     /// The target reported its remaining cold time.
-    Told(Micros),
+    Reported(Micros),
     /// It answered without its remaining cold time.
-    NotTold,
+    NotReported,
     /// It did not answer in time, or the connection broke off.
     Failed,
     /// Another target now uses the address.
@@ -43,8 +43,8 @@
     };
     match timeout(ASK_TIMEOUT, answer).await {
         Ok(Some((StatusCode::MISDIRECTED_REQUEST, _))) => Answer::Moved,
-        Ok(Some((_, Some(remaining)))) => Answer::Told(remaining),
-        Ok(Some((_, None))) => Answer::NotTold,
+        Ok(Some((_, Some(remaining)))) => Answer::Reported(remaining),
+        Ok(Some((_, None))) => Answer::NotReported,
         Ok(None) | Err(_) => Answer::Failed,
     }
 }
--- a/src/gateway/config_check/draft.rs
+++ b/src/gateway/config_check/draft.rs
@@ -60,6 +60,8 @@
     TokenBytes,
     /// Rate of a target's link, in megabits per second.
     LinkRate,
+    /// Longest time of a reservation at an engine, in milliseconds.
+    MaxReservation,
     /// Path of a service's health check.
     HealthPath,
     /// Cold time of a service, in seconds.
--- a/src/gateway/in_flight.rs
+++ b/src/gateway/in_flight.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use crate::gateway::prompts::Prompt;
-use crate::gateway::selection::Choice;
+use crate::gateway::selection::{Choice, PlannedTransfer};
 use crate::gateway::state::GatewayState;
 use crate::gateway::targets::TargetKey;
 use crate::units::Micros;
@@ -21,15 +21,13 @@
     pub sent: Micros,
     /// What was expected when the target was chosen.
     pub choice: Choice,
-    /// Transfer of the prompt's prefix that is under way; `None` once the first event has arrived.
-    transfer: Option<Outgoing>,
-}
-
-/// A transfer that is part of its source's load.
-#[derive(Clone, Copy, Debug)]
-struct Outgoing {
-    source: TargetKey,
-    tokens: u64,
+    /// Transfer of the prompt's prefix that is part of its source's load; `None` once the first event
+    /// has arrived.
+    transfer: Option<PlannedTransfer>,
+    /// Whether the request named a source of its prefix when it was sent.
+    pub fetched: bool,
+    /// Whether it named a reservation.
+    pub reserved: bool,
 }
 
 impl InFlight {
@@ -37,11 +35,7 @@
     /// model of the target's prefix cache.
     pub fn begin(gateway: &Arc<GatewayState>, choice: Choice, prompt: Option<&Prompt>) -> Self {
         let now = gateway.clock.now();
-        let transfer = choice.source.zip(prompt).map(|(source, prompt)| Outgoing {
-            source,
-            tokens: prompt.shared_tokens(),
-        });
-        if let Some(Outgoing { source, tokens }) = transfer {
+        if let Some(PlannedTransfer { source, tokens }) = choice.transfer {
             gateway.with_target(source, |source| source.load.outgoing_tokens += tokens);
         }
         gateway.with_target(choice.target, |target| {
@@ -57,19 +51,15 @@
             pending_prefill: choice.prefill_tokens,
             sent: now,
             choice,
-            transfer,
+            transfer: choice.transfer,
+            fetched: false,
+            reserved: false,
         }
     }
 
-    /// Target from which the prompt's prefix is fetched; `None` if it is not, or the first event has
-    /// arrived.
-    pub fn source(&self) -> Option<TargetKey> {
-        self.transfer.map(|transfer| transfer.source)
-    }
-
-    /// Ends the transfer of the prefix.
-    fn end_transfer(&mut self) {
-        if let Some(Outgoing { source, tokens }) = self.transfer.take() {
+    /// Removes the transfer of the prefix from its source's load: it has ended, or does not begin.
+    pub fn end_transfer(&mut self) {
+        if let Some(PlannedTransfer { source, tokens }) = self.transfer.take() {
             self.gateway.with_target(source, |source| {
                 let queued = &mut source.load.outgoing_tokens;
                 *queued = queued.saturating_sub(tokens);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,8 +6,8 @@
 //! measured up to the *first event*: the first server-sent event of a streamed response, or the
 //! whole of a response that is not streamed, which is buffered before it is forwarded.
 //!
-//! The decisions ([`selection`], [`regions`], [`source`], [`overload`], [`admission`], [`fair_share`], [`retry`],
-//! [`retry_budget`] and [`health`]) do no I/O. [`state`] holds the state that all modules share; [`follow`] and
+//! The decisions ([`selection`], [`prefix_transfer`], [`reservation`], [`regions`], [`source`],
+//! [`overload`], [`admission`], [`fair_share`], [`retry`], [`retry_budget`] and [`health`]) do no I/O. [`state`] holds the state that all modules share; [`follow`] and
 //! [`peers`] keep it up to date. A request arrives at [`http`], is parsed by [`request`], and is
 //! sent to a target by [`forward`] and [`send`]; [`relay`] passes event streams back.
 
@@ -51,7 +51,7 @@
 pub mod request_log;
 pub mod request_quarantine;
 pub mod reservation;
-pub mod reserve;
+pub mod reservation_call;
 pub mod response;
 pub mod restrictions;
 pub mod resume;
--- a/src/gateway/prefix_transfer/tests.rs
+++ b/src/gateway/prefix_transfer/tests.rs
@@ -1,4 +1,5 @@
-use super::{Source, Sources, TransferRate, plan};
+use super::{Missing, Sources, TransferRate, TransferSource, plan};
+use crate::gateway::peers::member::ZoneTag;
 use crate::gateway::targets::{Entry, TargetKey, Targets};
 
 /// Time to prefill the prefix, in microseconds.
@@ -27,24 +28,27 @@
     TransferRate::new(35_136.0, 740e9).expect("it is a rate")
 }
 
-fn source(key: TargetKey, cached: f64, queued: u64, is_local: bool) -> Source {
-    Source {
-        key,
-        cached,
-        queued,
-        is_local,
-    }
-}
-
 /// Guards against a transfer that is slower than prefilling, and one from the wrong source: the index
-/// of the source that target 0 in this zone fetches from.
+/// of the source that target 0 in zone a fetches from. Sources have a zone, a probability that they
+/// have cached the prefix, and a queue in tokens.
 macro_rules! plans {
-    ($($name:ident: $prefill:expr, $(($key:expr, $cached:expr, $queued:expr, $is_local:expr)),* => $source:expr;)*) => {$(
+    ($($name:ident: $prefill:expr, $(($key:expr, $zone:expr, $cached:expr, $queued:expr)),* => $source:expr;)*) => {$(
         #[test]
         fn $name() {
             let keys = keys();
-            let sources: Sources = [$(source(keys[$key], $cached, $queued, $is_local)),*].into_iter().collect();
-            let transfer = plan(rate(), &sources, (keys[0], true), TOKENS, $prefill);
+            let sources: Sources = [$(TransferSource {
+                key: keys[$key],
+                zone: ZoneTag::of($zone),
+                cached: $cached,
+                queued: $queued,
+            }),*].into_iter().collect();
+            let missing = Missing {
+                target: keys[0],
+                zone: ZoneTag::of("a"),
+                tokens: TOKENS,
+                prefill_us: $prefill,
+            };
+            let transfer = plan(rate(), &sources, &missing);
             let source: Option<usize> = $source;
             assert_eq!(transfer.map(|transfer| transfer.source), source.map(|index| keys[index]));
         }
@@ -52,13 +56,15 @@
 }
 
 plans! {
-    from_the_owner: PREFILL, (1, 1.0, 0, true) => Some(1);
-    from_the_likelier_of_two: PREFILL, (1, 0.3, 0, true), (2, 0.9, 0, true) => Some(2);
-    from_the_nearer_of_two: PREFILL, (1, 0.9, 0, false), (2, 0.9, 0, true) => Some(2);
-    from_the_one_without_a_queue: PREFILL, (1, 0.9, 200_000, true), (2, 0.9, 0, true) => Some(2);
-    not_from_itself: PREFILL, (0, 1.0, 0, true) => None;
-    not_if_prefilling_is_as_quick: 15_000.0, (1, 1.0, 0, true) => None;
-    not_from_a_busy_link: PREFILL, (1, 1.0, 2_000_000, true) => None;
+    from_the_owner: PREFILL, (1, "a", 1.0, 0) => Some(1);
+    from_the_likelier_of_two: PREFILL, (1, "a", 0.3, 0), (2, "a", 0.9, 0) => Some(2);
+    from_the_nearer_of_two: PREFILL, (1, "b", 0.9, 0), (2, "a", 0.9, 0) => Some(2);
+    from_the_one_without_a_queue: PREFILL, (1, "a", 0.9, 200_000), (2, "a", 0.9, 0) => Some(2);
+    not_from_itself: PREFILL, (0, "a", 1.0, 0) => None;
+    not_if_prefilling_is_as_quick: 15_000.0, (1, "a", 1.0, 0) => None;
+    not_from_a_busy_link: PREFILL, (1, "a", 1.0, 2_000_000) => None;
+    not_from_one_that_has_nothing: PREFILL, (1, "a", 0.0, 0) => None;
+    not_from_one_that_rarely_has_it_over_a_slow_link: PREFILL, (1, "b", 0.05, 100_000) => None;
 }
 
 /// Guards against transfers that seem to take no time, or for ever, because of an odd figure.
--- a/src/gateway/regions.rs
+++ b/src/gateway/regions.rs
@@ -126,7 +126,7 @@
 
 impl RequestRegions {
     /// The restrictions of a request that may be sent nowhere.
-    pub const NONE: RequestRegions = RequestRegions {
+    pub const NOWHERE: RequestRegions = RequestRegions {
         route: RegionRule::Unreadable,
         account: RegionRule::Unreadable,
     };
--- a/src/gateway/reload.rs
+++ b/src/gateway/reload.rs
@@ -1,6 +1,6 @@
 //! Reloads the settings on SIGHUP.
 //!
-//! Retry limits and the regions of zones take effect at once. Changes to addresses and the availability zone need a restart.
+//! Retry limits and the regions of zones take effect at once. All other settings need a restart.
 
 use std::path::PathBuf;
 use std::sync::Arc;
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -182,7 +182,7 @@
             return self.regions.clone();
         }
         self.resolve(config)
-            .map_or(RequestRegions::NONE, |(route, account)| {
+            .map_or(RequestRegions::NOWHERE, |(route, account)| {
                 regions(route, account)
             })
     }
--- a/src/gateway/reservation.rs
+++ b/src/gateway/reservation.rs
@@ -27,7 +27,7 @@
 pub const STEP_TOKENS: u64 = 4_096;
 
 /// What decides on a reservation.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct ReservationContext {
     /// Longest time for which targets reserve room; `None` if they do not.
     pub max_ttl: Option<Micros>,
--- a/src/gateway/reservation/tests.rs
+++ b/src/gateway/reservation/tests.rs
@@ -28,6 +28,7 @@
     a_service_without_objective: 25, ReservationContext { tightest_objective: Micros::ZERO, ..BUSY } => false;
 }
 
+/// Guards against a reservation that the target refuses because its time is above the maximum.
 #[test]
 fn room_is_not_reserved_for_longer_than_the_target_allows() {
     let context = ReservationContext {
--- a/src/gateway/reserve.rs
+++ b/src/gateway/reservation_call.rs
@@ -10,7 +10,7 @@
 
 use crate::gateway::pool::Connection;
 use crate::platform::headers;
-use crate::platform::reservation::{self, RESERVATION_PATH};
+use crate::platform::reservation as wire;
 use crate::units::Micros;
 
 /// Time limit for the answer. It costs a target next to nothing; beyond this, the request would lose
@@ -21,7 +21,7 @@
 
 /// What became of a reservation.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Reservation {
+pub enum ReservationOutcome {
     /// The target has reserved room; the request names this id.
     Granted(HeaderValue),
     /// The target has not; the request waits there like others.
@@ -32,7 +32,7 @@
 
 /// A request for room at a target.
 #[derive(Clone, Copy, Debug)]
-pub struct Room<'a> {
+pub struct ReservationRequest<'a> {
     /// Id of the target.
     pub target: &'a str,
     /// Its address.
@@ -44,11 +44,15 @@
 }
 
 /// Asks for room on a connection.
-pub async fn ask(connection: &mut Connection, room: Room<'_>) -> Reservation {
-    let mut request = Request::new(Full::new(reservation::encode(room.tokens, room.ttl)));
+pub async fn ask(
+    connection: &mut Connection,
+    reservation: ReservationRequest<'_>,
+) -> ReservationOutcome {
+    let mut request = Request::new(Full::new(wire::encode(reservation.tokens, reservation.ttl)));
     *request.method_mut() = Method::POST;
-    *request.uri_mut() = Uri::from_static(RESERVATION_PATH);
-    *request.headers_mut() = headers::reservation_request(&room.addr.to_string(), room.target);
+    *request.uri_mut() = Uri::from_static(wire::RESERVATION_PATH);
+    *request.headers_mut() =
+        headers::reservation_request(&reservation.addr.to_string(), reservation.target);
     let answer = async {
         let response = connection.sender.send_request(request).await.ok()?;
         let (head, body) = response.into_parts();
@@ -58,9 +62,9 @@
     };
     match timeout(ASK_TIMEOUT, answer).await {
         Ok(Some((StatusCode::OK, body))) => {
-            reservation::decode(&body).map_or(Reservation::Declined, Reservation::Granted)
+            wire::decode(&body).map_or(ReservationOutcome::Declined, ReservationOutcome::Granted)
         }
-        Ok(Some(_)) => Reservation::Declined,
-        Ok(None) | Err(_) => Reservation::Lost,
+        Ok(Some(_)) => ReservationOutcome::Declined,
+        Ok(None) | Err(_) => ReservationOutcome::Lost,
     }
 }
--- a/src/gateway/selection.rs
+++ b/src/gateway/selection.rs
@@ -13,7 +13,7 @@
 
 mod prefixes;
 
-use crate::gateway::prefix_transfer::TransferRate;
+use crate::gateway::prefix_transfer::{Missing, TransferRate};
 use crate::gateway::prompts::{Prompt, mix};
 use crate::gateway::regions::AllowedZones;
 use crate::gateway::reservation::{ReservationContext, STEP_TOKENS};
@@ -30,9 +30,9 @@
 const FIRST_EVENT_US: f64 = 40_000.0;
 /// Time by which each concurrent request delays the first event.
 const PER_ACTIVE_US: f64 = 300.0;
-/// Least prefill rate, in tokens per millisecond, at which a prefix counts that may not be cached. If
-/// the configured token rate gives less, it is that of the demand and not of the engines, and prompts
-/// would be refused that end in time.
+/// Minimum prefill rate, in tokens per millisecond, that is assumed for a prefix that may not be cached.
+/// A configured token rate that describes the demand gives a lower one, and prompts that an idle target
+/// prefills in time would be refused.
 const MIN_PREFIX_RATE: f64 = 20.0;
 /// Cost of a target in another availability zone, without the bytes that cross: the round trip.
 const CROSS_ZONE_US: f64 = 3_000.0;
@@ -68,7 +68,7 @@
     /// Prefill rate of an engine, in tokens per millisecond.
     pub prefill_rate: f64,
     /// How fast engines fetch cached prompts from each other; `None` if they cannot.
-    pub transfer: Option<TransferRate>,
+    pub transfer_rate: Option<TransferRate>,
     /// What decides on reservations.
     pub reservations: ReservationContext,
     /// The route's objective for the time to the first event, or to another response.
@@ -93,12 +93,21 @@
     pub wait: Micros,
     /// Prompt tokens that the target has to prefill.
     pub prefill_tokens: u64,
-    /// Target from which it is to fetch the prompt's cached prefix; `None` if it is not.
-    pub source: Option<TargetKey>,
+    /// The transfer of the prompt's prefix from another target; `None` if there is none.
+    pub transfer: Option<PlannedTransfer>,
     /// For how long the request reserves room before it is sent; `None` if it does not.
     pub reservation: Option<Micros>,
 }
 
+/// A transfer of a prompt's cached prefix to the chosen target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PlannedTransfer {
+    /// Target to fetch from.
+    pub source: TargetKey,
+    /// Expected number of tokens: few if the chosen target has probably cached the prefix itself.
+    pub tokens: u64,
+}
+
 /// Chooses the target with the lowest cost among those that may be sent requests and have room
 /// within the limits that they name; `None` if the service has none left to try.
 pub fn choose(targets: &Targets, now: Micros, criteria: &Criteria<'_>) -> Option<Choice> {
@@ -139,7 +148,7 @@
                 expected: Micros(cost.time as u64),
                 wait: Micros(cost.wait as u64),
                 prefill_tokens: cost.prefill_tokens,
-                source: cost.source,
+                transfer: cost.transfer,
                 reservation: cost.reservation,
             };
             best = Some((total, tie, choice));
@@ -172,8 +181,8 @@
     total: f64,
     /// Prompt tokens to prefill.
     prefill_tokens: u64,
-    /// Target to fetch the prefix from.
-    source: Option<TargetKey>,
+    /// The transfer of the prefix.
+    transfer: Option<PlannedTransfer>,
     /// For how long to reserve room.
     reservation: Option<Micros>,
 }
@@ -187,6 +196,51 @@
     CROSS_ZONE_US + bytes as f64 / 1_000.0 * CROSS_ZONE_US_PER_KB
 }
 
+/// Cost of the part of a prompt's shared prefix that a target has not cached.
+#[derive(Clone, Copy, Debug, Default)]
+struct PrefixCost {
+    /// Expected number of tokens to prefill.
+    tokens: f64,
+    /// Expected time of the transfer, in microseconds.
+    fetching: f64,
+    /// Cost of the copy to other requests, in microseconds.
+    copying: f64,
+    /// Planned transfer.
+    transfer: Option<PlannedTransfer>,
+}
+
+/// Returns the cost of `tokens` tokens of the prefix that this gateway does not know to be cached. A
+/// target to which the prefix is assigned has probably cached them; it fetches only what it has
+/// evicted.
+fn prefix_cost(
+    (key, target): (TargetKey, &Target),
+    tokens: f64,
+    placement: &PrefixPlacement,
+    criteria: &Criteria<'_>,
+) -> PrefixCost {
+    let share = placement.owners.share(key);
+    let uncached = tokens * share.uncached;
+    let prefill_us = |tokens: f64| tokens / criteria.prefill_rate.max(MIN_PREFIX_RATE) * 1_000.0;
+    let missing = Missing {
+        target: key,
+        zone: target.zone,
+        tokens,
+        prefill_us: prefill_us(tokens),
+    };
+    let transfer = placement.transfer(&missing, criteria);
+    let missed = transfer.map_or(1.0, |transfer| transfer.missed);
+    PrefixCost {
+        tokens: uncached * missed,
+        fetching: transfer.map_or(0.0, |transfer| transfer.time_us * share.uncached),
+        // A copy takes cache space from other prefixes however it is made.
+        copying: uncached / criteria.prefill_rate * 1_000.0 * share.copy_cost * REPLICATION_COST,
+        transfer: transfer.map(|transfer| PlannedTransfer {
+            source: transfer.source,
+            tokens: (uncached * (1.0 - missed)) as u64,
+        }),
+    }
+}
+
 /// Returns the cost on an engine.
 fn engine_cost(
     (key, target): (TargetKey, &Target),
@@ -197,39 +251,27 @@
 ) -> Cost {
     let load = &target.load;
     let slowness = load.slowness_at(now);
-    let share = placement.owners.share(key);
     let cached = target.cache.cached_tokens(now, prompt);
     let missing = prompt.tokens.saturating_sub(cached);
     let own = missing.min(prompt.own_tokens());
+    let prefix = prefix_cost((key, target), (missing - own) as f64, placement, criteria);
     let us = |tokens: f64| tokens / criteria.prefill_rate * 1_000.0;
-    let prefix_rate = criteria.prefill_rate.max(MIN_PREFIX_RATE);
-    let mut prefix = (missing - own) as f64;
-    // A copy takes cache space from other prefixes however it is made.
-    let copying = us(prefix * share.uncached);
-    let mut fetching = 0.0;
-    let reading = prefix / prefix_rate * 1_000.0;
-    let transfer = placement.transfer((key, target), prefix, reading, criteria);
-    if let Some(transfer) = transfer {
-        fetching = transfer.time * share.uncached;
-        prefix *= transfer.missed;
-    }
-    let prefix = prefix * share.uncached;
-    let prefill = us(own as f64) + prefix / prefix_rate * 1_000.0;
+    let prefix_us = prefix.tokens / criteria.prefill_rate.max(MIN_PREFIX_RATE) * 1_000.0;
+    let prefill = us(own as f64) + prefix_us;
     let reservation = criteria.reservations.ttl(Micros(prefill as u64));
+    let reservation = reservation.filter(|_| target.takes_reservations(now));
     let ahead = match reservation {
         Some(_) => load.total_prefill().min(STEP_TOKENS as f64),
-        _ => load.total_prefill(),
+        None => load.total_prefill(),
     };
-    let queued = us(ahead);
-    let concurrent = load.total_active() * PER_ACTIVE_US;
-    let wait = (queued + concurrent) * slowness;
-    let time = wait + (prefill + FIRST_EVENT_US) * slowness + fetching;
+    let wait = (us(ahead) + load.total_active() * PER_ACTIVE_US) * slowness;
+    let time = wait + (prefill + FIRST_EVENT_US) * slowness + prefix.fetching;
     Cost {
         time,
         wait,
-        total: time + copying * share.copy_cost * REPLICATION_COST,
-        prefill_tokens: own + prefix as u64,
-        source: transfer.map(|transfer| transfer.source),
+        total: time + prefix.copying,
+        prefill_tokens: own + prefix.tokens as u64,
+        transfer: prefix.transfer,
         reservation,
     }
 }
@@ -248,7 +290,7 @@
         wait,
         total: time,
         prefill_tokens: 0,
-        source: None,
+        transfer: None,
         reservation: None,
     }
 }
--- a/src/gateway/selection/prefixes.rs
+++ b/src/gateway/selection/prefixes.rs
@@ -3,7 +3,7 @@
 use smallvec::SmallVec;
 
 use crate::gateway::prefix_owner::{self, Candidate, Owners};
-use crate::gateway::prefix_transfer::{self, Source, Sources, Transfer};
+use crate::gateway::prefix_transfer::{self, Missing, Sources, Transfer, TransferSource};
 use crate::gateway::prompts::Prompt;
 use crate::gateway::selection::{Criteria, REPLICATION_COST, crossing_cost};
 use crate::gateway::targets::{Target, TargetKey, Targets};
@@ -11,10 +11,11 @@
 
 /// Number of requests that a copy of a prefix in this zone spares the way to another zone.
 const ZONE_COPY_REQUESTS: f64 = 2.0;
-/// Probability that a target still has a prefix cached that this gateway has sent it of late.
+/// Probability that a target still has a prefix cached that this gateway has sent it of late; its cache
+/// may have evicted it.
 const SENT_CACHED: f64 = 0.9;
 /// Probability that a prefix which each zone assigns to a target of its own is cached at the one of
-/// another zone.
+/// another zone, which may not have been requested there.
 const OTHER_ZONE_CACHED: f64 = 0.7;
 
 /// Maximum number of sources that are considered.
@@ -82,31 +83,23 @@
             owners,
             sources: Sources::new(),
         };
-        if criteria.transfer.is_some() {
+        if criteria.transfer_rate.is_some() {
             placement.find_sources(now, prompt, &listed, in_zone);
         }
         placement
     }
 
-    /// The transfer of `tokens` tokens of the prefix to a target that takes `prefill` microseconds to
-    /// prefill them; `None` if prefilling is better.
-    pub fn transfer(
-        &self,
-        (key, target): (TargetKey, &Target),
-        tokens: f64,
-        prefill: f64,
-        criteria: &Criteria<'_>,
-    ) -> Option<Transfer> {
-        let rate = criteria.transfer.filter(|_| tokens > 0.0)?;
-        let is_local = target.entry.zone.as_ref() == criteria.zone;
-        prefix_transfer::plan(rate, &self.sources, (key, is_local), tokens, prefill)
+    /// The transfer of a prefix that a target has not cached; `None` if prefilling is better.
+    pub fn transfer(&self, missing: &Missing, criteria: &Criteria<'_>) -> Option<Transfer> {
+        let rate = criteria.transfer_rate.filter(|_| missing.tokens > 0.0)?;
+        prefix_transfer::plan(rate, &self.sources, missing)
     }
 
     /// Collects the usable targets that may have the prefix cached: the owners, the owner of another
     /// zone if each zone has its own, and targets that this gateway has sent the prefix.
     fn find_sources(&mut self, now: Micros, prompt: &Prompt, listed: &[Listed<'_>], in_zone: bool) {
-        let shared = prompt.shared_tokens();
         let usable = || listed.iter().filter(|l| l.candidate.is_usable);
+        let shared = prompt.shared_tokens();
         for (key, cached) in self.owners.holders() {
             let owner = usable().find(|l| l.candidate.key == key);
             self.sources.extend(owner.map(|l| l.to_source(cached)));
@@ -119,21 +112,28 @@
                 .extend(owner.map(|l| l.to_source(OTHER_ZONE_CACHED)));
         }
         for sent in usable().filter(|l| l.target.cache.cached_tokens(now, prompt) >= shared) {
-            if self.sources.len() >= MAX_SOURCES {
-                break;
-            }
+            self.add_sent(sent);
+        }
+    }
+
+    /// Adds a target that this gateway has sent the prefix.
+    fn add_sent(&mut self, sent: &Listed<'_>) {
+        let key = sent.candidate.key;
+        if let Some(known) = self.sources.iter_mut().find(|known| known.key == key) {
+            known.cached = known.cached.max(SENT_CACHED);
+        } else if self.sources.len() < MAX_SOURCES {
             self.sources.push(sent.to_source(SENT_CACHED));
         }
     }
 }
 
 impl Listed<'_> {
-    fn to_source(self, cached: f64) -> Source {
-        Source {
+    fn to_source(self, cached: f64) -> TransferSource {
+        TransferSource {
             key: self.candidate.key,
+            zone: self.target.zone,
             cached,
             queued: self.target.load.outgoing_tokens,
-            is_local: self.is_local,
         }
     }
 }
--- a/src/gateway/selection/tests.rs
+++ b/src/gateway/selection/tests.rs
@@ -59,7 +59,7 @@
         evacuations: &NO_EVACUATIONS,
         allowed_zones: &AllowedZones::All,
         prefill_rate: RATE,
-        transfer: None,
+        transfer_rate: None,
         reservations: NO_RESERVATIONS,
         latency_objective: Micros::from_ms(600),
         body_bytes: 1_000,
@@ -339,7 +339,7 @@
 /// Criteria of engines that transfer cached prompts.
 fn with_transfers(prompt: &Prompt, random: u64) -> Criteria<'_> {
     Criteria {
-        transfer: TransferRate::new(35_136.0, 740e9),
+        transfer_rate: TransferRate::new(35_136.0, 740e9),
         ..criteria(Some(prompt), random)
     }
 }
@@ -358,24 +358,36 @@
         let with = choose(&targets, NOW, &with_transfers(&prompt, shared));
         let with = with.expect("others are left");
         assert_eq!(without.prefill_tokens, OWN_TOKENS + SHARED_TOKENS);
-        assert_eq!(with.source, Some(owner.target));
+        assert_eq!(
+            with.transfer.map(|planned| planned.source),
+            Some(owner.target)
+        );
         assert_eq!(with.prefill_tokens, OWN_TOKENS);
         assert!(with.expected + Micros::from_ms(100) < without.expected);
     }
 }
 
-/// Guards against a fetch from a target that is draining, paused or in an evacuated zone.
-#[test]
-fn prefixes_are_not_fetched_from_targets_that_may_not_be_used() {
-    let mut targets = fleet(18, "model");
-    let prompt = prompt(5, 100);
-    let owner = select(&targets, Some(&prompt), 1)
-        .expect("there are targets")
-        .target;
-    targets.get_mut(owner).expect("it is listed").entry.draining = true;
-    let moved = choose(&targets, NOW, &with_transfers(&prompt, 1)).expect("others are left");
-    assert_ne!(moved.target, owner);
-    assert_ne!(moved.source, Some(owner));
+/// Guards against a fetch from a target that may not be used: what happens to the one that has cached
+/// the prefix.
+macro_rules! unusable_sources {
+    ($($name:ident: $change:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut targets = fleet(18, "model");
+            let prompt = prompt(5, 100);
+            let owner = select(&targets, Some(&prompt), 1).expect("there are targets").target;
+            let change: fn(&mut crate::gateway::targets::Target) = $change;
+            change(targets.get_mut(owner).expect("it is listed"));
+            let moved = choose(&targets, NOW, &with_transfers(&prompt, 1)).expect("others are left");
+            assert_ne!(moved.target, owner);
+            assert_ne!(moved.transfer.map(|planned| planned.source), Some(owner));
+        }
+    )*};
+}
+
+unusable_sources! {
+    nothing_is_fetched_from_a_draining_target: |target| target.entry.draining = true;
+    nothing_is_fetched_from_a_paused_target: |target| target.load.paused_until = NOW + Micros::from_ms(1);
 }
 
 /// Replays short prompts that arrive while every target has a backlog of long ones, far more than the
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -16,7 +16,7 @@
 use crate::gateway::pool::{ConnectError, Connection};
 use crate::gateway::request::{AttemptHeaders, ClientRequest};
 use crate::gateway::request_log;
-use crate::gateway::reserve::{self, Reservation, Room};
+use crate::gateway::reservation_call::{self, ReservationOutcome, ReservationRequest};
 use crate::gateway::retry::Failure;
 use crate::gateway::selection::Choice;
 use crate::gateway::state::GatewayState;
@@ -94,7 +94,7 @@
     if !gateway.take_room(target) {
         return Err(Failure::Withdrawn);
     }
-    let in_flight = InFlight::begin(gateway, choice, request.prompt.as_ref());
+    let mut in_flight = InFlight::begin(gateway, choice, request.prompt.as_ref());
     let (id, entry) = gateway.target_entry(target).ok_or(Failure::Unreached)?;
     if gateway.overload().is_behind() {
         // Lets the client's connection be read first: if it was closed, this task is dropped here.
@@ -112,10 +112,13 @@
         return Err(failure);
     }
     gateway.metrics().event(Event::Dispatch);
-    let fetch_from = in_flight.source().and_then(|key| gateway.source_addr(key));
-    if fetch_from.is_some() {
-        gateway.metrics().event(Event::PrefixFetch);
+    let transfer = choice.transfer;
+    let fetch_from = transfer.and_then(|planned| gateway.source_addr(request, planned.source));
+    match fetch_from {
+        Some(_) => gateway.metrics().event(Event::PrefixFetch),
+        None => in_flight.end_transfer(),
     }
+    (in_flight.fetched, in_flight.reserved) = (fetch_from.is_some(), reservation.is_some());
     let attempt = AttemptHeaders {
         target: &id,
         last_event,
@@ -179,24 +182,28 @@
 ) -> Result<(Connection, Option<HeaderValue>), Failure> {
     let (target, id, entry) = upstream;
     let wanted = choice.reservation.zip(request.prompt.as_ref());
-    let Some((ttl, prompt)) = wanted.filter(|_| gateway.may_reserve_at(target)) else {
+    let Some((ttl, prompt)) = wanted.filter(|_| gateway.takes_reservations(target)) else {
         return Ok((connection, None));
     };
-    let room = Room {
+    if !may_send(gateway, request, target) {
+        gateway.pool.put(target, connection, None);
+        return Err(Failure::Withdrawn);
+    }
+    let reservation = ReservationRequest {
         target: id,
         addr: entry.addr,
         tokens: prompt.tokens + prompt.output,
         ttl,
     };
-    let reservation = reserve::ask(&mut connection, room).await;
-    gateway.metrics().event(match reservation {
-        Reservation::Granted(_) => Event::Reservation,
-        Reservation::Declined | Reservation::Lost => Event::FailedReservation,
+    let outcome = reservation_call::ask(&mut connection, reservation).await;
+    gateway.metrics().event(match outcome {
+        ReservationOutcome::Granted(_) => Event::Reservation,
+        ReservationOutcome::Declined | ReservationOutcome::Lost => Event::FailedReservation,
     });
-    match reservation {
-        Reservation::Granted(id) => Ok((connection, Some(id))),
-        Reservation::Declined => Ok((connection, None)),
-        Reservation::Lost => {
+    match outcome {
+        ReservationOutcome::Granted(id) => Ok((connection, Some(id))),
+        ReservationOutcome::Declined => Ok((connection, None)),
+        ReservationOutcome::Lost => {
             drop(connection);
             let connection = open_connection(gateway, request, upstream).await?;
             Ok((connection, None))
@@ -212,11 +219,7 @@
     request: &ClientRequest,
     target: TargetKey,
 ) -> Result<(), Failure> {
-    let expired = gateway.clock.now() >= request.deadline();
-    let takes_requests = gateway.may_send_to(target);
-    let config = gateway.config();
-    let allowed = request.is_allowed_by(&config) && gateway.allows_region(&config, request, target);
-    if expired || !takes_requests || !allowed || gateway.remaining_quarantine(request).is_some() {
+    if !may_send(gateway, request, target) {
         return Err(Failure::Withdrawn);
     }
     match gateway.take_cold_room(target) {
@@ -225,6 +228,15 @@
     }
 }
 
+/// Whether a request may be sent to a target now, apart from whether that is cold.
+fn may_send(gateway: &GatewayState, request: &ClientRequest, target: TargetKey) -> bool {
+    let expired = gateway.clock.now() >= request.deadline();
+    let takes_requests = gateway.may_send_to(target);
+    let config = gateway.config();
+    let allowed = request.is_allowed_by(&config) && gateway.allows_region(&config, request, target);
+    !expired && takes_requests && allowed && gateway.remaining_quarantine(request).is_none()
+}
+
 /// Checks that a target still accepts connections, after a connection to it broke off. A new
 /// connection is put into the pool; if there is none, the target is recorded as unreachable.
 pub async fn check_connection(gateway: Arc<GatewayState>, target: TargetKey) {
@@ -268,7 +280,7 @@
         gateway.record_closed(target);
     }
     let Some(path) = &service.health_path else {
-        gateway.record_reached(target, Answer::NotTold, &rule);
+        gateway.record_reached(target, Answer::NotReported, &rule);
         return Ok(connection);
     };
     if gateway.has_just_answered(target) {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -35,6 +35,7 @@
 use crate::gateway::regions::{AllowedZones, RegionTable, log_findings};
 use crate::gateway::request::ClientRequest;
 use crate::gateway::request_quarantine::RequestQuarantine;
+use crate::gateway::reservation::ReservationContext;
 use crate::gateway::restrictions::evacuations::{self, Evacuations};
 use crate::gateway::restrictions::{self, Restriction};
 use crate::gateway::retry_budget::{RetryBudget, RetryLimits};
@@ -312,8 +313,11 @@
             evacuations: &state.evacuations,
             allowed_zones: &zones,
             prefill_rate: self.prefill_rate(service, &state.targets),
-            transfer: self.transfer_rate(service),
-            reservations: self.reservation_context(&state, service, &zones),
+            transfer_rate: self.transfer_rate(service),
+            reservations: match &request.prompt {
+                Some(_) => self.reservation_context(&state, service, &zones),
+                None => ReservationContext::default(),
+            },
             latency_objective: request.route.latency_objective.into(),
             body_bytes: request.body_len() as u64,
             emptied: state.first_request.filter(|_| self.cold),
--- a/src/gateway/state/cold.rs
+++ b/src/gateway/state/cold.rs
@@ -73,8 +73,8 @@
     pub fn record_reached(&self, key: TargetKey, answer: Answer, rule: &ColdRule) {
         let now = self.clock.now();
         self.with_target(key, |target| match answer {
-            Answer::Told(remaining) => target.cold.reported(now, remaining),
-            Answer::NotTold => target.cold.reached(now, rule.span),
+            Answer::Reported(remaining) => target.cold.reported(now, remaining),
+            Answer::NotReported => target.cold.reached(now, rule.span),
             Answer::Failed if target.cold.is_cold(now) => {}
             Answer::Failed => target.cold.assume(now, rule.span),
             Answer::Moved => {}
--- a/src/gateway/state/engines.rs
+++ b/src/gateway/state/engines.rs
@@ -4,15 +4,19 @@
 
 use crate::gateway::prefix_transfer::TransferRate;
 use crate::gateway::regions::AllowedZones;
+use crate::gateway::request::ClientRequest;
 use crate::gateway::reservation::ReservationContext;
 use crate::gateway::state::{GatewayState, State};
 use crate::gateway::targets::TargetKey;
 use crate::units::Micros;
 
 impl GatewayState {
-    /// Returns the address of a target from which others may fetch cached prompts now; `None` if it is
-    /// not listed, may not be sent requests, or is paused after failures.
-    pub fn source_addr(&self, key: TargetKey) -> Option<SocketAddr> {
+    /// Returns the address of a target from which another one may fetch the cached prefix of a request
+    /// now; `None` if it is not listed, may not be sent the request itself, or is paused after failures.
+    pub fn source_addr(&self, request: &ClientRequest, key: TargetKey) -> Option<SocketAddr> {
+        if !self.allows_region(&self.config(), request, key) {
+            return None;
+        }
         let now = self.clock.now();
         let state = self.lock();
         let target = state.targets.get(key)?;
@@ -20,15 +24,11 @@
         is_usable.then_some(target.entry.addr)
     }
 
-    /// Whether room may be reserved at a target: a reservation is one more request to it, which one
-    /// that is cold or names a limit should not get.
-    pub fn may_reserve_at(&self, key: TargetKey) -> bool {
+    /// Whether a target is listed and may be asked for reservations now.
+    pub fn takes_reservations(&self, key: TargetKey) -> bool {
         let now = self.clock.now();
-        let state = self.lock();
-        state.targets.get(key).is_some_and(|target| {
-            let is_limited = target.limit.rate(now).is_some() || target.cold.is_cold(now);
-            !is_limited && state.restriction(target, now).is_none()
-        })
+        let taken = self.with_target(key, |target| target.takes_reservations(now));
+        taken == Some(true)
     }
 
     /// Returns how fast the engines of a service fetch cached prompts from each other; `None` if they
@@ -38,7 +38,7 @@
         engine.transfer.filter(|_| self.engines.fetch)
     }
 
-    /// Returns what decides on reservations at a service's targets in these zones.
+    /// Returns what decides on reservations of a prompt at a service's targets in these zones.
     pub(super) fn reservation_context(
         &self,
         state: &State,
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -176,6 +176,12 @@
         CrashTag(mix(run) as u32)
     }
 
+    /// Whether it may be asked for reservations. Each one is a request, which a target that is cold or
+    /// names a limit should not get.
+    pub fn takes_reservations(&self, now: Micros) -> bool {
+        self.limit.rate(now).is_none() && !self.cold.is_cold(now)
+    }
+
     /// Whether it has room for a request of this gateway, within the limit that it names and the one
     /// of its cold time.
     pub fn has_room(&self, now: Micros) -> bool {
--- a/src/platform/tests/config_check.rs
+++ b/src/platform/tests/config_check.rs
@@ -17,7 +17,7 @@
   {"name":"r2","authority":"A.example","pathPrefix":"/n/","routeClass":"non_idempotent",
    "timeoutMs":800,"backend":"y","maxAttempts":1,"anonymousAccess":false}],
  "services":[{"name":"x","maxConnections":630,"engine":{"slots":128,"kvCapacity":789097,
-   "kvBytes":18432,"linkMbps":180000},"coldS":3.5,"coldPerS":5.9,"healthPath":"/health"},
+   "kvBytes":18432,"linkMbps":180000,"holdMs":2000},"coldS":3.5,"coldPerS":5.9,"healthPath":"/health"},
   {"name":"y"}],
  "limits":{"headerBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,
    "idleTimeoutMs":9000,"tokensPerS":1100000},
@@ -151,7 +151,11 @@
     no_slots: r#""slots":128"#, r#""slots":0"#, r#""slots":1"#
         => "warning: service x: slots is not above 0";
     token_bytes_malformed: "18432", "1e999", "1e300"
-        => "warning: service x: kvBytes is not a number of 0 or more, so it is ignored";
+        => "warning: service x: kvBytes is not a number above 0, so it is ignored";
+    link_rate_of_zero: "180000", "0", "1"
+        => "warning: service x: linkMbps is not a number above 0, so it is ignored";
+    reservation_time_malformed: r#""holdMs":2000"#, r#""holdMs":"2 s""#, r#""holdMs":1"#
+        => "warning: service x: holdMs is not a number above 0, so it is ignored";
     cold_rate_without_time: r#""coldS":3.5,"#, "", r#""coldS":1,"#
         => "warning: service x: coldPerS is given without coldS";
     cold_rate_of_zero: "5.9", "0", "0.1"
--- a/src/platform/wire/draft.rs
+++ b/src/platform/wire/draft.rs
@@ -60,8 +60,9 @@
 const ENGINE: &[Column] = &[
     (Field::Slots, Form::SmallCount, Need::Optional),
     (Field::KvCapacity, Form::Count, Need::Optional),
-    (Field::TokenBytes, Form::Figure, Need::Lenient),
-    (Field::LinkRate, Form::Figure, Need::Lenient),
+    (Field::TokenBytes, Form::Positive, Need::Lenient),
+    (Field::LinkRate, Form::Positive, Need::Lenient),
+    (Field::MaxReservation, Form::Positive, Need::Lenient),
 ];
 
 const LIMITS: &[Column] = &[
@@ -105,6 +106,7 @@
         Field::KvCapacity => "kvCapacity",
         Field::TokenBytes => "kvBytes",
         Field::LinkRate => "linkMbps",
+        Field::MaxReservation => "holdMs",
         Field::HealthPath => "healthPath",
         Field::ColdSpan => "coldS",
         Field::ColdRate => "coldPerS",
--- a/tests/gateway/engines.rs
+++ b/tests/gateway/engines.rs
@@ -97,6 +97,7 @@
     (gateway, holder, other, header)
 }
 
+/// Guards against a prefix that is prefilled although another target has it.
 #[tokio::test]
 async fn a_prefix_is_fetched_from_the_target_that_has_cached_it() {
     let (gateway, holder, other, header) = cached_elsewhere().await;
--- a/tests/gateway/shared_request.rs
+++ b/tests/gateway/shared_request.rs
@@ -17,7 +17,7 @@
 const CRASHES: usize = 3;
 /// Time within which gateways tell each other of crashes.
 const GOSSIP: Duration = Duration::from_millis(800);
-/// Time limit until the request has reached all targets.
+/// Maximum number of requests that are sent until each target has received one.
 const MAX_SENDS: usize = 60;
 
 async fn gateways(targets: &[Target]) -> Vec<TestGateway> {
