Bound socket buffers where memory is short

Cause: the kernel lets the socket buffers of one response that is not read grow to several megabytes: 3,880 kB of each stream were taken from the target (tests/memory, little_of_an_unread_stream_is_taken_from_its_target).

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -139,7 +139,8 @@
     directory: D,
     drain: CancellationToken,
 ) -> anyhow::Result<()> {
-    let clients = listen::tcp(settings.listen, "callers").await?;
+    let buffer = settings.connection_limits().socket_buffer;
+    let clients = listen::tcp_bounded(settings.listen, "callers", buffer).await?;
     let ready = listen::tcp(settings.ready, "the load balancer").await?;
     let metrics = listen::tcp(settings.metrics, "metrics scrapers").await?;
     let handover = listen::tcp(settings.peer, "other gateways").await?;
