Relay answers that find no memory at the pace of their clients

Cause: an answer that found no memory beside those that slow clients had not read yet counted as broken off, although the target had run the request: 54 of 60 clients that read 4 MB steadily got a 502 at 160 MB, 100 of 120 at 260 MB.

Change: such an answer is relayed as its client reads (gateway::unbuffered); if it breaks off, the client's connection is reset. Whether a body is short is decided by its full length, also once it is given back.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -62,6 +62,7 @@
 pub mod supervise;
 pub mod target_limit;
 pub mod targets;
+pub mod unbuffered;
 
 use std::path::PathBuf;
 use std::sync::Arc;
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -45,6 +45,8 @@
     headers: HeaderMap,
     /// Complete body, until it is released.
     body: Mutex<Bytes>,
+    /// Length of the complete body.
+    length: usize,
     /// Computed on first use.
     digest: OnceLock<Digest>,
     /// Matched route.
@@ -79,6 +81,7 @@
         let (parts, body) = request.into_parts();
         let mut request = ClientRequest::from_head(parts, config, arrived)?;
         let body = read_body(body, config.limits.max_body, budget).await?;
+        request.length = body.len();
         request.body = Mutex::new(body);
         Ok(request)
     }
@@ -106,7 +109,7 @@
 
     /// Whether its body is so short that it may be what many callers send, and a digest costs little.
     pub fn is_short(&self) -> bool {
-        self.body().len() <= SHORT_BODY_BYTES
+        self.length <= SHORT_BODY_BYTES
     }
 
     /// As [`ClientRequest::read`], from the head of a request; the body is left empty.
@@ -123,6 +126,7 @@
             uri: parts.uri,
             headers: parts.headers,
             body: Mutex::default(),
+            length: 0,
             digest: OnceLock::new(),
             route,
             service,
--- a/tests/memory/main.rs
+++ b/tests/memory/main.rs
@@ -1,4 +1,4 @@
-//! Memory of gateway processes under floods.
+//! Memory of gateway processes under floods and slow readers.
 
 // This binary uses only some of the helpers of the gateway's tests.
 #![allow(dead_code)]
@@ -12,6 +12,8 @@
 mod gateway_process;
 #[path = "../gateway/harness.rs"]
 mod harness;
+mod host;
+mod slow_readers;
 #[path = "../gateway/store.rs"]
 mod store;
 #[path = "../gateway/target.rs"]
