Let small parts of responses take the room that is left to bodies

Cause: beside large bodies, events and answers of a few kilobytes found no memory and were relayed, so that their streams could not be resumed and their calls lost the next attempt.

Change: the quarter is left to bodies by holders of more than 16 kB only.

The rest of tests/memory and tests/gateway was not run again on this commit.

--- a/src/gateway/byte_budget.rs
+++ b/src/gateway/byte_budget.rs
@@ -21,6 +21,9 @@
 const MIN_GROWTH: usize = 4 * 1024;
 /// One part in this many of the budget is left to the bodies of requests.
 const REQUEST_PART: usize = 4;
+/// Size up to which a part of a response may take that room too, so that large bodies do not make
+/// events of usual size and short answers lose the next attempt.
+const SMALL_BYTES: usize = 16 * 1024;
 
 /// Error for bytes that there is no room for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -102,7 +105,10 @@
         let bytes = self.bytes.checked_add(more).ok_or(NoRoom)?;
         let used = self.budget.used().checked_add(more).ok_or(NoRoom)?;
         let free = self.budget.limit.checked_sub(used).ok_or(NoRoom)?;
-        let free = free.saturating_sub(self.reserve);
+        let free = match bytes > SMALL_BYTES {
+            true => free.saturating_sub(self.reserve),
+            false => free,
+        };
         if bytes > free {
             return Err(NoRoom);
         }
