--- a/src/gateway/config.rs
+++ b/src/gateway/config.rs
@@ -13,7 +13,10 @@
 use smallvec::SmallVec;
 
 use crate::gateway::cold_limit::ColdRule;
+use crate::gateway::prefix_transfer::TransferRate;
+use crate::gateway::regions::{Owner, RegionRule};
 use crate::ids::AccountKey;
+use crate::units::Micros;
 
 /// One version of the configuration. Immutable; a newer version replaces all of it.
 #[derive(Clone, Debug, Default)]
@@ -23,6 +26,8 @@
     /// Routes by lower-case authority, each list with the longest path prefixes first.
     routes: HashMap<Box<str>, Vec<Arc<Route>>>,
     services: HashMap<Arc<str>, Service>,
+    /// The tightest latency objective of the routes to each service.
+    objectives: HashMap<Arc<str>, Micros>,
     accounts: Vec<Account>,
     /// Client accounts by API key.
     api_keys: HashMap<Box<str>, AccountKey>,
@@ -52,8 +57,10 @@
     pub latency_objective: Duration,
     /// Maximum number of attempts per request in which a target ran the request or may have run it.
     pub max_attempts: u32,
-    /// Whether requests without a valid API key are accepted although there are client accounts.
+    /// Whether requests without an API key are accepted although there are client accounts.
     pub allow_anonymous: bool,
+    /// The regions whose targets may receive its requests.
+    pub regions: RegionRule,
 }
 
 /// The kind of a route's requests.
@@ -101,6 +108,10 @@
     pub slots: u32,
     /// Number of tokens that fit in its key-value cache.
     pub kv_capacity: u64,
+    /// How fast it can fetch cached prompts from another engine; `None` if it cannot.
+    pub transfer: Option<TransferRate>,
+    /// Longest time for which it reserves room for a request; `None` if it does not.
+    pub max_reservation: Option<Micros>,
 }
 
 /// A client account.
@@ -108,6 +119,8 @@
 pub struct Account {
     /// Account name, as sent to targets.
     pub name: Box<str>,
+    /// The regions whose targets may receive its requests.
+    pub regions: RegionRule,
 }
 
 /// Limits on client connections and requests, and the engines' throughput.
@@ -156,6 +169,7 @@
 
 impl From<ConfigParts> for Config {
     fn from(parts: ConfigParts) -> Self {
+        let objectives = tightest_objectives(&parts.routes);
         let mut routes: HashMap<Box<str>, Vec<Arc<Route>>> = HashMap::new();
         for route in parts.routes {
             let authority = route.authority.to_ascii_lowercase().into_boxed_str();
@@ -174,6 +188,7 @@
             version: parts.version,
             routes,
             services: parts.services.into_iter().collect(),
+            objectives,
             accounts,
             api_keys,
             limits: parts.limits,
@@ -221,6 +236,16 @@
         &self.accounts[key.index()]
     }
 
+    /// The region restrictions of all routes and client accounts, with their names.
+    pub fn region_rules(&self) -> impl Iterator<Item = (Owner, &str, &RegionRule)> {
+        let routes = self.routes.values().flatten();
+        let routes = routes.map(|route| (Owner::Route, route.name.as_ref(), &route.regions));
+        let accounts = self.accounts.iter();
+        let accounts =
+            accounts.map(|account| (Owner::Account, account.name.as_ref(), &account.regions));
+        routes.chain(accounts)
+    }
+
     /// Whether the requests to cold targets of any service are limited.
     pub fn limits_cold_targets(&self) -> bool {
         self.services.values().any(|service| service.cold.is_some())
@@ -231,6 +256,11 @@
         self.services.get(name)
     }
 
+    /// The tightest latency objective of the routes to a service; `None` if no route leads to it.
+    pub fn tightest_objective(&self, service: &str) -> Option<Micros> {
+        self.objectives.get(service).copied()
+    }
+
     /// Number of routes.
     pub fn len(&self) -> usize {
         self.routes.values().map(Vec::len).sum()
@@ -242,5 +272,17 @@
     }
 }
 
+fn tightest_objectives(routes: &[Route]) -> HashMap<Arc<str>, Micros> {
+    let mut tightest: HashMap<Arc<str>, Micros> = HashMap::new();
+    for route in routes {
+        let objective = Micros::from(route.latency_objective);
+        for (service, _) in &route.services {
+            let least = tightest.entry(service.clone()).or_insert(objective);
+            *least = objective.min(*least);
+        }
+    }
+    tightest
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,8 +6,8 @@
 //! measured up to the *first event*: the first server-sent event of a streamed response, or the
 //! whole of a response that is not streamed, which is buffered before it is forwarded.
 //!
-//! The decisions ([`selection`], [`source`], [`overload`], [`admission`], [`fair_share`], [`retry`], [`retry_budget`] and
-//! [`health`]) do no I/O. [`state`] holds the state that all modules share; [`follow`] and
+//! The decisions ([`selection`], [`regions`], [`source`], [`overload`], [`admission`], [`fair_share`], [`retry`],
+//! [`retry_budget`] and [`health`]) do no I/O. [`state`] holds the state that all modules share; [`follow`] and
 //! [`peers`] keep it up to date. A request arrives at [`http`], is parsed by [`request`], and is
 //! sent to a target by [`forward`] and [`send`]; [`relay`] passes event streams back.
 
@@ -18,6 +18,7 @@
 pub mod cold_limit;
 pub mod cold_probe;
 pub mod config;
+pub mod config_check;
 pub mod connection_limits;
 pub mod copies;
 pub mod crash_tracker;
@@ -41,12 +42,16 @@
 pub mod peers;
 pub mod pool;
 pub mod prefix_owner;
+pub mod prefix_transfer;
 pub mod prompts;
+pub mod regions;
 pub mod relay;
 pub mod reload;
 pub mod request;
 pub mod request_log;
 pub mod request_quarantine;
+pub mod reservation;
+pub mod reserve;
 pub mod response;
 pub mod restrictions;
 pub mod resume;
@@ -116,10 +121,14 @@
     let telemetry = Telemetry::scraped(scrape.meter_provider()?);
     let store = Store::new(settings.platform);
     let limits = RetryLimits::from(&settings.retries);
+    let regions = settings.region_table();
+    regions::log_table(&regions);
     let gateway = GatewayState::new(&settings.zone, limits)
+        .with_regions(regions)
         .cold_start(settings.first)
         .with_limits(settings.connection_limits())
         .with_bytes(settings.byte_budget())
+        .with_engines(settings.engines)
         .with_telemetry(telemetry);
     let gateway = Arc::new(gateway);
     let reloads = tokio::spawn(reload::follow(path, hangup, gateway.clone()));
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -1,10 +1,13 @@
 //! Headers on requests and responses that the platform (the operator's infrastructure service)
 //! defines.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use hyper::HeaderMap;
-use hyper::header::{AUTHORIZATION, CONNECTION, HOST, HeaderName, HeaderValue, RETRY_AFTER};
+use hyper::header::{
+    AUTHORIZATION, CONNECTION, CONTENT_TYPE, HOST, HeaderName, HeaderValue, RETRY_AFTER,
+};
 
 use crate::gateway::notices::MAX_PAUSE;
 use crate::gateway::prompts::Prompt;
@@ -23,6 +26,8 @@
 const TOKEN_COUNTS: HeaderName = HeaderName::from_static("token-count");
 const PROMPT_PARTS: HeaderName = HeaderName::from_static("prompt-prefix");
 const RESUME_AFTER: HeaderName = HeaderName::from_static("last-event-id");
+const FETCH_FROM: HeaderName = HeaderName::from_static("kv-fetch");
+const RESERVATION: HeaderName = HeaderName::from_static("hold");
 const NOT_RUN: HeaderName = HeaderName::from_static("not-executed");
 const SIGNATURE: HeaderName = HeaderName::from_static("server-stamp");
 const LOAD: HeaderName = HeaderName::from_static("server-load");
@@ -94,6 +99,11 @@
     /// Id of the last event that the client has received; `None` unless a stream is resumed after
     /// such an event.
     pub last_event: Option<&'a str>,
+    /// Address of the target from which the prompt's cached prefix is to be fetched; `None` to use
+    /// only what the target has cached itself.
+    pub fetch_from: Option<SocketAddr>,
+    /// Id of the room that the target has reserved for the request; `None` if it has not.
+    pub reservation: Option<&'a HeaderValue>,
 }
 
 /// Builds the headers of the request to a target.
@@ -110,6 +120,12 @@
     if let Some(last_event) = added.last_event {
         set(&mut out, RESUME_AFTER, last_event);
     }
+    if let Some(source) = added.fetch_from {
+        set(&mut out, FETCH_FROM, &source.to_string());
+    }
+    if let Some(reservation) = added.reservation {
+        out.insert(RESERVATION, reservation.clone());
+    }
     out
 }
 
@@ -172,6 +188,13 @@
     out
 }
 
+/// Builds the headers of a request for room at a target.
+pub fn reservation_request(host: &str, target: &str) -> HeaderMap {
+    let mut out = health_request(host, target);
+    out.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    out
+}
+
 /// Builds the headers of the response to the client.
 pub fn forward_response(headers: &HeaderMap) -> HeaderMap {
     const PRIVATE: [HeaderName; 5] = [NOT_RUN, LOAD, LIMIT, LEAVING, COLD];
--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -1,6 +1,8 @@
 //! JSON formats of the records in the platform's store: the operator's configuration and the
 //! targets' entries.
 
+pub mod draft;
+
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,6 +13,8 @@
 
 use crate::gateway::cold_limit::{self, ColdReport, ColdRule};
 use crate::gateway::config::{self, Account, EngineCapacity, Limits, Route, RouteClass, Service};
+use crate::gateway::prefix_transfer::TransferRate;
+use crate::gateway::regions::RegionRule;
 use crate::gateway::targets::Entry;
 use crate::units::Micros;
 
@@ -48,6 +52,8 @@
     anonymous_access: bool,
     #[serde(default)]
     stream_resume: bool,
+    #[serde(rename = "allowedRegions")]
+    regions: Option<Box<RawValue>>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -78,6 +84,10 @@
     /// Tokens, not bytes.
     #[serde(default)]
     kv_capacity: u64,
+    /// Of each token.
+    kv_bytes: Option<Box<RawValue>>,
+    link_mbps: Option<Box<RawValue>>,
+    hold_ms: Option<Box<RawValue>>,
 }
 
 #[derive(Debug, Default, Deserialize)]
@@ -100,6 +110,8 @@
     name: Box<str>,
     #[serde(default)]
     api_keys: Vec<Box<str>>,
+    #[serde(rename = "allowedRegions")]
+    regions: Option<Box<RawValue>>,
 }
 
 /// A target's entry, as the target writes it.
@@ -135,6 +147,17 @@
     span.min(MAX_SPAN)
 }
 
+/// Converts a route class; `None` if it is unknown, in which case requests run at most once.
+fn route_class(name: &str, resume: bool) -> Option<RouteClass> {
+    match (name, resume) {
+        ("idempotent", _) => Some(RouteClass::Idempotent),
+        ("streaming", true) => Some(RouteClass::ResumableStream),
+        ("streaming", false) => Some(RouteClass::Stream),
+        ("non_idempotent", _) => Some(RouteClass::Once),
+        _ => None,
+    }
+}
+
 impl From<WireConfig> for config::Config {
     fn from(wire: WireConfig) -> Self {
         let parts = config::ConfigParts {
@@ -150,12 +173,7 @@
 
 impl From<WireRoute> for Route {
     fn from(wire: WireRoute) -> Self {
-        let class = match (wire.route_class.as_ref(), wire.stream_resume) {
-            ("idempotent", _) => RouteClass::Idempotent,
-            ("streaming", true) => RouteClass::ResumableStream,
-            ("streaming", false) => RouteClass::Stream,
-            _ => RouteClass::Once,
-        };
+        let class = route_class(&wire.route_class, wire.stream_resume);
         let single = wire.backend.map(|name| (Arc::from(name), 1));
         let weighted = wire.weighted_backends.into_iter();
         let weighted = weighted.map(|entry| (Arc::from(entry.backend), entry.weight));
@@ -164,11 +182,12 @@
             authority: wire.authority,
             path_prefix: wire.path_prefix,
             services: single.into_iter().chain(weighted).collect(),
-            class,
+            class: class.unwrap_or(RouteClass::Once),
             timeout: millis(wire.timeout_ms),
             latency_objective: millis(wire.aim_ms.unwrap_or(wire.timeout_ms)),
             max_attempts: wire.max_attempts,
             allow_anonymous: wire.anonymous_access,
+            regions: to_region_rule(wire.regions.as_deref()),
         }
     }
 }
@@ -219,6 +238,8 @@
     let engine = wire.engine.map(|engine| EngineCapacity {
         slots: engine.slots,
         kv_capacity: engine.kv_capacity,
+        transfer: to_transfer_rate(&engine),
+        max_reservation: to_max_reservation(&engine),
     });
     let service = Service {
         max_connections: wire.max_connections,
@@ -236,6 +257,19 @@
     (figure.is_finite() && figure >= 0.0).then_some(figure)
 }
 
+fn to_transfer_rate(wire: &WireEngine) -> Option<TransferRate> {
+    let token_bytes = figure(wire.kv_bytes.as_deref())?;
+    let megabits = figure(wire.link_mbps.as_deref())?;
+    TransferRate::new(token_bytes, megabits * 1e6)
+}
+
+fn to_max_reservation(wire: &WireEngine) -> Option<Micros> {
+    let ms = figure(wire.hold_ms.as_deref()).filter(|ms| *ms > 0.0)?;
+    // A value that is too large for a duration is longer than any reservation.
+    let span = Duration::try_from_secs_f64(ms / 1e3).unwrap_or(MAX_SPAN);
+    Some(span.min(MAX_SPAN).into())
+}
+
 fn to_path(raw: &RawValue) -> Option<Uri> {
     let path: &str = serde_json::from_str(raw.get()).ok()?;
     let path = path.starts_with('/').then_some(path)?;
@@ -272,5 +306,21 @@
 }
 
 fn to_account(wire: WireTenant) -> (Account, Vec<Box<str>>) {
-    (Account { name: wire.name }, wire.api_keys)
+    let account = Account {
+        regions: to_region_rule(wire.regions.as_deref()),
+        name: wire.name,
+    };
+    (account, wire.api_keys)
+}
+
+/// Reads a list of allowed regions. Whatever is present and not a list of strings allows no region,
+/// so that a mistake in a restriction does not lift it.
+fn to_region_rule(raw: Option<&RawValue>) -> RegionRule {
+    let Some(raw) = raw else {
+        return RegionRule::Unrestricted;
+    };
+    match serde_json::from_str::<Vec<Box<str>>>(raw.get()) {
+        Ok(names) => names.iter().collect(),
+        Err(_) => RegionRule::Unreadable,
+    }
 }
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -63,6 +63,12 @@
         Retry => "retries",
         /// A hedge, a second copy of an idempotent request, was sent.
         Hedge => "hedges",
+        /// A target was asked to fetch a cached prompt prefix from another one.
+        PrefixFetch => "prefix_fetches",
+        /// A target reserved room for a short prompt.
+        Reservation => "reservations",
+        /// A target did not reserve room, or did not answer in time.
+        FailedReservation => "failed_reservations",
         /// A response was resumed on a new connection.
         Resume => "resumes",
         /// A connection to another process was opened.
@@ -79,6 +85,8 @@
         LogFailure => "log_failures",
         /// A read of the host list failed.
         HostsFailure => "hosts_failures",
+        /// A request that is restricted to some regions found no target there.
+        RegionRefusal => "region_refusals",
     }
 );
 
