Search for the ends of events in words, not bytes

An event that finds no memory is read up to MAX_EVENT_BYTES, and the search for its end compared single bytes, so that it took most of the one thread's processor time.

Change: blocks of 256 bytes are searched with `contains`, which compares whole words; only a block with a newline is searched from its end. A test searches for ends at all offsets across three blocks.

--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -15,6 +15,11 @@
 /// Longest sequence of bytes that ends an event.
 const MAX_END_BYTES: usize = 3;
 
+/// Size of the blocks that are searched for a newline, in bytes. `contains` compares whole words and
+/// `rposition` single bytes. With `rposition` alone, the search took most of the processor time of a
+/// gateway to which 200 targets sent events without end, and the gateway turned other clients away.
+const SEARCH_BLOCK: usize = 256;
+
 /// Error for an event that is not kept until it is complete.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum EventError {
@@ -170,7 +175,7 @@
 /// none.
 fn events_end(data: &[u8]) -> usize {
     let mut end = data.len();
-    while let Some(at) = data[..end].iter().rposition(|&b| b == b'\n') {
+    while let Some(at) = last_newline(&data[..end]) {
         let line = data[..at].strip_suffix(b"\r").unwrap_or(&data[..at]);
         if line.last() == Some(&b'\n') {
             return at + 1;
@@ -180,6 +185,18 @@
     0
 }
 
+/// Offset of the last newline.
+fn last_newline(data: &[u8]) -> Option<usize> {
+    let mut start = data.len();
+    for block in data.rchunks(SEARCH_BLOCK) {
+        start -= block.len();
+        if block.contains(&b'\n') {
+            return block.iter().rposition(|&b| b == b'\n').map(|at| start + at);
+        }
+    }
+    None
+}
+
 /// Value of the last `id` field in these events.
 fn parse_last_id(events: &[u8]) -> Option<&str> {
     let lines = events.rsplit(|&b| b == b'\n');
--- a/src/gateway/events/tests.rs
+++ b/src/gateway/events/tests.rs
@@ -1,7 +1,7 @@
 use bytes::Bytes;
 use proptest::prelude::*;
 
-use super::{EventError, MAX_EVENT_BYTES, Splitter};
+use super::{EventError, MAX_EVENT_BYTES, SEARCH_BLOCK, Splitter, events_end};
 use crate::gateway::byte_budget::ByteBudget;
 
 /// Feeds these pieces to a splitter and returns the events that it emits.
@@ -81,6 +81,18 @@
     assert_eq!(results.last(), Some(&Err(EventError::TooLong)));
 }
 
+/// Guards against ends of events that are missed where they lie across blocks of the search.
+#[test]
+fn the_end_of_an_event_is_found_at_any_offset() {
+    for length in 0..3 * SEARCH_BLOCK {
+        for end in ["\n\n", "\n\r\n"] {
+            let event = format!("{}{end}", "d".repeat(length));
+            let data = format!("{event}data: \n{}", "d".repeat(SEARCH_BLOCK));
+            assert_eq!(events_end(data.as_bytes()), event.len(), "{length}");
+        }
+    }
+}
+
 /// Guards against large events that take the memory once they are complete and wait for a client.
 #[test]
 fn a_complete_event_counts_until_it_is_written() {
