--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -93,15 +93,6 @@
         gateway.metrics().record_total(took);
     }
 
-    /// Whether the request may be sent to another target if the present one, which has begun to
-    /// answer, breaks off.
-    pub fn may_resend(&self) -> bool {
-        let route = &self.request.route;
-        let mut counts = self.counts;
-        counts.record(Failure::Broken);
-        route.class.is_retryable() && counts.may_retry(route.class, route.max_attempts)
-    }
-
     /// Chooses anew after a wait for which the retry of `choice` has already been taken.
     pub fn choose_again(&self, choice: Choice) -> Choice {
         let anew = self.gateway.choose_target(&self.request, &self.tried);
--- a/src/gateway/byte_budget.rs
+++ b/src/gateway/byte_budget.rs
@@ -7,9 +7,6 @@
 //! therefore hold at most as much as is left free beside it: large ones are turned away first, and
 //! small ones find room for as long as there are few holders for their size.
 //!
-//! Clients that do not read keep what is held for their responses for as long as they like. What is
-//! held for responses therefore leaves a part of the budget to the bodies of new requests.
-//!
 //! Performs no I/O.
 
 use std::sync::Arc;
@@ -19,11 +16,6 @@
 
 /// Least number of bytes by which a buffer grows.
 const MIN_GROWTH: usize = 4 * 1024;
-/// One part in this many of the budget is left to the bodies of requests.
-const REQUEST_PART: usize = 4;
-/// Size up to which a part of a response may take that room too, so that large bodies do not make
-/// events of usual size and short answers lose the next attempt.
-const SMALL_BYTES: usize = 16 * 1024;
 
 /// Error for bytes that there is no room for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -56,30 +48,14 @@
         self.limit
     }
 
-    /// Whether so much is held that what is not needed should be given back early.
-    pub fn is_scarce(&self) -> bool {
-        self.used() > self.limit / REQUEST_PART
-    }
-
-    /// An empty buffer for the body of a request, or for bytes that do not wait for a client.
+    /// A buffer that holds nothing yet.
     pub fn buffer(&self) -> HeldBuffer {
-        self.buffer_beside(0)
-    }
-
-    /// An empty buffer for a part of a response, which its client may leave unread.
-    pub fn response_buffer(&self) -> HeldBuffer {
-        self.buffer_beside(self.limit / REQUEST_PART)
-    }
-
-    fn buffer_beside(&self, reserve: usize) -> HeldBuffer {
-        let held = Held {
-            budget: self.clone(),
-            bytes: 0,
-            reserve,
-        };
         HeldBuffer {
             data: BytesMut::new(),
-            held,
+            held: Held {
+                budget: self.clone(),
+                bytes: 0,
+            },
         }
     }
 }
@@ -96,8 +72,6 @@
 struct Held {
     budget: ByteBudget,
     bytes: usize,
-    /// Number of bytes of the budget that are left to other holders.
-    reserve: usize,
 }
 
 impl Held {
@@ -105,10 +79,6 @@
         let bytes = self.bytes.checked_add(more).ok_or(NoRoom)?;
         let used = self.budget.used().checked_add(more).ok_or(NoRoom)?;
         let free = self.budget.limit.checked_sub(used).ok_or(NoRoom)?;
-        let free = match bytes > SMALL_BYTES {
-            true => free.saturating_sub(self.reserve),
-            false => free,
-        };
         if bytes > free {
             return Err(NoRoom);
         }
@@ -117,18 +87,6 @@
         Ok(())
     }
 
-    /// Splits off all but `rest` of the bytes.
-    fn split(&mut self, rest: usize) -> Held {
-        let rest = rest.min(self.bytes);
-        let bytes = self.bytes - rest;
-        self.bytes = rest;
-        Held {
-            budget: self.budget.clone(),
-            bytes,
-            reserve: self.reserve,
-        }
-    }
-
     fn shrink(&mut self, to: usize) {
         let less = self.bytes.saturating_sub(to);
         self.budget.used.fetch_sub(less, Ordering::Relaxed);
@@ -185,14 +143,13 @@
         self.data.is_empty()
     }
 
-    /// Takes the first bytes out of the buffer; they count as held until their last clone is
-    /// dropped.
+    /// Takes the first bytes out of the buffer; they no longer count as held.
     pub fn take(&mut self, count: usize) -> Bytes {
-        let rest = BytesMut::from(&self.data[count..]);
-        let held = self.held.split(rest.len());
-        let mut data = std::mem::replace(&mut self.data, rest);
-        data.truncate(count);
-        HeldBuffer { data, held }.freeze()
+        let taken = Bytes::copy_from_slice(&self.data[..count]);
+        let rest = self.data.split_off(count);
+        self.data = BytesMut::from(&rest[..]);
+        self.held.shrink(self.data.len());
+        taken
     }
 
     /// Empties the buffer.
--- a/src/gateway/byte_budget/tests.rs
+++ b/src/gateway/byte_budget/tests.rs
@@ -1,4 +1,4 @@
-use super::{ByteBudget, HeldBuffer, MIN_GROWTH, NoRoom, REQUEST_PART};
+use super::{ByteBudget, HeldBuffer, MIN_GROWTH, NoRoom};
 
 const LIMIT: usize = 30 << 20;
 const PIECE: &[u8] = &[0; 8 * 1024];
@@ -82,39 +82,16 @@
 }
 
 #[test]
-fn what_is_taken_out_counts_until_it_is_dropped() {
+fn what_is_taken_out_counts_no_longer() {
     let budget = ByteBudget::new(LIMIT);
     let mut buffer = budget.buffer();
     buffer.push(&[1; 10_000]).expect("there is room");
-    let taken = buffer.take(9_990);
-    assert_eq!((taken.len(), budget.used()), (9_990, 10_000));
-    drop(taken);
+    assert_eq!(buffer.take(9_990).len(), 9_990);
     assert_eq!((buffer.as_slice().len(), budget.used()), (10, 10));
     buffer.clear();
     assert!(buffer.is_empty() && budget.used() == 0);
 }
 
-/// Guards against responses that their clients do not read and that leave no room for new requests.
-#[test]
-fn responses_leave_room_for_requests() {
-    let budget = ByteBudget::new(LIMIT);
-    let mut unread: Vec<HeldBuffer> = (0..200).map(|_| budget.response_buffer()).collect();
-    for buffer in &mut unread {
-        while buffer.push(PIECE).is_ok() {}
-    }
-    let mut body = budget.buffer();
-    assert_eq!(body.reserve(LIMIT / REQUEST_PART / 4), Ok(()));
-}
-
-/// Guards against events that are passed on, and streams that cannot be resumed, because of bodies.
-#[test]
-fn small_parts_of_responses_find_room_beside_large_bodies() {
-    let budget = ByteBudget::new(LIMIT);
-    let mut bodies: Vec<HeldBuffer> = (0..6).map(|_| budget.buffer()).collect();
-    assert!(bodies.iter_mut().all(|body| body.reserve(4 << 20).is_ok()));
-    assert_eq!(budget.response_buffer().push(PIECE), Ok(()));
-}
-
 #[test]
 fn a_size_that_is_no_size_has_no_room() {
     let mut buffer = ByteBudget::default().buffer();
--- a/src/gateway/connection_limits.rs
+++ b/src/gateway/connection_limits.rs
@@ -20,11 +20,6 @@
 const KEPT: f64 = 0.8;
 /// Maximum fraction of the targets' share that is idle.
 const IDLE: f64 = 0.4;
-/// Memory from which on the kernel sizes the buffers of sockets itself, in bytes.
-const AMPLE_BYTES: usize = 512 << 20;
-/// Number of unread responses whose socket buffers may take as much as the whole memory. The kernel
-/// lets a socket buffer grow to several megabytes, so that a few dozen would.
-const UNREAD_RESPONSES: usize = 1_024;
 /// Least number of connections of either kind.
 const LEAST: usize = 16;
 
@@ -39,9 +34,6 @@
     pub targets: usize,
     /// Idle connections to targets.
     pub idle_targets: usize,
-    /// Size of the socket buffers that hold what clients and targets do not read, in bytes; `None`
-    /// if the kernel sizes them.
-    pub socket_buffer: Option<u32>,
 }
 
 impl ConnectionLimits {
@@ -57,7 +49,6 @@
             kept_callers: fraction(callers, KEPT),
             targets,
             idle_targets: fraction(targets, IDLE),
-            socket_buffer: socket_buffer(memory),
         }
     }
 
@@ -78,14 +69,6 @@
     }
 }
 
-/// Size of socket buffers of a process with this much memory.
-fn socket_buffer(memory: usize) -> Option<u32> {
-    match memory < AMPLE_BYTES {
-        true => u32::try_from(memory / UNREAD_RESPONSES).ok(),
-        false => None,
-    }
-}
-
 fn fraction(total: usize, share: f64) -> usize {
     (total as f64 * share) as usize
 }
--- a/src/gateway/connection_limits/tests.rs
+++ b/src/gateway/connection_limits/tests.rs
@@ -40,15 +40,6 @@
     the_bodies_of_a_host_without_memory_have_none: 4_100, 40 => 0;
 }
 
-/// Guards against unread bytes in the kernel that take a small host's memory, and against a change
-/// at a host that has enough.
-#[test]
-fn socket_buffers_are_bounded_where_memory_is_short() {
-    let buffer = |megabytes| ConnectionLimits::new(4_100, megabytes * MB).socket_buffer;
-    assert_eq!(buffer(160), Some(160 << 10));
-    assert_eq!((buffer(512), buffer(4_096)), (None, None));
-}
-
 #[test]
 fn a_process_with_few_descriptors_can_still_serve() {
     let limits = ConnectionLimits::new(128, 64 * MB);
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -5,14 +5,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{Either, Full};
+use http_body_util::Full;
 use hyper::Response;
 use hyper::body::Incoming;
 use tokio::time::{timeout, timeout_at};
 
 use crate::gateway::admission::{self, AdmissionContext};
 use crate::gateway::attempts::{Attempts, Progress};
-use crate::gateway::body::{self, AnswerRead, ReadError};
+use crate::gateway::body;
 use crate::gateway::fair_share::{AccountTag, ShareStatus};
 use crate::gateway::overload;
 use crate::gateway::pool::Connection;
@@ -25,14 +25,13 @@
 use crate::gateway::send::{Dispatch, Upstream, dispatch, instant_at};
 use crate::gateway::state::GatewayState;
 use crate::gateway::targets::TargetKey;
-use crate::gateway::unbuffered::UnbufferedAnswer;
 use crate::platform::headers;
 use crate::problem::{Problem, Reason};
 use crate::telemetry::{Event, Outcome};
 use crate::units::Micros;
 
 /// Maximum size of a non-streaming answer, which is buffered whole.
-pub const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 
 /// Maximum size of the body of an answer that says the request was not run; more is not read.
 const MAX_REFUSAL_BYTES: usize = 64 * 1024;
@@ -231,14 +230,7 @@
         };
         let upstream = dispatch(&self.attempts.gateway, &self.attempts.request, sending).await?;
         let streams = self.attempts.request.route.class.is_streaming();
-        let success = upstream.head.status.is_success();
-        // Giving a body back costs a hash of it, which a call that ends soon is spared while there is
-        // memory.
-        let is_needed = streams || self.attempts.gateway.bytes.is_scarce();
-        if success && is_needed && !self.attempts.may_resend() {
-            self.attempts.request.release_body();
-        }
-        match success {
+        match upstream.head.status.is_success() {
             true if streams => Ok(self.stream(upstream)),
             true => self.buffered(upstream).await,
             false => Err(self.rejected(upstream).await),
@@ -246,35 +238,29 @@
     }
 
     fn stream(&self, upstream: Upstream) -> Response<ResponseBody> {
+        if !self.attempts.request.route.class.is_retryable() {
+            self.attempts.request.release_body();
+        }
         let status = upstream.head.status;
         let headers = headers::forward_response(&upstream.head.headers);
         let relay = Relay::new(upstream, self.attempts.clone());
-        response::from_parts(status, headers, ResponseBody::Right(Either::Left(relay)))
+        response::from_parts(status, headers, ResponseBody::Right(relay))
     }
 
-    /// Reads a non-streaming answer completely before any of it is forwarded, unless there is no
-    /// memory left for it.
+    /// Reads a non-streaming answer completely before any of it is forwarded.
     ///
     /// An empty body that the end of the connection delimits is a valid answer to a call (RFC 9112,
     /// section 6.3), but no evidence that the target survived it.
-    async fn buffered(
-        &self,
-        mut upstream: Upstream,
-    ) -> Result<Response<ResponseBody>, AttemptError> {
+    async fn buffered(&self, upstream: Upstream) -> Result<Response<ResponseBody>, AttemptError> {
         let is_unframed = upstream.ends_with_connection();
-        let budget = &self.attempts.gateway.bytes;
-        let read = body::read_answer(&mut upstream.body, MAX_ANSWER_BYTES, budget);
-        let body = match self.in_time(read).await? {
-            AnswerRead::Whole(body) => body,
-            AnswerRead::Part(beginning) => return Ok(self.unbuffered(upstream, beginning)),
-        };
         let Upstream {
             head,
             meta,
+            body,
             connection,
             mut in_flight,
-            ..
         } = upstream;
+        let body = self.read(body).await?;
         in_flight.record_first_event();
         let gateway = &self.attempts.gateway;
         if is_unframed && body.is_empty() {
@@ -289,14 +275,6 @@
         Ok(response::from_parts(head.status, headers, body))
     }
 
-    /// Forwards an answer at the pace of its client.
-    fn unbuffered(&self, upstream: Upstream, beginning: [Bytes; 2]) -> Response<ResponseBody> {
-        let status = upstream.head.status;
-        let headers = headers::forward_response(&upstream.head.headers);
-        let answer = UnbufferedAnswer::new(upstream, beginning, self.attempts.clone());
-        response::from_parts(status, headers, ResponseBody::Right(Either::Right(answer)))
-    }
-
     /// Maps an answer with an error status to a failure.
     async fn rejected(&self, upstream: Upstream) -> AttemptError {
         let failure = upstream.failure();
@@ -346,17 +324,13 @@
 
     async fn read(&self, mut body: Incoming) -> Result<Bytes, AttemptError> {
         let budget = &self.attempts.gateway.bytes;
-        self.in_time(body::read(&mut body, MAX_ANSWER_BYTES, budget))
-            .await
-    }
-
-    /// Waits for what is read of an answer until the request's deadline.
-    async fn in_time<T>(
-        &self,
-        read: impl Future<Output = Result<T, ReadError>>,
-    ) -> Result<T, AttemptError> {
-        let deadline = self.attempts.request.deadline();
-        match timeout_at(instant_at(&self.attempts.gateway, deadline), read).await {
+        let body = body::read(&mut body, MAX_ANSWER_BYTES, budget);
+        match timeout_at(
+            instant_at(&self.attempts.gateway, self.attempts.request.deadline()),
+            body,
+        )
+        .await
+        {
             Ok(Ok(body)) => Ok(body),
             Ok(Err(_)) => Err(Failure::Broken.into()),
             Err(_) => Err(Failure::Silent.into()),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -67,7 +67,6 @@
 pub mod supervise;
 pub mod target_limit;
 pub mod targets;
-pub mod unbuffered;
 
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -149,8 +148,7 @@
     directory: D,
     drain: CancellationToken,
 ) -> anyhow::Result<()> {
-    let buffer = settings.connection_limits().socket_buffer;
-    let clients = listen::tcp_bounded(settings.listen, "callers", buffer).await?;
+    let clients = listen::tcp(settings.listen, "callers").await?;
     let ready = listen::tcp(settings.ready, "the load balancer").await?;
     let metrics = listen::tcp(settings.metrics, "metrics scrapers").await?;
     let handover = listen::tcp(settings.peer, "other gateways").await?;
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -3,7 +3,6 @@
 //! A connection returns to the pool only after a complete and valid response.
 
 use std::collections::HashMap;
-use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -19,7 +18,6 @@
 
 use crate::gateway::connection_limits::ConnectionLimits;
 use crate::gateway::targets::TargetKey;
-use crate::listen;
 
 /// Time limit for establishing a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
@@ -83,7 +81,7 @@
     TooMany,
     /// The operating system reported an error.
     #[error("could not connect: {0}")]
-    Io(#[from] io::Error),
+    Io(#[from] std::io::Error),
     /// The HTTP handshake failed.
     #[error("HTTP handshake failed: {0}")]
     Http(#[from] hyper::Error),
@@ -240,7 +238,7 @@
             return Err(ConnectError::TooMany);
         }
         let open = OpenGuard::new(&self.open);
-        connect(addr, self.limits.socket_buffer, open).await
+        connect(addr, open).await
     }
 
     fn lock(&self) -> MutexGuard<'_, Idle> {
@@ -250,12 +248,8 @@
     }
 }
 
-async fn connect(
-    addr: SocketAddr,
-    buffer: Option<u32>,
-    open: OpenGuard,
-) -> Result<Connection, ConnectError> {
-    let stream = timeout(CONNECT_TIMEOUT, open_stream(addr, buffer))
+async fn connect(addr: SocketAddr, open: OpenGuard) -> Result<Connection, ConnectError> {
+    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(addr))
         .await
         .map_err(|_| ConnectError::Timeout)??;
     stream.set_nodelay(true)?;
@@ -272,16 +266,5 @@
     })
 }
 
-/// Opens a TCP connection whose socket buffers have this size.
-async fn open_stream(addr: SocketAddr, buffer: Option<u32>) -> io::Result<TcpStream> {
-    let Some(bytes) = buffer else {
-        return TcpStream::connect(addr).await;
-    };
-    let socket = listen::socket(addr)?;
-    socket.set_recv_buffer_size(bytes)?;
-    socket.set_send_buffer_size(bytes)?;
-    socket.connect(addr).await
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/gateway/pool/tests.rs
+++ b/src/gateway/pool/tests.rs
@@ -12,7 +12,6 @@
     kept_callers: 4,
     targets: 2,
     idle_targets: 1,
-    socket_buffer: None,
 };
 const IDLE: Option<Duration> = Some(Duration::from_secs(10));
 
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -138,7 +138,10 @@
 
     /// Whether another target may run the request if the current one fails.
     fn may_resume(&self) -> bool {
-        self.splitter.is_resumable() && self.attempts.may_resend()
+        let route = &self.attempts.request.route;
+        let mut counts = self.attempts.counts;
+        counts.record(Failure::Broken);
+        route.class.is_retryable() && counts.may_retry(route.class, route.max_attempts)
     }
 
     /// Ends the relay after the target's complete stream, and returns the connection to the pool.
@@ -158,9 +161,6 @@
         let State::Reading(stream) = &self.state else {
             return false;
         };
-        if failure == Failure::Silent && !self.splitter.is_resumable() {
-            return false;
-        }
         let progress = Progress {
             sent: stream.in_flight.sent,
             began: stream.started,
@@ -168,9 +168,6 @@
         let target = stream.in_flight.target;
         let mut attempts = self.attempts.clone();
         attempts.record_failure(target, failure, progress);
-        if !self.splitter.is_resumable() {
-            return false;
-        }
         let Some(choice) = attempts.next_target() else {
             return false;
         };
@@ -199,9 +196,6 @@
         let State::Reading(stream) = &mut self.state else {
             return Poll::Ready(Ok(None));
         };
-        if let Some(data) = self.splitter.take_next() {
-            return Poll::Ready(Ok(Some(data)));
-        }
         if let Poll::Ready(frame) = Pin::new(&mut stream.body).poll_frame(context) {
             let is_incomplete = self.splitter.has_partial() || stream.is_cut_short();
             return Poll::Ready(match frame {
@@ -262,12 +256,8 @@
         if !data.is_empty() {
             self.record_activity();
         }
-        let was_resumable = self.splitter.is_resumable();
         let pushed = self.splitter.push(data);
         let events = pushed.map_err(|_| BrokenStream::Target)?;
-        if was_resumable && !self.splitter.is_resumable() {
-            self.attempts.request.release_body();
-        }
         if !events.is_empty() {
             self.record_events();
         }
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -47,8 +47,6 @@
     headers: HeaderMap,
     /// Complete body, until it is released.
     body: Mutex<Bytes>,
-    /// Length of the complete body.
-    length: usize,
     /// Computed on first use.
     digest: OnceLock<Digest>,
     /// Matched route.
@@ -100,7 +98,6 @@
         let (parts, body) = request.into_parts();
         let mut request = ClientRequest::from_head(parts, config, arrived)?;
         let body = read_body(body, config.limits.max_body, budget).await?;
-        request.length = body.len();
         request.body = Mutex::new(body);
         Ok(request)
     }
@@ -128,7 +125,7 @@
 
     /// Whether its body is so short that it may be what many callers send, and a digest costs little.
     pub fn is_short(&self) -> bool {
-        self.length <= SHORT_BODY_BYTES
+        self.body().len() <= SHORT_BODY_BYTES
     }
 
     /// As [`ClientRequest::read`], from the head of a request; the body is left empty.
@@ -146,7 +143,6 @@
             uri: parts.uri,
             headers: parts.headers,
             body: Mutex::default(),
-            length: 0,
             digest: OnceLock::new(),
             route,
             service,
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -6,13 +6,11 @@
 use hyper::{HeaderMap, Response, StatusCode};
 
 use crate::gateway::relay::Relay;
-use crate::gateway::unbuffered::UnbufferedAnswer;
 use crate::platform::headers::REQUEST_ID;
 use crate::problem::Problem;
 
-/// A response body: buffered, or relayed as it arrives, which is an event stream or an answer that
-/// there is no memory for.
-pub type ResponseBody = Either<Full<Bytes>, Either<Relay, UnbufferedAnswer>>;
+/// A response body: buffered, or an event stream that is relayed as it arrives.
+pub type ResponseBody = Either<Full<Bytes>, Relay>;
 
 /// Builds a response from its parts.
 pub fn from_parts(
--- a/tests/memory/main.rs
+++ b/tests/memory/main.rs
@@ -1,4 +1,4 @@
-//! Memory of gateway processes under floods and slow readers.
+//! Memory of gateway processes under floods.
 
 // This binary uses only some of the helpers of the gateway's tests.
 #![allow(dead_code)]
@@ -12,8 +12,6 @@
 mod gateway_process;
 #[path = "../gateway/harness.rs"]
 mod harness;
-mod host;
-mod slow_readers;
 #[path = "../gateway/store.rs"]
 mod store;
 #[path = "../gateway/target.rs"]
