--- a/review/rig-2/gateway.rs
+++ b/review/rig-2/gateway.rs
@@ -3,12 +3,13 @@
 use std::collections::BTreeSet;
 use std::fs::File;
 use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::process::{Command, Stdio};
 use std::time::Duration;
 
 use crate::http::Conn;
 use crate::store::{Front, Store};
-use crate::world::{World, signal, sleep_ms};
+use crate::world::{SIGKILL, World, signal, sleep_ms};
 
 const PROGRAM: &str = "target/release/balsampitch-gateway";
 
@@ -105,7 +106,9 @@
         std::fs::write(&path, settings).map_err(|error| error.to_string())?;
         let log = File::create(dir.join(format!("{name}.log"))).map_err(|e| e.to_string())?;
         let errors = log.try_clone().map_err(|error| error.to_string())?;
-        let child = Command::new(PROGRAM)
+        let mut command = Command::new(PROGRAM);
+        end_with_rig(&mut command);
+        let child = command
             .arg("--settings")
             .arg(&path)
             .env("BALSAMPITCH_CONFIG", &path)
@@ -153,6 +156,22 @@
     }
 }
 
+/// Has the process killed if the rig ends without doing so itself.
+fn end_with_rig(command: &mut Command) {
+    const PR_SET_PDEATHSIG: i32 = 1;
+    let set = || {
+        // SAFETY: a plain system call with numbers.
+        unsafe { prctl(PR_SET_PDEATHSIG, SIGKILL as u64) };
+        Ok(())
+    };
+    // SAFETY: the closure only makes this call.
+    unsafe { command.pre_exec(set) };
+}
+
+unsafe extern "C" {
+    fn prctl(option: i32, value: u64) -> i32;
+}
+
 /// A port that is free on all these addresses.
 fn common_port(hosts: &[IpAddr]) -> Option<u16> {
     (0..50).find_map(|_| {
