--- a/review/rig-2/cases.rs
+++ b/review/rig-2/cases.rs
@@ -34,7 +34,7 @@
 /// A configuration with one route for streams that may be resumed, of two attempts.
 fn config(version: u64, tenants: &str) -> String {
     format!(
-        r#"{{"version":{version},"routes":[{{"name":"r-1","authority":"ficu95.example","pathPrefix":"/pufi791/","routeClass":"streaming","timeoutMs":5000,"targetLatencyMs":600,"priority":1,"backend":"huvo11a","maxAttempts":2,"anonymousAccess":false,"sessionAffinity":true,"streamResume":true,"gapAimMs":500}},{{"name":"r-2","authority":"ficu95.example","pathPrefix":"/puxa403/","routeClass":"non_idempotent","timeoutMs":1500,"targetLatencyMs":150,"priority":2,"backend":"wuno96b","maxAttempts":1,"anonymousAccess":false}}],"services":[{{"name":"huvo11a","healthPath":"/health","maxConnections":630,"protocol":"h1","tls":false,"engine":{{"slots":128,"kvCapacity":789097,"kvBytes":18432,"linkMbps":370000.0,"moves":true,"backups":true,"stride":5,"most":12,"pinMs":4000.0,"holdMs":2000.0,"handleS":5.0,"models":[{{"name":"m"}}]}}}},{{"name":"wuno96b","healthPath":"/health","maxConnections":110,"protocol":"h1","tls":false}}],"limits":{{"headerBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000,"tokensPerS":1600000}},"tenants":{tenants}}}"#
+        r#"{{"version":{version},"routes":[{{"name":"r-1","authority":"ficu95.example","pathPrefix":"/pufi791/","routeClass":"streaming","timeoutMs":5000,"targetLatencyMs":600,"priority":1,"backend":"huvo11a","maxAttempts":2,"anonymousAccess":false,"sessionAffinity":true,"streamResume":true,"gapAimMs":500}},{{"name":"r-2","authority":"ficu95.example","pathPrefix":"/puxa403/","routeClass":"non_idempotent","timeoutMs":1500,"targetLatencyMs":150,"priority":2,"backend":"wuno96b","maxAttempts":1,"anonymousAccess":false}}],"services":[{{"name":"huvo11a","healthPath":"/health","maxConnections":630,"protocol":"h1","tls":false,"engine":{{"slots":32,"kvCapacity":789097,"kvBytes":18432,"linkMbps":370000.0,"moves":true,"backups":true,"stride":5,"most":12,"pinMs":4000.0,"holdMs":2000.0,"handleS":5.0,"models":[{{"name":"m"}}]}}}},{{"name":"wuno96b","healthPath":"/health","maxConnections":110,"protocol":"h1","tls":false}}],"limits":{{"headerBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000,"tokensPerS":1600000}},"tenants":{tenants}}}"#
     )
 }
 
@@ -80,6 +80,23 @@
         })
     }
 
+    /// Calls a worker from elsewhere, at once, as many times as said.
+    fn call_directly(&self, worker: &Worker, count: usize) -> Vec<JoinHandle<()>> {
+        let calls = (0..count).map(|n| {
+            let mut client = Client::new(&self.world, worker.addr());
+            let id = format!("other-{}-{n}", worker.id());
+            std::thread::spawn(move || {
+                client.call(&Ask {
+                    id: &id,
+                    path: PATH,
+                    key: KEY,
+                    budget_ms: 20_000,
+                });
+            })
+        });
+        calls.collect()
+    }
+
     /// Requests of the time before, all of which have to be served.
     fn warm_up(&self, clients: usize, each: usize) -> Result<(), String> {
         let outcomes = Outcomes::default();
@@ -193,12 +210,12 @@
     Ok(broken.collect())
 }
 
-/// LOST: during a planned stop of the gateway, workers run out of memory for 2 s. They preempt the
-/// streams that they have, and go on with them afterwards. `TROUBLE=term` has the stop alone, and
+/// LOST: during a planned stop of the gateway, workers run out of memory for 2 s. Each preempts its
+/// newest stream and goes on with it afterwards; new requests wait, until the queues are full. `TROUBLE=term` has the stop alone, and
 /// `TROUBLE=memory` the rest.
 fn silence(world: &World, trouble: &str) -> Result<Vec<String>, String> {
     let nature = Nature {
-        slots: 128,
+        slots: 32,
         first_ms: 100,
         gap_ms: 100,
         events: 12,
@@ -222,16 +239,22 @@
     let clients: Vec<JoinHandle<()>> = clients.collect();
     start.wait();
     sleep_ms(300);
+    let mut others = Vec::new();
     if trouble == "1" || trouble == "term" {
         fleet.gateway.signal(SIGTERM);
     }
     sleep_ms(200);
     if trouble == "1" || trouble == "memory" {
         fleet.workers.iter().for_each(|w| w.set_full(true));
+        // Others call the workers meanwhile, and their queues fill.
+        for worker in &fleet.workers {
+            others.extend(fleet.call_directly(worker, 12));
+        }
         sleep_ms(2_000);
         fleet.workers.iter().for_each(|w| w.set_full(false));
     }
     join(clients)?;
+    join(others)?;
     let outcomes = outcomes.lock().unwrap();
     let broken = outcomes.iter().filter(|o| !o.complete).map(|o| {
         let (id, took, events) = (&o.id, o.took, o.events.len());
@@ -249,11 +272,11 @@
     })
 }
 
-/// TWICE: for four seconds two workers of six, which do not drop requests, lose one answer in twenty
+/// TWICE: for three and a half seconds two workers of six, which do not drop requests, lose one answer in twenty
 /// to a reset, and work on.
 fn reset(world: &World, trouble: &str) -> Result<Vec<String>, String> {
     let nature = |drops| Nature {
-        slots: 128,
+        slots: 32,
         first_ms: 100,
         gap_ms: 100,
         events: 16,
@@ -269,7 +292,7 @@
     }
     let clients = (0..96).map(|n| fleet.client(&format!("stream-{n}"), 3, &outcomes));
     let clients: Vec<JoinHandle<()>> = clients.collect();
-    sleep_ms(4_000);
+    sleep_ms(3_500);
     set_resets(0);
     join(clients)?;
     sleep_ms(2_000);
@@ -280,7 +303,7 @@
 /// events come late.
 fn late(world: &World, trouble: &str) -> Result<Vec<String>, String> {
     let nature = |drops| Nature {
-        slots: 128,
+        slots: 32,
         first_ms: 350,
         gap_ms: 60,
         events: 12,
@@ -306,7 +329,7 @@
 /// resets new connections, as it does while its queue is long.
 fn refused(world: &World, trouble: &str) -> Result<Vec<String>, String> {
     let nature = |drops| Nature {
-        slots: 128,
+        slots: 32,
         first_ms: 100,
         gap_ms: 350,
         events: 8,
@@ -319,14 +342,17 @@
     let clients = (0..21).map(|n| fleet.client(&format!("stream-{n}"), 1, &outcomes));
     let clients: Vec<JoinHandle<()>> = clients.collect();
     sleep_ms(400);
+    let mut others = Vec::new();
     if trouble == "1" {
         fleet.workers[0].set_slow(5);
         fleet.workers[0].set_refuses(true);
+        others = fleet.call_directly(&fleet.workers[0], 40);
     }
     sleep_ms(6_000);
     fleet.workers[0].set_slow(1);
     fleet.workers[0].set_refuses(false);
     join(clients)?;
+    join(others)?;
     sleep_ms(2_000);
     Ok(world.overlaps(GRACE))
 }
@@ -334,7 +360,7 @@
 /// ROUTE: the operator takes the only tenant away, and its keys with it.
 fn revoke(world: &World, trouble: &str) -> Result<Vec<String>, String> {
     let nature = Nature {
-        slots: 128,
+        slots: 32,
         first_ms: 100,
         gap_ms: 20,
         events: 4,
--- a/review/rig-2/gateway.rs
+++ b/review/rig-2/gateway.rs
@@ -11,6 +11,9 @@
 use crate::store::{Front, Store};
 use crate::world::{SIGKILL, World, signal, sleep_ms};
 
+/// Number of times that the gateways are started at most.
+const STARTS: usize = 3;
+
 const PROGRAM: &str = "target/release/balsampitch-gateway";
 
 pub struct Gateway {
@@ -43,19 +46,24 @@
         let hosts: Vec<IpAddr> = (0..zones.len())
             .map(|n| IpAddr::from([127, 0, 0, 2 + n as u8]))
             .collect();
-        let peer = common_port(&hosts).ok_or("no port is free on all addresses")?;
-        let mut gateways = Vec::new();
-        for (&host, zone) in hosts.iter().zip(zones) {
-            gateways.push(Gateway::launch(
-                world, store, host, zone, peer, &hosts, zones,
-            )?);
-        }
-        for gateway in &gateways {
-            gateway.await_ready()?;
+        // Another process may take a port between the choice and the start.
+        for _ in 0..STARTS {
+            let peer = common_port(&hosts).ok_or("no port is free on all addresses")?;
+            let mut gateways = Vec::new();
+            for (&host, zone) in hosts.iter().zip(zones) {
+                gateways.push(Gateway::launch(
+                    world, store, host, zone, peer, &hosts, zones,
+                )?);
+            }
+            if gateways.iter().all(Gateway::await_ready) {
+                world.note("all gateways are ready");
+                sleep_ms(3_500);
+                return Ok(gateways);
+            }
+            world.note("a gateway did not get ready: all are started again");
+            gateways.iter().for_each(|gateway| gateway.signal(SIGKILL));
         }
-        world.note("all gateways are ready");
-        sleep_ms(3_500);
-        Ok(gateways)
+        Err("the gateways do not get ready".to_owned())
     }
 
     fn launch(
@@ -128,14 +136,11 @@
         })
     }
 
-    fn await_ready(&self) -> Result<(), String> {
-        for _ in 0..400 {
-            if self.is_ready() {
-                return Ok(());
-            }
+    fn await_ready(&self) -> bool {
+        (0..120).any(|_| {
             sleep_ms(50);
-        }
-        Err(format!("{} does not get ready", self.name))
+            self.is_ready()
+        })
     }
 
     fn is_ready(&self) -> bool {
--- a/review/rig-2/worker.rs
+++ b/review/rig-2/worker.rs
@@ -13,6 +13,17 @@
 const BEAT_MS: u64 = 1_200;
 /// How old the values of a report are, in seconds.
 const REPORT_AGE: f64 = 0.2;
+/// Number of requests that wait for a place.
+const QUEUE: usize = 8;
+/// Number of waiting requests from which on new connections are reset.
+const LONG_QUEUE: usize = 4;
+
+/// The places of a worker.
+#[derive(Default)]
+struct Places {
+    running: usize,
+    waiting: usize,
+}
 
 /// How a worker works.
 #[derive(Clone, Debug)]
@@ -37,10 +48,13 @@
     store: Store,
     /// How many times as long work takes.
     slow: AtomicU64,
-    /// Whether its memory has run out: it takes no requests, and those that it has wait.
+    /// Whether its memory has run out: the newest run waits, and so do new requests.
     full: AtomicBool,
-    /// Whether it takes no new connections.
+    /// Whether it resets new connections while its queue is long.
     refuses: AtomicBool,
+    places: Mutex<Places>,
+    /// The run that has been preempted.
+    preempted: Mutex<Option<usize>>,
     /// One in this many streams is reset midway; none if 0.
     resets: AtomicU64,
     taken: AtomicU64,
@@ -72,6 +86,8 @@
             slow: AtomicU64::new(1),
             full: AtomicBool::new(false),
             refuses: AtomicBool::new(false),
+            places: Mutex::default(),
+            preempted: Mutex::default(),
             resets: AtomicU64::new(0),
             taken: AtomicU64::new(0),
             left: Mutex::new(false),
@@ -119,11 +135,30 @@
         ));
     }
 
+    pub fn addr(&self) -> SocketAddr {
+        self.0.addr
+    }
+
+    /// Lets its memory run out, which preempts the newest run, or be enough again.
     pub fn set_full(&self, full: bool) {
+        let newest = match full {
+            true => self
+                .0
+                .runs
+                .lock()
+                .unwrap()
+                .iter()
+                .rposition(|run| run.2.is_none()),
+            false => None,
+        };
+        *self.0.preempted.lock().unwrap() = newest;
         self.0.full.store(full, Ordering::Relaxed);
-        self.0
-            .world
-            .note(format!("worker {}: out of memory: {full}", self.0.id));
+        let run = newest.map(|row| self.0.runs.lock().unwrap()[row].0.clone());
+        let run = run.unwrap_or_else(|| "none".to_owned());
+        self.0.world.note(format!(
+            "worker {}: out of memory: {full}, preempted: {run}",
+            self.0.id
+        ));
     }
 
     pub fn set_refuses(&self, refuses: bool) {
@@ -142,17 +177,11 @@
         ));
     }
 
-    /// Number of requests that it works on.
-    fn active(&self) -> usize {
-        let runs = self.0.runs.lock().unwrap();
-        runs.iter().filter(|run| run.2.is_none()).count()
-    }
-
     /// Accepts connections. While it refuses them, it does not listen, so that each is reset.
     fn listen(&self, listener: TcpListener) {
         let mut listener = Some(listener);
         loop {
-            if self.0.refuses.load(Ordering::Relaxed) {
+            if self.resets_connections() {
                 listener = None;
                 sleep_ms(5);
                 continue;
@@ -234,11 +263,45 @@
         Some(conn)
     }
 
+    fn resets_connections(&self) -> bool {
+        let waiting = self.0.places.lock().unwrap().waiting;
+        self.0.refuses.load(Ordering::Relaxed) && waiting >= LONG_QUEUE
+    }
+
     fn load(&self) -> String {
-        let slots = self.0.nature.slots;
-        let full = self.0.full.load(Ordering::Relaxed);
-        let running = if full { slots } else { self.active() };
-        format!("{running},0,{slots}")
+        let places = self.0.places.lock().unwrap();
+        format!(
+            "{},{},{}",
+            places.running, places.waiting, self.0.nature.slots
+        )
+    }
+
+    /// Takes a place for a request, after a wait if there is none. Returns `false` if the worker is
+    /// full, or the request is dropped while it waits.
+    fn take_place(&self, conn: &Conn) -> bool {
+        let has_room = |places: &Places| {
+            places.running < self.0.nature.slots && !self.0.full.load(Ordering::Relaxed)
+        };
+        let mut places = self.0.places.lock().unwrap();
+        if !has_room(&places) {
+            if places.waiting >= QUEUE {
+                return false;
+            }
+            places.waiting += 1;
+            while !has_room(&places) {
+                drop(places);
+                sleep_ms(5);
+                let dropped = self.0.nature.drops && conn.is_closed();
+                places = self.0.places.lock().unwrap();
+                if dropped {
+                    places.waiting -= 1;
+                    return false;
+                }
+            }
+            places.waiting -= 1;
+        }
+        places.running += 1;
+        true
     }
 
     fn report(&self) -> String {
@@ -250,30 +313,28 @@
             }
         }
         let runs = rows.join(",");
+        let queued = self.0.places.lock().unwrap().waiting;
         format!(
-            r#"{{"stage":"both","models":[{{"name":"m","version":1,"adapters":[]}}],"busy":false,"callSeq":0,"queued":0,"active":{active},"kvUsed":0,"kvTotal":789097,"handles":0,"runs":[{runs}]}}"#
+            r#"{{"stage":"both","models":[{{"name":"m","version":1,"adapters":[]}}],"busy":false,"callSeq":0,"queued":{queued},"active":{active},"kvUsed":0,"kvTotal":789097,"handles":0,"runs":[{runs}]}}"#
         )
     }
 
-    /// Waits for a time of work. Returns `false` once the request is dropped.
-    fn work(&self, conn: &Option<Conn>, ms: u64) -> bool {
-        let mut left = ms * self.0.slow.load(Ordering::Relaxed);
+    /// Waits for a time of work on a run. Returns `false` once the request is dropped.
+    fn work(&self, conn: &Option<Conn>, row: usize, ms: u64) -> bool {
+        // In tenths of a millisecond at the usual speed.
+        let mut left = ms * 10;
         loop {
             let is_closed = conn.as_ref().is_some_and(Conn::is_closed);
             if self.0.nature.drops && is_closed {
                 return false;
             }
-            if self.0.full.load(Ordering::Relaxed) {
-                // Preempted: waits until there is memory again.
-                sleep_ms(10);
-                continue;
-            }
             if left == 0 {
                 return true;
             }
-            let step = left.min(10);
-            sleep_ms(step);
-            left -= step;
+            sleep_ms(10);
+            let waits = *self.0.preempted.lock().unwrap() == Some(row);
+            let step = 100 / self.0.slow.load(Ordering::Relaxed);
+            left = left.saturating_sub(if waits { 0 } else { step });
         }
     }
 
@@ -286,7 +347,7 @@
             .get("last-event-id")
             .and_then(|n| n.parse().ok())
             .unwrap_or(0);
-        if self.0.full.load(Ordering::Relaxed) || self.active() >= nature.slots {
+        if !self.take_place(&conn) {
             world.note(format!("worker {id}: rejects {request}, it is full"));
             let load = format!(
                 "Not-Executed: 1\r\nAttempt-Id: {request}\r\nServer-Load: {}\r\n",
@@ -321,7 +382,7 @@
             } else {
                 nature.gap_ms
             };
-            if !self.work(&conn, ms) {
+            if !self.work(&conn, row, ms) {
                 how = "dropped, its connection was closed";
                 break;
             }
@@ -343,6 +404,7 @@
                 }
             }
         }
+        self.0.places.lock().unwrap().running -= 1;
         world.run_ends(run, how);
         self.0.runs.lock().unwrap()[row].2 = Some(world.now());
         let mut conn = conn.filter(|_| how == "done")?;
