Log when a list of the platform comes back from an older copy

Nothing read the header Store-Era, so no log told a restore of the store from an outage, nor whether the first read after it went on at an offset that the restored log had reached again. The era of each read is now decoded, and a change is logged with the offset that was read from and the end of the list. No decision changes.

--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -20,6 +20,11 @@
     Targets,
 }
 
+/// Number of times that the platform's lists were restored from an older copy. What was written to
+/// them between the copy and the restore is gone, and their offsets are given out again.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Era(pub u64);
+
 /// A change to one list entry.
 #[derive(Clone, Debug)]
 pub enum Change {
@@ -44,6 +49,8 @@
 /// Changes to a list, in order.
 #[derive(Clone, Debug, Default)]
 pub struct ChangeBatch {
+    /// Era of the list that they were read from.
+    pub era: Era,
     /// Offset at which to read the changes that follow these.
     pub next: u64,
     /// Whether entries may be missing from what [`Directory::list`] returns. They are read as soon as
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -71,6 +71,7 @@
     match read {
         Ok(batch) => {
             dependency.record_success(now);
+            dependency.record_era(next, &batch);
             gateway.with_copies(|copies| copies.config_at = Some(now));
             for change in batch.changes {
                 apply_config_change(gateway, change);
--- a/src/gateway/follow/dependency.rs
+++ b/src/gateway/follow/dependency.rs
@@ -1,5 +1,6 @@
 //! Whether the platform answers reads of a list.
 
+use crate::gateway::directory::{ChangeBatch, Era};
 use crate::log::ReadError;
 use crate::units::Micros;
 
@@ -8,6 +9,7 @@
 pub struct Dependency {
     name: &'static str,
     lost_since: Option<Micros>,
+    era: Option<Era>,
 }
 
 impl Dependency {
@@ -16,6 +18,7 @@
         Dependency {
             name,
             lost_since: None,
+            era: None,
         }
     }
 
@@ -30,6 +33,17 @@
         outage
     }
 
+    /// Records the era of what was read from the offset `from` on, or of the whole list if that is
+    /// `None`; logs when it has changed.
+    pub fn record_era(&mut self, from: Option<u64>, batch: &ChangeBatch) {
+        let before = self.era.replace(batch.era);
+        if let Some(before) = before.filter(|before| *before != batch.era) {
+            spdlog::warn!("the platform's list was restored from an older copy", kv: {
+                name: = self.name, era = batch.era.0, before = before.0, read_from:? = from, end = batch.next,
+            });
+        }
+    }
+
     /// Whether it does not answer.
     pub fn is_lost(&self) -> bool {
         self.lost_since.is_some()
--- a/src/gateway/follow/list.rs
+++ b/src/gateway/follow/list.rs
@@ -52,6 +52,7 @@
         match read {
             Ok(batch) => {
                 self.dependency.record_success(now);
+                self.dependency.record_era(from, &batch);
                 self.merge_read(gateway, now, from, batch);
                 true
             }
--- a/src/gateway/peers/wire_targets.rs
+++ b/src/gateway/peers/wire_targets.rs
@@ -163,8 +163,8 @@
         let removed = removed.map(|row| Change::Removed(row.id.into(), row.offset));
         ChangeBatch {
             next: list.next,
-            partial: false,
             changes: list.targets.into_iter().map(put).chain(removed).collect(),
+            ..ChangeBatch::default()
         }
     }
 }
--- a/src/log/http.rs
+++ b/src/log/http.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::header::CONTENT_TYPE;
-use hyper::{Method, Request, StatusCode};
+use hyper::{HeaderMap, Method, Request, StatusCode};
 use hyper_util::client::legacy;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
@@ -48,6 +48,8 @@
 pub struct HttpResponse {
     /// HTTP status.
     pub status: StatusCode,
+    /// The headers.
+    pub headers: HeaderMap,
     /// The body.
     pub body: Bytes,
 }
@@ -153,10 +155,14 @@
     limit: usize,
 ) -> Result<HttpResponse, CallError> {
     let response = pool.request(request).await.map_err(request_error)?;
-    let status = response.status();
-    let body = Limited::new(response.into_body(), limit).collect().await;
+    let (head, body) = response.into_parts();
+    let body = Limited::new(body, limit).collect().await;
     let body = body.map_err(|error| body_error(error, limit))?.to_bytes();
-    Ok(HttpResponse { status, body })
+    Ok(HttpResponse {
+        status: head.status,
+        headers: head.headers,
+        body,
+    })
 }
 
 fn request_error(error: legacy::Error) -> CallError {
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -9,6 +9,7 @@
     AUTHORIZATION, CONNECTION, CONTENT_TYPE, HOST, HeaderName, HeaderValue, RETRY_AFTER,
 };
 
+use crate::gateway::directory::Era;
 use crate::gateway::notices::MAX_PAUSE;
 use crate::gateway::prompts::Prompt;
 use crate::gateway::targets::LoadReport;
@@ -34,6 +35,7 @@
 const LIMIT: HeaderName = HeaderName::from_static("server-limit");
 const COLD: HeaderName = HeaderName::from_static("cold-remaining");
 const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
+const STORE_ERA: HeaderName = HeaderName::from_static("store-era");
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
 /// Request headers that clients may not set. They are removed; the gateway sets some of them
@@ -180,6 +182,15 @@
     (ms.is_finite() && ms >= 0.0).then(|| wire::cold_time(ms))
 }
 
+/// Parses the era in the headers of an answer of the store; the first one if the store names none.
+/// `None` if it is malformed.
+pub fn parse_era(headers: &HeaderMap) -> Option<Era> {
+    match headers.get(STORE_ERA) {
+        Some(value) => value.to_str().ok()?.trim().parse().ok().map(Era),
+        None => Some(Era::default()),
+    }
+}
+
 /// Builds the headers of a request for a target's health.
 pub fn health_request(host: &str, target: &str) -> HeaderMap {
     let mut out = HeaderMap::with_capacity(2);
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -13,8 +13,8 @@
 use serde_json::value::RawValue;
 
 use crate::gateway::config::Config;
-use crate::gateway::directory::{Change, ChangeBatch, Directory, Topic};
-use crate::log::http::{CallLimits, HttpClient};
+use crate::gateway::directory::{Change, ChangeBatch, Directory, Era, Topic};
+use crate::log::http::{CallLimits, HttpClient, HttpResponse};
 use crate::log::{CallError, ReadError};
 use crate::platform::headers;
 use crate::platform::records::{self, KeyedRecord};
@@ -71,12 +71,12 @@
         &self,
         topic: &str,
         after: Option<&str>,
-    ) -> Result<NewestPage, CallError> {
+    ) -> Result<(NewestPage, Era), CallError> {
         let after = after.map(|key| utf8_percent_encode(key, NON_ALPHANUMERIC));
         let after = after.map(|key| format!("&after={key}")).unwrap_or_default();
         let path = format!("/v1/log-newest?topic={topic}&part=0{after}");
         let response = self.http.get(&path, limits(Duration::ZERO)).await?;
-        response.json()
+        Ok((response.json()?, era(&response)?))
     }
 }
 
@@ -85,13 +85,14 @@
         let mut batch = ChangeBatch::default();
         let mut after: Option<Box<str>> = None;
         loop {
-            let page = self
+            let (page, era) = self
                 .fetch_newest(topic_name(topic), after.as_deref())
                 .await?;
             if after.is_none() {
                 // Later pages may hold newer records; reading on from the first page's end repeats
                 // those.
                 batch.next = page.end;
+                batch.era = era;
             }
             let records = readable(topic, &page, batch.next);
             let last = records.last().map(|record| record.key.clone());
@@ -130,12 +131,14 @@
         if !response.status.is_success() {
             return Err(CallError::Status(response.status.as_u16()).into());
         }
+        let era = era(&response)?;
         let page = records::decode_page(response.body, from);
         let page = page.map_err(|e| CallError::Malformed(e.to_string()))?;
         if page.unreadable > 0 {
             log_unreadable(topic, page.unreadable);
         }
         Ok(ChangeBatch {
+            era,
             next: from + page.count,
             partial: false,
             changes: page
@@ -184,6 +187,11 @@
     });
 }
 
+fn era(response: &HttpResponse) -> Result<Era, CallError> {
+    let era = headers::parse_era(&response.headers);
+    era.ok_or_else(|| CallError::Malformed("the era cannot be read".to_owned()))
+}
+
 fn limits(wait: Duration) -> CallLimits {
     CallLimits {
         timeout: wait + CALL_TIMEOUT,
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -128,6 +128,16 @@
         });
     }
 
+    /// Restores an older copy, in which the last `targets` records of the list of targets and the last
+    /// `changes` of the operator's are missing. The operator's present records are written again at
+    /// once.
+    pub fn restore(&self, targets: usize, changes: u64) {
+        self.with(|state| {
+            state.targets.truncate(state.targets.len() - targets);
+            state.changes -= changes;
+        });
+    }
+
     /// Sets whether all calls fail.
     pub fn set_failing(&self, failing: bool) {
         self.link.failing.store(failing, Ordering::Relaxed);
@@ -168,8 +178,8 @@
         let all = config.chain(self.zone_changes.iter().cloned());
         ChangeBatch {
             next: self.changes,
-            partial: false,
             changes: all.filter(|_| from != Some(self.changes)).collect(),
+            ..ChangeBatch::default()
         }
     }
 
@@ -186,8 +196,8 @@
         });
         ChangeBatch {
             next: self.targets.len() as u64,
-            partial: false,
             changes: changes.collect(),
+            ..ChangeBatch::default()
         }
     }
 }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -21,6 +21,7 @@
 mod odd_entries;
 mod process;
 mod regions;
+mod restored;
 mod retries;
 mod shared_request;
 mod store;
--- a/tests/gateway/store.rs
+++ b/tests/gateway/store.rs
@@ -1,8 +1,9 @@
-//! Stand-in for the platform's store: the two reading calls of its log, in memory.
+//! Stand-in for the platform's store: the two reading calls of its log, in memory. It can be away, and
+//! come back from an older copy.
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use base64::Engine;
@@ -16,7 +17,8 @@
 
 /// Topic of the targets' entries.
 pub const TARGETS: &str = "keyed.servers";
-const OPERATOR: &str = "keyed.op";
+/// Topic of the operator's configuration and evacuations.
+pub const OPERATOR: &str = "keyed.op";
 /// Time between two looks at the records while a read waits.
 const POLL: Duration = Duration::from_millis(10);
 
@@ -30,7 +32,15 @@
     pub addr: SocketAddr,
     /// Maximum number of items in a page of the newest records.
     page: usize,
-    topics: Arc<Mutex<HashMap<String, Vec<Record>>>>,
+    contents: Arc<Mutex<Contents>>,
+}
+
+#[derive(Debug, Default)]
+struct Contents {
+    topics: HashMap<String, Vec<Record>>,
+    /// Number of restores.
+    era: u64,
+    is_away: bool,
 }
 
 impl Store {
@@ -41,7 +51,7 @@
         let store = Store {
             addr: listener.local_addr().expect("it is bound"),
             page,
-            topics: Arc::default(),
+            contents: Arc::default(),
         };
         let serving = store.clone();
         tokio::spawn(async move {
@@ -54,11 +64,36 @@
 
     /// Appends a record.
     pub fn append(&self, topic: &str, key: &[u8], value: &[u8]) {
-        let mut topics = self.topics.lock().expect("no holder panics");
-        let records = topics.entry(topic.to_owned()).or_default();
+        let mut contents = self.contents();
+        let records = contents.topics.entry(topic.to_owned()).or_default();
         records.push((key.to_vec(), value.to_vec()));
     }
 
+    /// Evacuates a zone, or ends its evacuation.
+    pub fn set_evacuated(&self, zone: &str, evacuated: bool) {
+        let value: &[u8] = if evacuated { b"{}" } else { b"" };
+        self.append(OPERATOR, format!("evacuate/{zone}").as_bytes(), value);
+    }
+
+    /// Sets whether it turns all calls away.
+    pub fn set_away(&self, away: bool) {
+        self.contents().is_away = away;
+    }
+
+    /// Restores an older copy, in which the last `lost` records of each of these topics are missing.
+    pub fn restore(&self, topics: &[(&str, usize)]) {
+        let mut contents = self.contents();
+        for (topic, lost) in topics {
+            let records = contents.topics.entry((*topic).to_owned()).or_default();
+            records.truncate(records.len() - lost);
+        }
+        contents.era += 1;
+    }
+
+    fn contents(&self) -> MutexGuard<'_, Contents> {
+        self.contents.lock().expect("no holder panics")
+    }
+
     /// Publishes a configuration with a route of each class before one service and a route `other`
     /// before another one, with these limits on the sizes of bodies and the time of requests.
     pub fn put_config(&self, version: u64, max_body: usize, timeout: Duration) {
@@ -99,6 +134,11 @@
         self.append(OPERATOR, b"config", config.to_string().as_bytes());
     }
 
+    /// Lists a target of the first service that is draining.
+    pub fn drain_target(&self, id: &str, addr: SocketAddr) {
+        self.put_entry("desk", id, addr, "draining");
+    }
+
     /// Lists a target of the first service that is ready.
     pub fn put_target(&self, id: &str, addr: SocketAddr) {
         self.put_target_of("desk", id, addr);
@@ -106,9 +146,13 @@
 
     /// Lists a target of a service that is ready.
     pub fn put_target_of(&self, service: &str, id: &str, addr: SocketAddr) {
+        self.put_entry(service, id, addr, "ready");
+    }
+
+    fn put_entry(&self, service: &str, id: &str, addr: SocketAddr, state: &str) {
         let entry = json!({
             "backend": service, "address": addr, "zone": "a", "version": "v1", "slots": 128,
-            "state": "ready", "coldRemainingMs": 0, "callSeq": 1, "born": 17,
+            "state": state, "coldRemainingMs": 0, "callSeq": 1, "born": 17,
         });
         self.append(TARGETS, id.as_bytes(), entry.to_string().as_bytes());
     }
@@ -125,8 +169,11 @@
             let head = String::from_utf8_lossy(&data).into_owned();
             data.clear();
             let target = head.split(' ').nth(1).unwrap_or_default();
-            let body = self.answer(target).await;
-            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+            let Answer { status, body, era } = self.answer(target).await;
+            let head = format!(
+                "HTTP/1.1 {status}\r\nStore-Era: {era}\r\nContent-Length: {}\r\n\r\n",
+                body.len()
+            );
             let sent = stream.write_all(&[head.as_bytes(), &body].concat()).await;
             if sent.is_err() {
                 return;
@@ -134,7 +181,7 @@
         }
     }
 
-    async fn answer(&self, target: &str) -> Vec<u8> {
+    async fn answer(&self, target: &str) -> Answer {
         let (path, query) = target.split_once('?').unwrap_or((target, ""));
         let params = query.split('&').filter_map(|param| param.split_once('='));
         let params: HashMap<&str, &str> = params.collect();
@@ -143,57 +190,77 @@
             let text = params.get(name).copied().unwrap_or_default();
             text.parse().unwrap_or_default()
         };
-        match path {
-            "/v1/log-newest" => self.newest(topic, params.get("after").copied()),
-            _ => self.read(topic, number("from"), number("waitMs")).await,
+        if path == "/v1/log-read" {
+            self.await_records(topic, number("from"), number("waitMs"))
+                .await;
+        }
+        let contents = self.contents();
+        let records = contents.topics.get(topic).map_or(&[][..], Vec::as_slice);
+        let (status, body) = match path {
+            _ if contents.is_away => ("503 Service Unavailable", Vec::new()),
+            "/v1/log-newest" => ("200 OK", newest(records, params.get("after").copied(), self.page)),
+            _ if number("from") > records.len() => ("410 Gone", br#"{"first":0}"#.to_vec()),
+            _ => ("200 OK", read(records, number("from"))),
+        };
+        Answer {
+            status,
+            body,
+            era: contents.era,
         }
     }
 
-    fn records(&self, topic: &str) -> Vec<Record> {
-        let topics = self.topics.lock().expect("no holder panics");
-        topics.get(topic).cloned().unwrap_or_default()
-    }
-
-    fn newest(&self, topic: &str, after: Option<&str>) -> Vec<u8> {
-        let records = self.records(topic);
-        let after = after.map(|key| percent_encoding::percent_decode_str(key).collect::<Vec<u8>>());
-        let records = records.iter().enumerate();
-        let newest: BTreeMap<&Vec<u8>, (usize, &Vec<u8>)> = records
-            .map(|(offset, (key, value))| (key, (offset, value)))
-            .collect();
-        let end = newest.values().map(|(offset, _)| offset + 1).max();
-        let listed = newest.iter().filter(|(key, (_, value))| {
-            !value.is_empty() && after.as_ref().is_none_or(|after| **key > after)
-        });
-        let items: Vec<_> = listed
-            .map(|(key, (offset, value))| {
-                let key = String::from_utf8_lossy(key);
-                json!({"key": key, "value": BASE64_STANDARD.encode(value), "offset": offset})
-            })
-            .collect();
-        let page = &items[..items.len().min(self.page)];
-        let more = items.len() > page.len();
-        let body = json!({"items": page, "hasMore": more, "end": end.unwrap_or_default()});
-        body.to_string().into_bytes()
-    }
-
-    async fn read(&self, topic: &str, from: usize, wait_ms: usize) -> Vec<u8> {
-        let mut records = self.records(topic);
+    /// Waits until there is a record at the offset `from`, for this time at most.
+    async fn await_records(&self, topic: &str, from: usize, wait_ms: usize) {
+        let has_records = || {
+            let contents = self.contents();
+            let records = contents.topics.get(topic);
+            contents.is_away || records.is_some_and(|records| records.len() != from)
+        };
         for _ in 0..wait_ms / POLL.as_millis() as usize {
-            if records.len() > from {
+            if has_records() {
                 break;
             }
             sleep(POLL).await;
-            records = self.records(topic);
         }
-        let mut body = (records.len() as u64).to_be_bytes().to_vec();
-        body.extend(0_u64.to_be_bytes());
-        for (key, value) in records.iter().skip(from) {
-            body.extend(((1 + key.len() + value.len()) as u32).to_be_bytes());
-            body.push(key.len() as u8);
-            body.extend(key);
-            body.extend(value);
-        }
-        body
     }
 }
+
+struct Answer {
+    status: &'static str,
+    body: Vec<u8>,
+    era: u64,
+}
+
+fn newest(records: &[Record], after: Option<&str>, page: usize) -> Vec<u8> {
+    let after = after.map(|key| percent_encoding::percent_decode_str(key).collect::<Vec<u8>>());
+    let end = records.len();
+    let records = records.iter().enumerate();
+    let newest: BTreeMap<&Vec<u8>, (usize, &Vec<u8>)> = records
+        .map(|(offset, (key, value))| (key, (offset, value)))
+        .collect();
+    let listed = newest.iter().filter(|(key, (_, value))| {
+        !value.is_empty() && after.as_ref().is_none_or(|after| **key > after)
+    });
+    let items: Vec<_> = listed
+        .map(|(key, (offset, value))| {
+            let key = String::from_utf8_lossy(key);
+            json!({"key": key, "value": BASE64_STANDARD.encode(value), "offset": offset})
+        })
+        .collect();
+    let page = &items[..items.len().min(page)];
+    let more = items.len() > page.len();
+    let body = json!({"items": page, "hasMore": more, "end": end});
+    body.to_string().into_bytes()
+}
+
+fn read(records: &[Record], from: usize) -> Vec<u8> {
+    let mut body = (records.len() as u64).to_be_bytes().to_vec();
+    body.extend(0_u64.to_be_bytes());
+    for (key, value) in records.iter().skip(from) {
+        body.extend(((1 + key.len() + value.len()) as u32).to_be_bytes());
+        body.push(key.len() as u8);
+        body.extend(key);
+        body.extend(value);
+    }
+    body
+}
