--- a/tests/gateway/restored.rs
+++ b/tests/gateway/restored.rs
@@ -64,7 +64,14 @@
             }
         };
         let answered = timeout(APPLY_LIMIT, answered).await;
-        assert!(answered.is_ok(), "no answer {status} in time");
+        assert!(answered.is_ok(), "no answer {status}: {}", self.list_log());
+    }
+
+    /// The log lines about lists of the store.
+    fn list_log(&self) -> String {
+        let log = self.gateway.process.output();
+        let lines = log.lines().filter(|line| line.contains("list"));
+        lines.collect::<Vec<_>>().join("\n")
     }
 
     /// Asserts that requests are answered with this status for a while.
@@ -90,7 +97,7 @@
             }
         };
         let used = timeout(APPLY_LIMIT, used).await;
-        assert!(used.is_ok(), "other targets are used");
+        assert!(used.is_ok(), "other targets are used: {}", self.list_log());
     }
 }
 
--- a/tests/gateway/store.rs
+++ b/tests/gateway/store.rs
@@ -198,7 +198,10 @@
         let records = contents.topics.get(topic).map_or(&[][..], Vec::as_slice);
         let (status, body) = match path {
             _ if contents.is_away => ("503 Service Unavailable", Vec::new()),
-            "/v1/log-newest" => ("200 OK", newest(records, params.get("after").copied(), self.page)),
+            "/v1/log-newest" => (
+                "200 OK",
+                newest(records, params.get("after").copied(), self.page),
+            ),
             _ if number("from") > records.len() => ("410 Gone", br#"{"first":0}"#.to_vec()),
             _ => ("200 OK", read(records, number("from"))),
         };
