Fix: a process that starts between restores does not keep what is removed

The store's eras begin at 1, so each new process entered a later era than the default with its first read and kept entries for 2 s that were removed in its first two seconds. It has nothing to keep. An entry that another gateway keeps as missing is kept by the copier until its time is up, which this had covered.

--- a/src/gateway/list_view.rs
+++ b/src/gateway/list_view.rs
@@ -101,6 +101,8 @@
 struct Restore {
     /// Time at which the gateway learned of it.
     at: Micros,
+    /// Whether entries that the list lacks are kept. A gateway that has just started knows none.
+    keeps_missing: bool,
     /// Offset from which on records were certainly written since.
     proven_from: u64,
 }
@@ -143,6 +145,7 @@
             self.complete_to = Position::new(era, 0);
             self.restore = Some(Restore {
                 at: now,
+                keeps_missing: !self.facts.is_empty(),
                 proven_from,
             });
             self.limit_missing(|until| until.max(now + OUTAGE_GRACE));
@@ -287,6 +290,11 @@
         if !end.supersedes(known) {
             return Effect::Ignore;
         }
+        let is_missing = |fact: Fact| matches!(fact.state, EntryState::Missing(_));
+        if self.fact(id).is_some_and(is_missing) {
+            // It is kept until its time is up.
+            return Effect::Ignore;
+        }
         // An empty list has no record to be older than.
         self.remove(now, id, end.previous().unwrap_or(known))
     }
@@ -327,7 +335,8 @@
     /// End of the last time in which missing entries were kept; zero if there was none.
     fn grace(&self) -> Micros {
         let outage = self.availability.outage().map(|outage| outage.end);
-        let restore = self.restore.map(|restore| restore.at);
+        let restore = self.restore.filter(|restore| restore.keeps_missing);
+        let restore = restore.map(|restore| restore.at);
         let start = outage.max(restore);
         start.map_or(Micros::ZERO, |start| start + OUTAGE_GRACE)
     }
--- a/src/gateway/list_view/tests.rs
+++ b/src/gateway/list_view/tests.rs
@@ -214,3 +214,82 @@
     assert_eq!(view.removals().count(), 0);
     assert!(view.fact("one").is_some());
 }
+
+const ERA: Era = Era(1);
+
+fn restored(offset: u64) -> Position {
+    Position::new(ERA, offset)
+}
+
+/// A view as [`view`] that learned at 1,000 of a restored list, which ends at 6.
+fn view_after_restore() -> ListView {
+    let mut view = view();
+    assert!(view.enter_era(at(1_000), ERA, 6));
+    view
+}
+
+/// What merges into a view after a restore, with the entry from offset 4 of the era before.
+macro_rules! restores {
+    ($($name:ident: $merge:expr => $effect:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let merge: fn(&mut ListView) -> Effect = $merge;
+            assert_eq!(merge(&mut view_after_restore()), $effect);
+        }
+    )*};
+}
+
+restores! {
+    a_record_of_the_new_era_wins_at_a_lower_offset: |v| v.list("one", restored(1), Origin::Copy) => Effect::Put;
+    a_new_entry_at_a_lower_offset_is_new: |v| v.list("two", restored(1), Origin::Platform) => Effect::Put;
+    a_record_of_the_era_before_does_not_count: |v| v.list("two", pos(50), Origin::Copy) => Effect::Ignore;
+    an_entry_that_the_restored_list_lacks_is_kept:
+        |v| v.remove_unlisted(at(1_100), "one", restored(6)) => Effect::Keep;
+    an_entry_that_an_empty_list_lacks_is_kept:
+        |v| v.remove_unlisted(at(1_100), "one", restored(0)) => Effect::Keep;
+    an_entry_that_goes_missing_long_after_a_restore_is_gone:
+        |v| v.remove(at(3_100), "one", restored(9)) => Effect::Remove;
+}
+
+#[test]
+fn a_view_does_not_go_back_to_an_earlier_era() {
+    let mut view = view_after_restore();
+    assert!(!view.enter_era(at(1_100), Era(0), 0));
+    assert!(view.enter_era(at(1_100), ERA, 6));
+}
+
+/// Whether a record of an entry that was removed before the restore is unproven.
+#[test]
+fn records_that_may_be_from_the_copy_prove_nothing() {
+    let mut view = view();
+    view.drop_now(at(0), "one", pos(9));
+    view.enter_era(at(1_000), ERA, 6);
+    assert!(view.is_unproven("one", restored(5)));
+    assert!(!view.is_unproven("one", restored(6)));
+    assert!(!view.is_unproven("two", restored(5)));
+    // Another gateway read the list earlier.
+    view.enter_era(at(1_000), ERA, 3);
+    assert!(!view.is_unproven("one", restored(5)));
+}
+
+#[test]
+fn the_list_is_read_anew_once_its_records_count() {
+    let mut view = view_after_restore();
+    view.record_whole(at(1_100));
+    assert!(!view.must_read_anew(at(5_900)));
+    assert!(view.must_read_anew(at(6_000)));
+    view.record_whole(at(6_000));
+    assert!(!view.must_read_anew(at(6_000)));
+    assert_eq!(view.proven_from(), 0);
+}
+
+/// Guards against keeping gone targets in a process that starts when there have been restores before.
+#[test]
+fn a_view_that_starts_in_a_later_era_keeps_nothing() {
+    let mut view = ListView::default();
+    view.enter_era(at(0), ERA, 6);
+    view.confirm(at(0));
+    view.list("one", restored(4), Origin::Platform);
+    view.complete(restored(6));
+    assert_eq!(view.remove(at(100), "one", restored(7)), Effect::Remove);
+}
