Log at which version of a target's software a stream goes on

Entries' versions are now decoded, copied between gateways and logged with target listed; stream resumed names both targets with their versions when the gateway resumes a broken stream, and stream taken up the client's earlier request and the target when a client does. No decision changes.

--- a/src/gateway/admission/tests.rs
+++ b/src/gateway/admission/tests.rs
@@ -19,6 +19,7 @@
         zone: "a".into(),
         slots: 4,
         draining: false,
+        version: Some("v1".into()),
         started_at: None,
         cold: None,
     };
--- a/src/gateway/crash_tracker/tests.rs
+++ b/src/gateway/crash_tracker/tests.rs
@@ -28,6 +28,7 @@
             zone: "a".into(),
             slots: 4,
             draining: false,
+            version: Some("v1".into()),
             started_at: None,
             cold: None,
         };
--- a/src/gateway/follow/apply.rs
+++ b/src/gateway/follow/apply.rs
@@ -138,6 +138,7 @@
 ) {
     let now = gateway.clock.now();
     let (draining, service) = (entry.draining, entry.service.clone());
+    let version = entry.version.clone();
     let change = gateway.with_targets(|targets| {
         let is_missing = |targets: &Targets| {
             let fact = targets.view().fact(id);
@@ -166,7 +167,8 @@
         spdlog::info!(
             "target listed", kv: {
             target: = id, service: = service.as_ref(),
-            leaving: = draining, change:? = change }
+            version: = version.as_deref().unwrap_or("unreadable"), leaving: = draining,
+            change:? = change }
         );
     }
 }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -238,6 +238,12 @@
     }
 
     fn stream(&self, upstream: Upstream) -> Response<ResponseBody> {
+        let Attempts {
+            gateway, request, ..
+        } = &self.attempts;
+        if request.resumption.is_some() {
+            request_log::taken_up(gateway, request, &upstream.run);
+        }
         if !self.attempts.request.route.class.is_retryable() {
             self.attempts.request.release_body();
         }
@@ -259,6 +265,7 @@
             body,
             connection,
             mut in_flight,
+            run: _,
         } = upstream;
         let body = self.read(body).await?;
         in_flight.record_first_event();
@@ -284,6 +291,7 @@
             body,
             connection,
             in_flight,
+            run: _,
         } = upstream;
         let target = in_flight.target;
         if failure.not_run() {
--- a/src/gateway/notices/tests.rs
+++ b/src/gateway/notices/tests.rs
@@ -20,6 +20,7 @@
         zone: "a".into(),
         slots: 4,
         draining: false,
+        version: Some("v1".into()),
         started_at: Some(started_at),
         cold: None,
     }
--- a/src/gateway/peers/wire_targets.rs
+++ b/src/gateway/peers/wire_targets.rs
@@ -60,6 +60,7 @@
     zone: String,
     slots: u32,
     leaving: bool,
+    version: Option<String>,
     born: Option<u64>,
     cold: Option<WireCold>,
     /// Position of the record that the entry, or that it is missing, comes from.
@@ -140,6 +141,7 @@
             zone: entry.zone.to_string(),
             slots: entry.slots,
             leaving: entry.draining,
+            version: entry.version.as_deref().map(str::to_owned),
             born: entry.started_at,
             cold: None,
             position: fact.map(|fact| fact.position).unwrap_or_default().into(),
@@ -157,6 +159,7 @@
                 zone: target.zone.into(),
                 slots: target.slots,
                 draining: target.leaving,
+                version: target.version.map(Into::into),
                 started_at: target.born,
                 cold: target.cold.map(Into::into),
             };
--- a/src/gateway/pool/tests.rs
+++ b/src/gateway/pool/tests.rs
@@ -27,6 +27,7 @@
             zone: "a".into(),
             slots: 4,
             draining: false,
+            version: Some("v1".into()),
             started_at: None,
             cold: None,
         };
--- a/src/gateway/prefix_owner/tests.rs
+++ b/src/gateway/prefix_owner/tests.rs
@@ -15,6 +15,7 @@
         zone: "a".into(),
         slots: 4,
         draining,
+        version: Some("v1".into()),
         started_at: None,
         cold: None,
     }
--- a/src/gateway/prefix_transfer/tests.rs
+++ b/src/gateway/prefix_transfer/tests.rs
@@ -15,6 +15,7 @@
             zone: "a".into(),
             slots: 4,
             draining: false,
+            version: Some("v1".into()),
             started_at: None,
             cold: None,
         };
--- a/src/gateway/regions/tests.rs
+++ b/src/gateway/regions/tests.rs
@@ -80,6 +80,7 @@
             zone: ZONES[usize::from(index) % ZONES.len()].into(),
             slots: 4,
             draining: false,
+            version: Some("v1".into()),
             started_at: None,
             cold: None,
         };
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -20,6 +20,7 @@
 use crate::gateway::retry::Failure;
 use crate::gateway::run_check::{RunCheck, RunState};
 use crate::gateway::send::{self, Upstream};
+use crate::gateway::targets::TargetRun;
 use crate::platform::headers::ResponseMeta;
 
 /// The target of a stream that another target can resume is asked whether it runs the request if no
@@ -86,6 +87,8 @@
 #[derive(Debug)]
 pub struct Relay {
     attempts: Attempts,
+    /// The run of the target whose stream is or was read last.
+    run: TargetRun,
     state: State,
     splitter: Splitter,
     /// Detects a silent target; `None` unless another target may resume the stream.
@@ -109,6 +112,7 @@
         let splitter = Splitter::new(&attempts.gateway.bytes);
         let mut relay = Relay {
             attempts,
+            run: upstream.run.clone(),
             state: State::Done,
             splitter,
             idle_timer: None,
@@ -126,6 +130,7 @@
         let limit = self.silence_limit(&upstream.in_flight);
         self.idle_timer = self.may_resume().then(|| IdleTimer::new(limit));
         self.inquiry = None;
+        self.run = upstream.run.clone();
         self.state = State::Reading(Box::new(upstream.into()));
     }
 
@@ -302,6 +307,12 @@
             return Poll::Ready(false);
         };
         self.attempts = resumed.attempts;
+        request_log::resumed(
+            &self.attempts.gateway,
+            &self.attempts.request,
+            [&self.run, &resumed.upstream.run],
+            self.splitter.last_id(),
+        );
         self.read(resumed.upstream);
         Poll::Ready(true)
     }
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -19,7 +19,7 @@
 use crate::gateway::overload;
 use crate::gateway::prompts::{PartIds, Prompt};
 use crate::gateway::regions::RequestRegions;
-use crate::platform::headers::{self, AddedHeaders};
+use crate::platform::headers::{self, AddedHeaders, Resumption};
 use crate::problem::{Problem, Reason};
 use crate::units::Micros;
 
@@ -61,6 +61,8 @@
     regions: RequestRegions,
     /// Description of the prompt; `None` unless the request is for a model inference engine.
     pub prompt: Option<Prompt>,
+    /// The stream that the client takes up again; `None` if it asks for a new one.
+    pub resumption: Option<Resumption>,
     /// Arrival time.
     pub arrived: Micros,
     /// Time until which the client waits for the response.
@@ -135,7 +137,7 @@
         let id = meta.id.ok_or(Problem::not_run(400, Reason::BadRequest))?;
         let account = account(&route, meta.key, config)?;
         let remaining = meta.remaining.unwrap_or(route.timeout);
-        let (id, prompt) = (id.clone(), meta.prompt);
+        let (id, prompt, resumption) = (id.clone(), meta.prompt, meta.resumption);
         let regions = regions(&route, account);
         Ok(ClientRequest {
             id,
@@ -150,6 +152,7 @@
             account: account.map(|account| account.name.clone()),
             regions,
             prompt,
+            resumption,
             arrived,
             client_deadline: arrived + remaining.into(),
         })
@@ -239,6 +242,13 @@
         prompt.flat_map(Prompt::shared_parts).collect()
     }
 
+    /// Returns the id of the request that brought the first event of the stream that the client takes
+    /// up again, for logs.
+    pub fn origin_str(&self) -> &str {
+        let origin = self.resumption.as_ref().and_then(|r| r.origin.as_ref());
+        origin.and_then(|id| id.to_str().ok()).unwrap_or("none")
+    }
+
     /// Returns the request id as text, for logs.
     pub fn id_str(&self) -> &str {
         self.id.to_str().unwrap_or("unreadable")
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -15,7 +15,7 @@
 use crate::gateway::request::ClientRequest;
 use crate::gateway::retry::Failure;
 use crate::gateway::state::GatewayState;
-use crate::gateway::targets::TargetKey;
+use crate::gateway::targets::{TargetKey, TargetRun};
 use crate::problem::Problem;
 use crate::telemetry::Outcome;
 
@@ -95,6 +95,45 @@
     });
 }
 
+/// Logs a stream that goes on at another target, with the versions of both targets' software.
+pub fn resumed(
+    gateway: &GatewayState,
+    request: &ClientRequest,
+    [from, to]: [&TargetRun; 2],
+    last_event: Option<&str>,
+) {
+    let Some(left_out) = gateway.may_log() else {
+        return;
+    };
+    spdlog::info!("stream resumed", kv: {
+        request: = request.id_str(),
+        route: = request.route.name.as_ref(),
+        from: = from.id.as_ref(),
+        from_version: = from.version_name(),
+        to: = to.id.as_ref(),
+        to_version: = to.version_name(),
+        last_event: = last_event.unwrap_or("none"),
+        after_ms = elapsed_ms(gateway, request),
+        left_out = left_out,
+    });
+}
+
+/// Logs a stream that a client has taken up again, and where it goes on.
+pub fn taken_up(gateway: &GatewayState, request: &ClientRequest, at: &TargetRun) {
+    let Some(left_out) = gateway.may_log() else {
+        return;
+    };
+    spdlog::info!("stream taken up", kv: {
+        request: = request.id_str(),
+        route: = request.route.name.as_ref(),
+        origin: = request.origin_str(),
+        target: = at.id.as_ref(),
+        version: = at.version_name(),
+        after_ms = elapsed_ms(gateway, request),
+        left_out = left_out,
+    });
+}
+
 /// Logs a stream that is not resumed, because its silent target may still run the request.
 pub fn not_stopped(gateway: &GatewayState, request: &ClientRequest, target: &Arc<str>) {
     let Some(left_out) = gateway.may_log() else {
--- a/src/gateway/restrictions/tests.rs
+++ b/src/gateway/restrictions/tests.rs
@@ -21,6 +21,7 @@
                 zone: "a".into(),
                 slots: 4,
                 draining: $draining,
+                version: Some("v1".into()),
                 started_at: None,
                 cold: None,
             };
--- a/src/gateway/selection/tests.rs
+++ b/src/gateway/selection/tests.rs
@@ -32,6 +32,7 @@
             zone: if index % 2 == 0 { "a" } else { "b" }.into(),
             slots: 4,
             draining: false,
+            version: Some("v1".into()),
             started_at: None,
             cold: None,
         };
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -20,7 +20,7 @@
 use crate::gateway::retry::Failure;
 use crate::gateway::selection::Choice;
 use crate::gateway::state::GatewayState;
-use crate::gateway::targets::{Entry, TargetKey};
+use crate::gateway::targets::{Entry, TargetKey, TargetRun};
 use crate::platform::headers::{self, ResponseMeta};
 use crate::telemetry::Event;
 use crate::units::Micros;
@@ -38,6 +38,8 @@
     pub connection: Connection,
     /// Keeps the request in the target's load until dropped.
     pub in_flight: InFlight,
+    /// The run of the target that it was sent to.
+    pub run: TargetRun,
 }
 
 impl Upstream {
@@ -151,6 +153,10 @@
         body,
         connection,
         in_flight,
+        run: TargetRun {
+            id,
+            version: entry.version,
+        },
     })
 }
 
--- a/src/gateway/send/tests.rs
+++ b/src/gateway/send/tests.rs
@@ -27,6 +27,7 @@
         zone: "a".into(),
         slots: 4,
         draining,
+        version: Some("v1".into()),
         started_at: Some(1),
         cold: None,
     }
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -54,6 +54,8 @@
     pub slots: u32,
     /// Whether it is shutting down and must get no new requests.
     pub draining: bool,
+    /// Version of its software; `None` if its entry has none that can be read.
+    pub version: Option<Arc<str>>,
     /// Start time in milliseconds since the Unix epoch, if the target reports it.
     pub started_at: Option<u64>,
     /// How long it is cold; `None` if it does not say. Of a listed target, [`Target::cold`] keeps
@@ -61,6 +63,22 @@
     pub cold: Option<ColdReport>,
 }
 
+/// A run of a target that a request was sent to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TargetRun {
+    /// Id in the platform's list.
+    pub id: Arc<str>,
+    /// Version of its software; `None` if that is not known.
+    pub version: Option<Arc<str>>,
+}
+
+impl TargetRun {
+    /// Version of its software, for logs.
+    pub fn version_name(&self) -> &str {
+        self.version.as_deref().unwrap_or("unknown")
+    }
+}
+
 /// The load that a target reports in a response header.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LoadReport {
--- a/src/gateway/targets/tests.rs
+++ b/src/gateway/targets/tests.rs
@@ -7,6 +7,7 @@
         zone: "a".into(),
         slots: 4,
         draining: false,
+        version: Some("v1".into()),
         started_at: Some(1),
         cold: None,
     }
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -27,6 +27,7 @@
 const TOKEN_COUNTS: HeaderName = HeaderName::from_static("token-count");
 const PROMPT_PARTS: HeaderName = HeaderName::from_static("prompt-prefix");
 const RESUME_AFTER: HeaderName = HeaderName::from_static("last-event-id");
+const STREAM_ORIGIN: HeaderName = HeaderName::from_static("resumes");
 const FETCH_FROM: HeaderName = HeaderName::from_static("kv-fetch");
 const RESERVATION: HeaderName = HeaderName::from_static("hold");
 const NOT_RUN: HeaderName = HeaderName::from_static("not-executed");
@@ -70,6 +71,15 @@
     pub key: Option<&'a str>,
     /// Description of the prompt; `None` unless the request is for a model inference engine.
     pub prompt: Option<Prompt>,
+    /// The stream that the client takes up again; `None` if it asks for a new one.
+    pub resumption: Option<Resumption>,
+}
+
+/// A stream of which a client has received events and that it takes up again.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Resumption {
+    /// Id of the client's request that brought the stream's first event; `None` if it names none.
+    pub origin: Option<HeaderValue>,
 }
 
 /// Parses the headers of a client's request.
@@ -86,6 +96,9 @@
             .and_then(|value| value.strip_prefix(BEARER))
             .map(str::trim),
         prompt: counts.and_then(|counts| parse_prompt(counts, header_text(headers, &PROMPT_PARTS))),
+        resumption: headers.contains_key(RESUME_AFTER).then(|| Resumption {
+            origin: headers.get(STREAM_ORIGIN).cloned(),
+        }),
     }
 }
 
--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -123,6 +123,7 @@
     zone: Box<str>,
     slots: u32,
     state: WireState,
+    version: Option<Box<RawValue>>,
     born: Option<u64>,
     #[serde(rename = "coldRemainingMs")]
     cold_ms: Option<Box<RawValue>>,
@@ -226,6 +227,7 @@
             zone: wire.zone,
             slots: wire.slots,
             draining: wire.state == WireState::Draining,
+            version: wire.version.as_deref().and_then(to_version),
             started_at: wire.born,
             cold: to_cold(wire.cold_ms.as_deref()),
         }
@@ -293,6 +295,12 @@
     })
 }
 
+/// Reads the version of a target's software; `None` if it is odd, so that the rest of the entry is used.
+fn to_version(raw: &RawValue) -> Option<Arc<str>> {
+    let version: String = serde_json::from_str(raw.get()).ok()?;
+    (!version.is_empty()).then(|| version.into())
+}
+
 fn to_cold(raw: Option<&RawValue>) -> Option<ColdReport> {
     Some(ColdReport {
         remaining: cold_time(figure(raw)?),
--- a/tests/gateway/harness.rs
+++ b/tests/gateway/harness.rs
@@ -80,37 +80,45 @@
     /// Adds or updates a target. Target `t0` is in the gateway's zone, so that it gets requests
     /// first.
     pub fn put_target(&self, id: &str, addr: SocketAddr, draining: bool) {
-        self.put_entry(id, addr, draining, None, None);
+        let entry = entry(id, addr);
+        self.put_entry(id, Entry { draining, ..entry });
     }
 
     /// As [`FakeDirectory::put_target`], with the target's start time.
     pub fn put_run(&self, id: &str, addr: SocketAddr, draining: bool, started_at: Option<u64>) {
-        self.put_entry(id, addr, draining, started_at, None);
+        let entry = Entry {
+            draining,
+            started_at,
+            ..entry(id, addr)
+        };
+        self.put_entry(id, entry);
     }
 
     /// As [`FakeDirectory::put_target`], of a target that tells how long it is cold.
     pub fn put_cold_target(&self, id: &str, addr: SocketAddr, cold: ColdReport) {
-        self.put_entry(id, addr, false, None, Some(cold));
+        let cold = Some(cold);
+        self.put_entry(
+            id,
+            Entry {
+                cold,
+                ..entry(id, addr)
+            },
+        );
     }
 
-    fn put_entry(
-        &self,
-        id: &str,
-        addr: SocketAddr,
-        draining: bool,
-        started_at: Option<u64>,
-        cold: Option<ColdReport>,
-    ) {
-        let zone = if id == "t0" { "a" } else { "b" };
-        let entry = Entry {
-            service: "desk".into(),
-            addr,
-            zone: zone.into(),
-            slots: 4,
-            draining,
-            started_at,
-            cold,
-        };
+    /// As [`FakeDirectory::put_target`], with the version of the target's software.
+    pub fn put_version(&self, id: &str, addr: SocketAddr, version: Option<&str>) {
+        let version = version.map(Into::into);
+        self.put_entry(
+            id,
+            Entry {
+                version,
+                ..entry(id, addr)
+            },
+        );
+    }
+
+    fn put_entry(&self, id: &str, entry: Entry) {
         self.with(|state| state.targets.push((id.to_owned(), Some(entry))));
     }
 
@@ -175,6 +183,21 @@
     }
 }
 
+/// The entry of a target that is ready.
+fn entry(id: &str, addr: SocketAddr) -> Entry {
+    let zone = if id == "t0" { "a" } else { "b" };
+    Entry {
+        service: "desk".into(),
+        addr,
+        zone: zone.into(),
+        slots: 4,
+        draining: false,
+        version: Some("v1".into()),
+        started_at: None,
+        cold: None,
+    }
+}
+
 impl DirectoryState {
     fn position(&self, offset: u64) -> Position {
         Position::new(self.era, offset)
@@ -518,6 +541,12 @@
         Reply::new(&data, broken)
     }
 
+    /// Sends a request with the API key and its own request id, without reading the answer.
+    pub async fn open_with_id(&self, id: &str, path: &str) -> TcpStream {
+        let headers = format!("Connection: close\r\nAuthorization: Bearer {KEY}\r\n");
+        self.write(id, "POST", path, &headers).await
+    }
+
     async fn write(&self, id: &str, method: &str, path: &str, headers: &str) -> TcpStream {
         let mut stream = TcpStream::connect(self.callers).await.expect("it listens");
         let request = format!(
