--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -28,3 +28,4 @@
 mod streams;
 mod target;
 mod unframed;
+mod versions;
