Fix: a gateway resumes a broken stream only at the version that began it

Callers got events of two software versions in one answer: a stream whose target broke off went on at any target of the service (stream resumed, from_version v1, to_version v2). The choice of a target, and the look right before sending, now ask for the version that brought the first event; a version that is not known matches none. A target that changes its version under its id counts as a new one. A request without any event may still go to every version.

--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -14,6 +14,7 @@
 use crate::gateway::send;
 use crate::gateway::state::GatewayState;
 use crate::gateway::targets::TargetKey;
+use crate::gateway::versions::VersionRule;
 use crate::telemetry::{Event, Outcome};
 use crate::units::Micros;
 
@@ -43,6 +44,8 @@
     pub request: Arc<ClientRequest>,
     /// Outcomes of its attempts.
     pub counts: AttemptCounts,
+    /// Which versions of the targets' software may get it.
+    pub versions: VersionRule,
     tried: SmallVec<[TargetKey; 4]>,
 }
 
@@ -53,6 +56,7 @@
             gateway,
             request: Arc::new(request),
             counts: AttemptCounts::default(),
+            versions: VersionRule::Any,
             tried: SmallVec::new(),
         }
     }
@@ -93,9 +97,15 @@
         gateway.metrics().record_total(took);
     }
 
+    /// Chooses a target that has not been tried; `None` if none is left.
+    pub fn choose(&self) -> Option<Choice> {
+        self.gateway
+            .choose_target(&self.request, &self.tried, self.versions)
+    }
+
     /// Chooses anew after a wait for which the retry of `choice` has already been taken.
     pub fn choose_again(&self, choice: Choice) -> Choice {
-        let anew = self.gateway.choose_target(&self.request, &self.tried);
+        let anew = self.choose();
         anew.unwrap_or(choice)
     }
 
@@ -111,7 +121,7 @@
         if !retryable || expired || !allowed || gateway.remaining_quarantine(request).is_some() {
             return None;
         }
-        let choice = gateway.choose_target(request, &self.tried)?;
+        let choice = self.choose()?;
         // The request never reached the cold target, and when a zone starts again many requests meet
         // cold targets at once.
         if !self.counts.was_cold && !gateway.take_retry(&request.service) {
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -142,7 +142,7 @@
         request_log::suspected(&self.attempts.gateway, request);
         self.attempts.gateway.record_demand(&request.service);
         let prompt = request.prompt.as_ref();
-        let choice = self.attempts.gateway.choose_target(request, &[]);
+        let choice = self.attempts.choose();
         let zones = self.attempts.gateway.allowed_zones(request);
         if choice.is_none() && zones.is_restricted() {
             self.attempts.gateway.metrics().event(Event::RegionRefusal);
@@ -225,6 +225,7 @@
         );
         let sending = Dispatch {
             choice,
+            versions: self.attempts.versions,
             last_event: None,
             response_timeout,
         };
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -68,6 +68,7 @@
 pub mod supervise;
 pub mod target_limit;
 pub mod targets;
+pub mod versions;
 
 use std::path::PathBuf;
 use std::sync::Arc;
--- a/src/gateway/notices/tests/load.rs
+++ b/src/gateway/notices/tests/load.rs
@@ -13,6 +13,7 @@
 use crate::gateway::retry_budget::RetryLimits;
 use crate::gateway::state::GatewayState;
 use crate::gateway::targets::Entry;
+use crate::gateway::versions::VersionRule;
 use crate::units::Micros;
 
 const TARGETS: usize = 4;
@@ -63,12 +64,12 @@
 impl Simulation {
     /// Sends a request, as the gateway does, and prepares the target's answer.
     fn send(&mut self, gateway: &GatewayState, now: Micros) {
-        let Some(choice) = gateway.choose_target(&request(), &[]) else {
+        let Some(choice) = gateway.choose_target(&request(), &[], VersionRule::Any) else {
             self.all_paused +=
                 usize::from(gateway.pause_of_all("desk", &AllowedZones::All).is_some());
             return;
         };
-        assert!(gateway.may_send_to(choice.target));
+        assert!(gateway.may_send_to(choice.target, VersionRule::Any));
         let (id, entry) = gateway.target_entry(choice.target).expect("it is listed");
         let target: usize = id[1..].parse().expect("ids end with a number");
         let requests = &mut self.requests[target];
--- a/src/gateway/regions/tests.rs
+++ b/src/gateway/regions/tests.rs
@@ -6,6 +6,7 @@
 use crate::gateway::retry_budget::RetryLimits;
 use crate::gateway::state::GatewayState;
 use crate::gateway::targets::Entry;
+use crate::gateway::versions::VersionRule;
 use crate::settings::RetrySettings;
 
 /// Zones `a` to `d` are in three regions, `x` has two, `y` an empty one, and `z` is not named.
@@ -97,7 +98,13 @@
         ];
         let config = restricted(version as u64, regions, "/read/", "desk", "school-key");
         let request = request_by(if version == 1 { &config } else { &before });
-        let choose = || Some(gateway.choose_target(&request, &[])?.target);
+        let choose = || {
+            Some(
+                gateway
+                    .choose_target(&request, &[], VersionRule::Any)?
+                    .target,
+            )
+        };
         let first = choose();
         gateway.apply_config(config);
         let evacuated = [ZONES[version / 7 % 2]];
@@ -107,8 +114,10 @@
             evacuated,
         ));
         let config = gateway.config();
-        let may_send =
-            |key: &_| gateway.may_send_to(*key) && gateway.allows_region(&config, &request, *key);
+        let may_send = |key: &_| {
+            gateway.may_send_to(*key, VersionRule::Any)
+                && gateway.allows_region(&config, &request, *key)
+        };
         let first = first.filter(may_send);
         withheld += usize::from(first.is_none());
         // A retry selects by the configuration in force.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -21,6 +21,7 @@
 use crate::gateway::run_check::{RunCheck, RunState};
 use crate::gateway::send::{self, Upstream};
 use crate::gateway::targets::TargetRun;
+use crate::gateway::versions::VersionRule;
 use crate::platform::headers::ResponseMeta;
 
 /// The target of a stream that another target can resume is asked whether it runs the request if no
@@ -285,6 +286,7 @@
         }
         if !self.started {
             self.started = true;
+            self.attempts.versions = VersionRule::for_stream_of(self.run.version_tag());
             let now = self.attempts.gateway.clock.now();
             let wait = now.saturating_sub(self.attempts.request.arrived);
             self.attempts.gateway.metrics().record_wait(wait);
--- a/src/gateway/resume.rs
+++ b/src/gateway/resume.rs
@@ -56,6 +56,7 @@
     loop {
         let sending = Dispatch {
             choice,
+            versions: attempts.versions,
             last_event,
             response_timeout: None,
         };
--- a/src/gateway/selection.rs
+++ b/src/gateway/selection.rs
@@ -21,6 +21,7 @@
 use crate::gateway::restrictions::evacuations::Evacuations;
 use crate::gateway::selection::prefixes::PrefixPlacement;
 use crate::gateway::targets::{Target, TargetKey, TargetTag, Targets};
+use crate::gateway::versions::VersionRule;
 use crate::units::Micros;
 
 /// Cost to other requests of caching a shared prefix at one more target, as a multiple of the time
@@ -61,6 +62,8 @@
     pub zone: &'a str,
     /// Targets of earlier attempts, which are excluded.
     pub tried: &'a [TargetKey],
+    /// Which versions of the targets' software are considered.
+    pub versions: VersionRule,
     /// The evacuated zones, whose targets are excluded.
     pub evacuations: &'a Evacuations,
     /// The zones that the request's region restrictions allow; targets elsewhere are excluded.
@@ -126,7 +129,8 @@
 ) -> Option<Choice> {
     let is_usable = |key: TargetKey, target: &Target| {
         let is_allowed = restrictions::check(target, criteria.evacuations, now).is_none()
-            && criteria.allowed_zones.contains(target.zone);
+            && criteria.allowed_zones.contains(target.zone)
+            && criteria.versions.allows(target.version);
         is_allowed && !criteria.tried.contains(&key) && is_eligible(target)
     };
     let prefix = PrefixPlacement::new(targets, now, criteria, is_usable);
--- a/src/gateway/selection/tests.rs
+++ b/src/gateway/selection/tests.rs
@@ -9,6 +9,7 @@
 use crate::gateway::reservation::ReservationContext;
 use crate::gateway::restrictions::evacuations::Evacuations;
 use crate::gateway::targets::{Entry, TargetKey, Targets};
+use crate::gateway::versions::VersionRule;
 use crate::units::Micros;
 
 static NO_EVACUATIONS: LazyLock<Evacuations> = LazyLock::new(Evacuations::default);
@@ -58,6 +59,7 @@
         prompt,
         zone: "a",
         tried: &[],
+        versions: VersionRule::Any,
         evacuations: &NO_EVACUATIONS,
         allowed_zones: &AllowedZones::All,
         prefill_rate: RATE,
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -21,6 +21,7 @@
 use crate::gateway::selection::Choice;
 use crate::gateway::state::GatewayState;
 use crate::gateway::targets::{Entry, TargetKey, TargetRun};
+use crate::gateway::versions::VersionRule;
 use crate::platform::headers::{self, ResponseMeta};
 use crate::telemetry::Event;
 use crate::units::Micros;
@@ -69,6 +70,8 @@
 pub struct Dispatch<'a> {
     /// The chosen target.
     pub choice: Choice,
+    /// Which versions of the targets' software may get the request.
+    pub versions: VersionRule,
     /// Id of the last event that the client has received; `None` unless a stream is resumed after
     /// such an event.
     pub last_event: Option<&'a str>,
@@ -89,6 +92,7 @@
 ) -> Result<Upstream, Failure> {
     let Dispatch {
         choice,
+        versions,
         last_event,
         response_timeout,
     } = sending;
@@ -108,8 +112,8 @@
     let upstream = (target, &id, &entry);
     let connection = open_connection(gateway, request, upstream).await?;
     let (mut connection, reservation) =
-        reserve_room(gateway, request, choice, upstream, connection).await?;
-    if let Err(failure) = last_look(gateway, request, target) {
+        reserve_room(gateway, request, (choice, versions), upstream, connection).await?;
+    if let Err(failure) = last_look(gateway, request, target, versions) {
         gateway.pool.put(target, connection, None);
         return Err(failure);
     }
@@ -182,7 +186,7 @@
 async fn reserve_room(
     gateway: &GatewayState,
     request: &ClientRequest,
-    choice: Choice,
+    (choice, versions): (Choice, VersionRule),
     upstream: (TargetKey, &Arc<str>, &Entry),
     mut connection: Connection,
 ) -> Result<(Connection, Option<HeaderValue>), Failure> {
@@ -191,7 +195,7 @@
     let Some((ttl, prompt)) = wanted.filter(|_| gateway.takes_reservations(target)) else {
         return Ok((connection, None));
     };
-    if !may_send(gateway, request, target) {
+    if !may_send(gateway, request, target, versions) {
         gateway.pool.put(target, connection, None);
         return Err(Failure::Withdrawn);
     }
@@ -218,14 +222,15 @@
 }
 
 /// Checks again, right before a request is sent, what may have changed since its target was chosen:
-/// the deadline, the target's restrictions, the configuration with its region restrictions, the
+/// the deadline, the target's restrictions and version, the configuration with its region restrictions, the
 /// quarantine, and whether the target is cold. Takes the room for the request if it is.
 fn last_look(
     gateway: &GatewayState,
     request: &ClientRequest,
     target: TargetKey,
+    versions: VersionRule,
 ) -> Result<(), Failure> {
-    if !may_send(gateway, request, target) {
+    if !may_send(gateway, request, target, versions) {
         return Err(Failure::Withdrawn);
     }
     match gateway.take_cold_room(target) {
@@ -235,9 +240,14 @@
 }
 
 /// Whether a request may be sent to a target now, apart from whether that is cold.
-fn may_send(gateway: &GatewayState, request: &ClientRequest, target: TargetKey) -> bool {
+fn may_send(
+    gateway: &GatewayState,
+    request: &ClientRequest,
+    target: TargetKey,
+    versions: VersionRule,
+) -> bool {
     let expired = gateway.clock.now() >= request.deadline();
-    let takes_requests = gateway.may_send_to(target);
+    let takes_requests = gateway.may_send_to(target, versions);
     let config = gateway.config();
     let allowed = request.is_allowed_by(&config) && gateway.allows_region(&config, request, target);
     !expired && takes_requests && allowed && gateway.remaining_quarantine(request).is_none()
--- a/src/gateway/send/tests.rs
+++ b/src/gateway/send/tests.rs
@@ -14,6 +14,7 @@
 use crate::gateway::retry_budget::RetryLimits;
 use crate::gateway::state::GatewayState;
 use crate::gateway::targets::Entry;
+use crate::gateway::versions::VersionRule;
 use crate::platform::headers;
 use crate::units::Micros;
 
@@ -55,7 +56,7 @@
             let target = gateway.with_targets(|targets| targets.of_service("desk")[0]);
             let event: fn(&GatewayState) -> Duration = $event;
             advance(event(&gateway)).await;
-            assert_eq!(last_look(&gateway, &request, target), $result);
+            assert_eq!(last_look(&gateway, &request, target, VersionRule::Any), $result);
         }
     )*};
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -43,6 +43,7 @@
 use crate::gateway::selection::{self, Choice, Criteria};
 use crate::gateway::service_demand::{ServiceDemand, ServiceTag};
 use crate::gateway::targets::{Entry, Target, TargetKey, Targets};
+use crate::gateway::versions::VersionRule;
 use crate::settings::EngineSettings;
 use crate::telemetry::{Gauge, Metrics, Telemetry};
 use crate::units::{Clock, Micros};
@@ -265,11 +266,12 @@
         self.lock().targets.get(key).is_some()
     }
 
-    /// Whether a target is listed and may be sent requests now.
-    pub fn may_send_to(&self, key: TargetKey) -> bool {
+    /// Whether a target is listed, is of one of these versions, and may be sent requests now.
+    pub fn may_send_to(&self, key: TargetKey, versions: VersionRule) -> bool {
         let now = self.clock.now();
         let state = self.lock();
         let target = state.targets.get(key);
+        let target = target.filter(|target| versions.allows(target.version));
         target.is_some_and(|target| state.restriction(target, now).is_none())
     }
 
@@ -320,8 +322,14 @@
         Some((target.id.clone(), target.entry.clone()))
     }
 
-    /// Chooses a target for a request, excluding those in `tried`; `None` if none is left.
-    pub fn choose_target(&self, request: &ClientRequest, tried: &[TargetKey]) -> Option<Choice> {
+    /// Chooses a target of these versions for a request, excluding those in `tried`; `None` if none is
+    /// left.
+    pub fn choose_target(
+        &self,
+        request: &ClientRequest,
+        tried: &[TargetKey],
+        versions: VersionRule,
+    ) -> Option<Choice> {
         let service = request.service.as_ref();
         let zones = self.allowed_zones(request);
         let state = self.lock();
@@ -330,6 +338,7 @@
             prompt: request.prompt.as_ref(),
             zone: &self.zone,
             tried,
+            versions,
             evacuations: &state.evacuations,
             allowed_zones: &zones,
             prefill_rate: self.prefill_rate(service, &state.targets),
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -18,6 +18,7 @@
 use crate::gateway::prompts::{PrefixCache, mix};
 use crate::gateway::target_limit::TargetLimit;
 use crate::gateway::targets::journal::Journal;
+use crate::gateway::versions::VersionTag;
 use crate::units::Micros;
 
 /// Time after the start of this process in which targets are listed that have run for long.
@@ -73,6 +74,11 @@
 }
 
 impl TargetRun {
+    /// Tag of the version of its software; `None` if that is not known.
+    pub fn version_tag(&self) -> Option<VersionTag> {
+        self.version.as_deref().map(VersionTag::of)
+    }
+
     /// Version of its software, for logs.
     pub fn version_name(&self) -> &str {
         self.version.as_deref().unwrap_or("unknown")
@@ -172,6 +178,8 @@
     pub entry: Entry,
     /// Tag of its availability zone.
     pub zone: ZoneTag,
+    /// Tag of the version of its software; `None` if that is not known.
+    pub version: Option<VersionTag>,
     /// Estimated load.
     pub load: Load,
     /// Prompt parts that it presumably has cached.
@@ -343,7 +351,8 @@
         let known = &self.get(key).expect("ids name live targets").entry;
         let replaced = known.started_at != entry.started_at
             || known.addr != entry.addr
-            || known.service != entry.service;
+            || known.service != entry.service
+            || known.version != entry.version;
         if replaced {
             let before = self.get(key).map(|target| target.cold.clone());
             self.take(id);
@@ -484,6 +493,7 @@
             id: id.clone(),
             tag: TargetTag(xxhash_rust::xxh3::xxh3_64(id.as_bytes()) as u32),
             zone: ZoneTag::of(&entry.zone),
+            version: entry.version.as_deref().map(VersionTag::of),
             notices: self.notices.of(&id, &entry),
             run,
             entry,
