Fix: what is no continuation neither ends a broken stream nor appears in it

Reported from other systems, and shown here: a stream broke off after its first event, and the next target's answer was a 204, a 200 with an empty body, a plain text, or a head in place of events. The client got the text in the middle of its stream, or the stream ended as if it were whole. Cause: any success counted as the rest.

--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -21,6 +21,9 @@
     /// The process has no memory left for it.
     #[error("no memory left for an event")]
     NoRoom,
+    /// It does not follow the last one of the stream that it is to continue.
+    #[error("an event does not continue the stream")]
+    NotContinued,
 }
 
 impl From<NoRoom> for EventError {
@@ -34,6 +37,8 @@
 pub struct Splitter {
     buffer: HeldBuffer,
     last_id: Option<Box<str>>,
+    /// Whether the events have to continue those before: each has an id, and ids increase.
+    is_resumed: bool,
 }
 
 impl Splitter {
@@ -42,13 +47,15 @@
         Splitter {
             buffer: budget.buffer(),
             last_id: None,
+            is_resumed: false,
         }
     }
 
     /// Adds received bytes and returns the events that are now complete.
     ///
     /// # Errors
-    /// Returns an error if an incomplete event exceeds the limit, or there is no memory left for it.
+    /// Returns an error if an incomplete event exceeds the limit, or there is no memory left for it, or
+    /// an event of a resumed stream does not continue it.
     pub fn push(&mut self, data: Bytes) -> Result<Bytes, EventError> {
         let complete = if self.buffer.is_empty() {
             let end = events_end(&data);
@@ -62,6 +69,9 @@
         if self.buffer.as_slice().len() > MAX_EVENT_BYTES {
             return Err(EventError::TooLong);
         }
+        if self.is_resumed {
+            self.check_continuation(&complete)?;
+        }
         if let Some(id) = parse_last_id(&complete) {
             self.last_id = Some(id.into());
         }
@@ -88,9 +98,28 @@
         self.last_id.as_deref()
     }
 
-    /// Discards the incomplete event.
-    pub fn discard_partial(&mut self) {
+    /// Discards the incomplete event. The next ones come from another target, which has to continue
+    /// the stream.
+    pub fn resume(&mut self) {
         self.buffer.clear();
+        self.is_resumed = true;
+    }
+
+    /// Checks that events continue the stream, if it has ids.
+    fn check_continuation(&self, events: &[u8]) -> Result<(), EventError> {
+        let Some(last) = &self.last_id else {
+            return Ok(());
+        };
+        let mut last: Option<u64> = last.parse().ok();
+        for event in split_events(events) {
+            let id = parse_last_id(event).ok_or(EventError::NotContinued)?;
+            let number = id.parse().ok();
+            if number.is_some() && number <= last {
+                return Err(EventError::NotContinued);
+            }
+            last = number;
+        }
+        Ok(())
     }
 }
 
@@ -108,6 +137,33 @@
     0
 }
 
+/// The single events, without those that consist of comments.
+fn split_events(events: &[u8]) -> impl Iterator<Item = &[u8]> {
+    let mut rest = events;
+    let events = std::iter::from_fn(move || {
+        let end = first_event_end(rest)?;
+        let (event, others) = rest.split_at(end);
+        rest = others;
+        Some(event)
+    });
+    events.filter(|event| {
+        let mut lines = event.split(|&b| b == b'\n').map(<[u8]>::trim_ascii);
+        lines.any(|line| !line.is_empty() && !line.starts_with(b":"))
+    })
+}
+
+/// Offset of the end of the first complete event; `None` if there is none.
+fn first_event_end(data: &[u8]) -> Option<usize> {
+    let mut start = 0;
+    loop {
+        let end = start + data[start..].iter().position(|&b| b == b'\n')?;
+        if data[start..end].trim_ascii().is_empty() {
+            return Some(end + 1);
+        }
+        start = end + 1;
+    }
+}
+
 /// Value of the last `id` field in these events.
 fn parse_last_id(events: &[u8]) -> Option<&str> {
     let lines = events.rsplit(|&b| b == b'\n');
--- a/src/gateway/events/tests.rs
+++ b/src/gateway/events/tests.rs
@@ -37,6 +37,32 @@
     nothing: [] => b"", false, None;
 }
 
+/// Whether events are passed on that follow a resume after the event with id 4.
+macro_rules! resumed_streams {
+    ($($name:ident: $events:expr => $continued:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut splitter = split(&[b"id: 4\ndata: a\n\nid: 5\nda"]).1;
+            splitter.resume();
+            let pushed = splitter.push(Bytes::from_static($events));
+            assert_eq!(pushed.is_ok(), $continued, "{pushed:?}");
+        }
+    )*};
+}
+
+resumed_streams! {
+    the_next_events_continue: b"id: 5\ndata: b\n\nid: 6\ndata: c\n\n" => true;
+    the_next_event_with_carriage_returns_continues: b"id: 5\r\ndata: b\r\n\r\n" => true;
+    a_first_line_with_another_field_does_no_harm: b"weight-versions: 3\nid: 5\ndata: b\n\n" => true;
+    a_comment_is_no_event: b": alive\n\nid: 5\ndata: b\n\n" => true;
+    an_id_that_is_no_number_is_not_compared: b"id: x\ndata: b\n\n" => true;
+    the_same_event_again_does_not_continue: b"id: 4\ndata: a\n\n" => false;
+    a_stream_from_its_beginning_does_not_continue: b"id: 1\ndata: a\n\n" => false;
+    an_event_twice_does_not_continue: b"id: 5\ndata: b\n\nid: 5\ndata: b\n\n" => false;
+    another_text_does_not_continue: b"HTTP/1.1 500 Oh No\nContent-Length: 4\n\n" => false;
+    an_event_without_id_does_not_continue: b"id: 5\ndata: b\n\ndata: oops\n\n" => false;
+}
+
 /// Guards against an event without end, in pieces of few bytes, that takes all processor time.
 #[test]
 fn an_event_without_end_in_small_pieces_is_given_up_soon() {
--- a/src/gateway/peers/service.rs
+++ b/src/gateway/peers/service.rs
@@ -35,7 +35,7 @@
                 send_stream_messages(&socket, &gateway).await;
                 request_log::quarantine_changes(&gateway);
             }
-            () = gateway.stream_messages_due.notified() => {
+            () = gateway.stream_sends.notified() => {
                 send_stream_messages(&socket, &gateway).await;
             }
             received = socket.recv_from(&mut buffer) => {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming};
+use hyper::header::{CONTENT_TYPE, HeaderValue};
 use tokio::sync::oneshot;
 use tokio::time::Sleep;
 use tokio_util::sync::WaitForCancellationFutureOwned;
@@ -17,7 +18,7 @@
 use crate::gateway::in_flight::InFlight;
 use crate::gateway::pool::Connection;
 use crate::gateway::request_log;
-use crate::gateway::resume::{self, ResumeReceiver};
+use crate::gateway::resume::{self, ResumePoint, ResumeReceiver};
 use crate::gateway::retry::Failure;
 use crate::gateway::run_check::{RunCheck, RunState};
 use crate::gateway::send::{self, Upstream};
@@ -91,6 +92,8 @@
     attempts: Attempts,
     /// The run of the target whose stream is or was read last.
     run: TargetRun,
+    /// Content type of the answer; `None` if it has none.
+    content_type: Option<HeaderValue>,
     state: State,
     splitter: Splitter,
     /// Detects a silent target; `None` unless another target may resume the stream.
@@ -115,6 +118,7 @@
         let mut relay = Relay {
             attempts,
             run: upstream.run.clone(),
+            content_type: upstream.head.headers.get(CONTENT_TYPE).cloned(),
             state: State::Done,
             splitter,
             idle_timer: None,
@@ -181,9 +185,12 @@
         // Dropping the connection makes most targets stop.
         self.state = State::Done;
         self.idle_timer = None;
-        self.splitter.discard_partial();
-        let last_event = self.splitter.last_id().map(str::to_owned);
-        self.state = State::Resuming(resume::start(attempts, choice, last_event, check));
+        self.splitter.resume();
+        let point = ResumePoint {
+            last_event: self.splitter.last_id().map(str::to_owned),
+            content_type: self.content_type.clone(),
+        };
+        self.state = State::Resuming(resume::start(attempts, choice, point, check));
         true
     }
 
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -72,7 +72,7 @@
     /// Notified when other gateways have reported their state.
     pub reports: Notify,
     /// Notified when a message on streams is to be sent.
-    pub stream_messages_due: Notify,
+    pub stream_sends: Notify,
     /// Notified when other gateways have told of streams.
     pub stream_answers: Notify,
     /// Random id of this process.
@@ -125,7 +125,7 @@
             pool: ConnectionPool::default(),
             bytes: ByteBudget::default(),
             reports: Notify::new(),
-            stream_messages_due: Notify::new(),
+            stream_sends: Notify::new(),
             stream_answers: Notify::new(),
             boot: rand::random(),
             grace_over: CancellationToken::new(),
--- a/src/gateway/state/streams.rs
+++ b/src/gateway/state/streams.rs
@@ -49,7 +49,7 @@
         let known = state.peers.addresses();
         let asked = holders(question.stream, known, ASKED);
         state.questions.ask(question, &asked);
-        self.stream_messages_due.notify_one();
+        self.stream_sends.notify_one();
         !asked.is_empty()
     }
 
