Split grown files: positions in messages, restores, evacuations of the state, the model's gateway

The holders of a stream and the roster hash addresses alike, with one function. Two tests of restores share a macro. No behaviour changes.

--- a/src/gateway/list_view.rs
+++ b/src/gateway/list_view.rs
@@ -14,7 +14,7 @@
 //! When the platform comes back from an older copy, a new era begins, whose records win. Until the
 //! targets have written their entries again, its list lacks some and has others in an older state. So
 //! entries that it lacks are kept for [`OUTAGE_GRACE`], and until it is read anew after
-//! [`SETTLING_TIME`] a record that may be from the copy takes nothing back that was known before, see
+//! [`restore::SETTLING_TIME`] a record that may be from the copy takes nothing back that was known before, see
 //! [`ListView::is_unproven`].
 //!
 //! After an outage of the platform a missing entry is kept for [`OUTAGE_GRACE`]. An outage that other
@@ -23,10 +23,12 @@
 //! Performs no I/O.
 
 pub mod availability;
+mod restore;
 
 use std::collections::HashMap;
 
 use crate::gateway::list_view::availability::{Availability, Confirmed, Outage};
+use crate::gateway::list_view::restore::Restore;
 use crate::gateway::position::{Era, Position};
 use crate::units::Micros;
 
@@ -34,9 +36,6 @@
 /// seconds of its end. A longer time would keep a removed target in use for more than the 3,000 ms
 /// that a drain may take, as the end of an outage is noticed up to 0.85 s late.
 pub const OUTAGE_GRACE: Micros = Micros::from_secs(2);
-/// How long after a restore of the list its older records may be out of date. Targets write their
-/// entries again every 1,200 ms, and the entry of one that is gone lapses after three times that.
-pub const SETTLING_TIME: Micros = Micros::from_secs(5);
 /// How long a removal is remembered. Longer than a frozen gateway's copy stays in use.
 const REMOVAL_TTL: Micros = Micros::from_secs(60);
 /// Maximum number of removals that are remembered; the oldest records are forgotten first.
@@ -96,24 +95,6 @@
     Ignore,
 }
 
-/// A restore of the platform's list, as seen by one gateway.
-#[derive(Clone, Copy, Debug)]
-struct Restore {
-    /// Time at which the gateway learned of it.
-    at: Micros,
-    /// Whether entries that the list lacks are kept. A gateway that has just started knows none.
-    keeps_missing: bool,
-    /// Offset from which on records were certainly written since.
-    proven_from: u64,
-}
-
-impl Restore {
-    /// Whether the list may still be out of date.
-    fn is_settling(&self, now: Micros) -> bool {
-        now < self.at + SETTLING_TIME
-    }
-}
-
 /// The merged view of one gateway.
 #[derive(Debug, Default)]
 pub struct ListView {
--- a/src/gateway/list_view/tests/fleet.rs
+++ b/src/gateway/list_view/tests/fleet.rs
@@ -2,12 +2,16 @@
 //! and restarted, also two at once, outages of the store, restores from an older copy, and releases and
 //! drains in the meantime.
 
+mod gateway;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use proptest::prelude::*;
 
+use self::gateway::Gateway;
+
 use crate::gateway::list_view::availability::Confirmed;
-use crate::gateway::list_view::{Effect, EntryState, Fact, ListView, Origin};
+use crate::gateway::list_view::{Effect, EntryState, Fact, Origin};
 use crate::gateway::position::{Era, Position};
 use crate::units::Micros;
 
@@ -58,26 +62,6 @@
     ]
 }
 
-#[derive(Default)]
-struct Gateway {
-    view: ListView,
-    used: BTreeSet<String>,
-    /// All targets that it has used since its start.
-    known: BTreeSet<String>,
-    /// Targets that it had used and no longer did, after they were removed for good.
-    dropped: BTreeSet<String>,
-    position: Option<Position>,
-    /// Step at which it has learned of the last restore.
-    era_since: u64,
-    cut_until: u64,
-    store_cut: u64,
-    frozen_until: u64,
-    /// Step of the start, or of the end of the last disturbance.
-    undisturbed_since: u64,
-    /// What it has told last: its confirmed span, if it was in touch with the store.
-    told: Option<Confirmed>,
-}
-
 struct Fleet {
     step: u64,
     /// All records of the store: an id, whether it is listed, and the step of the write.
@@ -422,53 +406,6 @@
     }
 }
 
-impl Gateway {
-    fn enter_era(&mut self, now: Micros, era: Era, proven_from: u64) {
-        let before = self.view.complete_to().era;
-        self.view.enter_era(now, era, proven_from);
-        if era > before {
-            self.era_since = now.0 / Micros::from_ms(STEP_MS).0;
-        }
-    }
-
-    /// Merges an entry, unless it takes back what was known before a restore.
-    fn list(&mut self, id: &str, position: Position, origin: Origin) -> Effect {
-        match self.is_taken_back(id, position) {
-            true => Effect::Ignore,
-            false => self.view.list(id, position, origin),
-        }
-    }
-
-    fn keep(&mut self, now: Micros, id: &str, position: Position, left: Micros) -> Effect {
-        match self.is_taken_back(id, position) {
-            true => Effect::Ignore,
-            false => self.view.keep(now, id, position, left),
-        }
-    }
-
-    fn is_taken_back(&self, id: &str, position: Position) -> bool {
-        !self.used.contains(id) && self.view.is_unproven(id, position)
-    }
-
-    fn merge_unlisted(&mut self, now: Micros, listed: &BTreeSet<String>, end: Position) {
-        for id in self.used.clone().difference(listed) {
-            let effect = self.view.remove_unlisted(now, id, end);
-            self.apply(id, effect);
-        }
-    }
-
-    fn apply(&mut self, id: &str, effect: Effect) {
-        match effect {
-            Effect::Put => {
-                self.used.insert(id.to_owned());
-                self.known.insert(id.to_owned());
-            }
-            Effect::Remove => drop(self.used.remove(id)),
-            Effect::Keep | Effect::Ignore => {}
-        }
-    }
-}
-
 fn play(events: &[Event]) -> Fleet {
     let mut fleet = Fleet::new();
     for event in events {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -23,6 +23,7 @@
 pub mod totals;
 pub mod wire;
 pub mod wire_crashes;
+pub mod wire_position;
 pub mod wire_streams;
 pub mod wire_targets;
 
--- a/src/gateway/peers/wire.rs
+++ b/src/gateway/peers/wire.rs
@@ -12,7 +12,7 @@
 use crate::gateway::peers::member::{CopyStatus, Member, Scope, ZoneTag};
 use crate::gateway::peers::totals::{TargetLoad, Totals};
 use crate::gateway::peers::wire_crashes::{self, Suspicions, WireCrash};
-use crate::gateway::position::{Era, Position};
+use crate::gateway::peers::wire_position::WirePosition;
 use crate::gateway::restrictions::evacuations::{self, Evacuations};
 use crate::gateway::service_demand::ServiceTag;
 use crate::gateway::target_limit::{LimitedUse, Observation};
@@ -82,13 +82,6 @@
     zones: Vec<u32>,
 }
 
-/// A position in a list of the platform.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct WirePosition {
-    era: u64,
-    offset: u64,
-}
-
 #[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
 enum WireScope {
     #[default]
@@ -377,21 +370,6 @@
     now.saturating_sub(Micros::from_ms(age.into()))
 }
 
-impl From<Position> for WirePosition {
-    fn from(position: Position) -> Self {
-        WirePosition {
-            era: position.era.0,
-            offset: position.offset,
-        }
-    }
-}
-
-impl From<WirePosition> for Position {
-    fn from(wire: WirePosition) -> Self {
-        Position::new(Era(wire.era), wire.offset)
-    }
-}
-
 impl From<Scope> for WireScope {
     fn from(scope: Scope) -> Self {
         match scope {
--- a/src/gateway/peers/wire_targets.rs
+++ b/src/gateway/peers/wire_targets.rs
@@ -8,7 +8,8 @@
 
 use crate::gateway::directory::{Change, ChangeBatch};
 use crate::gateway::list_view::{EntryState, Fact};
-use crate::gateway::peers::wire::{WireCold, WirePosition};
+use crate::gateway::peers::wire::WireCold;
+use crate::gateway::peers::wire_position::WirePosition;
 use crate::gateway::position::Position;
 use crate::gateway::targets::{Entry, Target, Targets};
 use crate::units::Micros;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -5,6 +5,7 @@
 mod crashes;
 mod ending;
 mod engines;
+mod evacuations;
 mod exchange;
 mod notices;
 mod regions;
@@ -38,7 +39,7 @@
 use crate::gateway::request::ClientRequest;
 use crate::gateway::request_quarantine::RequestQuarantine;
 use crate::gateway::reservation::ReservationContext;
-use crate::gateway::restrictions::evacuations::{self, Evacuations};
+use crate::gateway::restrictions::evacuations::Evacuations;
 use crate::gateway::restrictions::{self, Restriction};
 use crate::gateway::retry_budget::{RetryBudget, RetryLimits};
 use crate::gateway::selection::{self, Choice, Criteria};
@@ -49,7 +50,7 @@
 use crate::gateway::version_history::VersionHistory;
 use crate::gateway::versions::VersionRule;
 use crate::settings::EngineSettings;
-use crate::telemetry::{Gauge, Metrics, Telemetry};
+use crate::telemetry::{Metrics, Telemetry};
 use crate::units::{Clock, Micros};
 
 /// Prefill rate per engine, in tokens per millisecond, that is assumed if the configuration does
@@ -298,39 +299,6 @@
         targets.max(state.evacuations.as_of.era)
     }
 
-    /// Returns the set of evacuated zones.
-    pub fn evacuations(&self) -> Evacuations {
-        self.lock().evacuations.clone()
-    }
-
-    /// Takes over a version of the set of evacuated zones unless this gateway knows a newer one, and
-    /// logs the zones that it changes.
-    pub fn merge_evacuations(&self, newer: Evacuations) {
-        let now = self.clock.now();
-        let mut state = self.lock();
-        if let Some(before) = state.evacuations.merge(now, newer) {
-            self.apply_evacuations(&mut state, &before);
-        }
-    }
-
-    /// Ends the evacuations that were known before a restore of the platform's lists and have not been
-    /// written again for long.
-    fn end_carried_evacuations(&self, state: &mut State, now: Micros) {
-        if let Some(before) = state.evacuations.expire_carried(now) {
-            self.apply_evacuations(state, &before);
-        }
-    }
-
-    /// Applies that the set of evacuated zones has replaced `before`.
-    fn apply_evacuations(&self, state: &mut State, before: &Evacuations) {
-        if before.zones().ne(state.evacuations.zones()) {
-            self.assume_cold(state, before);
-            self.metrics()
-                .set_gauge(Gauge::EvacuatedZones, state.evacuations.len() as i64);
-            evacuations::log_changes(before, &state.evacuations, &state.targets);
-        }
-    }
-
     /// Returns a target's id and list entry; `None` if it is no longer listed.
     pub fn target_entry(&self, key: TargetKey) -> Option<(Arc<str>, Entry)> {
         let state = self.lock();
--- a/src/gateway/stream_book.rs
+++ b/src/gateway/stream_book.rs
@@ -7,13 +7,14 @@
 //! Performs no I/O.
 
 use std::collections::{HashMap, VecDeque};
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 
 use hyper::header::HeaderValue;
 use rustc_hash::FxBuildHasher;
 use smallvec::SmallVec;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::gateway::peers::roster;
 use crate::gateway::prompts::mix;
 use crate::gateway::service_demand::ServiceTag;
 use crate::gateway::versions::VersionTag;
@@ -128,7 +129,7 @@
 ) -> SmallVec<[SocketAddr; 8]> {
     let mut ranked: SmallVec<[(u64, SocketAddr); 8]> = SmallVec::new();
     for gateway in gateways {
-        let rank = mix(stream.0 ^ address_key(gateway));
+        let rank = mix(stream.0 ^ roster::key_of(&gateway));
         let at = ranked.partition_point(|(other, _)| *other > rank);
         if at < count {
             ranked.insert(at, (rank, gateway));
@@ -138,13 +139,5 @@
     ranked.into_iter().map(|(_, gateway)| gateway).collect()
 }
 
-fn address_key(addr: SocketAddr) -> u64 {
-    let host = match addr.ip() {
-        IpAddr::V4(ip) => u64::from(ip.to_bits()),
-        IpAddr::V6(ip) => mix(ip.to_bits() as u64) ^ (ip.to_bits() >> 64) as u64,
-    };
-    mix(host << 16 ^ u64::from(addr.port()))
-}
-
 #[cfg(test)]
 mod tests;
--- a/tests/gateway/restored.rs
+++ b/tests/gateway/restored.rs
@@ -181,39 +181,34 @@
     site.uses_only(&new).await;
 }
 
-#[tokio::test]
-async fn a_target_that_left_before_a_restore_is_not_used_again() {
-    let (left, other) = (target().await, target().await);
-    let site = Site::start(|store| {
-        store.put_target("t0", other.addr);
-        store.put_target("t1", left.addr);
-    })
-    .await;
-    site.store.append(TARGETS, b"t1", b"");
-    site.uses_only(&other).await;
-    site.restore(&[(TARGETS, 1)], |store| store.put_target("t0", other.addr))
-        .await;
-    let before = left.count();
-    site.keeps_answering(200).await;
-    assert_eq!(left.count(), before);
+/// A target is not used for a while after a restore that loses the record by which it left.
+macro_rules! departures {
+    ($($name:ident: $leave:expr;)*) => {$(
+        #[tokio::test]
+        async fn $name() {
+            let (left, other) = (target().await, target().await);
+            let site = Site::start(|store| {
+                store.put_target("t0", other.addr);
+                store.put_target("t1", left.addr);
+            })
+            .await;
+            let leave: fn(&Store, &Target) = $leave;
+            leave(&site.store, &left);
+            site.uses_only(&other).await;
+            site.restore(&[(TARGETS, 1)], |store| store.put_target("t0", other.addr))
+                .await;
+            let before = left.count();
+            site.keeps_answering(200).await;
+            assert_eq!(left.count(), before);
+        }
+    )*};
 }
 
-/// A copy of the entry from before the target said that it is leaving.
-#[tokio::test]
-async fn a_target_that_drained_before_a_restore_is_not_used_again() {
-    let (left, other) = (target().await, target().await);
-    let site = Site::start(|store| {
-        store.put_target("t0", other.addr);
-        store.put_target("t1", left.addr);
-    })
-    .await;
-    site.store.drain_target("t1", left.addr);
-    site.uses_only(&other).await;
-    site.restore(&[(TARGETS, 1)], |store| store.put_target("t0", other.addr))
-        .await;
-    let before = left.count();
-    site.keeps_answering(200).await;
-    assert_eq!(left.count(), before);
+departures! {
+    a_target_that_left_before_a_restore_is_not_used_again:
+        |store, _| store.append(TARGETS, b"t1", b"");
+    a_target_that_drained_before_a_restore_is_not_used_again:
+        |store, left| store.drain_target("t1", left.addr);
 }
 
 #[tokio::test]
