Remember streams and versions for ten minutes, and never answer beyond that

A route whose timeout exceeds half a minute would have found its streams forgotten, and the history of versions would have called one version the only one for a span that it no longer covered. What is not told yet is kept by service, so that a service with one version costs no look at each stream. Test a_span_beyond_what_is_remembered_is_not_certain.

--- a/src/gateway/state/streams.rs
+++ b/src/gateway/state/streams.rs
@@ -79,16 +79,10 @@
             }
         }
         let asked = state.questions.take_outbox();
-        let told = told.into_iter().flat_map(|(to, rows)| {
-            let parts = rows.chunks(MAX_STREAMS).map(StreamMessage::tell);
-            let parts: SmallVec<[StreamMessage; 1]> = parts.collect();
-            parts.into_iter().map(move |message| (to, message))
-        });
-        let asked = asked.into_iter().flat_map(|(to, rows)| {
-            let parts = rows.chunks(MAX_STREAMS).map(StreamMessage::ask);
-            let parts: SmallVec<[StreamMessage; 1]> = parts.collect();
-            parts.into_iter().map(move |message| (to, message))
-        });
+        let told = told.into_iter();
+        let told = told.flat_map(|(to, rows)| in_parts(to, &rows, StreamMessage::tell));
+        let asked = asked.into_iter();
+        let asked = asked.flat_map(|(to, rows)| in_parts(to, &rows, StreamMessage::ask));
         told.chain(asked).collect()
     }
 
@@ -151,3 +145,13 @@
         !self.targets.is_empty() && (is_alone || is_platform_away)
     }
 }
+
+/// Messages with these rows to one gateway, as many as are needed.
+fn in_parts<T>(
+    to: SocketAddr,
+    rows: &[T],
+    message: fn(&[T]) -> StreamMessage,
+) -> SmallVec<[(SocketAddr, StreamMessage); 1]> {
+    let parts = rows.chunks(MAX_STREAMS);
+    parts.map(|part| (to, message(part))).collect()
+}
--- a/src/gateway/stream_book.rs
+++ b/src/gateway/stream_book.rs
@@ -20,9 +20,9 @@
 use crate::gateway::versions::VersionTag;
 use crate::units::Micros;
 
-/// How long a stream is remembered after its first event. Longer than a client waits for the whole of
+/// How long a stream is remembered after its first event. Longer than clients wait for the whole of
 /// it.
-pub const STREAM_TTL: Micros = Micros::from_secs(30);
+pub const STREAM_TTL: Micros = Micros::from_secs(600);
 /// Maximum number of streams that are remembered; the oldest ones are forgotten first.
 const MAX_STREAMS: usize = 65_536;
 /// Number of gateways that are told of a stream.
@@ -51,32 +51,25 @@
     pub version: VersionTag,
 }
 
-/// A stream of this gateway that no other one has been told of.
-#[derive(Clone, Copy, Debug)]
-struct Untold {
-    begun: BegunStream,
-    service: ServiceTag,
-    at: Micros,
-}
-
 /// The streams that one gateway has begun or been told of.
 #[derive(Clone, Debug, Default)]
 pub struct StreamBook {
     versions: HashMap<StreamTag, VersionTag, FxBuildHasher>,
     /// The streams by age, the oldest first.
     ages: VecDeque<(Micros, StreamTag)>,
-    untold: Vec<Untold>,
+    /// Streams of this gateway that no other one has been told of, by service, the oldest first.
+    untold: HashMap<ServiceTag, VecDeque<(Micros, BegunStream)>, FxBuildHasher>,
 }
 
 impl StreamBook {
     /// Records that a target of this gateway's choice has begun a stream.
     pub fn begin(&mut self, now: Micros, begun: BegunStream, service: ServiceTag) {
         self.learn(now, begun);
-        self.untold.push(Untold {
-            begun,
-            service,
-            at: now,
-        });
+        let untold = self.untold.entry(service).or_default();
+        untold.push_back((now, begun));
+        if untold.len() > MAX_STREAMS {
+            untold.pop_front();
+        }
     }
 
     /// Records what another gateway told. What is known already stays.
@@ -100,8 +93,9 @@
     /// Takes the streams of which others have to be told: those of services that `is_mixed` says to
     /// have several versions. The others may become due as long as they are remembered.
     pub fn take_untold(&mut self, is_mixed: impl Fn(ServiceTag) -> bool) -> Vec<BegunStream> {
-        let due = self.untold.extract_if(.., |row| is_mixed(row.service));
-        due.map(|row| row.begun).collect()
+        let due = self.untold.extract_if(|service, _| is_mixed(*service));
+        let due = due.flat_map(|(_, streams)| streams);
+        due.map(|(_, begun)| begun).collect()
     }
 
     /// Forgets the streams that no client takes up any more.
@@ -110,7 +104,12 @@
         while self.ages.front().is_some_and(|&(at, _)| is_old(at)) {
             self.forget_oldest();
         }
-        self.untold.retain(|row| !is_old(row.at));
+        self.untold.retain(|_, streams| {
+            while streams.front().is_some_and(|&(at, _)| is_old(at)) {
+                streams.pop_front();
+            }
+            !streams.is_empty()
+        });
     }
 
     fn forget_oldest(&mut self) {
--- a/src/gateway/version_history.rs
+++ b/src/gateway/version_history.rs
@@ -73,7 +73,7 @@
         span: Micros,
     ) -> Option<VersionTag> {
         let since = now.saturating_sub(span);
-        if self.followed_since? > since {
+        if self.followed_since? > since || span > STREAM_TTL {
             return None;
         }
         let seen = self.services.get(&service)?;
--- a/src/gateway/version_history/tests.rs
+++ b/src/gateway/version_history/tests.rs
@@ -54,6 +54,18 @@
     assert_eq!(history.sole_version(at(10), SERVICE, SPAN), ONE);
 }
 
+/// What was listed longer ago is forgotten.
+#[test]
+fn a_span_beyond_what_is_remembered_is_not_certain() {
+    let mut history = VersionHistory::default();
+    history.observe(at(0), true, [(SERVICE, ONE)].into_iter());
+    let now = at(2 * STREAM_TTL.as_ms() / 1_000);
+    history.observe(now, true, [(SERVICE, ONE)].into_iter());
+    assert_eq!(history.sole_version(now, SERVICE, STREAM_TTL), ONE);
+    let longer = STREAM_TTL + Micros::from_ms(1);
+    assert_eq!(history.sole_version(now, SERVICE, longer), None);
+}
+
 #[test]
 fn a_service_is_mixed_while_streams_of_several_versions_may_go_on() {
     let mut history = VersionHistory::default();
