--- a/src/gateway/list_view.rs
+++ b/src/gateway/list_view.rs
@@ -13,8 +13,8 @@
 //!
 //! When the platform comes back from an older copy, a new era begins, whose records win. Until the
 //! targets have written their entries again, its list lacks some and has others in an older state. So
-//! entries that it lacks are kept for [`OUTAGE_GRACE`], and until it is read anew after
-//! [`restore::SETTLING_TIME`] a record that may be from the copy takes nothing back that was known before, see
+//! entries that it lacks are kept for [`OUTAGE_GRACE`], and until it is read anew, some seconds later, a
+//! record that may be from the copy takes nothing back that was known before, see
 //! [`ListView::is_unproven`].
 //!
 //! After an outage of the platform a missing entry is kept for [`OUTAGE_GRACE`]. An outage that other
@@ -99,7 +99,7 @@
 #[derive(Debug, Default)]
 pub struct ListView {
     complete_to: Position,
-    /// The last restore; `None` once the list has been read anew after [`SETTLING_TIME`].
+    /// The last restore; `None` once the list has been read anew after it.
     restore: Option<Restore>,
     facts: HashMap<Box<str>, Fact>,
     availability: Availability,
@@ -226,11 +226,9 @@
     pub fn keep(&mut self, now: Micros, id: &str, position: Position, left: Micros) -> Effect {
         let is_known = self.facts.contains_key(id);
         let era = self.complete_to.era;
-        let was_removed = |fact: Fact| matches!(fact.state, EntryState::Removed(_));
-        if self
-            .fact(id)
-            .is_some_and(|f| f.position.era < era && was_removed(f))
-        {
+        let was_removed =
+            |fact: Fact| fact.position.era < era && matches!(fact.state, EntryState::Removed(_));
+        if self.fact(id).is_some_and(was_removed) {
             return Effect::Ignore;
         }
         if is_known && self.availability.is_current(now) && !self.is_in_grace(now) {
--- a/src/gateway/list_view/restore.rs
+++ b/src/gateway/list_view/restore.rs
@@ -7,6 +7,7 @@
 /// How long after a restore of the list its older records may be out of date. Targets write their
 /// entries again every 1,200 ms, and the entry of one that is gone lapses after three times that.
 pub const SETTLING_TIME: Micros = Micros::from_secs(5);
+
 /// A restore of the platform's list, as seen by one gateway.
 #[derive(Clone, Copy, Debug)]
 pub struct Restore {
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -222,8 +222,9 @@
 }
 
 /// Checks again, right before a request is sent, what may have changed since its target was chosen:
-/// the deadline, the target's restrictions and version, the configuration with its region restrictions, the
-/// quarantine, and whether the target is cold. Takes the room for the request if it is.
+/// the deadline, the target's restrictions and version, the configuration with its region
+/// restrictions, the quarantine, and whether the target is cold. Takes the room for the request if it
+/// is.
 fn last_look(
     gateway: &GatewayState,
     request: &ClientRequest,
